--- /dev/null
+++ b/citronmount/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The state machine of one VM."""
--- /dev/null
+++ b/citronmount/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, experiments and fault matrix."""
--- /dev/null
+++ b/citronmount/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line tool."""
--- /dev/null
+++ b/citronmount/config/__init__.py
@@ -0,0 +1,1 @@
+"""The sheet of the operators and its fold into versions."""
--- /dev/null
+++ b/citronmount/core/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions without input, output or clock."""
--- /dev/null
+++ b/citronmount/leases/__init__.py
@@ -0,0 +1,1 @@
+"""State machines of leases and gangs at the targets."""
--- /dev/null
+++ b/citronmount/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs live and which of them does what."""
--- /dev/null
+++ b/citronmount/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and transport between VMs."""
--- /dev/null
+++ b/citronmount/peers/messages.py
@@ -0,0 +1,505 @@
+"""Messages between the VMs of the system."""
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.platform import messages as platform_messages
+from citronmount.state import records
+from citronmount.telemetry import events
+
+__all__ = [
+    "Answer",
+    "CancelJob",
+    "CancelJobs",
+    "ClaimAnswer",
+    "ClaimKey",
+    "ConfigurationRelay",
+    "DomainSummary",
+    "Failure",
+    "Forward",
+    "ForwardAnswer",
+    "GetJob",
+    "Handover",
+    "Heartbeat",
+    "JobsAnswer",
+    "KeeperReport",
+    "ListJobs",
+    "PeerMessage",
+    "PublishConfiguration",
+    "PublishAnswer",
+    "Replicate",
+    "ReplicateAck",
+    "RunRequest",
+    "StateAnswer",
+    "StateRequest",
+    "SubmitJob",
+    "TimelineQuery",
+    "TimelineAnswer",
+    "decode",
+    "encode",
+]
+
+
+class SubmitJob(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller submits a job.
+
+    Attributes:
+        spec: The job; its id names the home failure domain, chosen by the VM
+            that the caller reached.
+    """
+
+    spec: jobs.JobSpec
+
+
+class GetJob(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller asks for the status of a job.
+
+    Attributes:
+        job: The job.
+        wait_ms: How long to wait for a final result.
+    """
+
+    job: ids.JobId
+    wait_ms: int = 0
+
+
+class CancelJob(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller cancels a job.
+
+    Attributes:
+        job: The job.
+    """
+
+    job: ids.JobId
+
+
+class CancelJobs(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller cancels every job of an account in one failure domain.
+
+    Attributes:
+        account: The account.
+        failure_domain: The failure domain.
+    """
+
+    account: ids.AccountId
+    failure_domain: ids.FailureDomainId
+
+
+class ListJobs(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller lists the jobs of a failure domain.
+
+    Attributes:
+        failure_domain: The failure domain.
+        account: Only this account's jobs, unless empty.
+        limit: The most jobs to return.
+    """
+
+    failure_domain: ids.FailureDomainId
+    account: ids.AccountId = ids.AccountId("")
+    limit: int = 100
+
+
+class RunRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller sends a short request.
+
+    Attributes:
+        spec: The request.
+        claimed: Whether its home failure domain has claimed the key, so that
+            the receiver only has to run it.
+    """
+
+    spec: jobs.RequestSpec
+    claimed: bool = False
+
+
+class PublishConfiguration(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An operator publishes a configuration.
+
+    Attributes:
+        change: The record to append.
+    """
+
+    change: records.ConfigurationChange
+
+
+class TimelineQuery(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks a VM for its part of the time line.
+
+    Attributes:
+        job: Only events of this job, unless empty.
+        account: Only events of this account, unless empty.
+        target: Only events of this target, unless empty.
+        limit: The most events to return, newest first.
+    """
+
+    job: str = ""
+    account: str = ""
+    target: str = ""
+    limit: int = 1_000
+
+
+CallerCall = (
+    SubmitJob
+    | GetJob
+    | CancelJob
+    | CancelJobs
+    | ListJobs
+    | RunRequest
+    | PublishConfiguration
+    | TimelineQuery
+)
+
+
+class Failure(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A call could not be served.
+
+    Attributes:
+        result: The code and its detail.
+        retry_after_ms: When to come back, for retryable refusals.
+    """
+
+    result: jobs.JobResult
+    retry_after_ms: int | None = None
+
+
+class JobAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The status of one job.
+
+    Attributes:
+        status: The status.
+    """
+
+    status: jobs.JobStatus
+
+
+class JobsAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The statuses of several jobs.
+
+    Attributes:
+        statuses: The statuses, oldest first.
+        total: How many there are without the limit.
+    """
+
+    statuses: tuple[jobs.JobStatus, ...]
+    total: int = 0
+
+
+class RequestAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The answer to a short request.
+
+    Attributes:
+        result: The answer.
+    """
+
+    result: jobs.RequestResult
+
+
+class PublishAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The answer to a published configuration.
+
+    Attributes:
+        result: Accepted, stale base, invalid or outcome unknown.
+        version: The version in force after the answer.
+    """
+
+    result: jobs.JobResult
+    version: ids.Version
+
+
+class TimelineAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """One VM's part of the time line.
+
+    Attributes:
+        events: The events, oldest first.
+        dropped: How many older events the bounded memory has let go.
+    """
+
+    events: tuple[events.TimelineEvent, ...]
+    dropped: int = 0
+
+
+Answer = (
+    Failure
+    | JobAnswer
+    | JobsAnswer
+    | RequestAnswer
+    | PublishAnswer
+    | TimelineAnswer
+)
+
+
+class DomainSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """What an owner tells others of its failure domain.
+
+    Attributes:
+        failure_domain: The failure domain.
+        token: The owner's fencing token.
+        free_accelerators: Accelerators that no job holds.
+        queued_accelerators: Accelerators asked for by queued jobs.
+        largest_gang: The largest gang that the failure domain could hold.
+    """
+
+    failure_domain: ids.FailureDomainId
+    token: ids.FenceToken
+    free_accelerators: int = 0
+    queued_accelerators: int = 0
+    largest_gang: int = 0
+
+
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A VM tells that it lives.
+
+    Attributes:
+        failure_domain: Where the VM is.
+        incarnation: Wall-clock start time of the process in ms.
+        sequence: Counts the heartbeats of the incarnation.
+        config_version: The configuration version in force at the VM.
+        config_offset: The offset up to which it has folded.
+        ready: Whether it has rebuilt and may own, keep and vote.
+        draining: Whether it is stopping.
+        domain: The owner's summary, if the VM owns its failure domain.
+        token: The highest fencing token of the failure domain it knows.
+        free_slots: Runner slots that it has free.
+        queued_requests: Short requests that wait at it.
+        physical_ms: Hybrid logical time, wall-clock part.
+        logical: Hybrid logical time, logical part.
+    """
+
+    failure_domain: ids.FailureDomainId
+    incarnation: int
+    sequence: int
+    config_version: ids.Version
+    config_offset: ids.Offset
+    ready: bool
+    draining: bool
+    domain: DomainSummary | None = None
+    token: ids.FenceToken = ids.FenceToken(0)
+    free_slots: int = 0
+    queued_requests: int = 0
+    physical_ms: int = 0
+    logical: int = 0
+
+
+class Forward(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Passes a caller's call to the VM that can serve it.
+
+    Attributes:
+        call: Matches the answer to the call.
+        body: The call.
+        timeout_ms: How long the sender waits.
+        hops: How often it was forwarded before.
+    """
+
+    call: ids.CallId
+    body: CallerCall
+    timeout_ms: int
+    hops: int = 0
+
+
+class ForwardAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The answer to a forwarded call.
+
+    Attributes:
+        call: The call that is answered.
+        body: The answer.
+    """
+
+    call: ids.CallId
+    body: Answer
+
+
+class Replicate(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks a peer to keep records in memory.
+
+    Attributes:
+        call: Matches the acknowledgement.
+        stream: The stream that the records belong to.
+        records: The records.
+    """
+
+    call: ids.CallId
+    stream: ids.StreamName
+    records: tuple[records.Record, ...]
+
+
+class ReplicateAck(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Confirms that records are kept.
+
+    Attributes:
+        call: The `Replicate` that is confirmed.
+    """
+
+    call: ids.CallId
+
+
+class ClaimKey(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks the VMs of the home failure domain for a key.
+
+    Attributes:
+        call: Matches the answers.
+        claim: The claim.
+    """
+
+    call: ids.CallId
+    claim: records.KeyClaimed
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A vote on a claim.
+
+    Attributes:
+        call: The claim that is answered.
+        granted: Whether the voter knows no other claim of the key.
+        holder: The claim that the voter holds for the key.
+        result: The key's final answer, if the voter knows it.
+    """
+
+    call: ids.CallId
+    granted: bool
+    holder: records.KeyClaimed | None = None
+    result: records.KeyResult | None = None
+
+
+class ReleaseKey(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Gives up a claim that was never used.
+
+    Attributes:
+        key: The key.
+        vm: The VM whose claim is given up.
+        record: The claim's record id.
+    """
+
+    key: str
+    vm: ids.VmId
+    record: ids.RecordId
+
+
+class ConfigurationRelay(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Passes the folded configuration to a peer that is behind.
+
+    Attributes:
+        snapshot: The configuration and the offset it was folded at.
+    """
+
+    snapshot: records.ConfigurationSnapshot
+
+
+class KeeperReport(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A lease keeper passes changed worker reports to the owner.
+
+    Attributes:
+        reports: Reports that changed.
+        lost: Workers that do not answer the keeper.
+    """
+
+    reports: tuple[platform_messages.Report, ...] = ()
+    lost: tuple[ids.WorkerId, ...] = ()
+
+
+class LapseAttempts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The owner tells keepers which attempts to let lapse.
+
+    Attributes:
+        token: The owner's fencing token.
+        attempts: Every attempt that must not be renewed.
+    """
+
+    token: ids.FenceToken
+    attempts: tuple[ids.AttemptId, ...]
+
+
+class StateRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A rebuilding VM asks a peer for what it knows.
+
+    Attributes:
+        call: Matches the answer.
+        stream: The stream whose records are asked for.
+    """
+
+    call: ids.CallId
+    stream: ids.StreamName
+
+
+class StateAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """What a peer knows of a stream.
+
+    Attributes:
+        call: The request that is answered.
+        configuration: Its folded configuration, if trustworthy.
+        jobs: Its jobs, claims and results of the failure domain.
+        unappended: Records that it keeps while the log is down.
+        token: The highest fencing token of the failure domain it knows.
+        ready: Whether the peer had itself rebuilt.
+    """
+
+    call: ids.CallId
+    configuration: records.ConfigurationSnapshot | None
+    jobs: records.JobSnapshot
+    unappended: tuple[records.Record, ...] = ()
+    token: ids.FenceToken = ids.FenceToken(0)
+    ready: bool = True
+
+
+class Handover(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A draining owner passes its state to the next owner.
+
+    Attributes:
+        failure_domain: The failure domain.
+        token: The owner's last fencing token.
+        jobs: Its jobs.
+        unappended: Records not yet in the log.
+    """
+
+    failure_domain: ids.FailureDomainId
+    token: ids.FenceToken
+    jobs: records.JobSnapshot
+    unappended: tuple[records.Record, ...] = ()
+
+
+PeerMessage = (
+    Heartbeat
+    | Forward
+    | ForwardAnswer
+    | Replicate
+    | ReplicateAck
+    | ClaimKey
+    | ClaimAnswer
+    | ReleaseKey
+    | ConfigurationRelay
+    | KeeperReport
+    | LapseAttempts
+    | StateRequest
+    | StateAnswer
+    | Handover
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Encodes a message for the wire.
+
+    Args:
+        message: Any message of this module.
+
+    Returns:
+        MessagePack bytes.
+    """
+    return _ENCODER.encode(message)
+
+
+def decode(data: bytes) -> PeerMessage | None:
+    """Decodes a message from the wire.
+
+    Args:
+        data: Bytes from a peer.
+
+    Returns:
+        The message, or None if it is malformed.
+    """
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/citronmount/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and clients of the platform's services."""
--- /dev/null
+++ b/citronmount/service/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon round the agent."""
--- /dev/null
+++ b/citronmount/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform's services for tests."""
--- /dev/null
+++ b/citronmount/state/__init__.py
@@ -0,0 +1,1 @@
+"""Records, durability and recovery."""
--- /dev/null
+++ b/citronmount/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Histograms, logs and the time line."""
--- /dev/null
+++ b/citronmount/testing/__init__.py
@@ -0,0 +1,1 @@
+"""The test runner of the project."""
