Keep guarantees reclaimable in the decision core

Cause: the scheduler placed jobs first fit, knew no guarantees and never evicted.

Change: each guaranteed copy is a cell on concrete workers; guaranteed jobs run inside cells of their account, all other work is revocable and is evicted for them. Work outside guarantees is ordered by served share, with backfill behind a reservation. Refusals, health, estimates and a policy registry are separate modules. The public interface is unchanged but for additions.

--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -1,17 +1,27 @@
 """The scheduler of one failure domain: which job runs where, and when."""
 
-import collections
+import itertools
 
 from citronmount.config import configuration as configuration_lib
+from citronmount.core import admission
 from citronmount.core import codes
 from citronmount.core import decisions
+from citronmount.core import domain as domain_lib
+from citronmount.core import fragmentation
+from citronmount.core import guaranteed
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import leftover
+from citronmount.core import queueing
+from citronmount.core import shapes
 from citronmount.core import states
+from citronmount.core import verdicts
 from citronmount.platform import messages
 
 __all__ = ["DomainScheduler"]
 
+_PRESS_RUN_TIMES = 2
+
 
 class DomainScheduler:
     """Decides for the workers and jobs of one failure domain.
@@ -35,14 +45,26 @@
         """
         self.failure_domain = failure_domain
         self.policy = policy
-        self._configuration = configuration_lib.Configuration()
-        self._workers: dict[ids.WorkerId, messages.ListedTarget] = {}
-        self._states: dict[ids.WorkerId, states.TargetState] = {}
-        self._free: dict[ids.WorkerId, jobs.Resources] = {}
-        self._queue: collections.OrderedDict[ids.JobId, jobs.JobSpec] = (
-            collections.OrderedDict()
-        )
-        self._placed: dict[ids.JobId, tuple[jobs.JobSpec, jobs.Placement]] = {}
+        self._domain = domain_lib.Domain(policy=policy)
+        self._admission = admission.Admission(domain=self._domain)
+        self._sequence = itertools.count()
+        self._now_ms = 0
+        self._wall_offset_ms: int | None = None
+        self._wall_is_set = False
+        self._changed = True
+
+    def set_wall_clock(self, *, now_ms: int, wall_ms: int) -> None:
+        """Notes what wall-clock time a monotonic time is, for deadlines.
+
+        Without this call the wall clock is inferred from the acceptance times
+        of submitted jobs.
+
+        Args:
+            now_ms: Monotonic time.
+            wall_ms: Wall-clock time in ms since the epoch.
+        """
+        self._wall_offset_ms = wall_ms - now_ms
+        self._wall_is_set = True
 
     def set_configuration(
         self, configuration: configuration_lib.Configuration
@@ -52,7 +74,8 @@
         Args:
             configuration: The version in force.
         """
-        self._configuration = configuration
+        self._changed = True
+        self._domain.configure(configuration, self.failure_domain, self._now_ms)
 
     def set_workers(self, workers: tuple[messages.ListedTarget, ...]) -> None:
         """Takes over the list of workers of the failure domain.
@@ -63,12 +86,12 @@
         Args:
             workers: The workers, with capacity and rack.
         """
-        for worker in workers:
-            name = ids.WorkerId(worker.name)
-            if name not in self._workers:
-                self._free[name] = worker.capacity
-            self._workers[name] = worker
-            self._states[name] = worker.state
+        changed = self._domain.pool.list_workers(workers)
+        for worker in changed:
+            self._domain.refresh_worker(worker, self._now_ms)
+        if changed:
+            self._changed = True
+            self._admission.refresh()
 
     def set_worker_state(
         self, worker: ids.WorkerId, state: states.TargetState, now_ms: int
@@ -80,7 +103,10 @@
             state: Only UP lets new tasks be placed.
             now_ms: Monotonic time.
         """
-        self._states[worker] = state
+        self._advance(now_ms)
+        if self._domain.pool.set_state(worker, state):
+            self._changed = True
+            self._domain.refresh_worker(worker, self._now_ms)
 
     def submit(self, spec: jobs.JobSpec, now_ms: int) -> jobs.JobResult | None:
         """Checks a new job and queues it.
@@ -93,11 +119,15 @@
             None if the job is queued, otherwise why it can never run or
             cannot be queued now. A refusal changes nothing.
         """
-        accounts = {a.name for a in self._configuration.accounts}
-        if spec.account not in accounts:
-            return jobs.JobResult(code=codes.ResultCode.UNKNOWN_ACCOUNT)
-        self._queue[spec.job] = spec
-        return None
+        self._advance(now_ms)
+        self._infer_wall_clock(spec)
+        if self._knows(spec.job):
+            return None
+        refusal = self._admission.check(spec, self._wall_ms())
+        if refusal is None:
+            self._domain.mix.note(shapes.of_job(spec))
+            self._enqueue(self._entry(spec, 0.0))
+        return refusal
 
     def restore(
         self, spec: jobs.JobSpec, now_ms: int, *, progress: float = 0.0
@@ -109,7 +139,9 @@
             now_ms: Monotonic time.
             progress: Saved share of its work, between 0 and 1.
         """
-        self._queue[spec.job] = spec
+        self._advance(now_ms)
+        if not self._knows(spec.job):
+            self._enqueue(self._entry(spec, progress))
 
     def adopt(
         self,
@@ -127,9 +159,14 @@
             now_ms: Monotonic time.
             running_ms: How long it has run.
         """
-        self._queue.pop(spec.job, None)
-        self._placed[spec.job] = (spec, placement)
-        self._take(spec, placement, 1)
+        self._advance(now_ms)
+        domain = self._domain
+        entry = self._forget(spec.job) or self._entry(spec, 0.0)
+        entry.ran = True
+        domain.place(entry, placement.groups, self._now_ms)
+        domain.placed[spec.job].since_ms = self._now_ms - running_ms
+        domain.unsettled.add(spec.account)
+        self._changed = True
 
     def started(self, job: ids.JobId, now_ms: int) -> None:
         """Notes that every task of a placed job has started.
@@ -138,6 +175,11 @@
             job: The job.
             now_ms: Monotonic time.
         """
+        self._advance(now_ms)
+        placed = self._domain.placed.get(job)
+        if placed is not None:
+            placed.entry.ran = True
+            placed.since_ms = self._now_ms
 
     def ended(
         self,
@@ -164,10 +206,23 @@
             again, because it failed on several distinct workers; otherwise
             None.
         """
-        spec, placement = self._placed.pop(job)
-        self._take(spec, placement, -1)
-        if requeue:
-            self._queue[job] = spec
+        self._advance(now_ms)
+        self._changed = True
+        placed = self._domain.remove(job, self._now_ms)
+        if placed is None:
+            return None
+        verdicts.learn(self._domain, placed, how, culprits, self._now_ms)
+        if not requeue:
+            return None
+        entry = placed.entry
+        if verdicts.failed_everywhere(entry):
+            self._domain.health.retract(job)
+            return jobs.JobResult(
+                code=codes.ResultCode.FAILED_EVERYWHERE,
+                detail=", ".join(sorted(entry.failed_on)),
+            )
+        entry.progress = min(max(entry.progress, progress), 1.0)
+        self._enqueue(entry)
         return None
 
     def cancel(self, job: ids.JobId) -> bool:
@@ -179,7 +234,14 @@
         Returns:
             Whether it was queued; a placed job is not touched.
         """
-        return self._queue.pop(job, None) is not None
+        if job in self._domain.claims:
+            self._domain.release_claim(job, self._now_ms, requeue=False)
+            self._changed = True
+            return True
+        if self._domain.queue.remove(job) is None:
+            return False
+        self._changed = True
+        return True
 
     def decide(self, now_ms: int) -> list[decisions.Decision]:
         """Returns what to do now.
@@ -193,83 +255,124 @@
         Returns:
             The decisions, in the order in which to carry them out.
         """
-        if not self._in_service():
-            return []
+        self._advance(now_ms)
+        ended = self._expire()
+        self._open_probes()
+        if not self._changed or not self._domain.in_service:
+            return ended
+        self._changed = False
+        domain = self._domain
+        domain.secure()
+        guaranteed.settle(domain)
         return [
-            decision
-            for spec in list(self._queue.values())
-            if (decision := self._try_place(spec)) is not None
+            *ended,
+            *guaranteed.redeem(domain, self._now_ms),
+            *guaranteed.place(domain, self._now_ms),
+            *leftover.place(domain, self._now_ms),
         ]
 
     def queued(self) -> tuple[ids.JobId, ...]:
         """Returns the queued jobs, first in line first."""
-        return tuple(self._queue)
+        waiting = (entry.spec.job for entry in self._domain.queue)
+        return (*self._domain.claims, *waiting)
+
+    def revocable(self, job: ids.JobId) -> bool:
+        """Returns whether a placed job may be evicted for another."""
+        return self._domain.revocable(job)
+
+    def quarantined(self) -> tuple[ids.WorkerId, ...]:
+        """Returns the workers that fail the jobs placed on them."""
+        return self._domain.health.quarantined()
+
+    def unsecured(self) -> int:
+        """Returns how many guaranteed gangs have no room in the pool."""
+        self._domain.secure()
+        return len(self._domain.plan.unplanned())
+
+    def fragmentation(self) -> float:
+        """Returns the share of free accelerators that queued jobs cannot use.
+
+        See `fragmentation.share_unusable`.
+        """
+        pending: dict[shapes.Shape, int] = {}
+        for entry in self._domain.queue:
+            pending[entry.shape] = pending.get(entry.shape, 0) + 1
+        return fragmentation.share_unusable(self._domain.pool.free, pending)
 
     def free_accelerators(self) -> int:
         """Returns how many accelerators of usable workers no job holds."""
-        return sum(
-            free.accelerators
-            for worker, free in self._free.items()
-            if self._states[worker] is states.TargetState.UP
-        )
+        return self._domain.pool.free.total
 
     def queued_accelerators(self) -> int:
         """Returns how many accelerators the queued jobs ask for."""
-        return sum(spec.accelerators for spec in self._queue.values())
+        claimed = sum(
+            claim.entry.shape.accelerators
+            for claim in self._domain.claims.values()
+        )
+        return claimed + self._domain.queue.accelerators
 
     def largest_gang(self) -> int:
         """Returns the accelerators of the failure domain's usable workers."""
-        return sum(
-            worker.capacity.accelerators
-            for name, worker in self._workers.items()
-            if self._states[name] is states.TargetState.UP
-        )
+        pool = self._domain.pool
+        return sum(pool.capacity(worker).accelerators for worker in pool.free)
 
-    def _in_service(self) -> bool:
-        return any(
-            domain.name == self.failure_domain
-            and domain.state is states.FailureDomainState.IN
-            for domain in self._configuration.failure_domains
-        )
+    def _advance(self, now_ms: int) -> None:
+        self._now_ms = max(self._now_ms, now_ms)
 
-    def _try_place(self, spec: jobs.JobSpec) -> decisions.PlaceJob | None:
-        groups = []
-        left = spec.tasks
-        for worker, free in self._free.items():
-            if self._states[worker] is not states.TargetState.UP:
-                continue
-            tasks = min(left, _tasks_that_fit(free, spec.per_task))
-            if tasks:
-                groups.append(jobs.TaskGroup(worker=worker, tasks=tasks))
-                left -= tasks
-            if not left:
-                break
-        if left:
+    def _wall_ms(self) -> int | None:
+        if self._wall_offset_ms is None:
             return None
-        placement = jobs.Placement(groups=tuple(groups))
-        del self._queue[spec.job]
-        self._placed[spec.job] = (spec, placement)
-        self._take(spec, placement, 1)
-        return decisions.PlaceJob(job=spec.job, placement=placement)
-
-    def _take(
-        self, spec: jobs.JobSpec, placement: jobs.Placement, sign: int
-    ) -> None:
-        for group in placement.groups:
-            free = self._free.get(group.worker, jobs.Resources())
-            amount = sign * group.tasks
-            self._free[group.worker] = jobs.Resources(
-                accelerators=free.accelerators
-                - amount * spec.per_task.accelerators,
-                cores=free.cores - amount * spec.per_task.cores,
-                memory_gb=free.memory_gb - amount * spec.per_task.memory_gb,
-            )
+        return self._now_ms + self._wall_offset_ms
+
+    def _infer_wall_clock(self, spec: jobs.JobSpec) -> None:
+        if self._wall_is_set or not spec.submitted_ms:
+            return
+        offset_ms = spec.submitted_ms - self._now_ms
+        known = self._wall_offset_ms
+        if known is None or offset_ms > known:
+            self._wall_offset_ms = offset_ms
+
+    def _knows(self, job: ids.JobId) -> bool:
+        domain = self._domain
+        return (
+            job in domain.queue or job in domain.placed or job in domain.claims
+        )
+
+    def _entry(self, spec: jobs.JobSpec, progress: float) -> queueing.Entry:
+        return queueing.Entry(
+            spec=spec, sequence=next(self._sequence), progress=progress
+        )
 
+    def _forget(self, job: ids.JobId) -> queueing.Entry | None:
+        domain = self._domain
+        if job in domain.claims:
+            domain.release_claim(job, self._now_ms)
+        placed = domain.remove(job, self._now_ms)
+        return placed.entry if placed else domain.queue.remove(job)
+
+    def _enqueue(self, entry: queueing.Entry) -> None:
+        self._changed = True
+        press_at_ms = None
+        if entry.spec.deadline_ms is not None:
+            run_ms = self._domain.estimator.run_ms(entry.spec, entry.progress)
+            press_at_ms = entry.spec.deadline_ms - _PRESS_RUN_TIMES * run_ms
+        self._domain.enqueue(entry, self._now_ms, press_at_ms)
+
+    def _expire(self) -> list[decisions.EndJob]:
+        wall_ms = self._wall_ms()
+        if wall_ms is None:
+            return []
+        if self._domain.queue.press(wall_ms):
+            self._changed = True
+        expired = self._domain.queue.expired(wall_ms)
+        if expired:
+            self._changed = True
+        return [
+            decisions.EndJob(job=entry.spec.job, result=verdicts.expired(entry))
+            for entry in expired
+        ]
 
-def _tasks_that_fit(free: jobs.Resources, per_task: jobs.Resources) -> int:
-    pairs = (
-        (free.accelerators, per_task.accelerators),
-        (free.cores, per_task.cores),
-        (free.memory_gb, per_task.memory_gb),
-    )
-    return min((have // need for have, need in pairs if need), default=1)
+    def _open_probes(self) -> None:
+        for worker in self._domain.health.due(self._now_ms):
+            self._changed = True
+            self._domain.refresh_worker(worker, self._now_ms)
