--- a/citronmount/core/cells.py
+++ b/citronmount/core/cells.py
@@ -51,6 +51,11 @@
         """Whether jobs run in the cell, so that it cannot move."""
         return bool(self.jobs)
 
+    @property
+    def spare_accelerators(self) -> int:
+        """Accelerators that no job of the cell uses."""
+        return sum(rest.accelerators for rest in self.rest.values())
+
 
 class Use(msgspec.Struct, frozen=True, kw_only=True):
     """Tasks of a job in one cell on one worker.
@@ -172,8 +177,8 @@
     ) -> tuple[Use, ...] | None:
         """Finds room for a job in the cells of its account.
 
-        Cells in which jobs run come first, then cells on workers whose room
-        is free at once, then the smallest rest.
+        The fewest cells without jobs are opened, then the least spare room
+        is touched, then room that is free at once is preferred.
 
         Args:
             account: The account.
@@ -205,15 +210,16 @@
 
     def release(self, job: ids.JobId) -> None:
         """Takes a job out of its cells, if it runs in any."""
-        for use in self._uses.pop(job, ()):
+        uses = self._uses.pop(job, ())
+        for use in uses:
             need = resources.scaled(use.per_task, use.tasks)
             rest = use.cell.rest[use.worker]
             use.cell.rest[use.worker] = resources.plus(rest, need)
-            was_held = use.cell.held
-            use.cell.jobs.discard(job)
-            if was_held and not use.cell.held:
-                self._hold(use.cell, -1)
-                self._lift_if_unusable(use.cell)
+        for cell in dict.fromkeys(use.cell for use in uses):
+            cell.jobs.discard(job)
+            if not cell.held:
+                self._hold(cell, -1)
+                self._lift_if_unusable(cell)
 
     def uses(self, job: ids.JobId) -> tuple[Use, ...]:
         """Returns the cells that a job uses."""
@@ -347,6 +353,7 @@
     ) -> dict[object, list[tuple[tuple, Use]]]:
         options: dict[object, list[tuple[tuple, Use]]] = {}
         for cell in self.cells(account):
+            spare = cell.spare_accelerators
             for worker, rest in cell.rest.items():
                 tasks = resources.count(rest, shape.per_task)
                 if not tasks or worker in avoid or worker not in self.room:
@@ -360,12 +367,14 @@
                 at_once = resources.count(free.room(worker), shape.per_task)
                 rank = (
                     not cell.held,
+                    spare,
                     at_once < use.tasks,
                     rest.accelerators,
                     worker,
                 )
                 scope = self._scope(worker, shape.adjacency)
                 options.setdefault(scope, []).append((rank, use))
+                options.setdefault((cell, scope), []).append((rank, use))
         return options
 
     def _scope(
@@ -656,8 +665,8 @@
         for use in uses
     )
     opened = len({use.cell for use in uses if not use.cell.held})
-    rest = sum(use.cell.rest[use.worker].accelerators for use in uses)
-    return (opened, short, rest)
+    used = {use.cell for use in uses}
+    return (opened, sum(cell.spare_accelerators for cell in used), short)
 
 
 def _largest_first(cells: Iterable[Cell]) -> list[Cell]:
--- a/citronmount/core/guaranteed.py
+++ b/citronmount/core/guaranteed.py
@@ -103,8 +103,8 @@
         if entry.shape in failed or not passing.lets(entry):
             continue
         made = _place_entry(domain, entry, now_ms)
-        found.extend(made)
-        if made:
+        if made is not None:
+            found.extend(made)
             continue
         failed.add(entry.shape)
         if domain.plan.could_hold(account, entry.shape):
@@ -116,12 +116,13 @@
 
 def _place_entry(
     domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
-) -> list[decisions.Decision]:
+) -> list[decisions.Decision] | None:
+    """Returns None if the job found no room in its account's cells."""
     uses = siting.find(domain, entry, entry.failed_on, now_ms)
     if uses is None and entry.failed_on:
         uses = siting.find(domain, entry, (), now_ms)
     if uses is None:
-        return []
+        return None
     groups = _groups(uses)
     need = {
         group.worker: resources.scaled(entry.spec.per_task, group.tasks)
@@ -141,11 +142,11 @@
     groups: tuple[jobs.TaskGroup, ...],
     need: dict[ids.WorkerId, jobs.Resources],
     now_ms: int,
-) -> list[decisions.Decision]:
+) -> list[decisions.Decision] | None:
     short = reclaim.shortfall(domain, need)
     victims = reclaim.choose(domain, short, now_ms)
     if victims is None:
-        return []
+        return None
     for victim in victims:
         domain.placed[victim].evicting = True
     waiting = {
