--- /dev/null
+++ b/citronmount/standins/platform.py
@@ -0,0 +1,143 @@
+"""An in-memory stand-in of the platform's list of VMs and targets."""
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.core import states
+from citronmount.platform import messages
+
+__all__ = ["PlatformModel"]
+
+
+class PlatformModel:
+    """A list that shows every change only after a lag."""
+
+    def __init__(
+        self,
+        *,
+        lag_ms: int = 0,
+        view: messages.PlatformView | None = None,
+    ) -> None:
+        """Initializes the list.
+
+        Args:
+            lag_ms: How long a change stays unseen.
+            view: The list at the start, or None for an empty one.
+        """
+        self.lag_ms = lag_ms
+        self._history = [(0, view or messages.PlatformView())]
+
+    def view(self, now_ms: int) -> messages.PlatformView:
+        """Returns the list as the platform shows it.
+
+        Args:
+            now_ms: Time of the service.
+
+        Returns:
+            The list as it was `lag_ms` ago, or the first one.
+        """
+        seen_ms = now_ms - self.lag_ms
+        return next(
+            (
+                view
+                for since, view in reversed(self._history)
+                if since <= seen_ms
+            ),
+            self._history[0][1],
+        )
+
+    def latest(self) -> messages.PlatformView:
+        """Returns the list without the lag."""
+        return self._history[-1][1]
+
+    def set_vm(self, vm: messages.ListedVm, now_ms: int) -> None:
+        """Adds a VM or replaces its entry.
+
+        Args:
+            vm: The entry.
+            now_ms: Time of the change.
+        """
+        others = tuple(v for v in self.latest().vms if v.vm != vm.vm)
+        self._change(now_ms, vms=(*others, vm))
+
+    def remove_vm(self, vm: ids.VmId, now_ms: int) -> None:
+        """Removes a VM.
+
+        Args:
+            vm: The VM.
+            now_ms: Time of the change.
+        """
+        left = tuple(v for v in self.latest().vms if v.vm != vm)
+        self._change(now_ms, vms=left)
+
+    def set_worker(self, worker: messages.ListedTarget, now_ms: int) -> None:
+        """Adds a worker or replaces its entry.
+
+        Args:
+            worker: The entry.
+            now_ms: Time of the change.
+        """
+        workers = _replaced(self.latest().workers, worker)
+        self._change(now_ms, workers=workers)
+
+    def set_runner(self, runner: messages.ListedTarget, now_ms: int) -> None:
+        """Adds a runner or replaces its entry.
+
+        Args:
+            runner: The entry.
+            now_ms: Time of the change.
+        """
+        runners = _replaced(self.latest().runners, runner)
+        self._change(now_ms, runners=runners)
+
+    def remove_target(self, name: str, now_ms: int) -> None:
+        """Removes a worker or runner.
+
+        Args:
+            name: Its id.
+            now_ms: Time of the change.
+        """
+        latest = self.latest()
+        self._change(
+            now_ms,
+            workers=tuple(t for t in latest.workers if t.name != name),
+            runners=tuple(t for t in latest.runners if t.name != name),
+        )
+
+    def set_target_state(
+        self, name: str, state: states.TargetState, now_ms: int
+    ) -> None:
+        """Changes the state of a worker or runner.
+
+        Args:
+            name: Its id.
+            state: The new state.
+            now_ms: Time of the change.
+        """
+        latest = self.latest()
+        self._change(
+            now_ms,
+            workers=_with_state(latest.workers, name, state),
+            runners=_with_state(latest.runners, name, state),
+        )
+
+    def _change(self, now_ms: int, **fields: object) -> None:
+        view = msgspec.structs.replace(self.latest(), **fields)
+        self._history.append((now_ms, view))
+
+
+def _replaced(
+    targets: tuple[messages.ListedTarget, ...], target: messages.ListedTarget
+) -> tuple[messages.ListedTarget, ...]:
+    return (*(t for t in targets if t.name != target.name), target)
+
+
+def _with_state(
+    targets: tuple[messages.ListedTarget, ...],
+    name: str,
+    state: states.TargetState,
+) -> tuple[messages.ListedTarget, ...]:
+    return tuple(
+        msgspec.structs.replace(t, state=state) if t.name == name else t
+        for t in targets
+    )
--- /dev/null
+++ b/citronmount/standins/runner.py
@@ -0,0 +1,170 @@
+"""An in-memory stand-in of a runner, the target of short requests."""
+
+import collections
+from collections.abc import Callable
+import json
+
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.platform import messages
+from citronmount.telemetry import events
+
+__all__ = ["RunnerModel", "answer_payload", "service_ms"]
+
+DEFAULT_SERVICE_MS = 20
+
+
+def service_ms(spec: jobs.RequestSpec) -> int:
+    """Returns how long a runner works on a request.
+
+    Args:
+        spec: The request; its payload may be JSON with ``service_ms``.
+
+    Returns:
+        The service time.
+    """
+    return int(_fields(spec.payload).get("service_ms", DEFAULT_SERVICE_MS))
+
+
+def answer_payload(spec: jobs.RequestSpec) -> str:
+    """Returns the whole answer that a runner gives to a request.
+
+    Args:
+        spec: The request.
+
+    Returns:
+        The answer, which no other request gets.
+    """
+    return f"{spec.request}:{spec.idempotency_key}:{spec.payload}"
+
+
+class RunnerModel:
+    """A runner with slots, which neither queues nor compares requests."""
+
+    def __init__(
+        self,
+        *,
+        target: messages.ListedTarget,
+        emit: Callable[[events.TimelineEvent], None] = lambda event: None,
+        epoch_ms: int = 0,
+    ) -> None:
+        """Initializes an idle runner.
+
+        Args:
+            target: Its entry in the platform's list.
+            emit: Takes the events of the time line.
+            epoch_ms: Wall-clock time at which the runner's clock shows zero.
+        """
+        self.target = target
+        self.leaving = target.state is states.TargetState.LEAVING
+        self._emit = emit
+        self._epoch_ms = epoch_ms
+        self._serving: dict[ids.RequestId, list[jobs.RequestSpec]] = (
+            collections.defaultdict(list)
+        )
+
+    @property
+    def busy_slots(self) -> int:
+        """How many requests it works on."""
+        return sum(len(specs) for specs in self._serving.values())
+
+    def begin(
+        self, spec: jobs.RequestSpec, now_ms: int
+    ) -> messages.RunnerAnswer | None:
+        """Begins a request.
+
+        Args:
+            spec: The request.
+            now_ms: Time of the runner.
+
+        Returns:
+            A refusal, which proves that the request was not run, or None once
+            it has begun.
+        """
+        if self.leaving:
+            return self._answer(spec, messages.RunnerOutcome.LEAVING)
+        if self.busy_slots >= self.target.slots:
+            return self._answer(spec, messages.RunnerOutcome.BUSY)
+        self._serving[spec.request].append(spec)
+        self._trace(events.EventKind.RUNNER_STARTED, spec, now_ms)
+        return None
+
+    def finish(
+        self, request: ids.RequestId, now_ms: int
+    ) -> messages.RunnerAnswer:
+        """Ends a request that has begun.
+
+        Args:
+            request: The request.
+            now_ms: Time of the runner.
+
+        Returns:
+            The whole answer.
+        """
+        spec = self._serving[request].pop()
+        failed = _fields(spec.payload).get("fail", False)
+        outcome = (
+            messages.RunnerOutcome.FAILED
+            if failed
+            else messages.RunnerOutcome.DONE
+        )
+        self._trace(
+            events.EventKind.RUNNER_ENDED, spec, now_ms, detail=outcome.value
+        )
+        return self._answer(spec, outcome, payload=answer_payload(spec))
+
+    def crash(self, now_ms: int) -> None:
+        """Drops every request that it works on.
+
+        Args:
+            now_ms: Time of the runner.
+        """
+        for spec in [s for specs in self._serving.values() for s in specs]:
+            self._trace(
+                events.EventKind.RUNNER_ENDED, spec, now_ms, detail="crashed"
+            )
+        self._serving.clear()
+
+    def _answer(
+        self,
+        spec: jobs.RequestSpec,
+        outcome: messages.RunnerOutcome,
+        payload: str = "",
+    ) -> messages.RunnerAnswer:
+        return messages.RunnerAnswer(
+            request=spec.request,
+            outcome=outcome,
+            payload=payload,
+            free_slots=self.target.slots - self.busy_slots,
+        )
+
+    def _trace(
+        self,
+        kind: events.EventKind,
+        spec: jobs.RequestSpec,
+        now_ms: int,
+        detail: str = "",
+    ) -> None:
+        self._emit(
+            events.TimelineEvent(
+                physical_ms=self._epoch_ms + now_ms,
+                logical=0,
+                process=self.target.name,
+                kind=kind,
+                job=spec.idempotency_key,
+                request=spec.request,
+                account=spec.account,
+                target=self.target.name,
+                failure_domain=self.target.failure_domain,
+                detail=detail,
+            )
+        )
+
+
+def _fields(payload: str) -> dict[str, object]:
+    try:
+        fields = json.loads(payload)
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
--- /dev/null
+++ b/citronmount/standins/worker.py
@@ -0,0 +1,413 @@
+"""An in-memory stand-in of a worker, the target of jobs."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.platform import messages
+from citronmount.telemetry import events
+
+__all__ = ["Behaviour", "WorkerModel", "behaviour"]
+
+_EMPTY = '{"run_ms": 1000}'
+
+
+class Behaviour(msgspec.Struct, frozen=True, kw_only=True):
+    """How the tasks of a job behave, read from its command.
+
+    Attributes:
+        run_ms: Work of one task at full speed.
+        exit_code: How it exits; 0 for success.
+        save_ms: How long it takes to save its work before a stop.
+    """
+
+    run_ms: int = 1_000
+    exit_code: int = 0
+    save_ms: int = 0
+
+
+def behaviour(spec: jobs.JobSpec) -> Behaviour:
+    """Reads the behaviour of a job from its command.
+
+    Args:
+        spec: The job; any command that is not such JSON means the defaults.
+
+    Returns:
+        The behaviour.
+    """
+    try:
+        return msgspec.json.decode(spec.command or _EMPTY, type=Behaviour)
+    except msgspec.MsgspecError:
+        return Behaviour()
+
+
+class _Lease(msgspec.Struct, kw_only=True):
+    """One attempt at the worker."""
+
+    reserve: messages.Reserve
+    state: states.LeaseState
+    expires_ms: int
+    ran: bool = False
+    exit_code: int | None = None
+    started_ms: int = 0
+    ended_ms: int = 0
+    work_ms: float = 0.0
+    worked_until_ms: int = 0
+    share: float = 1.0
+    progress: float = 0.0
+    stop_ms: int | None = None
+
+
+class WorkerModel:
+    """A worker that runs attempts under leases and refuses stale tokens.
+
+    The tasks of an attempt take the time that the job's command names, for
+    example ``{"run_ms": 5000, "exit_code": 0}``.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: messages.ListedTarget,
+        emit: Callable[[events.TimelineEvent], None] = lambda event: None,
+        epoch_ms: int = 0,
+        saved: dict[ids.JobId, float] | None = None,
+    ) -> None:
+        """Initializes an idle worker.
+
+        Args:
+            target: Its entry in the platform's list.
+            emit: Takes the events of the time line.
+            epoch_ms: Wall-clock time at which the worker's clock shows zero.
+            saved: Saved work of jobs, which workers may share.
+        """
+        self.target = target
+        self.worker = ids.WorkerId(target.name)
+        self.leaving = target.state is states.TargetState.LEAVING
+        self.fail_every_start = False
+        self.token = ids.FenceToken(0)
+        self.sequence = 0
+        self._emit = emit
+        self._epoch_ms = epoch_ms
+        self._saved = {} if saved is None else saved
+        self._leases: dict[ids.AttemptId, _Lease] = {}
+        self._stopped: dict[ids.AttemptId, bool] = {}
+        self._now_ms = 0
+
+    def call(
+        self, call: messages.WorkerCall, now_ms: int
+    ) -> messages.WorkerAnswer:
+        """Carries out a batch of acts.
+
+        Args:
+            call: The acts.
+            now_ms: Time of the worker.
+
+        Returns:
+            The answer, with a report if the caller has no recent one.
+        """
+        self.advance(now_ms)
+        results = tuple(self._acts(call))
+        stale = self.sequence != call.known_sequence
+        return messages.WorkerAnswer(
+            token=self.token,
+            results=results,
+            report=self.report() if stale else None,
+        )
+
+    def report(self) -> messages.Report:
+        """Returns what the worker tells of itself."""
+        state = (
+            states.TargetState.LEAVING
+            if self.leaving
+            else states.TargetState.UP
+        )
+        return messages.Report(
+            worker=self.worker,
+            token=self.token,
+            sequence=self.sequence,
+            state=state,
+            leases=tuple(map(self._lease_report, self._leases.values())),
+        )
+
+    def advance(self, now_ms: int) -> None:
+        """Lets time pass: tasks finish and leases lapse, in their order.
+
+        Args:
+            now_ms: Time of the worker.
+        """
+        while (due := self._next_end()) is not None and due[0] <= now_ms:
+            end_ms, state, attempt = due
+            self._now_ms = max(self._now_ms, end_ms)
+            self._end(attempt, states.LeaseState(state))
+        self._now_ms = max(self._now_ms, now_ms)
+
+    def next_change_ms(self) -> int | None:
+        """Returns when `advance` will next end an attempt, if ever."""
+        due = self._next_end()
+        return None if due is None else due[0]
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Turns leaving on or off.
+
+        Args:
+            leaving: Whether the worker refuses new reservations.
+        """
+        self.leaving = leaving
+        self.sequence += 1
+
+    def crash(self, now_ms: int) -> None:
+        """Ends every attempt; what it remembers of tokens and stops stays.
+
+        Args:
+            now_ms: Time of the worker.
+        """
+        self.advance(now_ms)
+        for attempt, lease in self._leases.items():
+            if lease.state.holds_resources:
+                self._end(attempt, states.LeaseState.LAPSED)
+
+    def _acts(self, call: messages.WorkerCall) -> list[messages.ActResult]:
+        if call.token < self.token:
+            return [_result(messages.ActOutcome.STALE_TOKEN)] * len(call.acts)
+        if call.token > self.token:
+            self.token = call.token
+            self.sequence += 1
+        return [self._act(act) for act in call.acts]
+
+    def _act(self, act: messages.Act) -> messages.ActResult:
+        match act:
+            case messages.Reserve():
+                return _result(self._reserve(act))
+            case messages.Start():
+                return _result(self._start(act))
+            case messages.Renew():
+                return self._renew(act)
+            case messages.Checkpoint():
+                return self._checkpoint(act)
+            case messages.Throttle():
+                return self._throttle(act)
+            case messages.Stop():
+                return _result(self._stop(act))
+            case messages.Forget():
+                return self._forget(act)
+
+    def _reserve(self, act: messages.Reserve) -> messages.ActOutcome:
+        lease = self._leases.get(act.attempt)
+        if lease is not None and lease.state.holds_resources:
+            return messages.ActOutcome.DONE
+        if lease is not None or act.attempt in self._stopped:
+            return messages.ActOutcome.STOPPED_BEFORE
+        if self.leaving:
+            return messages.ActOutcome.LEAVING
+        if not self._has_room(act):
+            return messages.ActOutcome.NO_CAPACITY
+        self._leases[act.attempt] = _Lease(
+            reserve=act,
+            state=states.LeaseState.RESERVED,
+            expires_ms=self._now_ms + act.ttl_ms,
+        )
+        self.sequence += 1
+        self._trace(events.EventKind.TASK_RESERVED, act)
+        return messages.ActOutcome.DONE
+
+    def _start(self, act: messages.Start) -> messages.ActOutcome:
+        lease = self._leases.get(act.attempt)
+        if lease is None:
+            return messages.ActOutcome.NOT_RESERVED
+        if lease.state is states.LeaseState.RUNNING:
+            return messages.ActOutcome.DONE
+        if lease.state is states.LeaseState.FAILED and not lease.ran:
+            return messages.ActOutcome.FAILED_TO_START
+        if lease.state is not states.LeaseState.RESERVED:
+            return messages.ActOutcome.NOT_RESERVED
+        if self.fail_every_start:
+            self._end(act.attempt, states.LeaseState.FAILED)
+            return messages.ActOutcome.FAILED_TO_START
+        lease.state = states.LeaseState.RUNNING
+        lease.ran = True
+        lease.started_ms = lease.worked_until_ms = self._now_ms
+        lease.expires_ms = self._now_ms + act.ttl_ms
+        lease.progress = self._saved.get(lease.reserve.spec.job, 0.0)
+        lease.work_ms = lease.progress * _run_ms(lease)
+        self.sequence += 1
+        self._trace(events.EventKind.TASK_STARTED, lease.reserve)
+        return messages.ActOutcome.DONE
+
+    def _renew(self, act: messages.Renew) -> messages.ActResult:
+        for attempt, lease in self._leases.items():
+            running = lease.state is states.LeaseState.RUNNING
+            if running and attempt not in act.lapse:
+                lease.expires_ms = self._now_ms + act.ttl_ms
+        return _result(messages.ActOutcome.DONE)
+
+    def _checkpoint(self, act: messages.Checkpoint) -> messages.ActResult:
+        lease = self._running(act.attempt)
+        if lease is None:
+            return _result(messages.ActOutcome.NOT_RUNNING)
+        self._save(lease)
+        self.sequence += 1
+        return messages.ActResult(
+            outcome=messages.ActOutcome.DONE, progress=lease.progress
+        )
+
+    def _throttle(self, act: messages.Throttle) -> messages.ActResult:
+        lease = self._running(act.attempt)
+        if lease is None:
+            return _result(messages.ActOutcome.NOT_RUNNING)
+        self._work(lease)
+        lease.share = act.share
+        return _result(messages.ActOutcome.DONE)
+
+    def _stop(self, act: messages.Stop) -> messages.ActOutcome:
+        lease = self._leases.get(act.attempt)
+        ran = self._stopped.get(act.attempt, False)
+        if lease is not None:
+            ran = lease.ran
+        self._stopped[act.attempt] = ran
+        if lease is not None and lease.state.holds_resources:
+            self._stop_held(lease, act)
+        if ran:
+            return messages.ActOutcome.RAN
+        return messages.ActOutcome.NEVER_RAN
+
+    def _stop_held(self, lease: _Lease, act: messages.Stop) -> None:
+        save_ms = min(act.grace_ms, behaviour(lease.reserve.spec).save_ms)
+        if lease.ran and act.grace_ms:
+            self._save(lease)
+        if not lease.ran or not save_ms:
+            self._end(act.attempt, states.LeaseState.STOPPED)
+            return
+        stop_ms = self._now_ms + save_ms
+        lease.stop_ms = min(stop_ms, lease.stop_ms or stop_ms)
+
+    def _forget(self, act: messages.Forget) -> messages.ActResult:
+        for attempt in act.attempts:
+            lease = self._leases.get(attempt)
+            if lease is not None and not lease.state.holds_resources:
+                del self._leases[attempt]
+                self._stopped[attempt] = lease.ran
+                self.sequence += 1
+        return _result(messages.ActOutcome.DONE)
+
+    def _running(self, attempt: ids.AttemptId) -> _Lease | None:
+        lease = self._leases.get(attempt)
+        if lease is None or lease.state is not states.LeaseState.RUNNING:
+            return None
+        return lease
+
+    def _has_room(self, act: messages.Reserve) -> bool:
+        held = [
+            (lease.reserve.tasks, lease.reserve.spec.per_task)
+            for lease in self._leases.values()
+            if lease.state.holds_resources
+        ]
+        wanted = [*held, (act.tasks, act.spec.per_task)]
+        capacity = self.target.capacity
+        return (
+            sum(n * r.accelerators for n, r in wanted) <= capacity.accelerators
+            and sum(n * r.cores for n, r in wanted) <= capacity.cores
+            and sum(n * r.memory_gb for n, r in wanted) <= capacity.memory_gb
+        )
+
+    def _next_end(self) -> tuple[int, str, ids.AttemptId] | None:
+        ends = [
+            (*_end_of(lease), attempt)
+            for attempt, lease in self._leases.items()
+            if lease.state.holds_resources
+        ]
+        return min(ends, default=None)
+
+    def _end(self, attempt: ids.AttemptId, state: states.LeaseState) -> None:
+        lease = self._leases[attempt]
+        self._work(lease)
+        if state is states.LeaseState.FINISHED:
+            lease.exit_code = behaviour(lease.reserve.spec).exit_code
+            if lease.exit_code:
+                state = states.LeaseState.FAILED
+            else:
+                lease.progress = 1.0
+        lease.state = state
+        lease.ended_ms = self._now_ms
+        self.sequence += 1
+        self._trace(
+            events.EventKind.TASK_ENDED,
+            lease.reserve,
+            code=lease.exit_code or 0,
+            detail=state.value,
+        )
+
+    def _work(self, lease: _Lease) -> None:
+        if lease.state is states.LeaseState.RUNNING:
+            elapsed_ms = self._now_ms - lease.worked_until_ms
+            lease.work_ms += elapsed_ms * lease.share
+            lease.worked_until_ms = self._now_ms
+
+    def _save(self, lease: _Lease) -> None:
+        self._work(lease)
+        lease.progress = min(1.0, lease.work_ms / _run_ms(lease))
+        self._saved[lease.reserve.spec.job] = lease.progress
+
+    def _lease_report(self, lease: _Lease) -> messages.LeaseReport:
+        until_ms = (
+            self._now_ms if lease.state.holds_resources else lease.ended_ms
+        )
+        return messages.LeaseReport(
+            attempt=lease.reserve.attempt,
+            number=lease.reserve.number,
+            state=lease.state,
+            spec=lease.reserve.spec,
+            placement=lease.reserve.placement,
+            ran=lease.ran,
+            exit_code=lease.exit_code,
+            running_ms=until_ms - lease.started_ms if lease.ran else 0,
+            progress=lease.progress,
+        )
+
+    def _trace(
+        self,
+        kind: events.EventKind,
+        act: messages.Reserve,
+        *,
+        code: int = 0,
+        detail: str = "",
+    ) -> None:
+        self._emit(
+            events.TimelineEvent(
+                physical_ms=self._epoch_ms + self._now_ms,
+                logical=0,
+                process=self.target.name,
+                kind=kind,
+                job=act.spec.job,
+                attempt=act.attempt,
+                account=act.spec.account,
+                target=self.target.name,
+                failure_domain=self.target.failure_domain,
+                code=code,
+                count=act.tasks,
+                detail=detail,
+            )
+        )
+
+
+def _result(outcome: messages.ActOutcome) -> messages.ActResult:
+    return messages.ActResult(outcome=outcome)
+
+
+def _run_ms(lease: _Lease) -> int:
+    return max(1, behaviour(lease.reserve.spec).run_ms)
+
+
+def _end_of(lease: _Lease) -> tuple[int, str]:
+    """Returns when and how a held lease ends if nothing else happens."""
+    ends = [(lease.expires_ms, states.LeaseState.LAPSED.value)]
+    if lease.stop_ms is not None:
+        ends.append((lease.stop_ms, states.LeaseState.STOPPED.value))
+    if lease.state is states.LeaseState.RUNNING and lease.share > 0:
+        left_ms = max(0.0, _run_ms(lease) - lease.work_ms) / lease.share
+        finish_ms = lease.worked_until_ms + round(left_ms)
+        ends.append((finish_ms, states.LeaseState.FINISHED.value))
+    return min(ends)
