--- /dev/null
+++ b/citronmount/bench/harness_site.py
@@ -0,0 +1,144 @@
+"""Sites for the harness: failure domains with VMs and targets."""
+
+import itertools
+
+import msgspec
+
+from citronmount.config import configuration
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.platform import messages
+
+__all__ = ["Site", "make_site"]
+
+PAYING = ids.AccountId("paying")
+TRIAL = ids.AccountId("trial")
+
+
+class Site(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform lists at the start, and the first configuration.
+
+    Attributes:
+        view: All VMs, workers and runners.
+        configuration: The content of the first published configuration.
+    """
+
+    view: messages.PlatformView
+    configuration: configuration.Configuration
+
+    @property
+    def failure_domains(self) -> tuple[ids.FailureDomainId, ...]:
+        """The names of the failure domains."""
+        return tuple(d.name for d in self.configuration.failure_domains)
+
+
+def make_site(
+    *,
+    failure_domains: int = 3,
+    vms_each: int = 2,
+    workers_each: int = 2,
+    runners_each: int = 2,
+    accelerators: int = 8,
+    racks_of: int = 8,
+    slots: int = 8,
+) -> Site:
+    """Makes a site of equal failure domains.
+
+    One paying account is guaranteed a gang of one task on each worker of a
+    failure domain, in every failure domain; one trial account may use all.
+
+    Args:
+        failure_domains: How many there are.
+        vms_each: VMs of the system in each.
+        workers_each: Workers in each.
+        runners_each: Runners in each.
+        accelerators: Accelerators of a worker.
+        racks_of: Workers in a rack.
+        slots: Slots of a runner.
+
+    Returns:
+        The site.
+    """
+    names = [
+        ids.FailureDomainId(f"fd-{chr(ord('a') + index)}")
+        for index in range(failure_domains)
+    ]
+    ports = itertools.count(20_000)
+    vms = tuple(
+        messages.ListedVm(
+            vm=ids.VmId(f"{name}.vm{index}"),
+            failure_domain=name,
+            peer_address=f"127.0.0.1:{next(ports)}",
+        )
+        for name in names
+        for index in range(vms_each)
+    )
+    workers = tuple(
+        messages.ListedTarget(
+            name=f"{name}.w{index:03}",
+            address=f"127.0.0.1:{next(ports)}",
+            failure_domain=name,
+            rack=ids.RackId(f"{name}.rack{index // racks_of}"),
+            capacity=jobs.Resources(
+                accelerators=accelerators, cores=64, memory_gb=128
+            ),
+        )
+        for name in names
+        for index in range(workers_each)
+    )
+    runners = tuple(
+        messages.ListedTarget(
+            name=f"{name}.r{index:03}",
+            address=f"127.0.0.1:{next(ports)}",
+            failure_domain=name,
+            slots=slots,
+            connections=60,
+        )
+        for name in names
+        for index in range(runners_each)
+    )
+    return Site(
+        view=messages.PlatformView(vms=vms, workers=workers, runners=runners),
+        configuration=_configuration(names, workers_each, accelerators),
+    )
+
+
+def _configuration(
+    names: list[ids.FailureDomainId], workers_each: int, accelerators: int
+) -> configuration.Configuration:
+    return configuration.Configuration(
+        failure_domains=tuple(
+            configuration.FailureDomain(
+                name=name, state=states.FailureDomainState.IN
+            )
+            for name in names
+        ),
+        accounts=(
+            configuration.Account(
+                name=PAYING, account_class=states.AccountClass.PAYING
+            ),
+            configuration.Account(
+                name=TRIAL, account_class=states.AccountClass.TRIAL
+            ),
+        ),
+        guarantees=tuple(
+            configuration.Guarantee(
+                account=PAYING,
+                failure_domain=name,
+                copies=1,
+                tasks=min(2, workers_each),
+                per_task=jobs.Resources(
+                    accelerators=accelerators, cores=8, memory_gb=16
+                ),
+                adjacency=states.Adjacency.RACK,
+            )
+            for name in names
+        ),
+        allowances=(
+            configuration.Allowance(
+                account=TRIAL,
+                accelerators=len(names) * workers_each * accelerators,
+            ),
+        ),
+    )
--- a/citronmount/standins/runner.py
+++ b/citronmount/standins/runner.py
@@ -69,6 +69,10 @@
         """How many requests it works on."""
         return sum(len(specs) for specs in self._serving.values())
 
+    def serving(self, request: ids.RequestId) -> bool:
+        """Returns whether it works on a request."""
+        return bool(self._serving.get(request))
+
     def begin(
         self, spec: jobs.RequestSpec, now_ms: int
     ) -> messages.RunnerAnswer | None:
