Add the settings of the daemon

A daemon needs its addresses, keys and limits from a file, and an operator needs every fault of that file at once.

settings.check gathers all faults with file, key, code and expectation; settings.load raises them as one group.

--- /dev/null
+++ b/citronmount/service/settings_rules.py
@@ -0,0 +1,124 @@
+"""Rules that hold between several settings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import typing
+
+import zmq
+
+from citronmount.core import codes
+from citronmount.service import settings_faults
+from citronmount.service import settings_formats
+
+if typing.TYPE_CHECKING:
+    from citronmount.service import settings as settings_lib
+
+__all__ = ["faults_of"]
+
+Found = tuple[str, codes.ResultCode, str]
+Rule = Callable[["settings_lib.Settings"], Iterator[Found]]
+
+_MISSING = codes.ResultCode.SETTING_MISSING
+_RANGE = codes.ResultCode.SETTING_RANGE
+
+_RULES: list[Rule] = []
+
+
+def _rule(rule: Rule) -> Rule:
+    _RULES.append(rule)
+    return rule
+
+
+def faults_of(
+    settings: settings_lib.Settings, file: str
+) -> tuple[settings_faults.SettingFault, ...]:
+    """Returns the faults between keys that are right each by itself.
+
+    Args:
+        settings: The settings.
+        file: Where they come from.
+
+    Returns:
+        The faults, sorted by key.
+    """
+    found = [fault for rule in _RULES for fault in rule(settings)]
+    return tuple(
+        settings_faults.SettingFault(
+            file=file, key=key, code=code, expected=expected
+        )
+        for key, code, expected in sorted(found)
+    )
+
+
+@_rule
+def _ports_differ(settings: settings_lib.Settings) -> Iterator[Found]:
+    caller = settings_formats.parse_address(settings.listen.caller_address)
+    peer = settings_formats.parse_address(settings.listen.peer_address)
+    same_host = (
+        caller[0] == peer[0]
+        or caller[0].is_unspecified
+        or peer[0].is_unspecified
+    )
+    if same_host and caller[1] == peer[1]:
+        expected = "a port other than that of listen.caller_address"
+        yield "listen.peer_address", _RANGE, expected
+
+
+@_rule
+def _tls_files_come_together(
+    settings: settings_lib.Settings,
+) -> Iterator[Found]:
+    listen = settings.listen
+    if listen.tls_certificate_path and not listen.tls_key_path:
+        yield "listen.tls_key_path", _MISSING, "the key of the certificate"
+    if listen.tls_key_path and not listen.tls_certificate_path:
+        expected = "the certificate of the key"
+        yield "listen.tls_certificate_path", _MISSING, expected
+
+
+@_rule
+def _curve_has_keys(settings: settings_lib.Settings) -> Iterator[Found]:
+    curve = settings.curve
+    if not curve.enabled:
+        return
+    for name in ("public_key", "secret_key", "allowed_public_keys"):
+        if not getattr(curve, name):
+            expected = "a value, unless curve.enabled is false"
+            yield f"curve.{name}", _MISSING, expected
+
+
+@_rule
+def _curve_keys_match(settings: settings_lib.Settings) -> Iterator[Found]:
+    curve = settings.curve
+    if not (curve.enabled and curve.public_key and curve.secret_key):
+        return
+    try:
+        derived = zmq.curve_public(curve.secret_key.encode()).decode()
+    except (zmq.ZMQError, ValueError):
+        yield "curve.secret_key", _RANGE, "a valid CURVE secret key"
+        return
+    if derived != curve.public_key:
+        expected = "the public key that belongs to curve.secret_key"
+        yield "curve.public_key", _RANGE, expected
+
+
+_LONGER = (
+    ("timing", "suspicion_ms", "heartbeat_ms"),
+    ("timing", "lease_ttl_ms", "renew_period_ms"),
+    ("timing", "renew_period_ms", "tick_ms"),
+    ("timing", "reservation_ttl_ms", "tick_ms"),
+    ("timing", "heartbeat_ms", "tick_ms"),
+    ("retention", "log_retention_ms", "snapshot_period_ms"),
+    ("retention", "log_retention_ms", "key_lifetime_ms"),
+)
+
+
+@_rule
+def _periods_nest(settings: settings_lib.Settings) -> Iterator[Found]:
+    for section, longer, shorter in _LONGER:
+        values = getattr(settings, section)
+        if getattr(values, longer) <= getattr(values, shorter):
+            expected = f"more than {section}.{shorter}"
+            yield f"{section}.{longer}", _RANGE, expected
--- /dev/null
+++ b/citronmount/service/tests/test_settings.py
@@ -0,0 +1,169 @@
+import pathlib
+import re
+import tempfile
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from citronmount.core import codes
+from citronmount.service import settings
+from citronmount.service import settings_faults
+
+_EXAMPLE = pathlib.Path("examples/settings/citronmountd.toml")
+_DEFAULT = re.compile(r"^# (?=[a-z_]+ = )", re.MULTILINE)
+_CODES = codes.ResultCode
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = pathlib.Path(directory.name) / "d.toml"
+        self.example = _EXAMPLE.read_text(encoding="utf-8")
+
+    def faults(self, text):
+        data = text if isinstance(text, bytes) else text.encode()
+        self.path.write_bytes(data)
+        return settings.check(self.path)
+
+    def keys(self, text):
+        return {(f.key, f.code) for f in self.faults(text)}
+
+    def changed(self, old, new):
+        self.assertIn(old, self.example)
+        return self.example.replace(old, new)
+
+    def test_example_loads(self):
+        loaded = settings.load(_EXAMPLE)
+        self.assertEqual(loaded.vm.failure_domain_id, "kr-a")
+        self.assertEqual(loaded.timing, settings.TimingSettings())
+
+    def test_example_shows_every_default(self):
+        lines = self.example.splitlines()
+        without_paths = "\n".join(ln for ln in lines if "_path" not in ln)
+        shown = _DEFAULT.sub("", without_paths)
+        self.path.write_text(shown, encoding="utf-8")
+        loaded = settings.load(self.path)
+        for section in ("limits", "timing", "logging", "retention"):
+            default = type(getattr(loaded, section))()
+            self.assertEqual(getattr(loaded, section), default)
+            for key in default.__struct_fields__:
+                self.assertRegex(self.example, rf"(?m)^# {key} = ")
+
+    def test_each_fault_has_its_code_and_key(self):
+        cases = (
+            ("[timing]", "[timing]\nlease_ttl_s = 10", "timing.lease_ttl_s"),
+            ("[timing]", "[timing]\ntick_ms = 'x'", "timing.tick_ms"),
+            ("[timing]", "[timing]\ntick_ms = 0", "timing.tick_ms"),
+            ("10.20.0.5:9000", "log.example:9000", "platform.log_address"),
+            ("10.20.0.5:9000", "10.20.0.5:99999", "platform.log_address"),
+            ('region = "kr-central"', "", "vm.region"),
+            (":8090", ":8080", "listen.peer_address"),
+            ("[limits]", "[limits]\nmax_body_bytes = true", "limits"),
+            ("enabled = true", "enabled = 1", "curve.enabled"),
+            ('# level = "info"', 'level = "loud"', "logging.level"),
+        )
+        expected = (
+            _CODES.SETTING_UNKNOWN,
+            _CODES.SETTING_TYPE,
+            _CODES.SETTING_RANGE,
+            _CODES.SETTING_ADDRESS,
+            _CODES.SETTING_RANGE,
+            _CODES.SETTING_MISSING,
+            _CODES.SETTING_RANGE,
+            _CODES.SETTING_TYPE,
+            _CODES.SETTING_TYPE,
+            _CODES.SETTING_TYPE,
+        )
+        for (old, new, key), code in zip(cases, expected, strict=True):
+            with self.subTest(new=new):
+                (fault,) = self.faults(self.changed(old, new))
+                self.assertTrue(fault.key.startswith(key), fault)
+                self.assertEqual(fault.code, code)
+
+    def test_wrong_unit_names_the_right_one(self):
+        text = self.changed("[timing]", "[timing]\nlease_ttl_s = 10")
+        (fault,) = self.faults(text)
+        self.assertIn("lease_ttl_ms", fault.expected)
+
+    def test_all_faults_come_at_once(self):
+        found = self.keys("vm = 3\n[listen]\ncaller_address = 'x'\n[nope]\n")
+        self.assertLessEqual(
+            {
+                ("vm", _CODES.SETTING_TYPE),
+                ("listen.caller_address", _CODES.SETTING_ADDRESS),
+                ("listen.peer_address", _CODES.SETTING_MISSING),
+                ("nope", _CODES.SETTING_UNKNOWN),
+                ("platform.log_address", _CODES.SETTING_MISSING),
+            },
+            found,
+        )
+
+    def test_load_raises_a_group_of_typed_errors(self):
+        self.path.write_text("", encoding="utf-8")
+        with self.assertRaises(ExceptionGroup) as caught:
+            settings.load(self.path)
+        for error in caught.exception.exceptions:
+            self.assertIsInstance(error, settings_faults.SettingError)
+
+    def test_unreadable_files(self):
+        for path in ("/nonexistent/x.toml", "a\0b", "."):
+            (fault,) = settings.check(path)
+            self.assertEqual(fault.code, _CODES.SETTING_FILE)
+
+    def test_keys_must_match(self):
+        text = self.changed('secret_key = ")Os', 'secret_key = ")Ot')
+        self.assertIn("curve.public_key", {f.key for f in self.faults(text)})
+
+    def test_secret_key_stays_out_of_logs(self):
+        loaded = settings.load(_EXAMPLE)
+        self.assertNotIn(loaded.curve.secret_key, repr(loaded))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+    @hypothesis.given(
+        strategies.one_of(
+            strategies.binary(max_size=200),
+            strategies.text(max_size=200).map(
+                lambda text: text.encode("utf-8", "surrogatepass")
+            ),
+        )
+    )
+    def test_any_bytes_are_refused_with_a_place(self, data):
+        for fault in self.faults(data):
+            self.assertEqual(int(fault.code) // 1000, 6)
+            self.assertTrue(fault.file)
+            self.assertTrue(fault.expected)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(strategies.data())
+    def test_any_value_of_any_key_loads_or_is_refused(self, data):
+        lines = re.findall(r"^(?:# )?[a-z_]+ = .*$", self.example, re.MULTILINE)
+        line = data.draw(strategies.sampled_from(lines))
+        value = data.draw(
+            strategies.sampled_from(
+                (
+                    "1e400",
+                    "-1",
+                    "9" * 30,
+                    "nan",
+                    "1979-05-27",
+                    "[[]]",
+                    "{a=1}",
+                    '"\\u0000"',
+                    '""',
+                    '"[::1]:1"',
+                    "[1, 'x']",
+                    "true",
+                )
+            )
+        )
+        key = line.removeprefix("# ").partition(" = ")[0]
+        text = self.example.replace(line, f"{key} = {value}")
+        for fault in self.faults(text):
+            self.assertIn(int(fault.code) // 1000, (6,))
+            self.assertTrue(fault.key or "SYNTAX" in fault.code.name, fault)
+
+
+if __name__ == "__main__":
+    unittest.main()
