--- /dev/null
+++ b/citronmount/agent/attempts.py
@@ -0,0 +1,489 @@
+"""Carries one attempt of a gang through reserve, start, run and stop."""
+
+from collections.abc import Callable
+import enum
+
+import msgspec
+
+from citronmount.agent import context
+from citronmount.core import decisions
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.leases import gang as gang_lib
+from citronmount.platform import messages
+
+__all__ = ["Attempt", "AttemptHandlers", "AttemptResult"]
+
+START_MARGIN_MS = 500
+RETRY_MS = 300
+STOP_RETRY_MS = 1_000
+ADOPTION_MARGIN_MS = 1_000
+
+
+class AttemptResult(msgspec.Struct, frozen=True, kw_only=True):
+    """How an attempt ended.
+
+    Attributes:
+        how: The end as scheduling sees it.
+        ran: Whether any task ran; None if that cannot be told.
+        exit_code: The tasks' own exit code, if known.
+        culprits: Workers at which it failed.
+        progress: Saved share of the work between 0 and 1.
+    """
+
+    how: decisions.AttemptEnd
+    ran: bool | None
+    exit_code: int | None = None
+    culprits: tuple[ids.WorkerId, ...] = ()
+    progress: float = 0.0
+
+
+class AttemptHandlers(msgspec.Struct, frozen=True, kw_only=True):
+    """Whom an attempt tells.
+
+    Attributes:
+        on_started: Every member runs.
+        on_ended: No member can run any more.
+        on_answer: A worker has answered a call of the attempt.
+    """
+
+    on_started: Callable[["Attempt"], None]
+    on_ended: Callable[["Attempt", AttemptResult], None]
+    on_answer: Callable[[ids.WorkerId, messages.WorkerAnswer], None]
+
+
+class _Proof(enum.Enum):
+    """What is known of a member that cannot run any more."""
+
+    NEVER_RAN = "never_ran"
+    RAN = "ran"
+    LOST = "lost"
+
+
+class _Member(msgspec.Struct, kw_only=True):
+    """The tasks of the attempt at one worker."""
+
+    target: messages.ListedTarget
+    tasks: int
+    reserved: bool = False
+    started: bool = False
+    start_sent: bool = False
+    checkpointed: bool = False
+    confirmed_sequence: int = -1
+    exit_code: int | None = None
+    proof: _Proof | None = None
+    in_flight: bool = False
+    retry_ms: int = 0
+
+
+class Attempt:
+    """One attempt to run a gang, from placement to its end.
+
+    Starts are sent only after every member has reserved, and only while all
+    reservations still hold. Once stopping, the attempt ends when each worker
+    has confirmed that it cannot run any more, or has been silent for so long
+    that its leases have lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        ctx: context.Context,
+        attempt: ids.AttemptId,
+        number: int,
+        token: ids.FenceToken,
+        spec: jobs.JobSpec,
+        placement: jobs.Placement,
+        targets: dict[ids.WorkerId, messages.ListedTarget],
+        handlers: AttemptHandlers,
+    ) -> None:
+        """Initializes an attempt that has not yet begun.
+
+        Args:
+            ctx: The shared context.
+            attempt: The id of the attempt.
+            number: Counts the attempts of the job.
+            token: The scheduler's fencing token.
+            spec: The job.
+            placement: Where it runs.
+            targets: The workers of the placement.
+            handlers: Whom to tell.
+        """
+        self.attempt = attempt
+        self.number = number
+        self.spec = spec
+        self.placement = placement
+        self._ctx = ctx
+        self._token = token
+        self._handlers = handlers
+        self._gang, self._core = gang_lib.new_gang()
+        self._members = {
+            group.worker: _Member(
+                target=targets[group.worker], tasks=group.tasks
+            )
+            for group in placement.groups
+        }
+        self._reserved_ms = 0
+        self._adopt_due_ms: int | None = None
+        self._end = decisions.AttemptEnd.DONE
+        self._culprits: tuple[ids.WorkerId, ...] = ()
+        self._exit_code: int | None = None
+        self._grace_ms = 0
+        self._progress = 0.0
+
+    @property
+    def phase(self) -> gang_lib.GangPhase:
+        """Where the attempt is."""
+        return self._core.phase
+
+    @property
+    def workers(self) -> tuple[ids.WorkerId, ...]:
+        """The workers of the attempt."""
+        return tuple(self._members)
+
+    @property
+    def must_lapse(self) -> bool:
+        """Whether keepers must not renew the attempt."""
+        return self.phase is gang_lib.GangPhase.STOPPING
+
+    def begin(self) -> None:
+        """Asks every worker for its reservation."""
+        self._reserved_ms = self._ctx.now_ms
+        for worker in self._members:
+            self._reserve(worker)
+
+    def adopt(self) -> None:
+        """Takes over an attempt that another scheduler has started."""
+        self._gang.all_reserved()
+        for member in self._members.values():
+            member.reserved = True
+            member.start_sent = True
+        self._adopt_due_ms = (
+            self._ctx.now_ms
+            + self._ctx.settings.lease_ttl_ms
+            + ADOPTION_MARGIN_MS
+        )
+
+    def conclude(self) -> None:
+        """Ends an attempt that another scheduler may have started."""
+        self.adopt()
+        self.stop(decisions.AttemptEnd.UNKNOWN)
+
+    def stop(
+        self,
+        why: decisions.AttemptEnd,
+        *,
+        culprits: tuple[ids.WorkerId, ...] = (),
+        grace_ms: int = 0,
+    ) -> None:
+        """Ends the attempt before its tasks have finished.
+
+        Args:
+            why: The end to report; the first reason counts.
+            culprits: Workers at which it failed.
+            grace_ms: How long tasks may take to save their work.
+        """
+        if not self._gang.abort():
+            return
+        self._end = why
+        self._culprits = culprits
+        self._grace_ms = grace_ms
+        for worker in self._members:
+            self._stop_member(worker)
+        self._check_stopped()
+
+    def worker_lost(self, worker: ids.WorkerId) -> None:
+        """Notes that a worker's leases must have lapsed.
+
+        Args:
+            worker: The worker, silent for more than a lease time.
+        """
+        member = self._members.get(worker)
+        if member is None or member.exit_code == 0:
+            return
+        self.stop(decisions.AttemptEnd.WORKER_LOST, culprits=(worker,))
+        if member.proof is None:
+            started = member.start_sent
+            member.proof = _Proof.LOST if started else _Proof.NEVER_RAN
+        self._check_stopped()
+
+    def report(
+        self, worker: ids.WorkerId, lease: messages.LeaseReport
+    ) -> None:
+        """Takes over what a worker reports of the attempt.
+
+        Args:
+            worker: The worker.
+            lease: Its report.
+        """
+        member = self._members.get(worker)
+        if member is None:
+            return
+        self._progress = max(self._progress, lease.progress)
+        match lease.state:
+            case states.LeaseState.RUNNING:
+                member.started = True
+                self._check_started()
+            case states.LeaseState.FINISHED:
+                member.started = True
+                member.exit_code = lease.exit_code or 0
+                self._check_finished()
+            case states.LeaseState.FAILED:
+                self._member_failed(worker, member, lease)
+            case states.LeaseState.LAPSED | states.LeaseState.STOPPED:
+                self._member_gone(worker, member, lease.ran)
+            case states.LeaseState.RESERVED:
+                if self._adopt_due_ms is not None:
+                    self.stop(decisions.AttemptEnd.WORKER_LOST)
+
+    def absent(self, worker: ids.WorkerId, sequence: int) -> None:
+        """Notes that a worker's report does not name the attempt.
+
+        Args:
+            worker: The worker.
+            sequence: The report's sequence.
+        """
+        member = self._members.get(worker)
+        if member is None or member.exit_code == 0:
+            return
+        adopting = self._adopt_due_ms is not None and not member.started
+        forgotten = member.started and sequence > member.confirmed_sequence
+        if adopting or forgotten:
+            self.stop(decisions.AttemptEnd.WORKER_LOST, culprits=(worker,))
+
+    def tick(self) -> None:
+        """Retries what was not answered and ends what takes too long."""
+        match self.phase:
+            case gang_lib.GangPhase.RESERVING:
+                self._tick_reserving()
+            case gang_lib.GangPhase.STARTING:
+                self._tick_starting()
+            case gang_lib.GangPhase.STOPPING:
+                self._tick_stopping()
+
+    def _window_end_ms(self) -> int:
+        ttl_ms = self._ctx.settings.reservation_ttl_ms
+        return self._reserved_ms + ttl_ms
+
+    def _tick_reserving(self) -> None:
+        if self._ctx.now_ms >= self._window_end_ms() - START_MARGIN_MS:
+            silent = tuple(
+                worker
+                for worker, member in self._members.items()
+                if not member.reserved
+            )
+            self.stop(decisions.AttemptEnd.REFUSED, culprits=silent)
+            return
+        for worker, member in self._due_members():
+            if not member.reserved:
+                self._reserve(worker)
+
+    def _tick_starting(self) -> None:
+        limit_ms = self._adopt_due_ms
+        if limit_ms is None:
+            limit_ms = self._window_end_ms() + START_MARGIN_MS
+        if self._ctx.now_ms >= limit_ms:
+            silent = tuple(
+                worker
+                for worker, member in self._members.items()
+                if not member.started
+            )
+            self.stop(decisions.AttemptEnd.WORKER_LOST, culprits=silent)
+            return
+        if self._adopt_due_ms is not None:
+            return
+        for worker, member in self._due_members():
+            if not member.started:
+                self._start(worker)
+
+    def _tick_stopping(self) -> None:
+        for worker, member in self._due_members():
+            if member.proof is None:
+                self._stop_member(worker)
+
+    def _due_members(self) -> list[tuple[ids.WorkerId, _Member]]:
+        return [
+            (worker, member)
+            for worker, member in self._members.items()
+            if not member.in_flight and member.retry_ms <= self._ctx.now_ms
+        ]
+
+    def _call(
+        self,
+        worker: ids.WorkerId,
+        acts: tuple[messages.Act, ...],
+        on_results: Callable[[tuple[messages.ActResult, ...]], None],
+        *,
+        retry_ms: int,
+        timeout_ms: int = 1_000,
+    ) -> None:
+        member = self._members[worker]
+        member.in_flight = True
+        token = self._token
+
+        def answered(answer: messages.WorkerAnswer | None) -> None:
+            member.in_flight = False
+            member.retry_ms = self._ctx.now_ms + retry_ms
+            if answer is None:
+                return
+            if answer.token <= token and answer.results:
+                if answer.report is not None:
+                    member.confirmed_sequence = answer.report.sequence
+                on_results(answer.results)
+            self._handlers.on_answer(worker, answer)
+
+        self._ctx.call_worker(
+            member.target,
+            messages.WorkerCall(token=token, acts=acts),
+            answered,
+            timeout_ms=timeout_ms,
+        )
+
+    def _reserve(self, worker: ids.WorkerId) -> None:
+        member = self._members[worker]
+        act = messages.Reserve(
+            attempt=self.attempt,
+            spec=self.spec,
+            placement=self.placement,
+            tasks=member.tasks,
+            number=self.number,
+            ttl_ms=self._ctx.settings.reservation_ttl_ms,
+        )
+
+        def reserved(results: tuple[messages.ActResult, ...]) -> None:
+            if self.phase is not gang_lib.GangPhase.RESERVING:
+                return
+            if results[0].outcome is not messages.ActOutcome.DONE:
+                self.stop(decisions.AttemptEnd.REFUSED, culprits=(worker,))
+                return
+            member.reserved = True
+            self._check_reserved()
+
+        self._call(worker, (act,), reserved, retry_ms=RETRY_MS)
+
+    def _check_reserved(self) -> None:
+        in_time = self._ctx.now_ms < self._window_end_ms() - START_MARGIN_MS
+        whole = all(member.reserved for member in self._members.values())
+        if whole and in_time and self._gang.all_reserved():
+            for worker in self._members:
+                self._start(worker)
+
+    def _start(self, worker: ids.WorkerId) -> None:
+        member = self._members[worker]
+        member.start_sent = True
+        act = messages.Start(
+            attempt=self.attempt, ttl_ms=self._ctx.settings.lease_ttl_ms
+        )
+
+        def started(results: tuple[messages.ActResult, ...]) -> None:
+            outcome = results[0].outcome
+            if outcome is messages.ActOutcome.DONE:
+                member.started = True
+                self._check_started()
+                return
+            if outcome is messages.ActOutcome.FAILED_TO_START:
+                why = decisions.AttemptEnd.FAILED_TO_START
+            else:
+                why = decisions.AttemptEnd.REFUSED
+            self.stop(why, culprits=(worker,))
+
+        self._call(worker, (act,), started, retry_ms=RETRY_MS)
+
+    def _check_started(self) -> None:
+        whole = all(member.started for member in self._members.values())
+        if whole and self._gang.all_started():
+            self._handlers.on_started(self)
+
+    def _check_finished(self) -> None:
+        self._check_started()
+        whole = all(
+            member.exit_code == 0 for member in self._members.values()
+        )
+        if whole and self._gang.all_finished():
+            self._exit_code = 0
+            self._finish(ran=True)
+
+    def _member_failed(
+        self,
+        worker: ids.WorkerId,
+        member: _Member,
+        lease: messages.LeaseReport,
+    ) -> None:
+        member.proof = _Proof.RAN if lease.ran else _Proof.NEVER_RAN
+        if self._exit_code is None:
+            self._exit_code = lease.exit_code
+        why = (
+            decisions.AttemptEnd.FAILED_BY_JOB
+            if lease.ran
+            else decisions.AttemptEnd.FAILED_TO_START
+        )
+        self.stop(why, culprits=(worker,))
+        self._check_stopped()
+
+    def _member_gone(
+        self, worker: ids.WorkerId, member: _Member, ran: bool
+    ) -> None:
+        member.proof = _Proof.RAN if ran else _Proof.NEVER_RAN
+        self.stop(decisions.AttemptEnd.WORKER_LOST, culprits=(worker,))
+        self._check_stopped()
+
+    def _stop_member(self, worker: ids.WorkerId) -> None:
+        member = self._members[worker]
+        if member.proof is not None:
+            return
+        running = member.started and member.exit_code is None
+        if self._grace_ms and running and not member.checkpointed:
+            self._checkpoint(worker, member)
+        else:
+            self._send_stop(worker, member)
+
+    def _checkpoint(self, worker: ids.WorkerId, member: _Member) -> None:
+        member.checkpointed = True
+
+        def saved(results: tuple[messages.ActResult, ...]) -> None:
+            self._progress = max(self._progress, results[0].progress)
+            if member.proof is None:
+                self._send_stop(worker, member)
+
+        act = messages.Checkpoint(attempt=self.attempt)
+        self._call(
+            worker, (act,), saved, retry_ms=0, timeout_ms=self._grace_ms
+        )
+
+    def _send_stop(self, worker: ids.WorkerId, member: _Member) -> None:
+        def stopped(results: tuple[messages.ActResult, ...]) -> None:
+            outcome = results[0].outcome
+            if outcome is messages.ActOutcome.NEVER_RAN:
+                member.proof = _Proof.NEVER_RAN
+            elif outcome is messages.ActOutcome.RAN:
+                member.proof = _Proof.RAN
+            self._check_stopped()
+
+        act = messages.Stop(attempt=self.attempt)
+        self._call(worker, (act,), stopped, retry_ms=STOP_RETRY_MS)
+
+    def _check_stopped(self) -> None:
+        proofs = [member.proof for member in self._members.values()]
+        if None in proofs or not self._gang.all_stopped():
+            return
+        self._finish(ran=self._proof_of_run(proofs))
+
+    def _proof_of_run(self, proofs: list[_Proof | None]) -> bool | None:
+        if _Proof.RAN in proofs:
+            return True
+        if not self._core.may_have_run or _Proof.LOST not in proofs:
+            return False
+        return None
+
+    def _finish(self, *, ran: bool | None) -> None:
+        self._handlers.on_ended(
+            self,
+            AttemptResult(
+                how=self._end,
+                ran=ran,
+                exit_code=self._exit_code,
+                culprits=self._culprits,
+                progress=self._progress,
+            ),
+        )
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -9,6 +9,7 @@
 from citronmount.telemetry import events
 
 __all__ = [
+    "Acknowledge",
     "Answer",
     "CancelJob",
     "CancelJobs",
@@ -29,7 +30,6 @@
     "PublishConfiguration",
     "PublishAnswer",
     "Replicate",
-    "ReplicateAck",
     "RunRequest",
     "StateAnswer",
     "StateRequest",
@@ -323,11 +323,11 @@
     records: tuple[records.Record, ...]
 
 
-class ReplicateAck(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Confirms that records are kept.
+class Acknowledge(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Confirms a message that the sender repeats until then.
 
     Attributes:
-        call: The `Replicate` that is confirmed.
+        call: The call of the message that is confirmed.
     """
 
     call: ids.CallId
@@ -389,10 +389,12 @@
     """A lease keeper passes changed worker reports to the owner.
 
     Attributes:
+        call: Matches the acknowledgement; repeated until it comes.
         reports: Reports that changed.
-        lost: Workers that do not answer the keeper.
+        lost: Workers that have not answered the keeper for a lease time.
     """
 
+    call: ids.CallId
     reports: tuple[platform_messages.Report, ...] = ()
     lost: tuple[ids.WorkerId, ...] = ()
 
@@ -462,7 +464,7 @@
     | Forward
     | ForwardAnswer
     | Replicate
-    | ReplicateAck
+    | Acknowledge
     | ClaimKey
     | ClaimAnswer
     | ReleaseKey
--- /dev/null
+++ b/citronmount/state/job_book.py
@@ -0,0 +1,185 @@
+"""Folds the job stream of a failure domain into what must not be lost."""
+
+import collections
+
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.platform import messages
+from citronmount.state import records
+
+__all__ = ["JobBook"]
+
+REMEMBERED_ENDED = 20_000
+REMEMBERED_KEYS = 100_000
+
+
+class JobBook:
+    """Accepted jobs, intents, results and key claims of a failure domain.
+
+    Folding a record twice has no further effect, and a final result wins
+    over everything, so records may come from the log, from peers and from the
+    process itself in any order. Only the first claim of a key counts until
+    its result frees the key.
+    """
+
+    def __init__(self) -> None:
+        """Initializes an empty book."""
+        self.next_offset = ids.Offset(0)
+        self.last_snapshot = ids.Offset(-1)
+        self.accepted: dict[ids.JobId, jobs.JobSpec] = {}
+        self.intents: dict[ids.JobId, records.AttemptIntended] = {}
+        self.cancelled: set[ids.JobId] = set()
+        self.ended: collections.OrderedDict[ids.JobId, records.JobEnded] = (
+            collections.OrderedDict()
+        )
+        self.claims: collections.OrderedDict[str, records.KeyClaimed] = (
+            collections.OrderedDict()
+        )
+        self.key_results: collections.OrderedDict[str, records.KeyResult] = (
+            collections.OrderedDict()
+        )
+        self._freed: collections.OrderedDict[ids.RecordId, None] = (
+            collections.OrderedDict()
+        )
+
+    def fold_page(self, page: messages.LogPage) -> None:
+        """Folds one page of the job stream.
+
+        Args:
+            page: The page, read from `next_offset` on.
+        """
+        for entry in page.records:
+            if entry.offset < self.next_offset:
+                continue
+            record = records.decode(entry.data)
+            if isinstance(record, records.JobSnapshot):
+                self.last_snapshot = entry.offset
+            if record is not None:
+                self.fold(record)
+            self.next_offset = ids.Offset(entry.offset + 1)
+        self.next_offset = max(self.next_offset, page.oldest)
+
+    def fold(self, record: records.Record) -> None:
+        """Folds one record.
+
+        Args:
+            record: Any record; those of other streams are ignored.
+        """
+        match record:
+            case records.JobAccepted(spec=spec):
+                self._accept(spec)
+            case records.AttemptIntended():
+                self._intend(record)
+            case records.JobCancelled(job=job):
+                self._cancel(job)
+            case records.JobEnded():
+                self._end(record)
+            case records.KeyClaimed():
+                self._claim(record)
+            case records.KeyResult():
+                self._key_result(record)
+            case records.JobSnapshot():
+                self.merge(record)
+
+    def merge(self, snapshot: records.JobSnapshot) -> None:
+        """Folds a snapshot, which never outranks what is known.
+
+        Args:
+            snapshot: From the log or from a peer.
+        """
+        for ended in snapshot.ended:
+            self._end(ended)
+        for spec in snapshot.accepted:
+            self._accept(spec)
+        for intent in snapshot.intents:
+            self._intend(intent)
+        for job in snapshot.cancelled:
+            self._cancel(job)
+        for result in snapshot.key_results:
+            self._key_result(result)
+        for claim in snapshot.claims:
+            self._claim(claim)
+
+    def snapshot(
+        self, record: ids.RecordId, *, claims_since_ms: int = 0
+    ) -> records.JobSnapshot:
+        """Returns the whole book as a record.
+
+        Args:
+            record: The id of the new record.
+            claims_since_ms: Older claims and their results are left out.
+
+        Returns:
+            The snapshot.
+        """
+        recent = {
+            key: claim
+            for key, claim in self.claims.items()
+            if claim.claimed_ms >= claims_since_ms
+        }
+        return records.JobSnapshot(
+            record=record,
+            as_of=ids.Offset(self.next_offset - 1),
+            accepted=tuple(self.accepted.values()),
+            intents=tuple(self.intents.values()),
+            cancelled=tuple(sorted(self.cancelled)),
+            ended=tuple(self.ended.values()),
+            claims=tuple(recent.values()),
+            key_results=tuple(
+                result
+                for key, result in self.key_results.items()
+                if key in recent
+            ),
+        )
+
+    def _accept(self, spec: jobs.JobSpec) -> None:
+        if spec.job not in self.ended:
+            self.accepted.setdefault(spec.job, spec)
+
+    def _intend(self, intent: records.AttemptIntended) -> None:
+        if intent.job in self.ended:
+            return
+        known = self.intents.get(intent.job)
+        if known is None or known.number < intent.number:
+            self.intents[intent.job] = intent
+
+    def _cancel(self, job: ids.JobId) -> None:
+        if job not in self.ended:
+            self.cancelled.add(job)
+
+    def _end(self, ended: records.JobEnded) -> None:
+        self.accepted.pop(ended.job, None)
+        self.intents.pop(ended.job, None)
+        self.cancelled.discard(ended.job)
+        self.ended.setdefault(ended.job, ended)
+        while len(self.ended) > REMEMBERED_ENDED:
+            self.ended.popitem(last=False)
+
+    def _claim(self, claim: records.KeyClaimed) -> None:
+        if claim.record in self._freed:
+            return
+        self.claims.setdefault(claim.key, claim)
+        while len(self.claims) > REMEMBERED_KEYS:
+            key, _ = self.claims.popitem(last=False)
+            self.key_results.pop(key, None)
+
+    def _key_result(self, result: records.KeyResult) -> None:
+        if codes.info(result.result.code).proves_not_run:
+            self.free(result.key, result.claim)
+            return
+        self.key_results.setdefault(result.key, result)
+
+    def free(self, key: str, claim: ids.RecordId) -> None:
+        """Gives a key back because its claim was never used.
+
+        Args:
+            key: The key.
+            claim: The record id of the claim; another claim stays.
+        """
+        self._freed[claim] = None
+        while len(self._freed) > REMEMBERED_KEYS:
+            self._freed.popitem(last=False)
+        held = self.claims.get(key)
+        if held is not None and held.record == claim:
+            del self.claims[key]
--- a/citronmount/state/records.py
+++ b/citronmount/state/records.py
@@ -12,6 +12,7 @@
     "ConfigurationChange",
     "ConfigurationSnapshot",
     "JobAccepted",
+    "JobCancelled",
     "JobEnded",
     "JobSnapshot",
     "KeyClaimed",
@@ -111,14 +112,30 @@
     Attributes:
         record: The id.
         job: The job.
+        account: Its client account.
         result: The result.
         attempts: How many attempts were started.
+        body_digest: Digest of the job's body, to refuse another body.
     """
 
     record: ids.RecordId
     job: ids.JobId
+    account: ids.AccountId
     result: jobs.JobResult
     attempts: int
+    body_digest: str = ""
+
+
+class JobCancelled(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A caller has cancelled a job, which must end as cancelled.
+
+    Attributes:
+        record: The id.
+        job: The job.
+    """
+
+    record: ids.RecordId
+    job: ids.JobId
 
 
 class KeyClaimed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -145,11 +162,14 @@
     Attributes:
         record: The id.
         key: The idempotency key with its account.
-        result: The answer that every retry gets.
+        claim: The record id of the claim that is answered.
+        result: The answer that every retry gets. A result that proves that
+            the request was not run frees the key.
     """
 
     record: ids.RecordId
     key: str
+    claim: ids.RecordId
     result: jobs.RequestResult
 
 
@@ -161,6 +181,7 @@
         as_of: The offset of the last record folded into it.
         accepted: Jobs without a final result.
         intents: The newest intent of each of those jobs.
+        cancelled: Those of them that callers have cancelled.
         ended: Recent final results.
         claims: Claims younger than the key lifetime.
         key_results: Answers younger than the key lifetime.
@@ -170,6 +191,7 @@
     as_of: ids.Offset
     accepted: tuple[jobs.JobSpec, ...] = ()
     intents: tuple[AttemptIntended, ...] = ()
+    cancelled: tuple[ids.JobId, ...] = ()
     ended: tuple[JobEnded, ...] = ()
     claims: tuple[KeyClaimed, ...] = ()
     key_results: tuple[KeyResult, ...] = ()
@@ -180,6 +202,7 @@
     | ConfigurationSnapshot
     | JobAccepted
     | AttemptIntended
+    | JobCancelled
     | JobEnded
     | KeyClaimed
     | KeyResult
