Add the router of short requests

Cause: short requests need a decision core of their own: slots of a runner are shared by all VMs of a failure domain, answers come late, doubled or not at all, and one account's burst must not starve another. Change: a pure router with start-time fair queueing over accounts, slot shares dealt in rotation, power of two choices, hedges and retries within budgets, ejection and probing of runners, and offers to peer VMs. Tests: failures of runners and peers one by one, and a property test over random orders (one answer each, no slot leak, at most one run of requests that are not idempotent, no refusal after a run).

--- /dev/null
+++ b/citronmount/core/tests/test_short_requests.py
@@ -0,0 +1,459 @@
+"""Tests of the router of short requests, failures included."""
+
+import collections
+import itertools
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import request_decisions
+from citronmount.core import request_slots
+from citronmount.core import short_requests
+from citronmount.core import states
+from citronmount.platform import messages
+
+_OUTCOME = messages.RunnerOutcome
+
+
+def _runner(
+    name: str,
+    slots: int = 8,
+    state: states.TargetState = states.TargetState.UP,
+) -> messages.ListedTarget:
+    return messages.ListedTarget(
+        name=name,
+        address="127.0.0.1:1",
+        failure_domain=ids.FailureDomainId("gt-a"),
+        slots=slots,
+        connections=60,
+        state=state,
+    )
+
+
+def _router(
+    *, runners: int = 2, slots: int = 1
+) -> short_requests.RequestRouter:
+    router = short_requests.RequestRouter(vm=ids.VmId("vm-1"))
+    router.set_runners(tuple(_runner(f"r{i}", slots) for i in range(runners)))
+    return router
+
+
+def _spec(name: str, account: str = "door", **fields) -> jobs.RequestSpec:
+    return jobs.RequestSpec(
+        request=ids.RequestId(name), account=ids.AccountId(account), **fields
+    )
+
+
+def _answer(
+    request: str, outcome: _OUTCOME = _OUTCOME.DONE, payload: str = "ok"
+) -> messages.RunnerAnswer:
+    return messages.RunnerAnswer(
+        request=ids.RequestId(request), outcome=outcome, payload=payload
+    )
+
+
+def _sends(decisions: list) -> list[request_decisions.Send]:
+    return [d for d in decisions if isinstance(d, request_decisions.Send)]
+
+
+def _results(decisions: list) -> list[jobs.RequestResult]:
+    return [
+        d.result for d in decisions if isinstance(d, request_decisions.Finish)
+    ]
+
+
+class SharesTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, 70), max_size=30),
+        strategies.integers(1, 41),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_shares_add_up_and_are_even(self, amounts, count):
+        shares = [
+            request_slots.deal_shares(tuple(amounts), index, count)
+            for index in range(count)
+        ]
+        self.assertEqual([sum(s) for s in zip(*shares, strict=True)], amounts)
+        totals = [sum(share) for share in shares]
+        self.assertLessEqual(max(totals) - min(totals), 1)
+
+
+class RouterTest(unittest.TestCase):
+    def _send_one(self, router, spec, now_ms=0):
+        self.assertIsNone(router.submit(spec, now_ms))
+        (send,) = _sends(router.decide(now_ms))
+        return send
+
+    def test_never_exceeds_the_share(self):
+        router = _router(runners=3, slots=8)
+        router.set_share(0, 3)
+        for i in range(30):
+            router.submit(_spec(f"q{i}"), 0)
+        sends = _sends(router.decide(0))
+        used = collections.Counter(send.runner for send in sends)
+        self.assertEqual(len(sends), 8)
+        self.assertLessEqual(max(used.values()), 3)
+        self.assertEqual(router.queued(), 22)
+
+    def test_only_the_first_of_late_and_doubled_answers_counts(self):
+        router = _router()
+        send = self._send_one(router, _spec("q"))
+        for payload in ("first", "second"):
+            router.answered(
+                send.request,
+                send.runner,
+                _answer("q", payload=payload),
+                True,
+                9,
+            )
+        (result,) = _results(router.decide(9))
+        self.assertEqual(result.payload, "first")
+        self.assertEqual(router.outstanding(), 0)
+        self.assertEqual(router.free_slots(), 2)
+
+    def test_answer_to_another_request_is_never_handed_out(self):
+        router = _router()
+        send = self._send_one(router, _spec("q", idempotent=False))
+        router.answered(send.request, send.runner, _answer("x"), True, 9)
+        (result,) = _results(router.decide(9))
+        self.assertIs(result.code, codes.ResultCode.OUTCOME_UNKNOWN)
+
+    def test_timeout_tells_whether_it_may_have_run(self):
+        cases = [
+            (0, True, codes.ResultCode.NO_SLOT),
+            (0, False, codes.ResultCode.NO_SLOT),
+            (1, True, codes.ResultCode.TIMED_OUT),
+            (1, False, codes.ResultCode.OUTCOME_UNKNOWN),
+        ]
+        for slots, idempotent, code in cases:
+            with self.subTest(slots=slots, idempotent=idempotent):
+                router = _router(runners=1, slots=slots)
+                spec = _spec("q", idempotent=idempotent, timeout_ms=100)
+                router.submit(spec, 0)
+                self.assertEqual(_results(router.decide(99)), [])
+                (result,) = _results(router.decide(100))
+                self.assertIs(result.code, code)
+
+    def test_slot_stays_taken_until_a_given_up_send_is_answered(self):
+        router = _router(runners=1)
+        send = self._send_one(router, _spec("q", timeout_ms=100))
+        self.assertEqual(len(_results(router.decide(100))), 1)
+        self.assertEqual(router.free_slots(), 0)
+        router.answered(send.request, send.runner, None, True, 200)
+        self.assertEqual(router.free_slots(), 1)
+        self.assertEqual(_results(router.decide(200)), [])
+
+    def test_request_that_was_not_run_goes_to_another_runner(self):
+        endings = [
+            (_answer("q", _OUTCOME.BUSY), True),
+            (_answer("q", _OUTCOME.LEAVING), True),
+            (None, False),
+        ]
+        for answer, sent in endings:
+            with self.subTest(answer=answer):
+                router = _router()
+                first = self._send_one(router, _spec("q", idempotent=False))
+                router.answered(first.request, first.runner, answer, sent, 1)
+                (second,) = _sends(router.decide(1))
+                self.assertNotEqual(first.runner, second.runner)
+
+    def test_lost_answer_repeats_idempotent_requests_only(self):
+        for idempotent in (True, False):
+            with self.subTest(idempotent=idempotent):
+                router = _router()
+                send = self._send_one(router, _spec("q", idempotent=idempotent))
+                router.answered(send.request, send.runner, None, True, 1)
+                decisions = router.decide(1)
+                self.assertEqual(len(_sends(decisions)), int(idempotent))
+                self.assertEqual(
+                    [r.code for r in _results(decisions)],
+                    [] if idempotent else [codes.ResultCode.OUTCOME_UNKNOWN],
+                )
+
+    def test_retry_budget_ends_a_storm_of_lost_answers(self):
+        router = _router(runners=4, slots=8)
+        sends = 0
+        for i in range(400):
+            router.submit(_spec(f"q{i}", f"a{i % 2}"), i)
+            while batch := _sends(router.decide(i)):
+                sends += len(batch)
+                for send in batch:
+                    router.answered(send.request, send.runner, None, True, i)
+        runs_each = sends / 400
+        self.assertLess(runs_each, 1.2)
+
+    def test_leaving_runner_gets_nothing_though_the_list_says_up(self):
+        router = _router(runners=1, slots=4)
+        send = self._send_one(router, _spec("q"))
+        router.answered(
+            send.request, send.runner, _answer("q", _OUTCOME.LEAVING), True, 1
+        )
+        router.set_runners((_runner("r0", 4),))
+        self.assertEqual(_sends(router.decide(3_000)), [])
+
+    def test_refused_everywhere_proves_not_run(self):
+        router = _router(runners=4, slots=8)
+        router.submit(_spec("q", idempotent=False, timeout_ms=60_000), 0)
+        results = []
+        for now_ms in itertools.count(0, 5_000):
+            decisions = router.decide(now_ms)
+            results = _results(decisions)
+            if results:
+                break
+            for send in _sends(decisions):
+                router.answered(send.request, send.runner, None, False, now_ms)
+        self.assertIs(results[0].code, codes.ResultCode.TARGET_REFUSED)
+
+    def test_failing_runner_is_ejected_then_probed_then_used_again(self):
+        router = _router(runners=4, slots=8)
+        healthy = False
+        seen = collections.Counter()
+        for i in range(600):
+            now_ms = 10 * i
+            router.submit(_spec(f"q{i}", f"a{i % 3}"), now_ms)
+            while batch := _sends(router.decide(now_ms)):
+                for send in batch:
+                    bad = send.runner == "r0" and not healthy
+                    seen[send.runner, healthy] += 1
+                    outcome = _OUTCOME.FAILED if bad else _OUTCOME.DONE
+                    router.answered(
+                        send.request,
+                        send.runner,
+                        _answer(send.request, outcome),
+                        True,
+                        now_ms,
+                    )
+            healthy = i >= 300
+        self.assertLess(seen["r0", False], 8)
+        self.assertGreater(seen["r0", True], 20)
+
+    def test_one_failing_account_does_not_take_runners_from_others(self):
+        router = _router(runners=4, slots=8)
+        for i in range(200):
+            account = "poison" if i % 2 else "door"
+            router.submit(_spec(f"q{i}", account, idempotent=False), i)
+            for send in _sends(router.decide(i)):
+                good = int(send.request[1:]) % 2 == 0
+                outcome = _OUTCOME.DONE if good else _OUTCOME.FAILED
+                router.answered(
+                    send.request,
+                    send.runner,
+                    _answer(send.request, outcome),
+                    True,
+                    i,
+                )
+        self.assertEqual(router.free_slots(), 32)
+
+    def test_hedges_only_idempotent_requests_within_the_budget(self):
+        for idempotent in (True, False):
+            router = _router(runners=4, slots=50)
+            for i in range(128):
+                send = self._send_one(
+                    router, _spec(f"w{i}", idempotent=idempotent), 20 * i
+                )
+                router.answered(
+                    send.request,
+                    send.runner,
+                    _answer(f"w{i}"),
+                    True,
+                    20 * i + 10,
+                )
+                router.decide(20 * i + 10)
+            for i in range(20):
+                router.submit(_spec(f"q{i}", idempotent=idempotent), 3_000)
+            self.assertEqual(len(_sends(router.decide(3_000))), 20)
+            hedges = _sends(router.decide(3_100))
+            with self.subTest(idempotent=idempotent):
+                if not idempotent:
+                    self.assertEqual(hedges, [])
+                    continue
+                self.assertTrue(0 < len(hedges) <= 6)
+                router.answered(
+                    hedges[0].request,
+                    hedges[0].runner,
+                    _answer(hedges[0].request, payload="hedge"),
+                    True,
+                    3_110,
+                )
+                results = _results(router.decide(3_110))
+                self.assertEqual([r.payload for r in results], ["hedge"])
+
+    def test_burst_of_one_account_does_not_starve_another(self):
+        router = _router(runners=1, slots=1)
+        for i in range(200):
+            router.submit(_spec(f"b{i}", "burst"), 0)
+        send = _sends(router.decide(0))[0]
+        for i in range(5):
+            router.submit(_spec(f"d{i}", "door"), 1)
+        order = []
+        for now_ms in range(50, 1_050, 50):
+            router.answered(
+                send.request, send.runner, _answer(send.request), True, now_ms
+            )
+            send = _sends(router.decide(now_ms))[0]
+            order.append(send.request[0])
+        self.assertEqual(order[:12].count("d"), 5)
+
+    def test_trial_accounts_come_after_paying_ones(self):
+        router = _router(runners=1, slots=0)
+        trial = ids.AccountId("trial")
+        router.set_account_class(trial, states.AccountClass.TRIAL)
+        router.submit(_spec("t", "trial"), 0)
+        router.submit(_spec("p", "door"), 0)
+        router.set_runners((_runner("r0", 2),))
+        sends = _sends(router.decide(1))
+        self.assertEqual([s.request for s in sends], ["p", "t"])
+
+    def test_queue_is_bounded_for_each_account(self):
+        router = _router(runners=1, slots=0)
+        results = [router.submit(_spec(f"b{i}", "b"), 0) for i in range(300)]
+        refused = [r for r in results if r is not None]
+        self.assertEqual(len(refused), 300 - short_requests.QUEUE_BOUND)
+        self.assertTrue(all(r.retry_after_ms for r in refused))
+        self.assertTrue(all(codes.info(r.code).proves_not_run for r in refused))
+        self.assertIsNone(router.submit(_spec("d", "door"), 0))
+
+    def test_cancel_forgets_a_queued_request_and_a_late_answer(self):
+        router = _router(runners=1)
+        send = self._send_one(router, _spec("q"))
+        router.submit(_spec("w"), 0)
+        self.assertTrue(router.cancel(ids.RequestId("w")))
+        self.assertFalse(router.cancel(send.request))
+        router.answered(send.request, send.runner, _answer("q"), True, 1)
+        self.assertEqual(router.decide(1), [])
+        self.assertEqual(router.free_slots(), 1)
+
+
+class OfferTest(unittest.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.router = _router(runners=1, slots=0)
+        self.peer = ids.VmId("vm-2")
+        self.router.peer_free_slots(self.peer, 3)
+
+    def _offered(self, **fields):
+        self.router.submit(_spec("q", **fields), 0)
+        (offer,) = self.router.decide(0)
+        self.assertEqual(offer.vm, self.peer)
+        self.assertEqual(self.router.queued(), 0)
+
+    def _after(self, result, *, sent=True, now_ms=2):
+        self.router.peer_answered(ids.RequestId("q"), result, now_ms, sent=sent)
+        return self.router.decide(now_ms)
+
+    def test_peer_result_is_the_answer(self):
+        self._offered()
+        result = jobs.RequestResult(
+            request=ids.RequestId("q"), code=codes.ResultCode.DONE
+        )
+        self.assertEqual(_results(self._after(result)), [result])
+
+    def test_refused_offer_waits_here_again(self):
+        self._offered()
+        refusal = jobs.RequestResult(
+            request=ids.RequestId("q"), code=codes.ResultCode.NO_SLOT
+        )
+        self.assertEqual(self._after(refusal), [])
+        self.assertEqual(self.router.queued(), 1)
+
+    def test_peer_that_dies_leaves_the_outcome_unknown(self):
+        self._offered(idempotent=False)
+        (result,) = _results(self._after(None))
+        self.assertIs(result.code, codes.ResultCode.OUTCOME_UNKNOWN)
+
+    def test_offer_that_never_left_waits_here_again(self):
+        self._offered(idempotent=False)
+        self.assertEqual(self._after(None, sent=False), [])
+        self.assertEqual(self.router.queued(), 1)
+
+    def test_takes_an_offer_only_with_a_free_slot(self):
+        router = _router(runners=1, slots=1)
+        self.assertIsNone(router.submit(_spec("a"), 0, offered=True))
+        refusal = router.submit(_spec("b"), 0, offered=True)
+        self.assertIs(refusal.code, codes.ResultCode.NO_SLOT)
+
+
+class _World:
+    """A router, the sends in flight and what was seen of each request."""
+
+    def __init__(self, test):
+        self.test = test
+        self.router = _router(runners=3, slots=2)
+        self.now_ms = 0
+        self.taken, self.cancelled, self.once = set(), set(), set()
+        self.answers, self.runs = collections.Counter(), collections.Counter()
+        self.flight = []
+
+    def act(self):
+        decisions = self.router.decide(self.now_ms)
+        self.flight.extend(_sends(decisions))
+        for result in _results(decisions):
+            self.answers[result.request] += 1
+            if codes.info(result.code).proves_not_run:
+                self.test.assertEqual(self.runs[result.request], 0)
+        self.test.assertLessEqual(self.router.outstanding(), 6)
+
+    def submit(self, pick, flag):
+        spec = _spec(
+            f"q{len(self.taken)}", f"a{pick}", idempotent=flag, timeout_ms=40
+        )
+        if self.router.submit(spec, self.now_ms) is None:
+            self.taken.add(spec.request)
+            self.once |= set() if flag else {spec.request}
+
+    def end(self, pick, flag):
+        if not self.flight:
+            return
+        send = self.flight.pop(pick % len(self.flight))
+        outcome = list(_OUTCOME)[pick % 4]
+        answer = _answer(send.request, outcome) if flag else None
+        sent = flag or pick % 2 == 0
+        ran = outcome in (_OUTCOME.DONE, _OUTCOME.FAILED) if flag else sent
+        self.runs[send.request] += ran
+        self.router.answered(
+            send.request, send.runner, answer, sent, self.now_ms
+        )
+
+    def cancel(self, pick, flag):
+        if not self.taken:
+            return
+        request = sorted(self.taken)[pick % len(self.taken)]
+        self.cancelled |= set() if self.answers[request] else {request}
+        self.router.cancel(request)
+
+    def wait(self, pick, flag):
+        self.now_ms += 10 * pick
+
+
+class AnyOrderTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["submit", "end", "cancel", "wait"]),
+                strategies.integers(0, 5),
+                strategies.booleans(),
+            ),
+            max_size=80,
+        )
+    )
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    def test_every_request_gets_one_answer_and_no_slot_leaks(self, steps):
+        world = _World(self)
+        for kind, pick, flag in steps:
+            world.now_ms += pick
+            getattr(world, kind)(pick, flag)
+            world.act()
+        world.now_ms += 1_000
+        world.act()
+        for send in world.flight:
+            world.router.answered(
+                send.request, send.runner, None, True, world.now_ms
+            )
+        self.assertEqual(world.router.outstanding(), 0)
+        self.assertEqual(set(world.answers.values()) - {1}, set())
+        self.assertEqual(set(world.answers), world.taken - world.cancelled)
+        self.assertTrue(all(world.runs[r] <= 1 for r in world.once))
