Add the agent: the state machine of one VM

Cause: every promise must hold whichever VM fails, so all decisions of a VM are one state machine that the daemon and the fault matrix can both drive. Conclusion: a first version to run the whole path with.

--- /dev/null
+++ b/citronmount/agent/call_desk.py
@@ -0,0 +1,386 @@
+"""Serves callers' calls, here or through the VM that can."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from citronmount.agent import configuration as configuration_lib
+from citronmount.agent import context
+from citronmount.agent import homes
+from citronmount.agent import ownership as ownership_lib
+from citronmount.agent import request_desk
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.membership import view as view_lib
+from citronmount.peers import messages as peer_messages
+
+__all__ = ["CallDesk"]
+
+FORWARD_TIMEOUT_MS = 1_500
+WAIT_MARGIN_MS = 1_000
+RETRY_AFTER_MS = 2_000
+MAX_TASKS = 128
+MAX_WAIT_MS = 60_000
+
+Respond = Callable[[peer_messages.Answer], None]
+DomainCall = (
+    peer_messages.SubmitJob
+    | peer_messages.GetJob
+    | peer_messages.CancelJob
+    | peer_messages.CancelJobs
+    | peer_messages.ListJobs
+)
+
+
+class _Routed(msgspec.Struct, kw_only=True):
+    """A call on its way to the owner of a failure domain."""
+
+    failure_domain: ids.FailureDomainId
+    body: DomainCall
+    respond: Respond
+    due_ms: int
+    in_flight: bool = False
+    sent: bool = False
+    uncertain: bool = False
+
+
+class CallDesk:
+    """Finds the owner for each call and answers the caller once.
+
+    Calls are repeated until their time is up; all of them are idempotent,
+    since a job's id is fixed before its first submission is sent on.
+    """
+
+    def __init__(
+        self,
+        *,
+        ctx: context.Context,
+        view: view_lib.MembershipView,
+        configuration: configuration_lib.ConfigurationKeeper,
+        ownership: ownership_lib.Ownership,
+        requests: request_desk.RequestDesk,
+    ) -> None:
+        """Initializes a desk without calls.
+
+        Args:
+            ctx: The shared context.
+            view: Which VMs own what.
+            configuration: The configuration in force.
+            ownership: The own failure domain, if this VM owns it.
+            requests: Serves short requests.
+        """
+        self._ctx = ctx
+        self._view = view
+        self._configuration = configuration
+        self._ownership = ownership
+        self._requests = requests
+        self._routed: list[_Routed] = []
+
+    def busy(self) -> bool:
+        """Returns whether a call is on its way."""
+        return bool(self._routed)
+
+    def handle(self, body: peer_messages.CallerCall, respond: Respond) -> None:
+        """Serves a call of a caller that reached this VM.
+
+        Args:
+            body: The call.
+            respond: Told the answer, once.
+        """
+        match body:
+            case peer_messages.RunRequest(spec=spec):
+                self._run_request(spec, respond, claimed=False)
+            case peer_messages.SubmitJob(spec=spec):
+                self._submit(spec, respond)
+            case (
+                peer_messages.GetJob(job=job) | peer_messages.CancelJob(job=job)
+            ):
+                self._route(ids.home_of_job(job), body, respond)
+            case peer_messages.ListJobs() | peer_messages.CancelJobs():
+                self._fan_out(body, respond)
+            case peer_messages.PublishConfiguration(change=change):
+                self._configuration.publish(change, respond)
+            case peer_messages.TimelineQuery():
+                respond(peer_messages.TimelineAnswer(events=()))
+
+    def handle_forwarded(
+        self, sender: ids.VmId, message: peer_messages.Forward
+    ) -> None:
+        """Serves a call that another VM has sent on.
+
+        Args:
+            sender: The other VM.
+            message: The call.
+        """
+
+        def respond(answer: peer_messages.Answer) -> None:
+            reply = peer_messages.ForwardAnswer(call=message.call, body=answer)
+            self._ctx.send(sender, reply)
+
+        body = message.body
+        if isinstance(body, peer_messages.RunRequest):
+            self._run_request(body.spec, respond, claimed=body.claimed)
+        elif isinstance(body, DomainCall):
+            self._serve(body, respond)
+        else:
+            respond(_failure(codes.ResultCode.INVALID_REQUEST))
+
+    def tick(self) -> None:
+        """Sends on what waits and ends what has waited too long."""
+        routed, self._routed = self._routed, []
+        for call in routed:
+            if not call.in_flight:
+                self._advance(call)
+            elif self._ctx.now_ms < call.due_ms:
+                self._routed.append(call)
+            else:
+                self._give_up(call)
+
+    def _run_request(
+        self, spec: jobs.RequestSpec, respond: Respond, *, claimed: bool
+    ) -> None:
+        def answered(result: jobs.RequestResult) -> None:
+            respond(peer_messages.RequestAnswer(result=result))
+
+        if spec.timeout_ms <= 0:
+            respond(_failure(codes.ResultCode.DEADLINE_PASSED))
+            return
+        self._requests.arrive(spec, answered, claimed=claimed)
+
+    def _submit(self, spec: jobs.JobSpec, respond: Respond) -> None:
+        code, detail = self._fault(spec)
+        if code is not None:
+            respond(_failure(code, detail))
+            return
+        home = self._home(spec)
+        if home is None:
+            respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
+            return
+        if not spec.idempotency_key:
+            job = ids.job_id(home, self._ctx.unique())
+        else:
+            job = homes.keyed_job_id(home, spec.account, spec.idempotency_key)
+        filled = msgspec.structs.replace(
+            spec, job=job, submitted_ms=self._ctx.wall_ms
+        )
+        self._route(home, peer_messages.SubmitJob(spec=filled), respond)
+
+    def _fault(self, spec: jobs.JobSpec) -> tuple[codes.ResultCode | None, str]:
+        """Returns why a job is refused at the door, or None."""
+        if not self._configuration.usable:
+            return codes.ResultCode.NO_CONFIGURATION, ""
+        current = self._configuration.fold.current
+        if all(account.name != spec.account for account in current.accounts):
+            return codes.ResultCode.UNKNOWN_ACCOUNT, spec.account
+        if not 1 <= spec.tasks <= MAX_TASKS:
+            limits = f"tasks must be 1 to {MAX_TASKS}"
+            return codes.ResultCode.INVALID_REQUEST, limits
+        amounts = msgspec.structs.astuple(spec.per_task)
+        if min(amounts) < 0 or max(amounts) < 1:
+            return codes.ResultCode.INVALID_REQUEST, "per_task"
+        if spec.run_time_s <= 0:
+            return codes.ResultCode.INVALID_REQUEST, "run_time_s"
+        if spec.deadline_ms is not None:
+            return self._deadline_fault(spec, spec.deadline_ms)
+        return None, ""
+
+    def _deadline_fault(
+        self, spec: jobs.JobSpec, deadline_ms: int
+    ) -> tuple[codes.ResultCode | None, str]:
+        if deadline_ms <= self._ctx.wall_ms:
+            return codes.ResultCode.DEADLINE_PASSED, "deadline_ms"
+        return None, ""
+
+    def _home(self, spec: jobs.JobSpec) -> ids.FailureDomainId | None:
+        current = self._configuration.fold.current
+        if spec.idempotency_key:
+            return homes.home_of_key(
+                current, spec.account, spec.idempotency_key
+            )
+        return homes.choose_job_home(
+            current,
+            spec,
+            self.summaries(),
+            self._ctx.settings.failure_domain,
+        )
+
+    def summaries(
+        self,
+    ) -> dict[ids.FailureDomainId, peer_messages.DomainSummary]:
+        """Returns what the owners of live failure domains tell."""
+        found: dict[ids.FailureDomainId, peer_messages.DomainSummary] = {}
+        for vm in self._view.live_peers(self._ctx.now_ms):
+            heartbeat = self._view.peers[vm].heartbeat
+            summary = None if heartbeat is None else heartbeat.domain
+            if summary is None:
+                continue
+            known = found.get(summary.failure_domain)
+            if known is None or known.token < summary.token:
+                found[summary.failure_domain] = summary
+        if self._ownership.domain is not None:
+            own = self._ownership.domain.summary()
+            found[own.failure_domain] = own
+        return found
+
+    def _route(
+        self,
+        failure_domain: ids.FailureDomainId,
+        body: DomainCall,
+        respond: Respond,
+    ) -> None:
+        timeout_ms = self._ctx.settings.call_timeout_ms
+        if isinstance(body, peer_messages.GetJob):
+            wait_ms = min(body.wait_ms, MAX_WAIT_MS)
+            body = msgspec.structs.replace(body, wait_ms=wait_ms)
+            timeout_ms += wait_ms
+        self._advance(
+            _Routed(
+                failure_domain=failure_domain,
+                body=body,
+                respond=respond,
+                due_ms=self._ctx.now_ms + timeout_ms,
+            )
+        )
+
+    def _advance(self, call: _Routed) -> None:
+        """Serves a call here, sends it on, or lets it wait."""
+        own = call.failure_domain == self._ctx.settings.failure_domain
+        if own and self._ownership.domain is not None:
+            self._serve(call.body, call.respond)
+            return
+        if self._ctx.now_ms >= call.due_ms:
+            self._give_up(call)
+            return
+        self._routed.append(call)
+        owner = self._view.owner(call.failure_domain, self._ctx.now_ms)
+        if owner is not None and owner != self._ctx.settings.vm:
+            self._forward(owner, call)
+
+    def _forward(self, owner: ids.VmId, call: _Routed) -> None:
+        call.in_flight = True
+        call.sent = True
+        timeout_ms = FORWARD_TIMEOUT_MS
+        if isinstance(call.body, peer_messages.GetJob):
+            timeout_ms = call.body.wait_ms + WAIT_MARGIN_MS
+        timeout_ms = min(timeout_ms, max(call.due_ms - self._ctx.now_ms, 1))
+        call_id = self._ctx.new_call()
+
+        def answered(message: peer_messages.ForwardAnswer | None) -> None:
+            call.in_flight = False
+            if call not in self._routed:
+                return
+            if message is None:
+                call.uncertain = True
+                return
+            if not _is_for_retry(message.body):
+                self._routed.remove(call)
+                call.respond(_truthful(call, message.body))
+
+        forward = peer_messages.Forward(
+            call=call_id, body=call.body, timeout_ms=timeout_ms
+        )
+        self._ctx.call_peer(
+            owner, call_id, forward, answered, timeout_ms=timeout_ms
+        )
+
+    def _give_up(self, call: _Routed) -> None:
+        if call.uncertain or call.in_flight:
+            detail = ""
+            if isinstance(call.body, peer_messages.SubmitJob):
+                detail = f"job {call.body.spec.job} may have been accepted"
+            call.respond(_failure(codes.ResultCode.TIMED_OUT, detail))
+            return
+        call.respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
+
+    def _serve(self, body: DomainCall, respond: Respond) -> None:
+        """Serves a call as the owner of the failure domain."""
+        domain = self._ownership.domain
+        if domain is None:
+            respond(_failure(codes.ResultCode.REBUILDING))
+            return
+        match body:
+            case peer_messages.SubmitJob(spec=spec):
+                domain.submit(spec, respond)
+            case peer_messages.GetJob(job=job, wait_ms=wait_ms):
+                domain.status(job, wait_ms, respond)
+            case peer_messages.CancelJob(job=job):
+                domain.cancel(job, respond)
+            case peer_messages.CancelJobs(account=account):
+                respond(domain.cancel_account(account))
+            case peer_messages.ListJobs(account=account, limit=limit):
+                respond(domain.statuses(account, limit))
+
+    def _fan_out(
+        self,
+        body: peer_messages.ListJobs | peer_messages.CancelJobs,
+        respond: Respond,
+    ) -> None:
+        """Sends a call to one or all failure domains and joins the answers."""
+        names = (
+            [body.failure_domain]
+            if body.failure_domain
+            else [
+                domain.name
+                for domain in self._configuration.fold.current.failure_domains
+            ]
+        )
+        answers: list[peer_messages.Answer] = []
+
+        def answered(answer: peer_messages.Answer) -> None:
+            answers.append(answer)
+            if len(answers) == len(names):
+                respond(_joined(answers))
+
+        if not names:
+            respond(peer_messages.JobsAnswer(statuses=()))
+        for name in names:
+            part = msgspec.structs.replace(body, failure_domain=name)
+            self._route(name, part, answered)
+
+
+def _failure(code: codes.ResultCode, detail: str = "") -> peer_messages.Failure:
+    retry = codes.info(code).retry
+    return peer_messages.Failure(
+        result=jobs.JobResult(code=code, detail=detail),
+        retry_after_ms=RETRY_AFTER_MS if retry else None,
+    )
+
+
+def _is_for_retry(answer: peer_messages.Answer) -> bool:
+    """Returns whether the asked VM was not the owner after all."""
+    return (
+        isinstance(answer, peer_messages.Failure)
+        and answer.result.code is codes.ResultCode.REBUILDING
+    )
+
+
+def _truthful(
+    call: _Routed, answer: peer_messages.Answer
+) -> peer_messages.Answer:
+    """Takes back the proof of a refusal that follows a lost answer.
+
+    An earlier owner may have accepted the job without its answer arriving.
+    """
+    submitted = isinstance(call.body, peer_messages.SubmitJob)
+    refused = isinstance(answer, peer_messages.Failure)
+    if not (call.uncertain and submitted and refused):
+        return answer
+    detail = f"job {call.body.spec.job} may have been accepted"
+    return _failure(codes.ResultCode.TIMED_OUT, detail)
+
+
+def _joined(answers: list[peer_messages.Answer]) -> peer_messages.Answer:
+    lists = [
+        answer
+        for answer in answers
+        if isinstance(answer, peer_messages.JobsAnswer)
+    ]
+    if not lists:
+        return answers[0]
+    return peer_messages.JobsAnswer(
+        statuses=tuple(
+            status for answer in lists for status in answer.statuses
+        ),
+        total=sum(answer.total for answer in lists),
+    )
--- /dev/null
+++ b/citronmount/agent/heartbeats.py
@@ -0,0 +1,108 @@
+"""Sends heartbeats to the other VMs."""
+
+from citronmount.agent import configuration as configuration_lib
+from citronmount.agent import context
+from citronmount.agent import ownership as ownership_lib
+from citronmount.agent import request_desk
+from citronmount.core import ids
+from citronmount.membership import view as view_lib
+from citronmount.peers import messages as peer_messages
+
+__all__ = ["Heartbeats"]
+
+
+class Heartbeats:
+    """Tells peers that the VM lives, and what they need of it.
+
+    VMs of the own failure domain hear it often, the others seldom, so that
+    the traffic of many VMs stays small.
+    """
+
+    def __init__(
+        self,
+        *,
+        ctx: context.Context,
+        view: view_lib.MembershipView,
+        configuration: configuration_lib.ConfigurationKeeper,
+        ownership: ownership_lib.Ownership,
+        requests: request_desk.RequestDesk,
+    ) -> None:
+        """Initializes without having sent any.
+
+        Args:
+            ctx: The shared context.
+            view: Whom to tell.
+            configuration: The version to tell.
+            ownership: The failure domain's state to tell.
+            requests: The free slots to tell.
+        """
+        self._ctx = ctx
+        self._view = view
+        self._configuration = configuration
+        self._ownership = ownership
+        self._requests = requests
+        self._sequence = 0
+        self._local_ms = 0
+        self._remote_ms = 0
+
+    def send_now(self) -> None:
+        """Sends one to everybody at once."""
+        self._local_ms = self._ctx.now_ms
+        self._remote_ms = self._ctx.now_ms
+        self.tick()
+
+    def tick(self) -> None:
+        """Sends what is due."""
+        local = self._ctx.now_ms >= self._local_ms
+        remote = self._ctx.now_ms >= self._remote_ms
+        if not local and not remote:
+            return
+        heartbeat = self._heartbeat()
+        settings = self._ctx.settings
+        if local:
+            self._local_ms = self._ctx.now_ms + settings.heartbeat_ms
+            self._send(heartbeat, local=True)
+        if remote:
+            self._remote_ms = self._ctx.now_ms + settings.remote_heartbeat_ms
+            self._send(heartbeat, local=False)
+
+    def _send(self, heartbeat: peer_messages.Heartbeat, *, local: bool) -> None:
+        own = self._ctx.settings.failure_domain
+        for vm, peer in self._view.peers.items():
+            known = peer.listed or self._view.alive(vm, self._ctx.now_ms)
+            if known and (peer.failure_domain == own) is local:
+                self._ctx.send(vm, heartbeat)
+        lapsing = self._lapsing()
+        if local and lapsing is not None:
+            for vm in self._view.local_peers(self._ctx.now_ms):
+                self._ctx.send(vm, lapsing)
+
+    def _lapsing(self) -> peer_messages.LapseAttempts | None:
+        domain = self._ownership.domain
+        if domain is None:
+            return None
+        return peer_messages.LapseAttempts(
+            token=domain.token, attempts=domain.lapsing()
+        )
+
+    def _heartbeat(self) -> peer_messages.Heartbeat:
+        self._sequence += 1
+        physical_ms, logical = self._ctx.clock.tick(self._ctx.wall_ms)
+        fold = self._configuration.fold
+        domain = self._ownership.domain
+        router = self._requests.router
+        return peer_messages.Heartbeat(
+            failure_domain=self._ctx.settings.failure_domain,
+            incarnation=self._ctx.settings.incarnation,
+            sequence=self._sequence,
+            config_version=fold.current.version,
+            config_offset=ids.Offset(fold.next_offset),
+            ready=self._view.ready,
+            draining=self._view.draining,
+            domain=None if domain is None else domain.summary(),
+            token=self._ownership.token,
+            free_slots=router.free_slots(),
+            queued_requests=router.queued(),
+            physical_ms=physical_ms,
+            logical=logical,
+        )
