--- /dev/null
+++ b/citronmount/peers/reader.py
@@ -0,0 +1,94 @@
+"""Reads ZeroMQ sockets from the Twisted reactor, without a thread."""
+
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+from twisted.python import failure
+import zmq
+from zope.interface import implementer
+
+__all__ = ["BATCH_MESSAGES", "SocketReader"]
+
+BATCH_MESSAGES = 64
+
+
+@implementer(interfaces.IReadDescriptor)
+class SocketReader:
+    """Feeds every message of a socket to a callback.
+
+    The descriptor of a ZeroMQ socket is edge-triggered: it becomes readable
+    once when the socket's state changes, not as long as messages wait. So a
+    read goes on until the socket has no more, and a long backlog is split
+    into batches between which the reactor serves others.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorCore,
+        socket: zmq.Socket,
+        on_message: Callable[[list[bytes]], None],
+    ) -> None:
+        """Initializes a reader that is not started.
+
+        Args:
+            reactor: The reactor that watches the descriptor.
+            socket: An open socket that can receive.
+            on_message: Called with the frames of each message.
+        """
+        self._reactor = reactor
+        self._socket = socket
+        self._on_message = on_message
+        self._descriptor = socket.fd
+        self._pending = None
+        self._stopped = True
+
+    def start(self) -> None:
+        """Starts to watch the socket."""
+        self._stopped = False
+        self._reactor.addReader(self)
+        self._schedule()
+
+    def stop(self) -> None:
+        """Stops to watch the socket; it stays open."""
+        self._stopped = True
+        self._reactor.removeReader(self)
+        if self._pending is not None and self._pending.active():
+            self._pending.cancel()
+        self._pending = None
+
+    def fileno(self) -> int:
+        """Returns the descriptor that the reactor watches."""
+        return self._descriptor
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Returns the name that the reactor logs."""
+        return "zmq"
+
+    def doRead(self) -> None:  # noqa: N802
+        """Receives one batch; called by the reactor."""
+        for _ in range(BATCH_MESSAGES):
+            if self._stopped:
+                return
+            try:
+                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._on_message(frames)
+        self._schedule()
+
+    def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
+        """Stops reading; called by the reactor when it closes down.
+
+        Args:
+            reason: Why the reactor gave the descriptor up.
+        """
+        self._stopped = True
+
+    def _schedule(self) -> None:
+        if self._pending is None and not self._stopped:
+            self._pending = self._reactor.callLater(0, self._resume)
+
+    def _resume(self) -> None:
+        self._pending = None
+        self.doRead()
