Add platform clients and HTTP stand-ins

Cause: the daemon reaches log, list, workers and runners over HTTP. Change: treq clients with pools, timeouts and a truthful sent flag; klein servers round the in-memory models, with faults that can be switched.

--- a/citronmount/peers/transport.py
+++ b/citronmount/peers/transport.py
@@ -21,7 +21,7 @@
 RECONNECT_MAX_MS = 2_000
 UNACKNOWLEDGED_MS = 5_000
 HANDSHAKE_MS = 3_000
-KEY_TRIAL_SENDS = 4
+KEY_TRIAL_SENDS = 3
 
 _MAX_NAME_BYTES = 255
 
@@ -77,7 +77,7 @@
         reactor: interfaces.IReactorCore,
         vm: ids.VmId,
         bind_address: str,
-        keys: keys_lib.PeerKeys,
+        keys: keys_lib.PeerKeys | None,
         on_message: Callable[[ids.VmId, messages.PeerMessage], None],
     ) -> None:
         """Initializes a transport that is not open.
@@ -86,7 +86,8 @@
             reactor: The reactor that watches the sockets.
             vm: This VM, named as the sender of every message.
             bind_address: ``ip:port`` to listen on; port 0 picks a free one.
-            keys: Keys of this process and of its peers.
+            keys: Keys of this process and of its peers, or None to leave
+                the sockets open to anyone, in tests only.
             on_message: Called with the sender and each message.
         """
         self.vm = vm
@@ -173,6 +174,8 @@
         return True
 
     def _open_gate(self, stack: contextlib.ExitStack) -> None:
+        if self._keys is None:
+            return
         gate = keys_lib.KeyGate(
             context=self._context, trusted=self._keys.trusted
         )
@@ -187,9 +190,9 @@
         inbox.rcvhwm = HIGH_WATER_MARK_MESSAGES
         inbox.maxmsgsize = MAX_MESSAGE_BYTES
         inbox.handshake_ivl = HANDSHAKE_MS
-        inbox.curve_server = True
-        inbox.curve_publickey = self._keys.public_key.encode("ascii")
-        inbox.curve_secretkey = self._keys.secret_key.encode("ascii")
+        if self._keys is not None:
+            inbox.curve_server = True
+            self._present_key(inbox, self._keys)
         failures = inbox.get_monitor_socket(zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL)
         stack.callback(failures.close)
         stack.callback(inbox.disable_monitor)
@@ -223,17 +226,21 @@
         socket.reconnect_ivl_max = RECONNECT_MAX_MS
         socket.tcp_maxrt = UNACKNOWLEDGED_MS
         socket.handshake_ivl = HANDSHAKE_MS
-        expected = self._keys.trusted[key_index]
-        socket.curve_serverkey = expected.encode("ascii")
-        socket.curve_publickey = self._keys.public_key.encode("ascii")
-        socket.curve_secretkey = self._keys.secret_key.encode("ascii")
+        if self._keys is not None:
+            expected = self._keys.trusted[key_index]
+            socket.curve_serverkey = expected.encode("ascii")
+            self._present_key(socket, self._keys)
         socket.connect(f"tcp://{address}")
         return _Link(address, socket, key_index)
 
+    def _present_key(self, socket: zmq.Socket, keys: keys_lib.PeerKeys) -> None:
+        socket.curve_publickey = keys.public_key.encode("ascii")
+        socket.curve_secretkey = keys.secret_key.encode("ascii")
+
     def _try_next_key(self, to: ids.VmId, link: _Link) -> None:
         """Expects another trusted key of a peer that stays unconnected."""
         link.failed_sends += 1
-        choices = len(self._keys.trusted)
+        choices = len(self._keys.trusted) if self._keys else 1
         if choices == 1 or link.failed_sends < KEY_TRIAL_SENDS:
             return
         link.socket.close()
--- /dev/null
+++ b/citronmount/platform/exchange.py
@@ -0,0 +1,226 @@
+"""One HTTP exchange with a service of the platform or with a target."""
+
+import typing
+
+import hyperlink
+import msgspec
+import treq
+from treq import client as treq_client
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.python import failure
+from twisted.web import client as web_client
+from twisted.web import iweb
+
+from citronmount.core import codes
+from citronmount.core import errors
+from citronmount.platform import wire
+
+__all__ = ["Exchange", "NoAnswerError"]
+
+CONNECT_TIMEOUT_MS = 500
+IDLE_CONNECTION_S = 30
+MAX_IDLE_CONNECTIONS_PER_HOST = 8
+MAX_BODY_BYTES = 64 << 20
+MAX_CACHED_URLS = 10_000
+
+_OK = 200
+_MS_PER_S = 1_000
+_NOT_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    web_client.RequestNotSent,
+)
+_Body = typing.TypeVar("_Body", bound=msgspec.Struct)
+
+
+class NoAnswerError(errors.UnreachableError):
+    """An exchange that brought no usable answer.
+
+    Attributes:
+        sent: Whether any byte of the request may have left.
+    """
+
+    def __init__(
+        self, message: str, *, code: codes.ResultCode, sent: bool
+    ) -> None:
+        """Initializes the error.
+
+        Args:
+            message: What went wrong.
+            code: UNREACHABLE or TIMED_OUT.
+            sent: Whether any byte of the request may have left.
+        """
+        super().__init__(message, code=code)
+        self.sent = sent
+
+
+class Exchange:
+    """Sends requests over bounded pools of persistent connections."""
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        agent: iweb.IAgent | None = None,
+    ) -> None:
+        """Initializes with no connection.
+
+        Args:
+            reactor: The reactor to connect and time with.
+            agent: Replaces the pooled agent, for tests.
+        """
+        self._reactor = reactor
+        self._pool = web_client.HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        pooled = web_client.Agent(
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_MS / _MS_PER_S,
+            pool=self._pool,
+        )
+        self._http = treq_client.HTTPClient(agent or pooled)
+        self._urls: dict[tuple[str, str], hyperlink.EncodedURL] = {}
+
+    def get(
+        self,
+        address: str,
+        path: str,
+        kind: type[_Body],
+        timeout_ms: int,
+        params: dict[str, str] | None = None,
+    ) -> defer.Deferred[_Body]:
+        """Reads a resource.
+
+        Args:
+            address: ``ip:port`` of the service.
+            path: The path.
+            kind: The type of the answer.
+            timeout_ms: When to give up.
+            params: The query.
+
+        Returns:
+            Fires with the answer or fails with `NoAnswerError`.
+        """
+        url = self._url(address, path)
+        request = self._request("GET", url, kind, params=params)
+        return self._bounded(request, timeout_ms)
+
+    def post(
+        self,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        kind: type[_Body],
+        timeout_ms: int,
+    ) -> defer.Deferred[_Body]:
+        """Sends a body.
+
+        Args:
+            address: ``ip:port`` of the service.
+            path: The path.
+            body: The body.
+            kind: The type of the answer.
+            timeout_ms: When to give up.
+
+        Returns:
+            Fires with the answer or fails with `NoAnswerError`.
+        """
+        url = self._url(address, path)
+        data = wire.encode(body)
+        request = self._request("POST", url, kind, data=data)
+        return self._bounded(request, timeout_ms)
+
+    def close(self) -> defer.Deferred[None]:
+        """Closes every idle connection.
+
+        Returns:
+            Fires once they are closed.
+        """
+        return self._pool.closeCachedConnections()
+
+    def _url(self, address: str, path: str) -> hyperlink.EncodedURL:
+        url = self._urls.get((address, path))
+        if url is None:
+            if len(self._urls) >= MAX_CACHED_URLS:
+                self._urls.clear()
+            url = hyperlink.EncodedURL.from_text(f"http://{address}{path}")
+            self._urls[address, path] = url
+        return url
+
+    async def _request(
+        self,
+        method: str,
+        url: hyperlink.EncodedURL,
+        kind: type[_Body],
+        **options: object,
+    ) -> _Body:
+        response = await self._http.request(
+            method,
+            url,
+            headers={"Content-Type": wire.CONTENT_TYPE},
+            allow_redirects=False,
+            unbuffered=True,
+            **options,
+        )
+        data = await _content(response)
+        if response.code != _OK:
+            raise NoAnswerError(
+                f"HTTP status {response.code}",
+                code=codes.ResultCode.UNREACHABLE,
+                sent=True,
+            )
+        return wire.decode(data, kind)
+
+    def _bounded(
+        self,
+        request: typing.Coroutine[defer.Deferred[object], object, _Body],
+        timeout_ms: int,
+    ) -> defer.Deferred[_Body]:
+        answer = defer.ensureDeferred(request)
+        answer.addTimeout(
+            timeout_ms / _MS_PER_S, self._reactor, onTimeoutCancel=_timed_out
+        )
+        return answer.addErrback(_raise_no_answer)
+
+
+async def _content(response: iweb.IResponse) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+
+    def collect(part: bytes) -> None:
+        nonlocal size
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise NoAnswerError(
+                "the answer is too large",
+                code=codes.ResultCode.UNREACHABLE,
+                sent=True,
+            )
+        parts.append(part)
+
+    await treq.collect(response, collect)
+    return b"".join(parts)
+
+
+def _timed_out(result: object, timeout_s: float) -> object:
+    """Marks the failure of an exchange that was cancelled for its time."""
+    if isinstance(result, failure.Failure):
+        raise NoAnswerError(
+            f"no answer within {timeout_s} s",
+            code=codes.ResultCode.TIMED_OUT,
+            sent=not result.check(*_NOT_SENT),
+        ) from result.value
+    return result
+
+
+def _raise_no_answer(reason: failure.Failure) -> typing.NoReturn:
+    """Turns any failure of an exchange into `NoAnswerError`."""
+    if reason.check(NoAnswerError):
+        reason.raiseException()
+    raise NoAnswerError(
+        reason.getErrorMessage(),
+        code=codes.ResultCode.UNREACHABLE,
+        sent=not reason.check(*_NOT_SENT),
+    ) from reason.value
--- /dev/null
+++ b/citronmount/standins/http.py
@@ -0,0 +1,368 @@
+"""Serves the models of the platform's services and the targets over HTTP."""
+
+from collections.abc import Callable
+import contextlib
+import time
+import typing
+
+import klein
+import msgspec
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import http
+from twisted.web import server
+
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.platform import messages
+from citronmount.platform import wire
+from citronmount.standins import http_faults
+from citronmount.standins import log
+from citronmount.standins import platform
+from citronmount.standins import runner
+from citronmount.standins import worker
+from citronmount.telemetry import events
+
+__all__ = [
+    "LogServer",
+    "PlatformServer",
+    "RunnerServer",
+    "StandinSettings",
+    "WorkerServer",
+    "serve_all",
+]
+
+_MS_PER_S = 1_000
+_MS_PER_NS = 1 / 1_000_000
+_MAX_PAGE_RECORDS = 10_000
+
+Emit = Callable[[events.TimelineEvent], None]
+
+
+class StandinSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What one process of stand-ins serves.
+
+    Attributes:
+        log_address: ``ip:port`` of the log service.
+        vm_list_address: ``ip:port`` of the list of VMs and targets.
+        log_retention_ms: How long the log keeps a record.
+        vm_list_lag_ms: How long the list hides a change.
+        vms: The VMs listed at the start.
+        workers: The workers, each served at its address.
+        runners: The runners, each served at its address.
+    """
+
+    log_address: str
+    vm_list_address: str
+    log_retention_ms: int = 24 * 60 * 60 * 1_000
+    vm_list_lag_ms: int = 0
+    vms: tuple[messages.ListedVm, ...] = ()
+    workers: tuple[messages.ListedTarget, ...] = ()
+    runners: tuple[messages.ListedTarget, ...] = ()
+
+
+def _now_ms() -> int:
+    return int(time.monotonic_ns() * _MS_PER_NS)
+
+
+class _Server:
+    """What all servers share: faults, a clock and the time line."""
+
+    def __init__(self, *, reactor: interfaces.IReactorTime) -> None:
+        self.faults = http_faults.Faults()
+        self._reactor = reactor
+
+    def _serve(
+        self,
+        request: http.Request,
+        act: Callable[[], bytes | defer.Deferred[bytes]],
+    ) -> defer.Deferred[bytes]:
+        request.setHeader("Content-Type", wire.CONTENT_TYPE)
+        return defer.ensureDeferred(
+            http_faults.serve(self.faults, self._reactor, request, act)
+        )
+
+    def _set_faults(self, request: http.Request) -> bytes:
+        body = request.content.read()
+        self.faults = msgspec.json.decode(body, type=http_faults.Faults)
+        return b""
+
+
+class LogServer(_Server):
+    """The log service over HTTP."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self, *, reactor: interfaces.IReactorTime, model: log.LogModel
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            reactor: The reactor to wait with.
+            model: The streams.
+        """
+        super().__init__(reactor=reactor)
+        self._model = model
+
+    @app.route("/streams/<stream>/records", methods=["POST"])
+    def append(
+        self, request: http.Request, stream: str
+    ) -> defer.Deferred[bytes]:
+        """Appends the records of the body to a stream."""
+        body = wire.decode(request.content.read(), wire.AppendRequest)
+        name = ids.StreamName(stream)
+        return self._serve(request, lambda: self._append(name, body))
+
+    @app.route("/streams/<stream>/records", methods=["GET"])
+    def read(self, request: http.Request, stream: str) -> defer.Deferred[bytes]:
+        """Returns records from the offset that the query names."""
+        name = ids.StreamName(stream)
+        start = ids.Offset(int(request.args[b"start"][0]))
+        limit = min(int(request.args[b"limit"][0]), _MAX_PAGE_RECORDS)
+        return self._serve(
+            request,
+            lambda: wire.encode(
+                self._model.read(name, start, limit, _now_ms())
+            ),
+        )
+
+    @app.route("/faults", methods=["PUT"])
+    def set_faults(self, request: http.Request) -> bytes:
+        """Replaces the faults of this server."""
+        return self._set_faults(request)
+
+    def _append(
+        self, stream: ids.StreamName, body: wire.AppendRequest
+    ) -> bytes:
+        offset = self._model.append(stream, body.records, _now_ms())
+        return wire.encode(wire.AppendAnswer(offset=offset))
+
+
+class PlatformServer(_Server):
+    """The platform's list of VMs and targets over HTTP."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        model: platform.PlatformModel,
+        timeline: typing.Sequence[events.TimelineEvent] = (),
+        on_target_state: Callable[[str, states.TargetState], None],
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            reactor: The reactor to wait with.
+            model: The list.
+            timeline: What the targets have emitted.
+            on_target_state: Called when a target starts or stops leaving.
+        """
+        super().__init__(reactor=reactor)
+        self._model = model
+        self._timeline = timeline
+        self._on_target_state = on_target_state
+
+    @app.route(wire.PLATFORM_PATH, methods=["GET"])
+    def view(self, request: http.Request) -> defer.Deferred[bytes]:
+        """Returns the list."""
+        return self._serve(
+            request, lambda: wire.encode(self._model.view(_now_ms()))
+        )
+
+    @app.route("/vms/<vm>", methods=["PUT"])
+    def set_vm(self, request: http.Request, vm: str) -> bytes:
+        """Adds the VM of the JSON body or replaces its entry."""
+        body = request.content.read()
+        entry = msgspec.json.decode(body, type=messages.ListedVm)
+        self._model.set_vm(entry, _now_ms())
+        return b""
+
+    @app.route("/vms/<vm>", methods=["DELETE"])
+    def remove_vm(self, request: http.Request, vm: str) -> bytes:
+        """Removes a VM."""
+        self._model.remove_vm(ids.VmId(vm), _now_ms())
+        return b""
+
+    @app.route("/targets/<name>/state", methods=["PUT"])
+    def set_target_state(self, request: http.Request, name: str) -> bytes:
+        """Sets the state of a target to the text of the body."""
+        state = states.TargetState(request.content.read().decode("ascii"))
+        self._model.set_target_state(name, state, _now_ms())
+        self._on_target_state(name, state)
+        return b""
+
+    @app.route("/timeline", methods=["GET"])
+    def timeline(self, request: http.Request) -> bytes:
+        """Returns what the targets have emitted, as JSON."""
+        return msgspec.json.encode(list(self._timeline))
+
+    @app.route("/faults", methods=["PUT"])
+    def set_faults(self, request: http.Request) -> bytes:
+        """Replaces the faults of this server."""
+        return self._set_faults(request)
+
+
+class WorkerServer(_Server):
+    """A worker over HTTP."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self, *, reactor: interfaces.IReactorTime, model: worker.WorkerModel
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            reactor: The reactor to wait with.
+            model: The worker.
+        """
+        super().__init__(reactor=reactor)
+        self._model = model
+
+    @app.route(wire.ACTS_PATH, methods=["POST"])
+    def acts(self, request: http.Request) -> defer.Deferred[bytes]:
+        """Carries out the acts of the body."""
+        call = wire.decode(request.content.read(), messages.WorkerCall)
+        return self._serve(
+            request, lambda: wire.encode(self._model.call(call, _now_ms()))
+        )
+
+    @app.route("/faults", methods=["PUT"])
+    def set_faults(self, request: http.Request) -> bytes:
+        """Replaces the faults of this server."""
+        return self._set_faults(request)
+
+
+class RunnerServer(_Server):
+    """A runner over HTTP."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self, *, reactor: interfaces.IReactorTime, model: runner.RunnerModel
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            reactor: The reactor to wait with.
+            model: The runner.
+        """
+        super().__init__(reactor=reactor)
+        self._model = model
+
+    @app.route(wire.REQUESTS_PATH, methods=["POST"])
+    def run(self, request: http.Request) -> defer.Deferred[bytes]:
+        """Runs the request of the body to its end."""
+        spec = wire.decode(request.content.read(), jobs.RequestSpec)
+        return self._serve(
+            request, lambda: defer.ensureDeferred(self._run(spec))
+        )
+
+    @app.route("/faults", methods=["PUT"])
+    def set_faults(self, request: http.Request) -> bytes:
+        """Replaces the faults of this server."""
+        return self._set_faults(request)
+
+    async def _run(self, spec: jobs.RequestSpec) -> bytes:
+        answer = self._model.begin(spec, _now_ms())
+        if answer is None:
+            service_s = runner.service_ms(spec) / _MS_PER_S
+            await task.deferLater(self._reactor, service_s)
+            answer = self._model.finish(spec.request, _now_ms())
+        return wire.encode(answer)
+
+
+class _Fleet:
+    """The targets of one process by name."""
+
+    def __init__(self, settings: StandinSettings, emit: Emit) -> None:
+        epoch_ms = int(time.time_ns() * _MS_PER_NS) - _now_ms()
+        saved: dict[ids.JobId, float] = {}
+        self.workers = {
+            target.name: worker.WorkerModel(
+                target=target, emit=emit, epoch_ms=epoch_ms, saved=saved
+            )
+            for target in settings.workers
+        }
+        self.runners = {
+            target.name: runner.RunnerModel(
+                target=target, emit=emit, epoch_ms=epoch_ms
+            )
+            for target in settings.runners
+        }
+
+    def set_state(self, name: str, state: states.TargetState) -> None:
+        """Turns leaving on or off at one target."""
+        leaving = state is states.TargetState.LEAVING
+        if name in self.workers:
+            self.workers[name].set_leaving(leaving)
+        if name in self.runners:
+            self.runners[name].leaving = leaving
+
+
+def serve_all(
+    settings: StandinSettings,
+    reactor: interfaces.IReactorTCP,
+    emit: list[events.TimelineEvent],
+) -> contextlib.ExitStack:
+    """Serves the log, the list and every target.
+
+    Args:
+        settings: What to serve, and where.
+        reactor: The reactor to listen with.
+        emit: Gets the events of the targets.
+
+    Returns:
+        Stops listening when it is closed.
+    """
+    fleet = _Fleet(settings, emit.append)
+    log_model = log.LogModel(retention_ms=settings.log_retention_ms)
+    view = messages.PlatformView(
+        vms=settings.vms, workers=settings.workers, runners=settings.runners
+    )
+    list_model = platform.PlatformModel(
+        lag_ms=settings.vm_list_lag_ms, view=view
+    )
+    servers: list[tuple[str, _Server]] = [
+        (settings.log_address, LogServer(reactor=reactor, model=log_model)),
+        (
+            settings.vm_list_address,
+            PlatformServer(
+                reactor=reactor,
+                model=list_model,
+                timeline=emit,
+                on_target_state=fleet.set_state,
+            ),
+        ),
+    ]
+    servers += [
+        (model.target.address, WorkerServer(reactor=reactor, model=model))
+        for model in fleet.workers.values()
+    ]
+    servers += [
+        (model.target.address, RunnerServer(reactor=reactor, model=model))
+        for model in fleet.runners.values()
+    ]
+    with contextlib.ExitStack() as stack:
+        for address, one in servers:
+            _listen(reactor, address, one, stack)
+        return stack.pop_all()
+
+
+def _listen(
+    reactor: interfaces.IReactorTCP,
+    address: str,
+    one: _Server,
+    stack: contextlib.ExitStack,
+) -> None:
+    host, _, port = address.rpartition(":")
+    site = server.Site(one.app.resource())
+    listening = reactor.listenTCP(int(port), site, interface=host)
+    stack.callback(listening.stopListening)
