--- a/citronmount/platform/exchange.py
+++ b/citronmount/platform/exchange.py
@@ -103,8 +103,7 @@
         Returns:
             Fires with the answer or fails with `NoAnswerError`.
         """
-        url = self._url(address, path)
-        request = self._request("GET", url, kind, params=params)
+        request = self._request("GET", address, path, kind, params=params)
         return self._bounded(request, timeout_ms)
 
     def post(
@@ -127,9 +126,8 @@
         Returns:
             Fires with the answer or fails with `NoAnswerError`.
         """
-        url = self._url(address, path)
         data = wire.encode(body)
-        request = self._request("POST", url, kind, data=data)
+        request = self._request("POST", address, path, kind, data=data)
         return self._bounded(request, timeout_ms)
 
     def close(self) -> defer.Deferred[None]:
@@ -152,13 +150,14 @@
     async def _request(
         self,
         method: str,
-        url: hyperlink.EncodedURL,
+        address: str,
+        path: str,
         kind: type[_Body],
         **options: object,
     ) -> _Body:
         response = await self._http.request(
             method,
-            url,
+            self._url(address, path),
             headers={"Content-Type": wire.CONTENT_TYPE},
             allow_redirects=False,
             unbuffered=True,
--- /dev/null
+++ b/citronmount/service/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the daemon by ``python -m citronmount.service``."""
+
+from citronmount.service import daemon
+
+if __name__ == "__main__":
+    daemon.main()
--- /dev/null
+++ b/citronmount/service/api.py
@@ -0,0 +1,398 @@
+"""The HTTP API of a daemon for callers and operators."""
+
+from collections.abc import Callable
+import math
+import typing
+import uuid
+
+import klein
+import msgspec
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import http
+
+from citronmount.agent import events
+from citronmount.config import sheet
+from citronmount.core import codes
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.peers import messages as peer_messages
+from citronmount.service import bodies
+from citronmount.service import brain as brain_lib
+from citronmount.service import http_status
+from citronmount.service import rate_limit
+from citronmount.service import runtime as runtime_lib
+from citronmount.state import records
+from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import store
+
+__all__ = ["Api"]
+
+MAX_WAIT_MS = 60_000
+MAX_LIMIT = 10_000
+DEFAULT_JOBS_LIMIT = 100
+DEFAULT_EVENTS_LIMIT = 1_000
+DEFAULT_RETRY_AFTER_MS = 1_000
+
+_MS_PER_S = 1_000
+_MAX_QUERY_LENGTH = 1_024
+_Body = typing.TypeVar("_Body", bound=msgspec.Struct)
+
+
+class _RefusedError(errors.CitronmountError):
+    """A call that is refused before the state machine sees it."""
+
+    def __init__(
+        self,
+        code: codes.ResultCode,
+        detail: str = "",
+        retry_after_ms: int | None = None,
+    ) -> None:
+        super().__init__(detail, code=code)
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+
+class Api:
+    """Turns HTTP requests into calls of the state machine and back."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        failure_domain: ids.FailureDomainId,
+        runtime: runtime_lib.Runtime,
+        brain: brain_lib.Brain,
+        timeline: store.TimelineStore,
+        metrics: metrics_lib.Metrics,
+        limit: rate_limit.RateLimit,
+        now_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
+        new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+    ) -> None:
+        """Initializes the API.
+
+        Args:
+            vm: This VM.
+            failure_domain: Where it is.
+            runtime: Takes the calls.
+            brain: Tells the configuration, members and readiness.
+            timeline: This VM's part of the time line.
+            metrics: What to export.
+            limit: The rate limit of accounts.
+            now_ms: The monotonic clock.
+            wall_ms: The wall clock.
+            new_id: Makes unique strings.
+        """
+        self._vm = vm
+        self._failure_domain = failure_domain
+        self._runtime = runtime
+        self._brain = brain
+        self._timeline = timeline
+        self._metrics = metrics
+        self._limit = limit
+        self._now_ms = now_ms
+        self._wall_ms = wall_ms
+        self._new_id = new_id
+
+    @app.handle_errors(errors.CitronmountError)
+    def refuse(self, request: http.Request, reason: failure.Failure) -> bytes:
+        """Answers a call that was refused."""
+        error = reason.value
+        detail = getattr(error, "detail", str(error))
+        retry_after_ms = getattr(error, "retry_after_ms", None)
+        return self._refuse(request, error.code, detail, retry_after_ms)
+
+    @app.route("/v1/jobs", methods=["POST"])
+    async def submit(self, request: http.Request) -> bytes:
+        """Submits a job."""
+        body = _json(request, bodies.JobBody)
+        self._take_token(body.account)
+        spec = body.spec(self._wall_ms())
+        answer = await self._call(peer_messages.SubmitJob(spec=spec))
+        return self._answer(request, answer, codes.ResultCode.ACCEPTED)
+
+    @app.route("/v1/jobs/<path:job>", methods=["GET"])
+    async def get_job(self, request: http.Request, job: str) -> bytes:
+        """Returns the status of a job, after waiting for its end if asked."""
+        wait_ms = _number(request, "wait_ms", 0, MAX_WAIT_MS)
+        call = peer_messages.GetJob(job=ids.JobId(job), wait_ms=wait_ms)
+        return self._answer(request, await self._call(call))
+
+    @app.route("/v1/jobs", methods=["GET"])
+    async def list_jobs(self, request: http.Request) -> bytes:
+        """Returns the jobs of a failure domain."""
+        domain = _text(request, "failure_domain") or self._failure_domain
+        call = peer_messages.ListJobs(
+            failure_domain=ids.FailureDomainId(domain),
+            account=ids.AccountId(_text(request, "account")),
+            limit=_number(request, "limit", DEFAULT_JOBS_LIMIT, MAX_LIMIT),
+        )
+        return self._answer(request, await self._call(call))
+
+    @app.route("/v1/jobs/<path:job>", methods=["DELETE"])
+    async def cancel_job(self, request: http.Request, job: str) -> bytes:
+        """Cancels a job."""
+        call = peer_messages.CancelJob(job=ids.JobId(job))
+        return self._answer(request, await self._call(call))
+
+    @app.route("/v1/jobs", methods=["DELETE"])
+    async def cancel_jobs(self, request: http.Request) -> bytes:
+        """Cancels every job of an account, in one failure domain or all."""
+        account = ids.AccountId(_required(request, "account"))
+        domain = ids.FailureDomainId(_text(request, "failure_domain"))
+        calls = [
+            peer_messages.CancelJobs(account=account, failure_domain=name)
+            for name in ([domain] if domain else self._failure_domains())
+        ]
+        answers = await defer.gatherResults(map(self._call, calls))
+        return self._answer(request, _merged(answers))
+
+    @app.route("/v1/requests", methods=["POST"])
+    async def run_request(self, request: http.Request) -> bytes:
+        """Runs a short request and returns its answer."""
+        begin_ms = self._now_ms()
+        body = _json(request, bodies.RequestBody)
+        self._take_token(body.account)
+        spec = body.spec(self._new_id())
+        answer = await self._call(peer_messages.RunRequest(spec=spec))
+        self._metrics.record("request", "http", self._now_ms() - begin_ms)
+        return self._answer(request, answer)
+
+    @app.route("/v1/configuration", methods=["GET"])
+    def get_configuration(self, request: http.Request) -> bytes:
+        """Returns the configuration in force at this VM."""
+        content = self._brain.configuration
+        if content is None:
+            raise _RefusedError(codes.ResultCode.NO_CONFIGURATION)
+        body = bodies.ConfigurationBody(
+            version=content.version, content=content
+        )
+        return self._send(request, codes.ResultCode.OK, body)
+
+    @app.route("/v1/configuration", methods=["PUT"])
+    async def publish(self, request: http.Request) -> bytes:
+        """Publishes the sheet of the body."""
+        base_version = _required_number(request, "base_version")
+        author = _text(request, "author")
+        found = sheet.parse(request.content.read())
+        if found.configuration is None or found.faults:
+            return self._refuse_sheet(request, found)
+        change = records.ConfigurationChange(
+            record=ids.RecordId(self._new_id()),
+            base_version=ids.Version(base_version),
+            author=author,
+            content=found.configuration,
+        )
+        call = peer_messages.PublishConfiguration(change=change)
+        return self._answer(request, await self._call(call))
+
+    @app.route("/v1/timeline", methods=["GET"])
+    def get_timeline(self, request: http.Request) -> bytes:
+        """Returns this VM's part of the time line."""
+        wanted = store.Filter(
+            job=_text(request, "job"),
+            account=_text(request, "account"),
+            target=_text(request, "target"),
+            limit=_number(request, "limit", DEFAULT_EVENTS_LIMIT, MAX_LIMIT),
+        )
+        found = self._timeline.find(wanted)
+        body = bodies.TimelineBody(
+            vm=self._vm, events=found.events, dropped=found.dropped
+        )
+        return self._send(request, codes.ResultCode.OK, body)
+
+    @app.route("/v1/drain", methods=["POST"])
+    def drain(self, request: http.Request) -> bytes:
+        """Starts the planned stop of this VM."""
+        self._runtime.feed(events.DrainRequested())
+        return self._refuse(request, codes.ResultCode.ACCEPTED, "draining")
+
+    @app.route("/v1/health", methods=["GET"])
+    def health(self, request: http.Request) -> bytes:
+        """Returns 200 while the process runs."""
+        return self._refuse(request, codes.ResultCode.OK, "alive")
+
+    @app.route("/v1/ready", methods=["GET"])
+    def ready(self, request: http.Request) -> bytes:
+        """Returns 200 while the VM takes new work, otherwise 503."""
+        if self._brain.ready:
+            return self._refuse(request, codes.ResultCode.OK, "ready")
+        code = (
+            codes.ResultCode.DRAINING
+            if self._brain.draining
+            else codes.ResultCode.REBUILDING
+        )
+        return self._refuse(request, code)
+
+    @app.route("/v1/metrics", methods=["GET"])
+    def get_metrics(self, request: http.Request) -> bytes:
+        """Returns histograms, counters and gauges."""
+        snapshot = self._metrics.snapshot()
+        return self._send(request, codes.ResultCode.OK, snapshot)
+
+    @app.route("/v1/membership", methods=["GET"])
+    def membership(self, request: http.Request) -> bytes:
+        """Returns which VMs this VM knows and what it thinks of them."""
+        members = self._brain.members(self._now_ms())
+        body = bodies.MembersBody(vm=self._vm, members=members)
+        return self._send(request, codes.ResultCode.OK, body)
+
+    def _call(
+        self, body: peer_messages.CallerCall
+    ) -> defer.Deferred[peer_messages.Answer]:
+        self._metrics.count(f"calls.{type(body).__name__}")
+        return self._runtime.call(body)
+
+    def _failure_domains(self) -> list[ids.FailureDomainId]:
+        content = self._brain.configuration
+        if content is None:
+            raise _RefusedError(codes.ResultCode.NO_CONFIGURATION)
+        return [domain.name for domain in content.failure_domains]
+
+    def _take_token(self, account: str) -> None:
+        wait_ms = self._limit.take(ids.AccountId(account), self._now_ms())
+        if wait_ms:
+            raise _RefusedError(
+                codes.ResultCode.RATE_LIMITED, retry_after_ms=wait_ms
+            )
+
+    def _answer(
+        self,
+        request: http.Request,
+        answer: peer_messages.Answer,
+        good: codes.ResultCode = codes.ResultCode.OK,
+    ) -> bytes:
+        match answer:
+            case peer_messages.Failure(result=result):
+                return self._refuse(
+                    request, result.code, result.detail, answer.retry_after_ms
+                )
+            case peer_messages.JobAnswer(status=status):
+                return self._send(request, good, status)
+            case peer_messages.JobsAnswer(statuses=statuses, total=total):
+                body = bodies.JobsBody(jobs=statuses, total=total)
+                return self._send(request, good, body)
+            case peer_messages.RequestAnswer(result=result):
+                _set_retry_after(request, result.retry_after_ms)
+                return self._send(request, result.code, result)
+            case peer_messages.PublishAnswer():
+                body = _publish_body(answer.result, answer.version)
+                return self._send(request, answer.result.code, body)
+        raise _RefusedError(codes.ResultCode.INTERNAL)
+
+    def _refuse_sheet(self, request: http.Request, found: sheet.Sheet) -> bytes:
+        content = self._brain.configuration
+        code = codes.ResultCode.CONFIGURATION_INVALID
+        count = len(found.faults) + found.further_faults
+        body = _publish_body(
+            jobs.JobResult(code=code, detail=f"{count} faults in the sheet"),
+            ids.Version(0) if content is None else content.version,
+            tuple(str(fault) for fault in found.faults),
+        )
+        return self._send(request, code, body)
+
+    def _refuse(
+        self,
+        request: http.Request,
+        code: codes.ResultCode,
+        detail: str = "",
+        retry_after_ms: int | None = None,
+    ) -> bytes:
+        if retry_after_ms is None and codes.info(code).retry:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
+        _set_retry_after(request, retry_after_ms)
+        body = bodies.refusal(code, detail, retry_after_ms)
+        return self._send(request, code, body)
+
+    def _send(
+        self,
+        request: http.Request,
+        code: codes.ResultCode,
+        body: msgspec.Struct,
+    ) -> bytes:
+        request.setResponseCode(http_status.status_of(code))
+        request.setHeader("Content-Type", "application/json")
+        if self._brain.draining:
+            request.setHeader("Connection", "close")
+            request.channel.persistent = False
+        return msgspec.json.encode(body)
+
+
+def _json(request: http.Request, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(request.content.read(), type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise _RefusedError(
+            codes.ResultCode.INVALID_REQUEST, str(error)
+        ) from error
+
+
+def _text(request: http.Request, name: str) -> str:
+    values = request.args.get(name.encode("ascii"), [b""])
+    try:
+        text = values[0].decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise _invalid(name, "UTF-8") from error
+    if len(text) > _MAX_QUERY_LENGTH:
+        raise _invalid(name, f"at most {_MAX_QUERY_LENGTH} characters")
+    return text
+
+
+def _required(request: http.Request, name: str) -> str:
+    text = _text(request, name)
+    if not text:
+        raise _invalid(name, "a value")
+    return text
+
+
+def _required_number(request: http.Request, name: str) -> int:
+    text = _required(request, name)
+    if not (text.isascii() and text.isdigit()):
+        raise _invalid(name, "a whole number")
+    return int(text)
+
+
+def _number(
+    request: http.Request, name: str, default: int, largest: int
+) -> int:
+    if not _text(request, name):
+        return default
+    return min(_required_number(request, name), largest)
+
+
+def _invalid(name: str, expected: str) -> _RefusedError:
+    detail = f"{name}: expected {expected}"
+    return _RefusedError(codes.ResultCode.INVALID_REQUEST, detail)
+
+
+def _set_retry_after(request: http.Request, retry_after_ms: int | None) -> None:
+    if retry_after_ms is not None:
+        seconds = math.ceil(retry_after_ms / _MS_PER_S)
+        request.setHeader("Retry-After", str(seconds))
+
+
+def _publish_body(
+    result: jobs.JobResult, version: ids.Version, faults: tuple[str, ...] = ()
+) -> bodies.PublishBody:
+    return bodies.PublishBody(
+        code=int(result.code),
+        name=result.code.name,
+        detail=result.detail or codes.info(result.code).meaning,
+        version=version,
+        faults=faults,
+    )
+
+
+def _merged(answers: list[peer_messages.Answer]) -> peer_messages.Answer:
+    """Returns the first failure, or all job lists as one."""
+    for answer in answers:
+        if not isinstance(answer, peer_messages.JobsAnswer):
+            return answer
+    return peer_messages.JobsAnswer(
+        statuses=tuple(s for answer in answers for s in answer.statuses),
+        total=sum(answer.total for answer in answers),
+    )
--- /dev/null
+++ b/citronmount/service/daemon.py
@@ -0,0 +1,173 @@
+"""The daemon ``citronmountd``: one process on each VM."""
+
+import signal
+import sys
+import typing
+
+import click
+import structlog
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.python import failure
+
+import citronmount
+from citronmount.agent import events
+from citronmount.service import closing
+from citronmount.service import listening
+from citronmount.service import settings as settings_lib
+from citronmount.service import site
+from citronmount.service import wiring
+from citronmount.telemetry import logs
+
+__all__ = ["main", "serve"]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+async def serve(
+    reactor: interfaces.IReactorCore, settings: settings_lib.Settings
+) -> None:
+    """Runs one daemon until it is drained.
+
+    Args:
+        reactor: The reactor of the process.
+        settings: The checked settings.
+
+    Raises:
+        ExceptionGroup: Parts could not be closed.
+    """
+    logger = structlog.get_logger()
+    brain = wiring.make_brain(settings)
+    parts = wiring.Parts(reactor=reactor, settings=settings, brain=brain)
+    async with closing.ClosingStack() as stack:
+        stack.push("platform connections", parts.http.close)
+        parts.peers.open()
+        stack.push("peer sockets", parts.peers.close)
+        stack.push("runtime", parts.runtime.stop)
+        await _open_api(reactor, settings, parts, stack)
+        _drain_on_signal(reactor, parts)
+        parts.runtime.start(settings.timing.tick_ms)
+        logger.info(
+            "listening",
+            callers=settings.listen.caller_address,
+            peers=parts.peers.address,
+        )
+        await parts.runtime.exited
+        logger.info("exiting")
+
+
+async def _open_api(
+    reactor: interfaces.IReactorCore,
+    settings: settings_lib.Settings,
+    parts: wiring.Parts,
+    stack: closing.ClosingStack,
+) -> None:
+    factory = site.make_factory(
+        parts.api.app.resource(), settings.limits.max_body_bytes
+    )
+    port = await listening.listen(reactor, settings.listen, factory)
+    stack.push("caller connections", lambda: factory.close_connections(reactor))
+    stack.push("caller port", port.stopListening)
+
+
+def _drain_on_signal(
+    reactor: interfaces.IReactorCore, parts: wiring.Parts
+) -> None:
+    """Makes SIGTERM and SIGINT start the planned stop."""
+
+    def drain(number: int, frame: object) -> None:
+        reactor.callFromThread(parts.runtime.feed, events.DrainRequested())
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, drain)
+
+
+def _run(settings: settings_lib.Settings) -> int:
+    """Runs the reactor until the daemon has ended.
+
+    Args:
+        settings: The checked settings.
+
+    Returns:
+        The exit status.
+    """
+    from twisted.internet import reactor
+
+    statuses: list[int] = []
+
+    def end(result: typing.Any) -> None:
+        if isinstance(result, failure.Failure):
+            structlog.get_logger().error(
+                "daemon_failed", error=result.getTraceback()
+            )
+            statuses.append(EXIT_FAILED)
+        else:
+            statuses.append(EXIT_OK)
+        reactor.stop()
+
+    def start() -> None:
+        defer.ensureDeferred(serve(reactor, settings)).addBoth(end)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    return statuses[0] if statuses else EXIT_FAILED
+
+
+def _print_faults(group: ExceptionGroup) -> None:
+    for error in group.exceptions:
+        click.echo(str(error), err=True)
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    type=click.Path(),
+    help="Run with the settings of this TOML file.",
+)
+@click.option(
+    "--check",
+    "check_path",
+    type=click.Path(),
+    help="Check this TOML file, print every fault and exit.",
+)
+@click.version_option(citronmount.__version__, prog_name="citronmountd")
+def main(settings_path: str | None, check_path: str | None) -> None:
+    """Runs the daemon of one VM.
+
+    Exits with 0 after a planned stop, 1 after a fault and 2 if the settings
+    are faulty.
+    """
+    if check_path is not None:
+        sys.exit(_check(check_path))
+    if settings_path is None:
+        raise click.UsageError("give --settings FILE or --check FILE")
+    try:
+        settings = settings_lib.load(settings_path)
+    except ExceptionGroup as group:
+        _print_faults(group)
+        sys.exit(EXIT_BAD_SETTINGS)
+    logging = settings.logging
+    with logs.configure(
+        vm=settings.vm.id,
+        level=logging.level.value,
+        file_path=logging.file_path,
+    ):
+        status = _run(settings)
+    sys.exit(status)
+
+
+def _check(path: str) -> int:
+    faults = settings_lib.check(path)
+    for fault in faults:
+        click.echo(str(fault), err=True)
+    if faults:
+        return EXIT_BAD_SETTINGS
+    click.echo(f"{path}: no faults")
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/citronmount/service/wiring.py
@@ -0,0 +1,123 @@
+"""Builds the parts of a daemon from its settings."""
+
+import time
+
+from twisted.internet import interfaces
+
+from citronmount.core import ids
+from citronmount.peers import keys
+from citronmount.peers import transport
+from citronmount.platform import exchange
+from citronmount.service import api as api_lib
+from citronmount.service import brain as brain_lib
+from citronmount.service import rate_limit
+from citronmount.service import runtime as runtime_lib
+from citronmount.service import settings as settings_lib
+from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import store
+
+__all__ = ["Parts"]
+
+_NS_PER_MS = 1_000_000
+
+
+class Parts:
+    """The parts of one daemon, connected with each other but not started.
+
+    Attributes:
+        brain: The state machine.
+        peers: The socket to other VMs.
+        http: The connections to platform and targets.
+        runtime: Drives the state machine.
+        api: Serves callers.
+        metrics: What is measured.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        settings: settings_lib.Settings,
+        brain: brain_lib.Brain,
+    ) -> None:
+        """Initializes the parts.
+
+        Args:
+            reactor: The reactor of the process.
+            settings: The checked settings.
+            brain: The state machine.
+        """
+        self.brain = brain
+        self.metrics = metrics_lib.Metrics()
+        self.http = exchange.Exchange(reactor=reactor)
+        self.peers = transport.Transport(
+            reactor=reactor,
+            vm=settings.vm.vm_id,
+            bind_address=settings.listen.peer_address,
+            keys=_peer_keys(settings.curve),
+            on_message=self._peer_arrived,
+        )
+        timeline = store.TimelineStore(
+            max_events=settings.limits.max_timeline_events
+        )
+        self.runtime = runtime_lib.Runtime(
+            reactor=reactor,
+            brain=brain,
+            peers=self.peers,
+            http=self.http,
+            addresses=runtime_lib.Addresses(
+                log=settings.platform.log_address,
+                vm_list=settings.platform.vm_list_address,
+            ),
+            timeline=timeline,
+            metrics=self.metrics,
+        )
+        self.api = api_lib.Api(
+            vm=settings.vm.vm_id,
+            failure_domain=settings.vm.failure_domain_id,
+            runtime=self.runtime,
+            brain=brain,
+            timeline=timeline,
+            metrics=self.metrics,
+            limit=_limit(settings.limits),
+            now_ms=_now_ms,
+            wall_ms=_wall_ms,
+        )
+        self._register_gauges()
+
+    def _peer_arrived(self, sender: ids.VmId, message: object) -> None:
+        self.runtime.peer_arrived(sender, message)
+
+    def _register_gauges(self) -> None:
+        names = transport.Counters.__struct_fields__
+        for name in names:
+            self.metrics.gauge(f"peers.{name}", self._peer_counter(name))
+        self.metrics.gauge("open_calls", lambda: self.runtime.open_calls)
+
+    def _peer_counter(self, name: str) -> metrics_lib.Gauge:
+        return lambda: getattr(self.peers.counters, name)
+
+
+def _peer_keys(settings: settings_lib.CurveSettings) -> keys.PeerKeys | None:
+    if not settings.enabled:
+        return None
+    return keys.PeerKeys(
+        public_key=settings.public_key,
+        secret_key=settings.secret_key,
+        accepted_keys=settings.allowed_public_keys,
+    )
+
+
+def _limit(settings: settings_lib.LimitSettings) -> rate_limit.RateLimit:
+    return rate_limit.RateLimit(
+        rate_per_s=settings.requests_per_second_per_account,
+        burst=settings.burst_requests_per_account,
+    )
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // _NS_PER_MS
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // _NS_PER_MS
--- /dev/null
+++ b/citronmount/telemetry/logs.py
@@ -0,0 +1,76 @@
+"""JSON-line logs through structlog."""
+
+import contextlib
+import logging
+import pathlib
+import sys
+import typing
+
+import msgspec
+import structlog
+
+from citronmount.core import codes
+from citronmount.telemetry import events
+
+__all__ = ["configure", "log_event"]
+
+_EMPTY = ("", 0)
+
+
+def configure(
+    *, vm: str, level: str, file_path: str | None
+) -> contextlib.ExitStack:
+    """Sends every log line of the process to one place as JSON.
+
+    Args:
+        vm: The VM, part of each line.
+        level: The least important level that is written.
+        file_path: The log file, or None for standard output.
+
+    Returns:
+        Closes the log file when it is closed.
+    """
+    stack = contextlib.ExitStack()
+    stream: typing.TextIO = sys.stdout
+    if file_path is not None:
+        path = pathlib.Path(file_path)
+        stream = stack.enter_context(path.open("a", encoding="utf-8"))
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(serializer=_to_json),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.WriteLoggerFactory(file=stream),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(vm=vm)
+    return stack
+
+
+def log_event(
+    logger: structlog.typing.FilteringBoundLogger, event: events.TimelineEvent
+) -> None:
+    """Writes an event of the time line as one line.
+
+    Args:
+        logger: The logger.
+        event: The event.
+    """
+    fields = {
+        name: value
+        for name, value in msgspec.structs.asdict(event).items()
+        if name not in ("kind", "process") and value not in _EMPTY
+    }
+    if event.code:
+        fields["code_name"] = codes.ResultCode(event.code).name
+    logger.info(event.kind.value, **fields)
+
+
+def _to_json(line: dict[str, object], **options: object) -> str:
+    return msgspec.json.encode(line, enc_hook=str).decode("utf-8")
