--- a/citronmount/agent/attempts.py
+++ b/citronmount/agent/attempts.py
@@ -208,9 +208,7 @@
             member.proof = _Proof.LOST if started else _Proof.NEVER_RAN
         self._check_stopped()
 
-    def report(
-        self, worker: ids.WorkerId, lease: messages.LeaseReport
-    ) -> None:
+    def report(self, worker: ids.WorkerId, lease: messages.LeaseReport) -> None:
         """Takes over what a worker reports of the attempt.
 
         Args:
@@ -397,9 +395,7 @@
 
     def _check_finished(self) -> None:
         self._check_started()
-        whole = all(
-            member.exit_code == 0 for member in self._members.values()
-        )
+        whole = all(member.exit_code == 0 for member in self._members.values())
         if whole and self._gang.all_finished():
             self._exit_code = 0
             self._finish(ran=True)
@@ -447,9 +443,7 @@
                 self._send_stop(worker, member)
 
         act = messages.Checkpoint(attempt=self.attempt)
-        self._call(
-            worker, (act,), saved, retry_ms=0, timeout_ms=self._grace_ms
-        )
+        self._call(worker, (act,), saved, retry_ms=0, timeout_ms=self._grace_ms)
 
     def _send_stop(self, worker: ids.WorkerId, member: _Member) -> None:
         def stopped(results: tuple[messages.ActResult, ...]) -> None:
--- a/citronmount/agent/claims.py
+++ b/citronmount/agent/claims.py
@@ -234,9 +234,7 @@
         if election.closed or not enough or not election.durable:
             return
         self._close(election)
-        election.on_outcome(
-            ClaimOutcome(granted=True, claim=election.claim)
-        )
+        election.on_outcome(ClaimOutcome(granted=True, claim=election.claim))
 
     def _lose(self, election: _Election) -> None:
         """Gives a claim up; it was never used, so the key is free again."""
@@ -267,9 +265,7 @@
                 self._ctx.send(voter, message)
 
 
-def _first_claim(
-    page: messages.LogPage, key: str
-) -> records.KeyClaimed | None:
+def _first_claim(page: messages.LogPage, key: str) -> records.KeyClaimed | None:
     """Returns the claim of a key that the log has first and not freed."""
     standing: records.KeyClaimed | None = None
     freed: set[ids.RecordId] = set()
--- a/citronmount/agent/configuration.py
+++ b/citronmount/agent/configuration.py
@@ -234,9 +234,7 @@
         self._ctx.call_peer(
             peer,
             call,
-            peer_messages.StateRequest(
-                call=call, stream=records.CONFIG_STREAM
-            ),
+            peer_messages.StateRequest(call=call, stream=records.CONFIG_STREAM),
             answered,
             timeout_ms=RELAY_TIMEOUT_MS,
         )
--- a/citronmount/agent/job_table.py
+++ b/citronmount/agent/job_table.py
@@ -52,9 +52,7 @@
     Returns:
         Hexadecimal digest; equal bodies have equal digests.
     """
-    body = msgspec.structs.replace(
-        spec, job=ids.JobId(""), submitted_ms=0
-    )
+    body = msgspec.structs.replace(spec, job=ids.JobId(""), submitted_ms=0)
     return hashlib.blake2b(
         msgspec.msgpack.encode(body), digest_size=8
     ).hexdigest()
@@ -114,9 +112,7 @@
         self.entries: dict[ids.JobId, JobEntry] = {}
         self._waiters: dict[ids.JobId, list[_Waiter]] = {}
 
-    def wait(
-        self, job: ids.JobId, responder: Responder, due_ms: int
-    ) -> None:
+    def wait(self, job: ids.JobId, responder: Responder, due_ms: int) -> None:
         """Lets a caller wait for a job's final result.
 
         Args:
@@ -153,18 +149,14 @@
                 self._waiters[job] = left
             else:
                 del self._waiters[job]
-            answer = peer_messages.JobAnswer(
-                status=self.entries[job].status()
-            )
+            answer = peer_messages.JobAnswer(status=self.entries[job].status())
             for waiter in due:
                 waiter.responder(answer)
 
     def answer_all(self) -> None:
         """Answers everyone who waits with the present state."""
         for job in list(self._waiters):
-            answer = peer_messages.JobAnswer(
-                status=self.entries[job].status()
-            )
+            answer = peer_messages.JobAnswer(status=self.entries[job].status())
             for waiter in self._waiters.pop(job):
                 waiter.responder(answer)
 
--- a/citronmount/agent/keeping.py
+++ b/citronmount/agent/keeping.py
@@ -94,9 +94,7 @@
             else:
                 self._kept[worker] = self._new(worker, target)
 
-    def tick(
-        self, token: ids.FenceToken, owner: ids.VmId | None
-    ) -> None:
+    def tick(self, token: ids.FenceToken, owner: ids.VmId | None) -> None:
         """Sends what is due.
 
         Args:
--- a/citronmount/agent/outbox.py
+++ b/citronmount/agent/outbox.py
@@ -139,13 +139,9 @@
         held = self._held.setdefault(stream, {})
         for record in entries:
             held[record.record] = record
-            self._held_since_ms.setdefault(
-                record.record, self._ctx.now_ms
-            )
+            self._held_since_ms.setdefault(record.record, self._ctx.now_ms)
 
-    def unappended(
-        self, stream: ids.StreamName
-    ) -> tuple[records.Record, ...]:
+    def unappended(self, stream: ids.StreamName) -> tuple[records.Record, ...]:
         """Returns the records that may not be in the log.
 
         Args:
@@ -240,9 +236,7 @@
         for peer in peers[: REPLICAS + 1]:
             self._replicate(write, peer, needed)
 
-    def _replicate(
-        self, write: _Write, peer: ids.VmId, needed: int
-    ) -> None:
+    def _replicate(self, write: _Write, peer: ids.VmId, needed: int) -> None:
         call = self._ctx.new_call()
 
         def acknowledged(answer: peer_messages.Acknowledge | None) -> None:
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -110,9 +110,7 @@
             if attempt.phase is gang_lib.GangPhase.RESERVING:
                 attempt.stop(decisions.AttemptEnd.REFUSED)
 
-    def set_workers(
-        self, workers: tuple[messages.ListedTarget, ...]
-    ) -> None:
+    def set_workers(self, workers: tuple[messages.ListedTarget, ...]) -> None:
         """Takes over the platform's list of workers.
 
         Args:
@@ -143,9 +141,7 @@
             if attempt.must_lapse
         )
 
-    def submit(
-        self, spec: jobs.JobSpec, respond: job_table.Responder
-    ) -> None:
+    def submit(self, spec: jobs.JobSpec, respond: job_table.Responder) -> None:
         """Accepts a job durably or refuses it.
 
         Args:
@@ -211,9 +207,7 @@
             statuses=tuple(matching[-limit:]), total=len(matching)
         )
 
-    def cancel(
-        self, job: ids.JobId, respond: job_table.Responder
-    ) -> None:
+    def cancel(self, job: ids.JobId, respond: job_table.Responder) -> None:
         """Cancels a job and answers with its status.
 
         Args:
@@ -257,9 +251,7 @@
             hold_ms: How long it must wait because a worker that did not
                 answer may still run it.
         """
-        entry = job_table.JobEntry(
-            spec=spec, durability=states.Durability.LOG
-        )
+        entry = job_table.JobEntry(spec=spec, durability=states.Durability.LOG)
         self.table.entries[spec.job] = entry
         entry.cancelled = spec.job in self._book.cancelled
         intent = self._book.intents.get(spec.job)
@@ -443,9 +435,7 @@
             )
         )
 
-    def _accept(
-        self, spec: jobs.JobSpec, respond: job_table.Responder
-    ) -> None:
+    def _accept(self, spec: jobs.JobSpec, respond: job_table.Responder) -> None:
         entry = job_table.JobEntry(spec=spec, accept_responders=[respond])
         self.table.entries[spec.job] = entry
         record = records.JobAccepted(
@@ -655,9 +645,7 @@
         attempt = self._new_attempt(
             entry, intent.attempt, intent.number, intent.placement
         )
-        self._scheduler.adopt(
-            entry.spec, intent.placement, self._ctx.now_ms
-        )
+        self._scheduler.adopt(entry.spec, intent.placement, self._ctx.now_ms)
         entry.state = states.JobState.STOPPING
         attempt.conclude()
 
@@ -725,9 +713,7 @@
         if claim is not None:
             self._free_claim(claim)
 
-    def _finish_job(
-        self, job: ids.JobId, result: jobs.JobResult
-    ) -> None:
+    def _finish_job(self, job: ids.JobId, result: jobs.JobResult) -> None:
         """Records a final result and tells it once it is safe to do so."""
         entry = self.table.entries[job]
         if entry.ending:
@@ -813,9 +799,7 @@
             return job in self._held_until_ms
         return True
 
-    def _adopt(
-        self, worker: ids.WorkerId, lease: messages.LeaseReport
-    ) -> None:
+    def _adopt(self, worker: ids.WorkerId, lease: messages.LeaseReport) -> None:
         """Takes over an attempt that an earlier owner has started."""
         spec = lease.spec
         self._held_until_ms.pop(spec.job, None)
@@ -857,8 +841,9 @@
         self._ctx.call_worker(
             target,
             call,
-            lambda answer: answer is not None
-            and self._worker_answered(worker, answer),
+            lambda answer: (
+                answer is not None and self._worker_answered(worker, answer)
+            ),
         )
 
     def _release_held(self) -> None:
--- a/citronmount/agent/token_check.py
+++ b/citronmount/agent/token_check.py
@@ -46,9 +46,7 @@
         self._retry_ms = 0
         self._fenced = False
 
-    def set_workers(
-        self, workers: tuple[messages.ListedTarget, ...]
-    ) -> None:
+    def set_workers(self, workers: tuple[messages.ListedTarget, ...]) -> None:
         """Takes over the workers that may be asked.
 
         Args:
--- a/citronmount/bench/harness.py
+++ b/citronmount/bench/harness.py
@@ -96,7 +96,10 @@
         calls: Calls that are not answered yet.
         tickets: Open requests of callers, with what to tell the caller.
         draining: Whether it was asked to stop.
+        started_ms: When it was started last.
         exited_ms: When it ended itself, if it did.
+        drained_ms: When it was asked to stop.
+        cut_ms: When it ended itself with requests of callers open.
         traffic: Its messages and bytes.
     """
 
@@ -112,7 +115,10 @@
         default_factory=dict
     )
     draining: bool = False
+    started_ms: int = 0
     exited_ms: int | None = None
+    drained_ms: int | None = None
+    cut_ms: list[int] = msgspec.field(default_factory=list)
     traffic: Traffic = msgspec.field(default_factory=Traffic)
 
 
@@ -149,8 +155,8 @@
 
         Args:
             site: The site.
-            make_agent: Makes the agent of a VM from its list entry and a
-                seed.
+            make_agent: Makes the agent of a VM from its list entry and the
+                wall-clock time of its start in ms.
             seed: The seed of all randomness.
             retention_ms: How long the log keeps records.
             list_lag_ms: How far the platform's list lags.
@@ -161,7 +167,7 @@
         self.network = harness_network.Network(
             rng=random.Random(self.rng.getrandbits(32))
         )
-        self.log = log.LogModel(retention_ms=retention_ms)
+        self.log = log.LogModel(retention_ms=retention_ms, keep_history=True)
         self.platform = platform.PlatformModel(
             lag_ms=list_lag_ms, view=site.view
         )
@@ -219,6 +225,7 @@
         process.incarnation += 1
         process.paused = process.draining = False
         process.exited_ms = None
+        process.started_ms = self.clock.now_ms
         process.agent = self._make_agent(process.vm, self.rng.getrandbits(32))
         live = msgspec.structs.replace(process.vm, state=states.VmState.LIVE)
         self.platform.set_vm(live, self.clock.now_ms)
@@ -272,6 +279,7 @@
         if process.agent is None:
             return
         process.draining = True
+        process.drained_ms = self.clock.now_ms
         leaving = msgspec.structs.replace(
             process.vm, state=states.VmState.LEAVING
         )
@@ -469,6 +477,8 @@
 
     def _exit(self, process: Process) -> None:
         process.exited_ms = self.clock.now_ms
+        if process.tickets:
+            process.cut_ms.append(self.clock.now_ms)
         self.kill(process.vm.vm)
 
     def _call_arrives(
--- /dev/null
+++ b/citronmount/bench/tests/test_harness.py
@@ -0,0 +1,161 @@
+import unittest
+
+from citronmount.agent import effects
+from citronmount.agent import events
+from citronmount.bench import harness as harness_lib
+from citronmount.bench import harness_network
+from citronmount.bench import harness_site
+from citronmount.bench import harness_traffic
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.peers import messages as peer_messages
+from citronmount.platform import messages
+
+_VM = ids.VmId("fd-a.vm0")
+_OTHER = ids.VmId("fd-b.vm0")
+
+
+class _Recorder:
+    """An agent that keeps its events and does what it is told once."""
+
+    def __init__(self):
+        self.seen = []
+        self.todo = []
+
+    def handle(self, event, now_ms, wall_ms):
+        self.seen.append((now_ms, wall_ms, event))
+        todo, self.todo = self.todo, []
+        return todo
+
+    def kinds(self):
+        return [type(event).__name__ for _, _, event in self.seen]
+
+    def answers(self, kind):
+        return [e for _, _, e in self.seen if isinstance(e, kind)]
+
+
+class HarnessTest(unittest.TestCase):
+    def setUp(self):
+        self.agents = {}
+        self.harness = harness_lib.Harness(
+            site=harness_site.make_site(), make_agent=self.make, seed=1
+        )
+        self.harness.start_all()
+        self.harness.run_until_ms(1_000)
+        self.agent = self.agents[_VM]
+
+    def make(self, vm, incarnation_ms):
+        self.agents[vm.vm] = _Recorder()
+        return self.agents[vm.vm]
+
+    def run_ms(self, duration_ms):
+        self.harness.run_until_ms(self.harness.clock.now_ms + duration_ms)
+
+    def test_clocks_tick_and_only_the_wall_clock_jumps(self):
+        before = self.agent.seen[-1]
+        self.harness.processes[_VM].wall_skew_ms = -60_000
+        self.run_ms(1_000)
+        after = self.agent.seen[-1]
+        self.assertEqual(1_000, after[0] - before[0])
+        self.assertEqual(-59_000, after[1] - before[1])
+
+    def test_log_takes_effect_though_the_answer_is_lost(self):
+        append = effects.AppendLog(
+            call=ids.CallId("c"),
+            stream=ids.StreamName("s"),
+            records=((ids.RecordId("r"), b"x"),),
+        )
+        self.harness.lose_append_answers = True
+        self.agent.todo = [append]
+        self.run_ms(3_000)
+        answers = self.agent.answers(events.LogAppended)
+        self.assertEqual([None], [answer.offset for answer in answers])
+        history = self.harness.log.history(ids.StreamName("s"))
+        self.assertEqual(1, len(history))
+
+    def test_cuts_and_doubled_messages(self):
+        message = peer_messages.Acknowledge(call=ids.CallId("c"))
+        send = effects.SendPeer(to=_OTHER, message=message)
+        self.harness.network.cuts.add(("fd-a", "fd-b"))
+        self.agent.todo = [send]
+        self.run_ms(500)
+        other = self.agents[_OTHER]
+        self.assertFalse(other.answers(events.PeerArrived))
+        self.harness.network.cuts.clear()
+        self.harness.network.faults.append(
+            harness_network.LinkFault(
+                matches=lambda source, target: True, copies=1.0
+            )
+        )
+        self.agent.todo = [send]
+        self.run_ms(500)
+        self.assertEqual(2, len(other.answers(events.PeerArrived)))
+
+    def test_paused_process_gets_one_tick_and_what_came_in(self):
+        self.harness.pause(_VM)
+        seen = len(self.agent.seen)
+        self.run_ms(5_000)
+        self.assertEqual(seen, len(self.agent.seen))
+        self.harness.resume(_VM)
+        self.assertEqual(["Tick"], self.agent.kinds()[seen:])
+
+    def test_killed_process_breaks_calls_and_starts_anew(self):
+        told = []
+        body = peer_messages.GetJob(job=ids.JobId("j"))
+        self.harness.call(_VM, body, told.append)
+        self.run_ms(100)
+        self.assertIn("CallArrived", self.agent.kinds())
+        self.harness.kill(_VM)
+        self.run_ms(100)
+        self.assertEqual([None], told)
+        self.harness.start(_VM)
+        self.run_ms(100)
+        self.assertIsNot(self.agent, self.agents[_VM])
+        self.assertIn("Started", self.agents[_VM].kinds())
+
+    def test_answer_reaches_its_caller_once(self):
+        told = []
+        body = peer_messages.GetJob(job=ids.JobId("j"))
+        ticket = self.harness.call(_VM, body, told.append)
+        answer = peer_messages.Failure(
+            result=jobs.JobResult(code=codes.ResultCode.UNKNOWN_JOB)
+        )
+        self.run_ms(100)
+        self.agent.todo = [effects.Reply(ticket=ticket, body=answer)] * 2
+        self.run_ms(20_000)
+        self.assertEqual([answer], told)
+
+    def test_worker_and_runner_calls(self):
+        self.agent.todo = [
+            effects.CallWorker(
+                call=ids.CallId("w"),
+                worker=ids.WorkerId("fd-a.w000"),
+                address="127.0.0.1:1",
+                body=messages.WorkerCall(token=ids.FenceToken(7)),
+            ),
+            effects.CallRunner(
+                call=ids.CallId("r"),
+                runner=ids.RunnerId("fd-a.r000"),
+                address="127.0.0.1:1",
+                spec=jobs.RequestSpec(
+                    request=ids.RequestId("q"), account=ids.AccountId("a")
+                ),
+            ),
+        ]
+        self.harness.down.add("fd-a.r000")
+        self.run_ms(2_000)
+        (worker,) = self.agent.answers(events.WorkerAnswered)
+        self.assertEqual(7, worker.answer.token)
+        (runner,) = self.agent.answers(events.RunnerAnswered)
+        self.assertIsNone(runner.answer)
+
+
+class TrafficTest(unittest.TestCase):
+    def test_slope(self):
+        points = [(1.0, 3.0), (2.0, 5.0), (3.0, 7.0)]
+        self.assertEqual(2.0, harness_traffic.slope(points))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/citronmount/config/fold.py
+++ b/citronmount/config/fold.py
@@ -41,9 +41,9 @@
         self._accepted: collections.OrderedDict[ids.RecordId, None] = (
             collections.OrderedDict()
         )
-        self._outcomes: collections.OrderedDict[
-            ids.RecordId, ChangeOutcome
-        ] = collections.OrderedDict()
+        self._outcomes: collections.OrderedDict[ids.RecordId, ChangeOutcome] = (
+            collections.OrderedDict()
+        )
         self._search: list[tuple[ids.Offset, records.Record]] = []
 
     def outcome(self, record: ids.RecordId) -> ChangeOutcome | None:
@@ -104,9 +104,7 @@
         self.trusted = True
         return newer
 
-    def snapshot(
-        self, record: ids.RecordId
-    ) -> records.ConfigurationSnapshot:
+    def snapshot(self, record: ids.RecordId) -> records.ConfigurationSnapshot:
         """Returns the folded configuration as a record.
 
         Args:
@@ -149,9 +147,7 @@
         while len(self._accepted) > REMEMBERED_CHANGES:
             self._accepted.popitem(last=False)
 
-    def _remember(
-        self, record: ids.RecordId, outcome: ChangeOutcome
-    ) -> None:
+    def _remember(self, record: ids.RecordId, outcome: ChangeOutcome) -> None:
         self._outcomes[record] = outcome
         while len(self._outcomes) > REMEMBERED_CHANGES:
             self._outcomes.popitem(last=False)
@@ -183,6 +179,4 @@
     def _replace(self, snapshot: records.ConfigurationSnapshot) -> None:
         self.current = snapshot.content
         self._accepted = collections.OrderedDict.fromkeys(snapshot.recent)
-        self.next_offset = max(
-            self.next_offset, ids.Offset(snapshot.as_of + 1)
-        )
+        self.next_offset = max(self.next_offset, ids.Offset(snapshot.as_of + 1))
--- a/citronmount/leases/gang.py
+++ b/citronmount/leases/gang.py
@@ -81,13 +81,9 @@
     for source in (reserving, starting, running):
         move(source, Gang.abort, stopping, GangPhase.STOPPING)
     move(stopping, Gang.all_stopped, ended, GangPhase.ENDED)
-    ignore(
-        reserving, Gang.all_started, Gang.all_finished, Gang.all_stopped
-    )
+    ignore(reserving, Gang.all_started, Gang.all_finished, Gang.all_stopped)
     ignore(starting, Gang.all_reserved, Gang.all_stopped)
-    ignore(
-        running, Gang.all_reserved, Gang.all_started, Gang.all_stopped
-    )
+    ignore(running, Gang.all_reserved, Gang.all_started, Gang.all_stopped)
     late = (Gang.all_reserved, Gang.all_started, Gang.all_finished)
     ignore(stopping, Gang.abort, *late)
     ignore(ended, Gang.abort, Gang.all_stopped, *late)
--- a/citronmount/standins/log.py
+++ b/citronmount/standins/log.py
@@ -27,17 +27,24 @@
     that is retried stands in the stream twice.
     """
 
-    def __init__(self, *, retention_ms: int = _DAY_MS) -> None:
+    def __init__(
+        self, *, retention_ms: int = _DAY_MS, keep_history: bool = False
+    ) -> None:
         """Initializes an empty log.
 
         Args:
             retention_ms: How long a record can be read.
+            keep_history: Whether `history` returns what was ever appended.
         """
         self.retention_ms = retention_ms
+        self.keep_history = keep_history
         self._streams: dict[ids.StreamName, collections.deque[_Entry]] = (
             collections.defaultdict(collections.deque)
         )
         self._ends: dict[ids.StreamName, int] = collections.defaultdict(int)
+        self._all: dict[ids.StreamName, list[_Entry]] = collections.defaultdict(
+            list
+        )
 
     def append(
         self,
@@ -56,7 +63,7 @@
             The offset of the first record.
         """
         first = self._ends[stream]
-        self._streams[stream].extend(
+        entries = [
             _Entry(
                 appended_ms=now_ms,
                 record=messages.LogRecord(
@@ -64,7 +71,10 @@
                 ),
             )
             for offset, (name, data) in enumerate(records, start=first)
-        )
+        ]
+        self._streams[stream].extend(entries)
+        if self.keep_history:
+            self._all[stream].extend(entries)
         self._ends[stream] = first + len(records)
         return ids.Offset(first)
 
@@ -94,3 +104,16 @@
             oldest=ids.Offset(oldest),
             end=ids.Offset(end),
         )
+
+    def history(
+        self, stream: ids.StreamName
+    ) -> list[tuple[int, messages.LogRecord]]:
+        """Returns all records ever appended, for checks.
+
+        Args:
+            stream: The stream.
+
+        Returns:
+            Pairs of the time of the append and the record.
+        """
+        return [(e.appended_ms, e.record) for e in self._all[stream]]
