End a claim that cannot win at once

Cause: two VMs that claimed one key at the same moment let the loser wait for the claim's 3 s limit, since it only looked at grants. Change: votes still open are counted; a claim that cannot reach its quorum any more is given up at once and its caller is sent to the holder. Conclusion: the limit only serves lost votes now.

--- a/citronmount/agent/claims.py
+++ b/citronmount/agent/claims.py
@@ -45,6 +45,7 @@
     on_outcome: Callable[[ClaimOutcome], None]
     due_ms: int
     quorum: int
+    undecided: set[str]
     grants: set[str]
     durable: bool = False
     holder: records.KeyClaimed | None = None
@@ -121,6 +122,7 @@
             on_outcome=on_outcome,
             due_ms=self._ctx.now_ms + CLAIM_LIMIT_MS,
             quorum=(len(voters) + 1) // 2 + 1,
+            undecided={*voters, _LOG_VOTER} - {self._ctx.settings.vm},
             grants={self._ctx.settings.vm},
         )
         self._open[claim.record] = election
@@ -190,6 +192,7 @@
         def answered(answer: peer_messages.ClaimAnswer | None) -> None:
             if answer is None:
                 return
+            election.undecided.discard(voter)
             if answer.granted:
                 election.grants.add(voter)
             else:
@@ -221,6 +224,7 @@
             if page is None or election.closed:
                 return
             first = _first_claim(page, election.claim.key)
+            election.undecided.discard(_LOG_VOTER)
             if first is not None and first.record == election.claim.record:
                 election.grants.add(_LOG_VOTER)
             elif first is not None:
@@ -230,14 +234,21 @@
         self._ctx.read_log(self._stream, self._book.next_offset, was_read)
 
     def _check(self, election: _Election) -> None:
-        enough = len(election.grants) >= election.quorum
-        if election.closed or not enough or not election.durable:
+        if election.closed:
+            return
+        granted = len(election.grants)
+        if granted + len(election.undecided) < election.quorum:
+            self._lose(election)
+            return
+        if granted < election.quorum or not election.durable:
             return
         self._close(election)
         election.on_outcome(ClaimOutcome(granted=True, claim=election.claim))
 
     def _lose(self, election: _Election) -> None:
         """Gives a claim up; it was never used, so the key is free again."""
+        if election.closed:
+            return
         self._close(election)
         not_run = jobs.RequestResult(
             request=ids.RequestId(""), code=codes.ResultCode.NOT_DURABLE
--- a/citronmount/agent/configuration.py
+++ b/citronmount/agent/configuration.py
@@ -11,6 +11,7 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import states
 from citronmount.membership import rendezvous
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
@@ -160,8 +161,15 @@
 
     def _in_force(self) -> None:
         current = self.fold.current
+        out = ",".join(
+            domain.name
+            for domain in current.failure_domains
+            if domain.state is states.FailureDomainState.OUT
+        )
         self._ctx.trace(
-            timeline.EventKind.CONFIGURATION_IN_FORCE, version=current.version
+            timeline.EventKind.CONFIGURATION_IN_FORCE,
+            version=current.version,
+            detail=out,
         )
         self._on_change(current)
 
--- a/citronmount/peers/tests/test_transport.py
+++ b/citronmount/peers/tests/test_transport.py
@@ -15,8 +15,8 @@
 _ANY_PORT = "127.0.0.1:0"
 
 
-def _ack(number: int) -> messages.ReplicateAck:
-    return messages.ReplicateAck(call=ids.CallId(str(number)))
+def _ack(number: int) -> messages.Acknowledge:
+    return messages.Acknowledge(call=ids.CallId(str(number)))
 
 
 class _Node:
