--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -23,6 +23,8 @@
 LOG_READ_TRIES = 3
 FENCED_BACKOFF_MS = 1_000
 FOLLOW_PERIOD_MS = 5_000
+SNAPSHOTS_PER_RETENTION = 4
+SNAPSHOT_EVERY_RECORDS = 20_000
 
 
 class OwnershipPhase(enum.Enum):
@@ -81,6 +83,7 @@
         self._reports: dict[ids.WorkerId, messages.Report] = {}
         self._log_tries = 0
         self._follow_ms = 0
+        self._snapshot_ms = 0
         self._fenced_by: ids.FenceToken | None = None
 
     def learn_token(self, token: ids.FenceToken) -> None:
@@ -303,6 +306,7 @@
         self.phase = OwnershipPhase.OWNER
         self.domain = domain
         self._follow_ms = self._ctx.now_ms + FOLLOW_PERIOD_MS
+        self._snapshot_ms = self._ctx.now_ms + self._snapshot_period_ms()
         targets = self._workers()
         domain.set_configuration(self._configuration.fold.current)
         domain.set_workers(targets)
@@ -332,5 +336,26 @@
             self._book.fold_page(page)
             if self.domain is not None:
                 self.domain.restore_missing()
+            if self._book.next_offset >= page.end:
+                self._maybe_snapshot()
 
         self._ctx.read_log(stream, self._book.next_offset, was_read)
+
+    def _snapshot_period_ms(self) -> int:
+        return self._ctx.settings.retention_ms // SNAPSHOTS_PER_RETENTION
+
+    def _maybe_snapshot(self) -> None:
+        """Appends what must last again before retention drops it."""
+        records_since = self._book.next_offset - self._book.last_snapshot
+        due = self._ctx.now_ms >= self._snapshot_ms
+        owner = self.phase is OwnershipPhase.OWNER
+        if not owner or not (due or records_since > SNAPSHOT_EVERY_RECORDS):
+            return
+        self._snapshot_ms = self._ctx.now_ms + self._snapshot_period_ms()
+        lifetime_ms = self._ctx.settings.claim_lifetime_ms
+        snapshot = self._book.snapshot(
+            ids.RecordId(self._ctx.unique()),
+            claims_since_ms=self._ctx.wall_ms - lifetime_ms,
+        )
+        stream = records.job_stream(self._ctx.settings.failure_domain)
+        self._outbox.write(stream, snapshot)
