Move queued jobs to failure domains that can start them

Cause: a job keyed to a failure domain waits there while operators have it out of service, or while others stand empty. Change: the owner hands queued idempotent jobs to owners with room; the move is durable and the token confirmed first, and the home keeps a pointer.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -13,6 +13,7 @@
 from citronmount.agent import homes
 from citronmount.agent import joining as joining_lib
 from citronmount.agent import keeping as keeping_lib
+from citronmount.agent import mover as mover_lib
 from citronmount.agent import outbox as outbox_lib
 from citronmount.agent import ownership as ownership_lib
 from citronmount.agent import request_desk
@@ -60,7 +61,7 @@
             suspicion_ms=settings.suspicion_ms,
             remote_suspicion_ms=settings.remote_suspicion_ms,
         )
-        self.book = job_book.JobBook()
+        self.book = job_book.JobBook(failure_domain=settings.failure_domain)
         self.outbox = outbox_lib.Outbox(ctx=self._ctx, view=self.view)
         self.claims = claims_lib.Claims(
             ctx=self._ctx, view=self.view, book=self.book, outbox=self.outbox
@@ -103,6 +104,13 @@
             ownership=self.ownership,
             requests=self.requests,
         )
+        self.mover = mover_lib.Mover(
+            ctx=self._ctx,
+            outbox=self.outbox,
+            ownership=self.ownership,
+            calls=self.calls,
+            configuration=self.configuration,
+        )
         self.drain = drain_lib.Drain(
             ctx=self._ctx,
             view=self.view,
@@ -221,6 +229,7 @@
         self._reassign()
         self.ownership.tick()
         self._tick_keeping()
+        self.mover.tick()
         self.calls.tick()
         self.drain.tick(len(self._tickets))
         self.heartbeats.tick()
@@ -393,7 +402,7 @@
     ) -> peer_messages.StateAnswer:
         fold = self.configuration.fold
         jobs_wanted = request.stream != records.CONFIG_STREAM
-        book = self.book if jobs_wanted else job_book.JobBook()
+        book = self.book if jobs_wanted else self._empty_book()
         return peer_messages.StateAnswer(
             call=request.call,
             configuration=(
@@ -407,6 +416,9 @@
             ready=self.view.ready,
         )
 
+    def _empty_book(self) -> job_book.JobBook:
+        return job_book.JobBook(failure_domain=self.settings.failure_domain)
+
     def _configuration_changed(
         self, current: configuration.Configuration
     ) -> None:
--- a/citronmount/agent/call_desk.py
+++ b/citronmount/agent/call_desk.py
@@ -96,7 +96,7 @@
             case (
                 peer_messages.GetJob(job=job) | peer_messages.CancelJob(job=job)
             ):
-                self._route(ids.home_of_job(job), body, respond)
+                self.route(ids.home_of_job(job), body, respond)
             case peer_messages.ListJobs() | peer_messages.CancelJobs():
                 self._fan_out(body, respond)
             case peer_messages.PublishConfiguration(change=change):
@@ -164,7 +164,7 @@
         filled = msgspec.structs.replace(
             spec, job=job, submitted_ms=self._ctx.wall_ms
         )
-        self._route(home, peer_messages.SubmitJob(spec=filled), respond)
+        self.route(home, peer_messages.SubmitJob(spec=filled), respond)
 
     def _fault(self, spec: jobs.JobSpec) -> tuple[codes.ResultCode | None, str]:
         """Returns why a job is refused at the door, or None."""
@@ -223,12 +223,19 @@
             found[own.failure_domain] = own
         return found
 
-    def _route(
+    def route(
         self,
         failure_domain: ids.FailureDomainId,
         body: DomainCall,
         respond: Respond,
     ) -> None:
+        """Takes a call to the owner of a failure domain.
+
+        Args:
+            failure_domain: The failure domain.
+            body: The call.
+            respond: Told the answer, once.
+        """
         timeout_ms = self._ctx.settings.call_timeout_ms
         if isinstance(body, peer_messages.GetJob):
             wait_ms = min(body.wait_ms, MAX_WAIT_MS)
@@ -299,6 +306,11 @@
         if domain is None:
             respond(_failure(codes.ResultCode.REBUILDING))
             return
+        if isinstance(body, peer_messages.GetJob | peer_messages.CancelJob):
+            moved_to = domain.moved_to(body.job)
+            if moved_to is not None:
+                self.route(moved_to, body, respond)
+                return
         match body:
             case peer_messages.SubmitJob(spec=spec):
                 domain.submit(spec, respond)
@@ -336,7 +348,7 @@
             respond(peer_messages.JobsAnswer(statuses=()))
         for name in names:
             part = msgspec.structs.replace(body, failure_domain=name)
-            self._route(name, part, answered)
+            self.route(name, part, answered)
 
 
 def _failure(code: codes.ResultCode, detail: str = "") -> peer_messages.Failure:
--- a/citronmount/agent/job_table.py
+++ b/citronmount/agent/job_table.py
@@ -134,6 +134,17 @@
         for waiter in self._waiters.pop(ended.job, []):
             waiter.responder(answer)
 
+    def forward(self, job: ids.JobId) -> None:
+        """Removes a job that another failure domain schedules from now on.
+
+        Args:
+            job: The job; who waits for it is told its present state.
+        """
+        entry = self.entries.pop(job)
+        answer = peer_messages.JobAnswer(status=entry.status())
+        for waiter in self._waiters.pop(job, []):
+            waiter.responder(answer)
+
     def answer_due(self, now_ms: int) -> None:
         """Answers those whose wait is over with the present state.
 
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -162,6 +162,8 @@
                 return
             self._answer_again(spec, digest, known, respond)
             return
+        if spec.job in self._book.moved:
+            self._come_back(spec.job)
         refusal = self._check(spec)
         if refusal is not None:
             self._refuse(spec, refusal, respond)
@@ -254,6 +256,10 @@
         entry = job_table.JobEntry(spec=spec, durability=states.Durability.LOG)
         self.table.entries[spec.job] = entry
         entry.cancelled = spec.job in self._book.cancelled
+        if spec.job in self._book.moved:
+            entry.state = states.JobState.STOPPING
+            entry.ending = True
+            return
         intent = self._book.intents.get(spec.job)
         if intent is not None:
             self._conclude_intent(entry, intent)
@@ -307,9 +313,138 @@
             for job, spec in self._book.accepted.items()
             if job not in self.table.entries
         ]
+        self._take_back_moved()
         for spec in missing:
             self.restore(spec, hold_ms=hold_ms)
 
+    def moved_to(self, job: ids.JobId) -> ids.FailureDomainId | None:
+        """Returns which failure domain schedules a job that was moved.
+
+        Args:
+            job: A job that has its home here.
+
+        Returns:
+            The failure domain, or None if the job was not moved.
+        """
+        moved = self._book.moved.get(job)
+        if moved is None or job in self.table.entries:
+            return None
+        return moved.to
+
+    def queued_specs(self) -> list[jobs.JobSpec]:
+        """Returns the queued jobs that may be run anywhere, first first."""
+        entries = (
+            self.table.entries.get(job) for job in self._scheduler.queued()
+        )
+        return [
+            entry.spec
+            for entry in entries
+            if entry is not None
+            and entry.spec.idempotent
+            and not entry.cancelled
+            and not entry.ending
+        ]
+
+    def unconfirmed_moves(
+        self,
+    ) -> list[tuple[jobs.JobSpec, ids.FailureDomainId]]:
+        """Returns the moves whose receiver has not answered yet."""
+        return [
+            (self.table.entries[job].spec, moved.to)
+            for job, moved in self._book.moved.items()
+            if not moved.confirmed
+            and job in self.table.entries
+            and self.table.entries[job].ending
+        ]
+
+    def in_service(self) -> bool:
+        """Returns whether tasks may start in the failure domain."""
+        return self._in_service()
+
+    def move_out(
+        self,
+        job: ids.JobId,
+        to: ids.FailureDomainId,
+        on_released: Callable[[jobs.JobSpec], None],
+    ) -> None:
+        """Takes a job out of the queue to hand it to another scheduler.
+
+        Args:
+            job: A queued job.
+            to: The failure domain that is to schedule it.
+            on_released: Told once the move is durable and no later owner of
+                this failure domain can start the job.
+        """
+        entry = self.table.entries[job]
+        if not self._scheduler.cancel(job):
+            return
+        entry.state = states.JobState.STOPPING
+        entry.ending = True
+        moved = records.JobMoved(
+            record=ids.RecordId(self._ctx.unique()), job=job, to=to
+        )
+
+        def released() -> None:
+            self._book.fold(moved)
+            on_released(entry.spec)
+
+        self._outbox.write(
+            self._stream,
+            moved,
+            lambda outcome: self._token_check.confirm(released),
+            limit_ms=None,
+        )
+
+    def moved(
+        self, job: ids.JobId, to: ids.FailureDomainId, *, accepted: bool
+    ) -> None:
+        """Notes what became of a job that was to be moved.
+
+        Args:
+            job: The job.
+            to: The failure domain that was asked.
+            accepted: Whether it schedules the job now; if not, it is proved
+                that it never will, and the job is queued here again.
+        """
+        entry = self.table.entries.get(job)
+        if entry is None:
+            return
+        record = records.JobMoved(
+            record=ids.RecordId(self._ctx.unique()),
+            job=job,
+            to=to if accepted else self._domain,
+            confirmed=accepted,
+        )
+        self._book.fold(record)
+        self._outbox.write(self._stream, record)
+        if accepted:
+            self.table.forward(job)
+            return
+        entry.ending = False
+        entry.state = states.JobState.QUEUED
+        self._scheduler.restore(
+            entry.spec, self._ctx.now_ms, progress=entry.progress
+        )
+        if entry.cancelled:
+            self._carry_out_cancel(entry)
+
+    def _take_back_moved(self) -> None:
+        """Voids moves that a fenced owner has recorded but not made."""
+        void = [
+            moved.job
+            for moved in self._book.moved.values()
+            if moved.job in self.table.entries
+            and not self.table.entries[moved.job].ending
+        ]
+        for job in void:
+            record = records.JobMoved(
+                record=ids.RecordId(self._ctx.unique()),
+                job=job,
+                to=self._domain,
+            )
+            self._book.fold(record)
+            self._outbox.write(self._stream, record)
+
     def _drop_ended(self) -> None:
         """Gives up open jobs whose final result the book already has."""
         over = [
@@ -408,6 +543,14 @@
         result = jobs.JobResult(code=codes.ResultCode.KEY_REUSED)
         respond(peer_messages.Failure(result=result))
 
+    def _come_back(self, job: ids.JobId) -> None:
+        """Notes that a job which was moved away is submitted here again."""
+        record = records.JobMoved(
+            record=ids.RecordId(self._ctx.unique()), job=job, to=self._domain
+        )
+        self._book.fold(record)
+        self._outbox.write(self._stream, record)
+
     def _check(self, spec: jobs.JobSpec) -> jobs.JobResult | None:
         """Returns why a job is refused, without keeping it queued."""
         refusal = self._scheduler.submit(spec, self._ctx.now_ms)
--- a/citronmount/state/job_book.py
+++ b/citronmount/state/job_book.py
@@ -23,13 +23,21 @@
     its result frees the key.
     """
 
-    def __init__(self) -> None:
-        """Initializes an empty book."""
+    def __init__(self, *, failure_domain: ids.FailureDomainId) -> None:
+        """Initializes an empty book.
+
+        Args:
+            failure_domain: The failure domain of the stream.
+        """
+        self._failure_domain = failure_domain
         self.next_offset = ids.Offset(0)
         self.last_snapshot = ids.Offset(-1)
         self.accepted: dict[ids.JobId, jobs.JobSpec] = {}
         self.intents: dict[ids.JobId, records.AttemptIntended] = {}
         self.cancelled: set[ids.JobId] = set()
+        self.moved: collections.OrderedDict[ids.JobId, records.JobMoved] = (
+            collections.OrderedDict()
+        )
         self.ended: collections.OrderedDict[ids.JobId, records.JobEnded] = (
             collections.OrderedDict()
         )
@@ -75,6 +83,8 @@
                 self._cancel(job)
             case records.JobEnded():
                 self._end(record)
+            case records.JobMoved():
+                self._move(record)
             case records.KeyClaimed():
                 self._claim(record)
             case records.KeyResult():
@@ -96,6 +106,8 @@
             self._intend(intent)
         for job in snapshot.cancelled:
             self._cancel(job)
+        for moved in snapshot.moved:
+            self._move(moved)
         for result in snapshot.key_results:
             self._key_result(result)
         for claim in snapshot.claims:
@@ -124,6 +136,7 @@
             accepted=tuple(self.accepted.values()),
             intents=tuple(self.intents.values()),
             cancelled=tuple(sorted(self.cancelled)),
+            moved=tuple(self.moved.values()),
             ended=tuple(self.ended.values()),
             claims=tuple(recent.values()),
             key_results=tuple(
@@ -134,7 +147,9 @@
         )
 
     def _accept(self, spec: jobs.JobSpec) -> None:
-        if spec.job not in self.ended:
+        moved = self.moved.get(spec.job)
+        gone = moved is not None and moved.confirmed
+        if spec.job not in self.ended and not gone:
             self.accepted.setdefault(spec.job, spec)
 
     def _intend(self, intent: records.AttemptIntended) -> None:
@@ -148,10 +163,26 @@
         if job not in self.ended:
             self.cancelled.add(job)
 
+    def _move(self, moved: records.JobMoved) -> None:
+        if moved.job in self.ended:
+            return
+        if moved.to == self._failure_domain:
+            self.moved.pop(moved.job, None)
+            return
+        known = self.moved.get(moved.job)
+        if known is not None and known.confirmed and not moved.confirmed:
+            return
+        self.moved[moved.job] = moved
+        if moved.confirmed:
+            self.accepted.pop(moved.job, None)
+        while len(self.moved) > REMEMBERED_ENDED:
+            self.moved.popitem(last=False)
+
     def _end(self, ended: records.JobEnded) -> None:
         self.accepted.pop(ended.job, None)
         self.intents.pop(ended.job, None)
         self.cancelled.discard(ended.job)
+        self.moved.pop(ended.job, None)
         self.ended.setdefault(ended.job, ended)
         while len(self.ended) > REMEMBERED_ENDED:
             self.ended.popitem(last=False)
--- a/citronmount/state/records.py
+++ b/citronmount/state/records.py
@@ -14,6 +14,7 @@
     "JobAccepted",
     "JobCancelled",
     "JobEnded",
+    "JobMoved",
     "JobSnapshot",
     "KeyClaimed",
     "KeyResult",
@@ -138,6 +139,23 @@
     job: ids.JobId
 
 
+class JobMoved(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A queued job is handed to another failure domain.
+
+    Attributes:
+        record: The id.
+        job: The job.
+        to: The failure domain that schedules it from now on; the stream's
+            own one takes the job back.
+        confirmed: Whether that failure domain has accepted it.
+    """
+
+    record: ids.RecordId
+    job: ids.JobId
+    to: ids.FailureDomainId
+    confirmed: bool = False
+
+
 class KeyClaimed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """A request that is not idempotent may be sent to one target.
 
@@ -182,6 +200,7 @@
         accepted: Jobs without a final result.
         intents: The newest intent of each of those jobs.
         cancelled: Those of them that callers have cancelled.
+        moved: Where jobs have gone that other failure domains schedule.
         ended: Recent final results.
         claims: Claims younger than the key lifetime.
         key_results: Answers younger than the key lifetime.
@@ -192,6 +211,7 @@
     accepted: tuple[jobs.JobSpec, ...] = ()
     intents: tuple[AttemptIntended, ...] = ()
     cancelled: tuple[ids.JobId, ...] = ()
+    moved: tuple[JobMoved, ...] = ()
     ended: tuple[JobEnded, ...] = ()
     claims: tuple[KeyClaimed, ...] = ()
     key_results: tuple[KeyResult, ...] = ()
@@ -204,6 +224,7 @@
     | AttemptIntended
     | JobCancelled
     | JobEnded
+    | JobMoved
     | KeyClaimed
     | KeyResult
     | JobSnapshot
