--- /dev/null
+++ b/citronmount/config/pool_file.py
@@ -0,0 +1,134 @@
+"""Reads a pool file: the targets of all failure domains, in TOML."""
+
+import itertools
+import os
+import pathlib
+import tomllib
+from typing import Annotated
+
+import msgspec
+
+from citronmount.core import codes
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.platform import messages
+
+__all__ = ["Pool", "load"]
+
+_NO_ADDRESS = "0.0.0.0:0"
+_MAX_TARGETS = 10_000
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=_MAX_TARGETS)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+
+
+class Pool(msgspec.Struct, frozen=True, kw_only=True):
+    """The targets of a platform.
+
+    Attributes:
+        workers: Targets with accelerators, for jobs.
+        runners: Targets with slots, for short requests.
+    """
+
+    workers: tuple[messages.ListedTarget, ...]
+    runners: tuple[messages.ListedTarget, ...]
+
+
+class _Rack(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    failure_domain: Name
+    rack: Name
+    workers: Count
+    accelerators: Amount
+    cores: Amount
+    memory_gb: Amount
+
+
+class _Runners(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    failure_domain: Name
+    runners: Count
+    slots: Count
+    connections: Count
+
+
+class _PoolFile(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    racks: tuple[_Rack, ...] = ()
+    runners: tuple[_Runners, ...] = ()
+
+
+def load(path: str | os.PathLike[str]) -> Pool:
+    """Loads a pool file.
+
+    Args:
+        path: A TOML file with ``[[racks]]`` and ``[[runners]]`` tables.
+
+    Returns:
+        The targets, without addresses.
+
+    Raises:
+        errors.InvalidInputError: If the file is malformed.
+    """
+    file = os.fspath(path)
+    try:
+        tables = tomllib.loads(pathlib.Path(path).read_text("utf-8-sig"))
+    except OSError as error:
+        raise _error(file, codes.ResultCode.SETTING_FILE, error) from error
+    except (ValueError, RecursionError) as error:
+        raise _error(file, codes.ResultCode.SETTING_SYNTAX, error) from error
+    try:
+        pool = msgspec.convert(tables, _PoolFile, strict=True)
+    except msgspec.ValidationError as error:
+        raise _error(file, codes.ResultCode.SETTING_TYPE, error) from error
+    names = [rack.rack for rack in pool.racks]
+    if len(names) != len(set(names)):
+        message = "two racks have the same name"
+        raise _error(file, codes.ResultCode.SETTING_RANGE, message)
+    return Pool(workers=_workers(pool), runners=_runners(pool))
+
+
+def _error(
+    file: str, code: codes.ResultCode, detail: object
+) -> errors.InvalidInputError:
+    message = f"{file}: {code.name}: {detail}"
+    return errors.InvalidInputError(message, code=code)
+
+
+def _workers(pool: _PoolFile) -> tuple[messages.ListedTarget, ...]:
+    return tuple(
+        messages.ListedTarget(
+            name=f"{rack.rack}-w{number}",
+            address=_NO_ADDRESS,
+            failure_domain=ids.FailureDomainId(rack.failure_domain),
+            rack=ids.RackId(rack.rack),
+            capacity=jobs.Resources(
+                accelerators=rack.accelerators,
+                cores=rack.cores,
+                memory_gb=rack.memory_gb,
+            ),
+        )
+        for rack in pool.racks
+        for number in range(1, rack.workers + 1)
+    )
+
+
+def _runners(pool: _PoolFile) -> tuple[messages.ListedTarget, ...]:
+    groups = itertools.chain.from_iterable(
+        itertools.repeat(group, group.runners) for group in pool.runners
+    )
+    return tuple(
+        messages.ListedTarget(
+            name=f"{group.failure_domain}-runner{number}",
+            address=_NO_ADDRESS,
+            failure_domain=ids.FailureDomainId(group.failure_domain),
+            slots=group.slots,
+            connections=group.connections,
+        )
+        for number, group in enumerate(groups, start=1)
+    )
--- /dev/null
+++ b/citronmount/config/tests/test_pool_file.py
@@ -0,0 +1,40 @@
+import pathlib
+import tempfile
+import unittest
+
+from citronmount.config import pool_file
+from citronmount.core import errors
+
+_EXAMPLES = pathlib.Path("examples")
+
+
+class PoolFileTest(unittest.TestCase):
+    def test_examples_have_the_sizes_of_the_sites(self):
+        for name, cores in (("hanbit", 64), ("perchero", 32)):
+            pool = pool_file.load(_EXAMPLES / name / "pool.toml")
+            self.assertEqual((len(pool.workers), len(pool.runners)), (25, 25))
+            self.assertEqual({w.capacity.cores for w in pool.workers}, {cores})
+            self.assertEqual({r.slots for r in pool.runners}, {8})
+            names = {t.name for t in (*pool.workers, *pool.runners)}
+            self.assertEqual(len(names), 50)
+
+    def test_faults_have_a_code_and_a_place(self):
+        valid = (_EXAMPLES / "hanbit" / "pool.toml").read_text("utf-8")
+        cases = (
+            (b"\xff", "SETTING_SYNTAX"),
+            (b"racks = 3", "SETTING_TYPE"),
+            (b"[[racks]]\nrack = 'r'", "SETTING_TYPE"),
+            (valid.replace("kr-a-r2", "kr-a-r1").encode(), "SETTING_RANGE"),
+        )
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "pool.toml"
+            for data, name in cases:
+                path.write_bytes(data)
+                with self.assertRaises(errors.InvalidInputError) as caught:
+                    pool_file.load(path)
+                self.assertEqual(caught.exception.code.name, name)
+                self.assertIn(str(path), str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/citronmount/service/settings.py
+++ b/citronmount/service/settings.py
@@ -30,7 +30,8 @@
 _MAX_RETENTION_MS = 366 * _MAX_MS
 _MAX_COUNT = 10_000_000
 
-Text = Annotated[str, msgspec.Meta(extra={"format": "id"})]
+Id = Annotated[str, msgspec.Meta(extra={"format": "id"})]
+Name = Annotated[str, msgspec.Meta(extra={"format": "name"})]
 Address = Annotated[str, msgspec.Meta(extra={"format": "address"})]
 CurveKey = Annotated[str, msgspec.Meta(extra={"format": "curve_key"})]
 Path = Annotated[str, msgspec.Meta(extra={"format": "path"})]
@@ -59,9 +60,9 @@
         region: The region of the failure domain.
     """
 
-    id: Text
-    failure_domain: Text
-    region: Text
+    id: Id
+    failure_domain: Name
+    region: Name
 
     @property
     def vm_id(self) -> ids.VmId:
--- a/citronmount/service/settings_faults.py
+++ b/citronmount/service/settings_faults.py
@@ -26,8 +26,7 @@
     def __str__(self) -> str:
         """Returns one line for a person."""
         place = f"{self.file}: {self.key}" if self.key else self.file
-        number = int(self.code)
-        return f"{place}: {number} {self.code.name}: {self.expected}"
+        return f"{place}: {self.code.name}: {self.expected}"
 
 
 class SettingError(errors.InvalidInputError):
--- a/citronmount/service/settings_formats.py
+++ b/citronmount/service/settings_formats.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import ipaddress
 
+from citronmount.config import names
 from citronmount.core import codes
 
 __all__ = ["Address", "fault_of", "parse_address"]
@@ -37,7 +38,7 @@
     """Checks a text against a format.
 
     Args:
-        name: ``address``, ``curve_key``, ``id`` or ``path``.
+        name: ``address``, ``curve_key``, ``id``, ``name`` or ``path``.
         text: The text of the setting.
 
     Returns:
@@ -113,6 +114,16 @@
     )
 
 
+@_format("name")
+def _name_fault(text: str) -> Fault | None:
+    if names.is_valid(text) and names.normalize(text) == text:
+        return None
+    return (
+        codes.ResultCode.SETTING_RANGE,
+        "1 to 64 visible characters without '/' and '#'",
+    )
+
+
 @_format("path")
 def _path_fault(text: str) -> Fault | None:
     if text and "\0" not in text:
--- a/citronmount/service/settings_reader.py
+++ b/citronmount/service/settings_reader.py
@@ -199,5 +199,6 @@
     "address": "an IP number and a port, such as 10.0.0.1:8080",
     "curve_key": "CURVE keys of 40 Z85 characters",
     "id": "a name of ASCII letters, digits, '-', '_' or '.'",
+    "name": "1 to 64 visible characters without '/' and '#'",
     "path": "a path of a file",
 }
