Ask failure domains in turn to start a job at once

Cause: three gangs of one account that arrived together were all sent to the failure domain that the last heartbeat showed emptiest, and two of them queued there although the account's guarantee was free elsewhere. Change: a submission is offered eagerly to each failure domain, the ones that hold a guarantee first, and queued only if none can start it; queued jobs are offered on in the same way; decisions follow at once on what makes room.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -162,6 +162,8 @@
         self._notice_pause(now_ms)
         self._dispatch(event)
         self.ownership.settle()
+        if self.ownership.domain is not None:
+            self.ownership.domain.decide_if_due()
         self.requests.pump()
         out = self._ctx.effects
         self._ctx.effects = []
--- a/citronmount/agent/call_desk.py
+++ b/citronmount/agent/call_desk.py
@@ -1,5 +1,6 @@
 """Serves callers' calls, here or through the VM that can."""
 
+import collections
 from collections.abc import Callable
 
 import msgspec
@@ -76,6 +77,9 @@
         self._ownership = ownership
         self._requests = requests
         self._routed: list[_Routed] = []
+        self._sent: collections.deque[tuple[int, ids.FailureDomainId, int]] = (
+            collections.deque()
+        )
 
     def busy(self) -> bool:
         """Returns whether a call is on its way."""
@@ -153,18 +157,95 @@
         if code is not None:
             respond(_failure(code, detail))
             return
-        home = self._home(spec)
+        if spec.idempotency_key:
+            self._submit_keyed(spec, respond)
+            return
+        homes_left = homes.rank_job_homes(
+            self._configuration.fold.current,
+            spec,
+            self.rooms(),
+            self._ctx.settings.failure_domain,
+        )
+        if not homes_left:
+            respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
+            return
+        self._submit_eagerly(spec, homes_left, homes_left[0], respond)
+
+    def _submit_keyed(self, spec: jobs.JobSpec, respond: Respond) -> None:
+        current = self._configuration.fold.current
+        key = spec.idempotency_key
+        home = homes.home_of_key(current, spec.account, key)
         if home is None:
             respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
             return
-        if not spec.idempotency_key:
-            job = ids.job_id(home, self._ctx.unique())
-        else:
-            job = homes.keyed_job_id(home, spec.account, spec.idempotency_key)
+        job = homes.keyed_job_id(home, spec.account, key)
+        self._submit_to(home, spec, job, respond)
+
+    def _submit_eagerly(
+        self,
+        spec: jobs.JobSpec,
+        homes_left: list[ids.FailureDomainId],
+        fallback: ids.FailureDomainId,
+        respond: Respond,
+    ) -> None:
+        """Asks one failure domain after another to start the job at once.
+
+        If none can, the job is queued in the first.
+        """
+        if not homes_left:
+            job = ids.job_id(fallback, self._ctx.unique())
+            self._submit_to(fallback, spec, job, respond)
+            return
+        home, *others = homes_left
+
+        def answered(answer: peer_messages.Answer) -> None:
+            if _is_not_startable(answer):
+                self._submit_eagerly(spec, others, fallback, respond)
+            else:
+                respond(answer)
+
+        job = ids.job_id(home, self._ctx.unique())
+        self._submit_to(home, spec, job, answered, eager=True)
+
+    def _submit_to(
+        self,
+        home: ids.FailureDomainId,
+        spec: jobs.JobSpec,
+        job: ids.JobId,
+        respond: Respond,
+        *,
+        eager: bool = False,
+    ) -> None:
         filled = msgspec.structs.replace(
             spec, job=job, submitted_ms=self._ctx.wall_ms
         )
-        self.route(home, peer_messages.SubmitJob(spec=filled), respond)
+        self._note_sent(home, spec.accelerators)
+        body = peer_messages.SubmitJob(spec=filled, eager=eager)
+        self.route(home, body, respond)
+
+    def _note_sent(self, home: ids.FailureDomainId, accelerators: int) -> None:
+        self._sent.append((self._ctx.now_ms, home, accelerators))
+
+    def rooms(self) -> dict[ids.FailureDomainId, homes.DomainRoom]:
+        """Returns the room in each failure domain that has an owner.
+
+        What this VM has sent there since the last heartbeats is taken off.
+        """
+        limit_ms = self._ctx.now_ms - self._ctx.settings.remote_heartbeat_ms
+        while self._sent and self._sent[0][0] < limit_ms:
+            self._sent.popleft()
+        sent = collections.Counter()
+        for _, home, accelerators in self._sent:
+            sent[home] += accelerators
+        return {
+            name: homes.DomainRoom(
+                accelerators=summary.free_accelerators
+                - summary.queued_accelerators
+                - sent[name],
+                largest_gang=summary.largest_gang,
+            )
+            for name, summary in self.summaries().items()
+        }
 
     def _fault(self, spec: jobs.JobSpec) -> tuple[codes.ResultCode | None, str]:
         """Returns why a job is refused at the door, or None."""
@@ -192,19 +273,6 @@
             return codes.ResultCode.DEADLINE_PASSED, "deadline_ms"
         return None, ""
 
-    def _home(self, spec: jobs.JobSpec) -> ids.FailureDomainId | None:
-        current = self._configuration.fold.current
-        if spec.idempotency_key:
-            return homes.home_of_key(
-                current, spec.account, spec.idempotency_key
-            )
-        return homes.choose_job_home(
-            current,
-            spec,
-            self.summaries(),
-            self._ctx.settings.failure_domain,
-        )
-
     def summaries(
         self,
     ) -> dict[ids.FailureDomainId, peer_messages.DomainSummary]:
@@ -312,8 +380,8 @@
                 self.route(moved_to, body, respond)
                 return
         match body:
-            case peer_messages.SubmitJob(spec=spec):
-                domain.submit(spec, respond)
+            case peer_messages.SubmitJob(spec=spec, eager=eager):
+                domain.submit(spec, respond, eager=eager)
             case peer_messages.GetJob(job=job, wait_ms=wait_ms):
                 domain.status(job, wait_ms, respond)
             case peer_messages.CancelJob(job=job):
@@ -367,6 +435,18 @@
     )
 
 
+def _is_not_startable(answer: peer_messages.Answer) -> bool:
+    """Returns whether an eager submission was refused for lack of room."""
+    return isinstance(answer, peer_messages.Failure) and (
+        answer.result.code
+        in (
+            codes.ResultCode.TARGET_REFUSED,
+            codes.ResultCode.HOME_UNREACHABLE,
+            codes.ResultCode.QUEUE_FULL,
+        )
+    )
+
+
 def _truthful(
     call: _Routed, answer: peer_messages.Answer
 ) -> peer_messages.Answer:
--- a/citronmount/agent/homes.py
+++ b/citronmount/agent/homes.py
@@ -2,18 +2,37 @@
 
 import hashlib
 
+import msgspec
+
 from citronmount.config import configuration
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
 from citronmount.membership import rendezvous
-from citronmount.peers import messages as peer_messages
 
-__all__ = ["choose_job_home", "home_of_key", "in_service", "keyed_job_id"]
+__all__ = [
+    "DomainRoom",
+    "home_of_key",
+    "in_service",
+    "keyed_job_id",
+    "rank_job_homes",
+]
 
 KEY_DIGEST_BYTES = 12
 
 
+class DomainRoom(msgspec.Struct, frozen=True, kw_only=True):
+    """What is known of the room in a failure domain.
+
+    Attributes:
+        accelerators: Free ones less those that queued jobs ask for.
+        largest_gang: The largest gang that it could ever hold.
+    """
+
+    accelerators: int
+    largest_gang: int
+
+
 def in_service(
     current: configuration.Configuration,
     failure_domain: ids.FailureDomainId,
@@ -73,31 +92,30 @@
     return ids.job_id(home, f"k{digest.hexdigest()}")
 
 
-def choose_job_home(
+def rank_job_homes(
     current: configuration.Configuration,
     spec: jobs.JobSpec,
-    summaries: dict[ids.FailureDomainId, peer_messages.DomainSummary],
+    rooms: dict[ids.FailureDomainId, DomainRoom],
     own: ids.FailureDomainId,
-) -> ids.FailureDomainId | None:
-    """Returns the failure domain that should schedule a job without a key.
+) -> list[ids.FailureDomainId]:
+    """Returns the failure domains that could schedule a job, best first.
 
-    Failure domains that hold a guarantee of the account for it come first,
-    then those with the most room after their queues; the own one wins ties.
+    Those that hold a guarantee of the account come first, then those with the
+    most room after their queues; the own one wins ties.
 
     Args:
         current: The configuration in force.
         spec: The job.
-        summaries: What owners tell of their failure domains.
+        rooms: The room in each failure domain that has an owner.
         own: The failure domain of the asking VM.
 
     Returns:
-        The home, or None if no failure domain can take the job now.
+        Failure domains in service.
     """
     usable = [
         domain.name
         for domain in current.failure_domains
-        if domain.name in summaries
-        and domain.state is states.FailureDomainState.IN
+        if domain.name in rooms and domain.state is states.FailureDomainState.IN
     ]
     holding = {
         guarantee.failure_domain
@@ -105,11 +123,13 @@
         if guarantee.account == spec.account
     }
 
-    def preference(name: ids.FailureDomainId) -> tuple[int, int, int, bool]:
-        summary = summaries[name]
-        room = summary.free_accelerators - summary.queued_accelerators
-        fits = summary.largest_gang >= spec.accelerators
-        room_now = room >= spec.accelerators
-        return fits, name in holding and room_now, room, name == own
+    def preference(
+        name: ids.FailureDomainId,
+    ) -> tuple[bool, bool, bool, int, bool]:
+        room = rooms[name]
+        fits = room.largest_gang >= spec.accelerators
+        guaranteed = name in holding or None in holding
+        room_now = room.accelerators >= spec.accelerators
+        return fits, guaranteed, room_now, room.accelerators, name == own
 
-    return max(usable, key=preference, default=None)
+    return sorted(usable, key=preference, reverse=True)
--- a/citronmount/agent/mover.py
+++ b/citronmount/agent/mover.py
@@ -6,6 +6,7 @@
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
 from citronmount.agent import outbox as outbox_lib
+from citronmount.agent import owned_domain
 from citronmount.agent import ownership as ownership_lib
 from citronmount.core import codes
 from citronmount.core import ids
@@ -17,7 +18,8 @@
 
 PERIOD_MS = 1_000
 MOVES_PER_PERIOD = 50
-PATIENCE_MS = 10_000
+PATIENCE_MS = 1_000
+RETRY_MOVE_MS = 10_000
 RESEND_MS = 2_000
 
 
@@ -26,6 +28,7 @@
 
     spec: jobs.JobSpec
     to: ids.FailureDomainId
+    eager: bool = False
     in_flight: bool = False
     retry_ms: int = 0
 
@@ -65,6 +68,8 @@
         self._next_ms = 0
         self._token = ids.FenceToken(0)
         self._moves: dict[ids.JobId, _Move] = {}
+        self._tried_ms: dict[ids.JobId, int] = {}
+        self._tried_at: dict[ids.JobId, set[ids.FailureDomainId]] = {}
 
     def tick(self) -> None:
         """Starts moves that are worth it and goes on with open ones."""
@@ -74,15 +79,24 @@
         if domain.token != self._token:
             self._token = domain.token
             self._moves = {}
+            self._tried_ms = {}
+            self._tried_at = {}
         if self._ctx.now_ms < self._next_ms:
             return
         self._next_ms = self._ctx.now_ms + PERIOD_MS
+        self._forget_ended(domain)
         self._resume()
         if self._outbox.log_up:
             self._start()
         for move in list(self._moves.values()):
             self._send(move)
 
+    def _forget_ended(self, domain: owned_domain.OwnedDomain) -> None:
+        entries = domain.table.entries
+        for memory in (self._tried_ms, self._tried_at):
+            for job in [job for job in memory if job not in entries]:
+                del memory[job]
+
     def _resume(self) -> None:
         """Takes up moves that an earlier owner has recorded."""
         domain = self._ownership.domain
@@ -91,26 +105,58 @@
                 self._moves[spec.job] = _Move(spec=spec, to=to)
 
     def _start(self) -> None:
-        domain = self._ownership.domain
-        room = self._room()
-        if not room:
+        rooms = self._room()
+        if not rooms:
             return
-        waiting = domain.queued_specs()
-        leaving = not domain.in_service()
-        limit_ms = self._ctx.wall_ms - PATIENCE_MS
-        movable = [
-            spec for spec in waiting if leaving or spec.submitted_ms <= limit_ms
+        leaving = not self._ownership.domain.in_service()
+        due = [
+            spec
+            for spec in self._ownership.domain.queued_specs()
+            if self._is_due(spec, leaving=leaving)
         ]
-        for spec in movable[:MOVES_PER_PERIOD]:
-            to = max(room, key=lambda name: (room[name], name))
-            if room[to] < spec.accelerators:
-                continue
-            room[to] -= spec.accelerators
-            self._release(spec, to)
+        for spec in due[:MOVES_PER_PERIOD]:
+            self._choose(spec, rooms, leaving=leaving)
+
+    def _is_due(self, spec: jobs.JobSpec, *, leaving: bool) -> bool:
+        tried_ms = self._tried_ms.get(spec.job, -RETRY_MOVE_MS)
+        rested = self._ctx.now_ms - tried_ms >= RETRY_MOVE_MS
+        waited_ms = self._ctx.wall_ms - spec.submitted_ms
+        return rested and (leaving or waited_ms >= PATIENCE_MS)
+
+    def _choose(
+        self,
+        spec: jobs.JobSpec,
+        rooms: dict[ids.FailureDomainId, int],
+        *,
+        leaving: bool,
+    ) -> None:
+        """Moves a job to where its guarantee or free room may start it."""
+        guaranteed = {
+            guarantee.failure_domain
+            for guarantee in self._configuration.fold.current.guarantees
+            if guarantee.account == spec.account
+        }
+        hopeful = [
+            name
+            for name, room in rooms.items()
+            if room >= spec.accelerators
+            or name in guaranteed
+            or None in guaranteed
+            or leaving
+        ]
+        tried = self._tried_at.setdefault(spec.job, set())
+        fresh = [name for name in hopeful if name not in tried]
+        if not fresh:
+            tried.clear()
+            self._tried_ms[spec.job] = self._ctx.now_ms
+            return
+        to = max(fresh, key=lambda name: (rooms[name], name))
+        tried.add(to)
+        rooms[to] -= spec.accelerators
+        self._release(spec, to, eager=not leaving)
 
     def _room(self) -> dict[ids.FailureDomainId, int]:
         """Returns the room after the queue in other failure domains."""
-        summaries = self._calls.summaries()
         current = self._configuration.fold.current
         own = self._ctx.settings.failure_domain
         usable = {
@@ -119,17 +165,23 @@
             if domain.state is states.FailureDomainState.IN
         }
         return {
-            name: summary.free_accelerators - summary.queued_accelerators
-            for name, summary in summaries.items()
+            name: room.accelerators
+            for name, room in self._calls.rooms().items()
             if name != own and name in usable
         }
 
-    def _release(self, spec: jobs.JobSpec, to: ids.FailureDomainId) -> None:
+    def _release(
+        self,
+        spec: jobs.JobSpec,
+        to: ids.FailureDomainId,
+        *,
+        eager: bool,
+    ) -> None:
         token = self._token
 
         def released(released_spec: jobs.JobSpec) -> None:
             if token == self._token and self._ownership.domain is not None:
-                move = _Move(spec=released_spec, to=to)
+                move = _Move(spec=released_spec, to=to, eager=eager)
                 self._moves[spec.job] = move
                 self._send(move)
 
@@ -154,7 +206,7 @@
                 self._moves.pop(move.spec.job, None)
                 domain.moved(move.spec.job, move.to, accepted=False)
 
-        body = peer_messages.SubmitJob(spec=move.spec)
+        body = peer_messages.SubmitJob(spec=move.spec, eager=move.eager)
         self._calls.route(move.to, body, answered)
 
 
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -61,6 +61,7 @@
         self.table = job_table.JobTable()
         self.attempts: dict[ids.AttemptId, attempts_lib.Attempt] = {}
         self.placing = True
+        self._decision_due = True
         self._ctx = ctx
         self._book = book
         self._outbox = outbox
@@ -141,13 +142,20 @@
             if attempt.must_lapse
         )
 
-    def submit(self, spec: jobs.JobSpec, respond: job_table.Responder) -> None:
+    def submit(
+        self,
+        spec: jobs.JobSpec,
+        respond: job_table.Responder,
+        *,
+        eager: bool = False,
+    ) -> None:
         """Accepts a job durably or refuses it.
 
         Args:
             spec: The job; submitting the same id again answers with the
                 status of the first.
             respond: Told the status or the refusal.
+            eager: Whether to refuse a job that could not start at once.
         """
         digest = job_table.body_digest(spec)
         ended = self._book.ended.get(spec.job)
@@ -165,6 +173,8 @@
         if spec.job in self._book.moved:
             self._come_back(spec.job)
         refusal = self._check(spec)
+        if refusal is None and eager and not self._would_start(spec):
+            refusal = jobs.JobResult(code=codes.ResultCode.TARGET_REFUSED)
         if refusal is not None:
             self._refuse(spec, refusal, respond)
             return
@@ -512,8 +522,14 @@
         self._send_forget()
         self._token_check.tick()
 
+    def decide_if_due(self) -> None:
+        """Decides after an event that may have made room."""
+        if self._decision_due and self.placing:
+            self.decide()
+
     def decide(self) -> None:
         """Carries out what the scheduler decides now."""
+        self._decision_due = False
         for decision in self._scheduler.decide(self._ctx.now_ms):
             match decision:
                 case decisions.PlaceJob():
@@ -551,6 +567,16 @@
         self._book.fold(record)
         self._outbox.write(self._stream, record)
 
+    def _would_start(self, spec: jobs.JobSpec) -> bool:
+        """Returns whether a job could start now, after those being accepted."""
+        pending = any(
+            entry.durability is None and entry.spec.account == spec.account
+            for entry in self.table.entries.values()
+        )
+        return not pending and self._scheduler.would_start(
+            spec, self._ctx.now_ms
+        )
+
     def _check(self, spec: jobs.JobSpec) -> jobs.JobResult | None:
         """Returns why a job is refused, without keeping it queued."""
         refusal = self._scheduler.submit(spec, self._ctx.now_ms)
@@ -624,8 +650,7 @@
         entry.accept_responders.clear()
         if entry.cancelled:
             self._carry_out_cancel(entry)
-        elif self.placing:
-            self.decide()
+        self._decision_due = True
 
     def _not_accepted(
         self, entry: job_table.JobEntry, code: codes.ResultCode
@@ -848,6 +873,7 @@
             progress=entry.progress,
         )
         final = final or verdict
+        self._decision_due = True
         if final is not None:
             self._finish_job(job, final)
             return
--- /dev/null
+++ b/citronmount/core/outlook.py
@@ -0,0 +1,30 @@
+"""Tells whether a job would start at once, without deciding anything."""
+
+from citronmount.core import domain as domain_lib
+from citronmount.core import placement
+from citronmount.core import queueing
+
+__all__ = ["would_start"]
+
+
+def would_start(domain: domain_lib.Domain, entry: queueing.Entry) -> bool:
+    """Returns whether a new job would be placed or get room evicted now.
+
+    Args:
+        domain: The failure domain.
+        entry: The job; it need not be queued.
+
+    Returns:
+        Whether the account has nothing queued before it and its guarantee or
+        the free room can hold the gang.
+    """
+    account = entry.spec.account
+    if not domain.in_service or domain.queue.size(account):
+        return False
+    domain.secure()
+    free = domain.pool.free
+    if domain.plan.fit(account, entry.shape, free, ()) is not None:
+        return True
+    if domain.is_trial(account) and not domain.allows(entry):
+        return False
+    return placement.find(free, entry.shape, key=domain.key) is not None
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -12,6 +12,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import leftover
+from citronmount.core import outlook
 from citronmount.core import queueing
 from citronmount.core import shapes
 from citronmount.core import states
@@ -243,6 +244,19 @@
         self._changed = True
         return True
 
+    def would_start(self, spec: jobs.JobSpec, now_ms: int) -> bool:
+        """Returns whether a new job would start or get room evicted now.
+
+        Args:
+            spec: The job, not submitted yet.
+            now_ms: Monotonic time.
+
+        Returns:
+            See `outlook.would_start`.
+        """
+        self._advance(now_ms)
+        return outlook.would_start(self._domain, self._entry(spec, 0.0))
+
     def decide(self, now_ms: int) -> list[decisions.Decision]:
         """Returns what to do now.
 
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -47,9 +47,12 @@
     Attributes:
         spec: The job; its id names the home failure domain, chosen by the VM
             that the caller reached.
+        eager: Whether to refuse the job, unrecorded, if it could not start
+            at once here.
     """
 
     spec: jobs.JobSpec
+    eager: bool = False
 
 
 class GetJob(msgspec.Struct, frozen=True, kw_only=True, tag=True):
