Find the key of a peer by its handshakes; connect without threads

Cause: the VM list names no keys, and Agent's default endpoint resolves IP numbers in a thread pool. Change: a link tries the next trusted key when a handshake fails; HTTP connections use numeric endpoints; the agent is wired into the daemon.

--- a/citronmount/peers/keys.py
+++ b/citronmount/peers/keys.py
@@ -28,6 +28,15 @@
         others = (key for key in self.accepted_keys if key != self.public_key)
         return (self.public_key, *others)
 
+    def present(self, socket: zmq.Socket) -> None:
+        """Makes a socket use the own key pair.
+
+        Args:
+            socket: A socket that is not yet bound or connected.
+        """
+        socket.curve_publickey = self.public_key.encode("ascii")
+        socket.curve_secretkey = self.secret_key.encode("ascii")
+
 
 def new_keys() -> PeerKeys:
     """Returns a new random key pair.
--- a/citronmount/peers/reader.py
+++ b/citronmount/peers/reader.py
@@ -1,13 +1,14 @@
 """Reads ZeroMQ sockets from the Twisted reactor, without a thread."""
 
 from collections.abc import Callable
+import contextlib
 
 from twisted.internet import interfaces
 from twisted.python import failure
 import zmq
 from zope.interface import implementer
 
-__all__ = ["BATCH_MESSAGES", "SocketReader"]
+__all__ = ["BATCH_MESSAGES", "SocketReader", "monitor", "read_from"]
 
 BATCH_MESSAGES = 64
 
@@ -92,3 +93,46 @@
     def _resume(self) -> None:
         self._pending = None
         self.doRead()
+
+
+def read_from(
+    reactor: interfaces.IReactorCore,
+    socket: zmq.Socket,
+    on_message: Callable[[list[bytes]], None],
+    stack: contextlib.ExitStack,
+) -> None:
+    """Reads a socket until a stack is closed.
+
+    Args:
+        reactor: The reactor that watches the socket.
+        socket: An open socket, which the stack closes later.
+        on_message: Called with the frames of each message.
+        stack: Stops the reader when it is closed.
+    """
+    socket_reader = SocketReader(
+        reactor=reactor, socket=socket, on_message=on_message
+    )
+    socket_reader.start()
+    stack.callback(socket_reader.stop)
+
+
+def monitor(
+    reactor: interfaces.IReactorCore,
+    socket: zmq.Socket,
+    events: int,
+    on_event: Callable[[list[bytes]], None],
+    stack: contextlib.ExitStack,
+) -> None:
+    """Watches a socket for events of its connections.
+
+    Args:
+        reactor: The reactor that watches the monitor.
+        socket: The socket to monitor.
+        events: The mask of ZeroMQ's event numbers.
+        on_event: Called with the frames of each event.
+        stack: Ends the monitor when it is closed.
+    """
+    source = socket.get_monitor_socket(events)
+    stack.callback(source.close)
+    stack.callback(socket.disable_monitor)
+    read_from(reactor, source, on_event, stack)
--- a/citronmount/peers/transport.py
+++ b/citronmount/peers/transport.py
@@ -9,6 +9,7 @@
 
 from citronmount.core import ids
 from citronmount.peers import keys as keys_lib
+from citronmount.peers import link as link_lib
 from citronmount.peers import messages
 from citronmount.peers import reader
 
@@ -16,12 +17,7 @@
 
 HIGH_WATER_MARK_MESSAGES = 1_000
 MAX_MESSAGE_BYTES = 32 << 20
-LINGER_MS = 500
-RECONNECT_MIN_MS = 100
-RECONNECT_MAX_MS = 2_000
-UNACKNOWLEDGED_MS = 5_000
 HANDSHAKE_MS = 3_000
-KEY_TRIAL_SENDS = 3
 
 _MAX_NAME_BYTES = 255
 
@@ -50,18 +46,6 @@
     keys_refused: int = 0
 
 
-class _Link:
-    """One peer: its address, its socket and the key expected of it."""
-
-    def __init__(
-        self, address: str, socket: zmq.Socket, key_index: int
-    ) -> None:
-        self.address = address
-        self.socket = socket
-        self.key_index = key_index
-        self.failed_sends = 0
-
-
 class Transport:
     """The peer socket of one VM and its links to all others.
 
@@ -97,7 +81,7 @@
         self._on_message = on_message
         self._header = _header(vm)
         self._counters = Counters()
-        self._links: dict[ids.VmId, _Link] = {}
+        self._links: dict[ids.VmId, link_lib.Link] = {}
         self._stack = contextlib.ExitStack()
         self._context: zmq.Context | None = None
         self._gate: keys_lib.KeyGate | None = None
@@ -125,7 +109,7 @@
             self._stack = stack.pop_all()
 
     def close(self) -> None:
-        """Closes every socket; queued messages get `LINGER_MS` to leave."""
+        """Closes every socket, after what is queued had time to leave."""
         self._stack.close()
 
     def set_peers(self, addresses: dict[ids.VmId, str]) -> None:
@@ -143,9 +127,14 @@
             if wanted.get(vm) != link.address
         ]
         for vm in stale:
-            self._links.pop(vm).socket.close()
+            self._links.pop(vm).close()
         for vm in wanted.keys() - self._links.keys():
-            self._links[vm] = self._connect(wanted[vm], 0)
+            self._links[vm] = link_lib.Link(
+                reactor=self._reactor,
+                context=self._context,
+                address=wanted[vm],
+                keys=self._keys,
+            )
 
     def send(self, to: ids.VmId, message: messages.PeerMessage) -> bool:
         """Sends a message without blocking.
@@ -158,17 +147,10 @@
             Whether ZeroMQ took the message; it may still be lost.
         """
         link = self._links.get(to)
-        if link is None:
-            self._counters.dropped_sends += 1
-            return False
         data = self._header + messages.encode(message)
-        try:
-            link.socket.send(data, zmq.NOBLOCK)
-        except zmq.Again:
+        if link is None or not link.send(data):
             self._counters.dropped_sends += 1
-            self._try_next_key(to, link)
             return False
-        link.failed_sends = 0
         self._counters.sent_messages += 1
         self._counters.sent_bytes += len(data)
         return True
@@ -180,7 +162,7 @@
             context=self._context, trusted=self._keys.trusted
         )
         stack.callback(gate.close)
-        self._read_from(gate.socket, gate.handle, stack)
+        reader.read_from(self._reactor, gate.socket, gate.handle, stack)
         self._gate = gate
 
     def _open_inbox(self, stack: contextlib.ExitStack) -> None:
@@ -192,61 +174,22 @@
         inbox.handshake_ivl = HANDSHAKE_MS
         if self._keys is not None:
             inbox.curve_server = True
-            self._present_key(inbox, self._keys)
-        failures = inbox.get_monitor_socket(zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL)
-        stack.callback(failures.close)
-        stack.callback(inbox.disable_monitor)
-        self._read_from(failures, self._count_failure, stack)
+            self._keys.present(inbox)
+        reader.monitor(
+            self._reactor,
+            inbox,
+            zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL,
+            self._count_failure,
+            stack,
+        )
         inbox.bind(f"tcp://{self.address}")
         bound = inbox.getsockopt(zmq.LAST_ENDPOINT).rstrip(b"\0")
         self.address = bound.decode("ascii").removeprefix("tcp://")
-        self._read_from(inbox, self._receive, stack)
-
-    def _read_from(
-        self,
-        socket: zmq.Socket,
-        on_message: Callable[[list[bytes]], None],
-        stack: contextlib.ExitStack,
-    ) -> None:
-        socket_reader = reader.SocketReader(
-            reactor=self._reactor, socket=socket, on_message=on_message
-        )
-        socket_reader.start()
-        stack.callback(socket_reader.stop)
+        reader.read_from(self._reactor, inbox, self._receive, stack)
 
     def _count_failure(self, frames: list[bytes]) -> None:
         self._counters.keys_refused += 1
 
-    def _connect(self, address: str, key_index: int) -> _Link:
-        socket = self._context.socket(zmq.PUSH)
-        socket.linger = LINGER_MS
-        socket.sndhwm = HIGH_WATER_MARK_MESSAGES
-        socket.immediate = True
-        socket.reconnect_ivl = RECONNECT_MIN_MS
-        socket.reconnect_ivl_max = RECONNECT_MAX_MS
-        socket.tcp_maxrt = UNACKNOWLEDGED_MS
-        socket.handshake_ivl = HANDSHAKE_MS
-        if self._keys is not None:
-            expected = self._keys.trusted[key_index]
-            socket.curve_serverkey = expected.encode("ascii")
-            self._present_key(socket, self._keys)
-        socket.connect(f"tcp://{address}")
-        return _Link(address, socket, key_index)
-
-    def _present_key(self, socket: zmq.Socket, keys: keys_lib.PeerKeys) -> None:
-        socket.curve_publickey = keys.public_key.encode("ascii")
-        socket.curve_secretkey = keys.secret_key.encode("ascii")
-
-    def _try_next_key(self, to: ids.VmId, link: _Link) -> None:
-        """Expects another trusted key of a peer that stays unconnected."""
-        link.failed_sends += 1
-        choices = len(self._keys.trusted) if self._keys else 1
-        if choices == 1 or link.failed_sends < KEY_TRIAL_SENDS:
-            return
-        link.socket.close()
-        key_index = (link.key_index + 1) % choices
-        self._links[to] = self._connect(link.address, key_index)
-
     def _receive(self, frames: list[bytes]) -> None:
         self._counters.received_bytes += sum(len(frame) for frame in frames)
         read = _read(frames)
@@ -258,7 +201,7 @@
 
     def _close_links(self) -> None:
         for link in self._links.values():
-            link.socket.close()
+            link.close()
         self._links.clear()
 
 
--- a/citronmount/platform/exchange.py
+++ b/citronmount/platform/exchange.py
@@ -6,18 +6,21 @@
 import msgspec
 import treq
 from treq import client as treq_client
+from twisted.internet import abstract
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.python import failure
 from twisted.web import client as web_client
 from twisted.web import iweb
+from zope.interface import implementer
 
 from citronmount.core import codes
 from citronmount.core import errors
 from citronmount.platform import wire
 
-__all__ = ["Exchange", "NoAnswerError"]
+__all__ = ["Exchange", "NoAnswerError", "make_agent"]
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_CONNECTION_S = 30
@@ -56,6 +59,44 @@
         self.sent = sent
 
 
+@implementer(iweb.IAgentEndpointFactory)
+class _NumericEndpoints:
+    """Connects to IP numbers, with no resolver and so with no thread."""
+
+    def __init__(self, reactor: interfaces.IReactorTCP) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(  # noqa: N802
+        self, uri: web_client.URI
+    ) -> interfaces.IStreamClientEndpoint:
+        """Returns the endpoint of a URI whose host is an IP number."""
+        host = uri.host.decode("ascii").strip("[]")
+        make = (
+            endpoints.TCP6ClientEndpoint
+            if abstract.isIPv6Address(host)
+            else endpoints.TCP4ClientEndpoint
+        )
+        timeout_s = CONNECT_TIMEOUT_MS / _MS_PER_S
+        return make(self._reactor, host, uri.port, timeout=timeout_s)
+
+
+def make_agent(
+    reactor: interfaces.IReactorTCP, pool: web_client.HTTPConnectionPool
+) -> iweb.IAgent:
+    """Returns an HTTP agent for services that are named by IP numbers.
+
+    Args:
+        reactor: The reactor to connect with.
+        pool: Keeps idle connections.
+
+    Returns:
+        The agent.
+    """
+    return web_client.Agent.usingEndpointFactory(
+        reactor, _NumericEndpoints(reactor), pool
+    )
+
+
 class Exchange:
     """Sends requests over bounded pools of persistent connections."""
 
@@ -75,11 +116,7 @@
         self._pool = web_client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-        pooled = web_client.Agent(
-            reactor,
-            connectTimeout=CONNECT_TIMEOUT_MS / _MS_PER_S,
-            pool=self._pool,
-        )
+        pooled = make_agent(reactor, self._pool)
         self._http = treq_client.HTTPClient(agent or pooled)
         self._urls: dict[tuple[str, str], hyperlink.EncodedURL] = {}
 
--- a/citronmount/service/wiring.py
+++ b/citronmount/service/wiring.py
@@ -4,10 +4,13 @@
 
 from twisted.internet import interfaces
 
+from citronmount.agent import agent as agent_lib
+from citronmount.agent import settings as agent_settings
 from citronmount.core import ids
 from citronmount.peers import keys
 from citronmount.peers import transport
 from citronmount.platform import exchange
+from citronmount.service import agent_brain
 from citronmount.service import api as api_lib
 from citronmount.service import brain as brain_lib
 from citronmount.service import rate_limit
@@ -16,7 +19,7 @@
 from citronmount.telemetry import metrics as metrics_lib
 from citronmount.telemetry import store
 
-__all__ = ["Parts"]
+__all__ = ["Parts", "make_brain"]
 
 _NS_PER_MS = 1_000_000
 
@@ -98,6 +101,36 @@
         return lambda: getattr(self.peers.counters, name)
 
 
+def make_brain(settings: settings_lib.Settings) -> brain_lib.Brain:
+    """Returns the state machine of the VM that the settings describe.
+
+    Args:
+        settings: The checked settings.
+
+    Returns:
+        A new agent.
+    """
+    timing = settings.timing
+    retention = settings.retention
+    agent = agent_lib.Agent(
+        settings=agent_settings.AgentSettings(
+            vm=settings.vm.vm_id,
+            failure_domain=settings.vm.failure_domain_id,
+            incarnation=_wall_ms(),
+            heartbeat_ms=timing.heartbeat_ms,
+            suspicion_ms=timing.suspicion_ms,
+            lease_ttl_ms=timing.lease_ttl_ms,
+            renew_period_ms=timing.renew_period_ms,
+            reservation_ttl_ms=timing.reservation_ttl_ms,
+            config_poll_ms=timing.config_poll_ms,
+            reclaim_grace_ms=timing.reclaim_grace_ms,
+            retention_ms=retention.log_retention_ms,
+            claim_lifetime_ms=retention.key_lifetime_ms,
+        )
+    )
+    return agent_brain.AgentBrain(agent=agent)
+
+
 def _peer_keys(settings: settings_lib.CurveSettings) -> keys.PeerKeys | None:
     if not settings.enabled:
         return None
--- /dev/null
+++ b/citronmount/standins/tests/test_http.py
@@ -0,0 +1,223 @@
+"""Tests of the platform clients against the HTTP stand-ins."""
+
+import contextlib
+import socket
+import unittest
+
+import msgspec
+from treq import client as treq_client
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.web import client
+
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.platform import clients
+from citronmount.platform import exchange
+from citronmount.platform import messages
+from citronmount.standins import http
+from citronmount.standins import http_faults
+from citronmount.testing import loop
+
+_TIMEOUT_MS = 30_000
+_STREAM = ids.StreamName("jobs.kr-a")
+_DOMAIN = ids.FailureDomainId("kr-a")
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        host, port = probe.getsockname()
+    return f"{host}:{port}"
+
+
+def _worker() -> messages.ListedTarget:
+    return messages.ListedTarget(
+        name="w1",
+        address=_free_address(),
+        failure_domain=_DOMAIN,
+        capacity=jobs.Resources(accelerators=8, cores=64, memory_gb=128),
+    )
+
+
+def _runner() -> messages.ListedTarget:
+    return messages.ListedTarget(
+        name="r1",
+        address=_free_address(),
+        failure_domain=_DOMAIN,
+        slots=1,
+        connections=60,
+    )
+
+
+def _request(name: str, service_ms: int = 1) -> jobs.RequestSpec:
+    return jobs.RequestSpec(
+        request=ids.RequestId(name),
+        account=ids.AccountId("a"),
+        payload=f'{{"service_ms": {service_ms}}}',
+    )
+
+
+class ClientsTest(unittest.TestCase):
+    """Every client against its stand-in, over sockets of loopback."""
+
+    def setUp(self) -> None:
+        self.settings = http.StandinSettings(
+            log_address=_free_address(),
+            vm_list_address=_free_address(),
+            workers=(_worker(),),
+            runners=(_runner(),),
+        )
+        self.events = []
+        stack = http.serve_all(self.settings, reactor, self.events)
+        self.addCleanup(_close, stack)
+        self.http = exchange.Exchange(reactor=reactor)
+        self.addCleanup(lambda: loop.run(_wait(self.http.close())))
+
+    def test_log_keeps_bytes_and_order(self) -> None:
+        records = ((ids.RecordId("r1"), b"\xff\x00"), (ids.RecordId("r2"), b""))
+        answer = loop.run(_wait(self._append(records)))
+        self.assertEqual(0, answer.offset)
+        page = loop.run(_wait(self._read()))
+        found = tuple((r.record, r.data) for r in page.records)
+        self.assertEqual(records, found)
+        self.assertEqual((0, 2), (page.oldest, page.end))
+
+    def test_lost_append_answer_took_effect(self) -> None:
+        self._put_faults(
+            self.settings.log_address, http_faults.Faults(lost_answers=1)
+        )
+        records = ((ids.RecordId("r1"), b"x"),)
+        with self.assertRaises(exchange.NoAnswerError) as caught:
+            loop.run(_wait(self._append(records)))
+        self.assertTrue(caught.exception.sent)
+        self.assertEqual(1, loop.run(_wait(self._read())).end)
+
+    def test_log_outage_is_no_answer(self) -> None:
+        self._put_faults(
+            self.settings.log_address, http_faults.Faults(down=True)
+        )
+        with self.assertRaises(exchange.NoAnswerError) as caught:
+            loop.run(_wait(self._read()))
+        self.assertIs(codes.ResultCode.UNREACHABLE, caught.exception.code)
+
+    def test_slow_answer_times_out(self) -> None:
+        self._put_faults(
+            self.settings.log_address, http_faults.Faults(delay_ms=500)
+        )
+        with self.assertRaises(exchange.NoAnswerError) as caught:
+            loop.run(_wait(self._read(timeout_ms=50)))
+        self.assertIs(codes.ResultCode.TIMED_OUT, caught.exception.code)
+        self.assertTrue(caught.exception.sent)
+
+    def test_list_shows_a_leaving_target(self) -> None:
+        self._put(
+            self.settings.vm_list_address, "/targets/r1/state", b"leaving"
+        )
+        view = loop.run(
+            _wait(
+                clients.list_all(
+                    self.http, self.settings.vm_list_address, _TIMEOUT_MS
+                )
+            )
+        )
+        self.assertEqual(self.settings.workers, view.workers)
+        self.assertIs(states.TargetState.LEAVING, view.runners[0].state)
+        answer = loop.run(_wait(self._run(_request("q1"))))
+        self.assertIs(messages.RunnerOutcome.LEAVING, answer.outcome)
+
+    def test_worker_reserves_and_refuses_a_stale_token(self) -> None:
+        spec = jobs.JobSpec(job=ids.JobId("kr-a/1"), account="a")
+        placement = jobs.Placement(
+            groups=(jobs.TaskGroup(worker=ids.WorkerId("w1"), tasks=1),)
+        )
+        reserve = messages.Reserve(
+            attempt=ids.AttemptId("kr-a/1#1.2"),
+            spec=spec,
+            placement=placement,
+            tasks=1,
+            number=1,
+            ttl_ms=2_000,
+        )
+        answer = loop.run(_wait(self._act(2, reserve)))
+        self.assertIs(messages.ActOutcome.DONE, answer.results[0].outcome)
+        self.assertEqual(spec, answer.report.leases[0].spec)
+        answer = loop.run(_wait(self._act(1, reserve)))
+        outcome = answer.results[0].outcome
+        self.assertIs(messages.ActOutcome.STALE_TOKEN, outcome)
+
+    def test_runner_answers_each_request_and_refuses_when_busy(self) -> None:
+        both = [self._run(_request("q1", 200)), self._run(_request("q2"))]
+        answers = loop.run(_wait(defer.gatherResults(both)))
+        outcomes = {answer.request: answer.outcome for answer in answers}
+        self.assertEqual(
+            {messages.RunnerOutcome.DONE, messages.RunnerOutcome.BUSY},
+            set(outcomes.values()),
+        )
+        self.assertEqual({"q1", "q2"}, set(outcomes))
+
+    def test_lost_runner_answer_was_sent(self) -> None:
+        address = self.settings.runners[0].address
+        self._put_faults(address, http_faults.Faults(lost_answers=1))
+        with self.assertRaises(exchange.NoAnswerError) as caught:
+            loop.run(_wait(self._run(_request("q1"))))
+        self.assertTrue(caught.exception.sent)
+        self.assertEqual(2, len(self.events))
+
+    def test_refused_connection_was_not_sent(self) -> None:
+        answer = clients.call_runner(
+            self.http, _free_address(), _request("q1"), _TIMEOUT_MS
+        )
+        with self.assertRaises(exchange.NoAnswerError) as caught:
+            loop.run(_wait(answer))
+        self.assertFalse(caught.exception.sent)
+
+    def test_foreign_body_is_no_answer(self) -> None:
+        address = self.settings.vm_list_address
+        answer = self.http.get(
+            address, "/timeline", messages.PlatformView, _TIMEOUT_MS
+        )
+        with self.assertRaises(exchange.NoAnswerError):
+            loop.run(_wait(answer))
+
+    def _append(self, records: tuple) -> defer.Deferred:
+        return clients.append_log(
+            self.http, self.settings.log_address, _STREAM, records, _TIMEOUT_MS
+        )
+
+    def _read(self, timeout_ms: int = _TIMEOUT_MS) -> defer.Deferred:
+        return clients.read_log(
+            self.http, self.settings.log_address, _STREAM, 0, 10, timeout_ms
+        )
+
+    def _act(self, token: int, *acts: messages.Act) -> defer.Deferred:
+        call = messages.WorkerCall(token=ids.FenceToken(token), acts=acts)
+        return clients.call_worker(
+            self.http, self.settings.workers[0].address, call, _TIMEOUT_MS
+        )
+
+    def _run(self, spec: jobs.RequestSpec) -> defer.Deferred:
+        return clients.call_runner(
+            self.http, self.settings.runners[0].address, spec, _TIMEOUT_MS
+        )
+
+    def _put_faults(self, address: str, faults: http_faults.Faults) -> None:
+        self._put(address, "/faults", msgspec.json.encode(faults))
+
+    def _put(self, address: str, path: str, body: bytes) -> None:
+        pool = client.HTTPConnectionPool(reactor, persistent=False)
+        http_client = treq_client.HTTPClient(exchange.make_agent(reactor, pool))
+        url = f"http://{address}{path}"
+        response = loop.run(_wait(http_client.put(url, body)))
+        self.assertEqual(200, response.code)
+
+
+async def _wait(answer: defer.Deferred) -> object:
+    return await answer
+
+
+def _close(stack: contextlib.ExitStack) -> None:
+    stack.close()
+    loop.run(_wait(defer.succeed(None)))
