--- /dev/null
+++ b/citronmount/membership/tests/test_view.py
@@ -0,0 +1,103 @@
+import unittest
+
+from citronmount.core import ids
+from citronmount.membership import view as view_lib
+from citronmount.peers import messages as peer_messages
+from citronmount.platform import messages
+
+HERE = ids.FailureDomainId("fd-a")
+THERE = ids.FailureDomainId("fd-b")
+
+
+def make_view():
+    view = view_lib.MembershipView(
+        vm=ids.VmId("a0"),
+        failure_domain=HERE,
+        suspicion_ms=3_000,
+        remote_suspicion_ms=9_000,
+    )
+    view.ready = True
+    return view
+
+
+def heartbeat(domain=HERE, *, incarnation=1, sequence=1, **fields):
+    values = {"ready": True, "draining": False, **fields}
+    return peer_messages.Heartbeat(
+        failure_domain=domain,
+        incarnation=incarnation,
+        sequence=sequence,
+        config_version=ids.Version(1),
+        config_offset=ids.Offset(1),
+        **values,
+    )
+
+
+def listing(*vms):
+    return messages.PlatformView(
+        vms=tuple(
+            messages.ListedVm(
+                vm=ids.VmId(vm), failure_domain=HERE, peer_address=""
+            )
+            for vm in vms
+        )
+    )
+
+
+class MembershipViewTest(unittest.TestCase):
+    def test_a_vm_is_alive_while_it_is_heard(self):
+        view = make_view()
+        view.heard("a1", heartbeat(), 1_000)
+        view.heard("b0", heartbeat(THERE), 1_000)
+        self.assertEqual(view.live_peers(4_000), ["a1", "b0"])
+        self.assertEqual(view.live_peers(4_001), ["b0"])
+        self.assertEqual(view.live_peers(10_001), [])
+
+    def test_late_and_doubled_heartbeats_are_no_news(self):
+        view = make_view()
+        self.assertTrue(view.heard("a1", heartbeat(sequence=5), 0))
+        self.assertFalse(view.heard("a1", heartbeat(sequence=5), 100))
+        self.assertFalse(view.heard("a1", heartbeat(sequence=4), 100))
+        restarted = heartbeat(incarnation=2, sequence=1)
+        self.assertTrue(view.heard("a1", restarted, 100))
+        self.assertFalse(view.heard("a1", heartbeat(sequence=6), 200))
+
+    def test_candidates_are_ready_and_do_not_drain(self):
+        view = make_view()
+        view.heard("a1", heartbeat(ready=False), 0)
+        view.heard("a2", heartbeat(draining=True), 0)
+        view.heard("a3", heartbeat(), 0)
+        self.assertEqual(view.candidates(HERE, 0), ["a0", "a3"])
+        view.draining = True
+        self.assertEqual(view.candidates(HERE, 0), ["a3"])
+
+    def test_all_views_agree_on_owner_and_keepers(self):
+        first = make_view()
+        first.heard("a1", heartbeat(), 0)
+        second = view_lib.MembershipView(
+            vm=ids.VmId("a1"),
+            failure_domain=HERE,
+            suspicion_ms=3_000,
+            remote_suspicion_ms=9_000,
+        )
+        second.ready = True
+        second.heard("a0", heartbeat(), 0)
+        self.assertEqual(first.owner(HERE, 0), second.owner(HERE, 0))
+
+    def test_voters_are_listed_vms_heard_or_not(self):
+        view = make_view()
+        view.listed(listing("a0", "a1", "a2"))
+        view.heard("a3", heartbeat(), 0)
+        self.assertEqual(view.voters(), ["a0", "a1", "a2"])
+        view.listed(listing("a0", "a2"))
+        self.assertEqual(view.voters(), ["a0", "a2"])
+
+    def test_silence_counts_anew_after_a_pause(self):
+        view = make_view()
+        view.heard("a1", heartbeat(), 0)
+        self.assertFalse(view.alive("a1", 20_000))
+        view.forget_silence(20_000)
+        self.assertTrue(view.alive("a1", 20_000))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/citronmount/state/tests/test_job_book.py
@@ -0,0 +1,135 @@
+import itertools
+import unittest
+
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.state import job_book
+from citronmount.state import records
+
+HOME = ids.FailureDomainId("fd-a")
+JOB = ids.JobId("fd-a/1")
+ACCEPTED = records.JobAccepted(
+    record=ids.RecordId("accept"),
+    spec=jobs.JobSpec(job=JOB, account=ids.AccountId("x")),
+)
+ENDED = records.JobEnded(
+    record=ids.RecordId("end"),
+    job=JOB,
+    account=ids.AccountId("x"),
+    result=jobs.JobResult(code=codes.ResultCode.DONE),
+    attempts=1,
+)
+CANCELLED = records.JobCancelled(record=ids.RecordId("cancel"), job=JOB)
+
+
+def intent(number):
+    return records.AttemptIntended(
+        record=ids.RecordId(f"intent{number}"),
+        job=JOB,
+        attempt=ids.AttemptId(f"{JOB}#{number}.1"),
+        number=number,
+        placement=jobs.Placement(groups=()),
+    )
+
+
+def claim(name):
+    return records.KeyClaimed(
+        record=ids.RecordId(name),
+        key="k",
+        body_digest="",
+        vm=ids.VmId(name),
+        claimed_ms=5,
+    )
+
+
+def result(name, code):
+    return records.KeyResult(
+        record=ids.RecordId(f"result-{name}"),
+        key="k",
+        claim=ids.RecordId(name),
+        result=jobs.RequestResult(request=ids.RequestId("r"), code=code),
+    )
+
+
+def moved(to, *, confirmed=False):
+    return records.JobMoved(
+        record=ids.RecordId(f"moved-{to}-{confirmed}"),
+        job=JOB,
+        to=ids.FailureDomainId(to),
+        confirmed=confirmed,
+    )
+
+
+def folded(*entries):
+    book = job_book.JobBook(failure_domain=HOME)
+    for entry in entries:
+        book.fold(entry)
+    return book
+
+
+class JobBookTest(unittest.TestCase):
+    def test_order_does_not_matter_once_a_job_has_ended(self):
+        entries = (ACCEPTED, intent(1), intent(2), CANCELLED, ENDED)
+        for order in itertools.permutations(entries):
+            book = folded(*order)
+            self.assertEqual(book.accepted, {})
+            self.assertEqual(book.intents, {})
+            self.assertEqual(book.cancelled, set())
+            self.assertEqual(list(book.ended), [JOB])
+
+    def test_the_newest_intent_counts(self):
+        for order in itertools.permutations((intent(1), intent(3), intent(2))):
+            self.assertEqual(folded(*order).intents[JOB].number, 3)
+
+    def test_the_first_claim_counts_until_it_is_freed(self):
+        refusal = codes.ResultCode.NO_SLOT
+        book = folded(claim("a"), claim("b"))
+        self.assertEqual(book.claims["k"].vm, "a")
+        book.fold(result("b", refusal))
+        self.assertEqual(book.claims["k"].vm, "a")
+        book.fold(result("a", refusal))
+        self.assertNotIn("k", book.claims)
+        book.fold(claim("a"))
+        self.assertNotIn("k", book.claims)
+        book.fold(claim("c"))
+        self.assertEqual(book.claims["k"].vm, "c")
+
+    def test_a_result_that_may_have_run_keeps_the_key(self):
+        unknown = codes.ResultCode.OUTCOME_UNKNOWN
+        book = folded(claim("a"), result("a", unknown))
+        self.assertIn("k", book.claims)
+        self.assertIs(book.key_results["k"].result.code, unknown)
+
+    def test_a_confirmed_move_leaves_only_a_pointer(self):
+        book = folded(ACCEPTED, moved("fd-b"))
+        self.assertIn(JOB, book.accepted)
+        book.fold(moved("fd-b", confirmed=True))
+        book.fold(ACCEPTED)
+        book.fold(moved("fd-b"))
+        self.assertNotIn(JOB, book.accepted)
+        self.assertTrue(book.moved[JOB].confirmed)
+
+    def test_a_move_back_home_removes_the_pointer(self):
+        book = folded(ACCEPTED, moved("fd-b"), moved(HOME))
+        self.assertIn(JOB, book.accepted)
+        self.assertEqual(dict(book.moved), {})
+
+    def test_a_snapshot_carries_everything(self):
+        book = folded(ACCEPTED, intent(2), CANCELLED, claim("a"), moved("b"))
+        copy = folded(book.snapshot(ids.RecordId("s")))
+        self.assertEqual(copy.accepted, book.accepted)
+        self.assertEqual(copy.intents, book.intents)
+        self.assertEqual(copy.cancelled, book.cancelled)
+        self.assertEqual(copy.claims, book.claims)
+        self.assertEqual(copy.moved, book.moved)
+
+    def test_a_snapshot_leaves_out_claims_past_their_lifetime(self):
+        snapshot = folded(claim("a")).snapshot(
+            ids.RecordId("s"), claims_since_ms=6
+        )
+        self.assertEqual(snapshot.claims, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
