Add the command-line tool

Operators drive the system by publishing sheets and callers by submitting work; both need one tool that fails over between equal VMs.

Calls go over the HTTP API; a call moves to the next server only if it cannot have taken effect or is idempotent.

--- /dev/null
+++ b/citronmount/cli/transport.py
@@ -0,0 +1,254 @@
+"""Carries one call of the command line to one server over HTTP."""
+
+from collections.abc import Coroutine
+import ipaddress
+import typing
+
+import hyperlink
+import msgspec
+import treq
+from twisted.internet import base
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.internet import selectreactor
+from twisted.internet import ssl
+from twisted.python import failure
+from twisted.web import client as web_client
+from twisted.web import http_headers
+from twisted.web import iweb
+import zope.interface
+
+from citronmount.core import codes
+from citronmount.core import errors
+
+__all__ = ["Call", "NoAnswerError", "Reply", "Transport", "run"]
+
+CONNECT_TIMEOUT_S = 3.0
+
+_MS_PER_S = 1_000
+_NOT_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    web_client.RequestNotSent,
+)
+_T = typing.TypeVar("_T")
+
+
+class Call(msgspec.Struct, frozen=True, kw_only=True):
+    """One call of the HTTP API.
+
+    Attributes:
+        method: The HTTP method.
+        path: The path, whose segments are not yet percent-encoded.
+        query: The query.
+        body: The body.
+        idempotent: Whether it may be sent to a second server.
+        timeout_ms: How long to wait for the answer.
+    """
+
+    method: str
+    path: tuple[str, ...]
+    query: dict[str, str] = {}
+    body: bytes = b""
+    idempotent: bool = True
+    timeout_ms: int = 10_000
+
+
+class Reply(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer of a server.
+
+    Attributes:
+        server: The server that answered.
+        status: The HTTP status.
+        body: The body.
+    """
+
+    server: str
+    status: int
+    body: bytes
+
+
+class NoAnswerError(errors.UnreachableError):
+    """A server that gave no answer.
+
+    Attributes:
+        sent: Whether any byte of the call may have reached it.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        """Initializes the error.
+
+        Args:
+            message: What went wrong.
+            sent: Whether any byte of the call may have reached the server.
+        """
+        code = (
+            codes.ResultCode.TIMED_OUT if sent else codes.ResultCode.UNREACHABLE
+        )
+        super().__init__(message, code=code)
+        self.sent = sent
+
+
+@zope.interface.implementer(iweb.IBodyProducer)
+class _BytesProducer:
+    """Writes a body at once."""
+
+    def __init__(self, body: bytes) -> None:
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(  # noqa: N802
+        self, consumer: interfaces.IConsumer
+    ) -> defer.Deferred[None]:
+        """Writes the body."""
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Does nothing; the body is already written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Does nothing; the body is already written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing; the body is already written."""
+
+
+@zope.interface.implementer(iweb.IAgentEndpointFactory)
+class _IpEndpoints:
+    """Connects to IP numbers only, with TLS if there is an authority."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTCP,
+        authority: ssl.Certificate | None,
+    ) -> None:
+        self._reactor = reactor
+        self._authority = authority
+
+    def endpointForURI(  # noqa: N802
+        self, uri: web_client.URI
+    ) -> interfaces.IStreamClientEndpoint:
+        """Returns the endpoint of a URL."""
+        host = uri.host.decode("ascii")
+        ip = ipaddress.ip_address(host.strip("[]"))
+        kind = (
+            endpoints.TCP4ClientEndpoint
+            if ip.version == 4
+            else endpoints.TCP6ClientEndpoint
+        )
+        plain = kind(self._reactor, str(ip), uri.port, CONNECT_TIMEOUT_S)
+        if self._authority is None:
+            return plain
+        trust = ssl.trustRootFromCertificates([self._authority])
+        options = ssl.optionsForClientTLS(str(ip), trustRoot=trust)
+        return endpoints.wrapClientTLS(options, plain)
+
+
+class Transport:
+    """Sends calls from within a reactor that `run` drives."""
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorCore,
+        authority_pem: bytes | None = None,
+    ) -> None:
+        """Initializes the transport.
+
+        Args:
+            reactor: The reactor to connect and time with.
+            authority_pem: The certificate that must have signed those of
+                the servers; without it, calls go in clear text.
+        """
+        authority = (
+            ssl.Certificate.loadPEM(authority_pem) if authority_pem else None
+        )
+        self._scheme = "https" if authority else "http"
+        self._reactor = reactor
+        self._agent = web_client.Agent.usingEndpointFactory(
+            reactor,
+            _IpEndpoints(reactor, authority),
+            web_client.HTTPConnectionPool(reactor, persistent=False),
+        )
+
+    async def send(self, server: str, call: Call) -> Reply:
+        """Sends a call to one server.
+
+        Args:
+            server: ``ip:port``.
+            call: The call.
+
+        Returns:
+            The answer, whatever its status.
+
+        Raises:
+            NoAnswerError: If there was none.
+        """
+        exchange = defer.ensureDeferred(self._exchange(server, call))
+        exchange.addTimeout(call.timeout_ms / _MS_PER_S, self._reactor)
+        try:
+            return await exchange
+        except _NOT_SENT as reason:
+            message = f"{server}: cannot connect: {reason}"
+            raise NoAnswerError(message, sent=False) from reason
+        except (error.ConnectionClosed, defer.TimeoutError) as reason:
+            message = f"{server}: no answer: {reason}"
+            raise NoAnswerError(message, sent=True) from reason
+        except (web_client.ResponseFailed, ssl.SSL.Error) as reason:
+            message = f"{server}: the connection broke: {reason}"
+            raise NoAnswerError(message, sent=True) from reason
+
+    async def _exchange(self, server: str, call: Call) -> Reply:
+        target = hyperlink.DecodedURL.from_text("/").replace(
+            path=call.path, query=tuple(call.query.items())
+        )
+        url = f"{self._scheme}://{server}{target.to_uri().to_text()}"
+        response = await self._agent.request(
+            call.method.encode("ascii"),
+            url.encode("ascii"),
+            http_headers.Headers({"Content-Type": ["application/json"]}),
+            _BytesProducer(call.body) if call.body else None,
+        )
+        parts: list[bytes] = []
+        await treq.collect(response, parts.append)
+        body = b"".join(parts)
+        return Reply(server=server, status=response.code, body=body)
+
+
+def run(
+    main: typing.Callable[
+        [interfaces.IReactorCore], Coroutine[object, object, _T]
+    ],
+) -> _T:
+    """Runs a coroutine on a reactor of its own until it ends.
+
+    Args:
+        main: Makes the coroutine from the reactor.
+
+    Returns:
+        Its result.
+
+    Raises:
+        KeyboardInterrupt: If the user stopped it.
+    """
+    reactor: base.ReactorBase = selectreactor.SelectReactor()
+    results: list[_T | failure.Failure] = []
+
+    def end(result: _T | failure.Failure) -> None:
+        results.append(result)
+        reactor.stop()
+
+    def start() -> None:
+        defer.ensureDeferred(main(reactor)).addBoth(end)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if not results:
+        raise KeyboardInterrupt
+    (result,) = results
+    if isinstance(result, failure.Failure):
+        result.raiseException()
+    return result
--- a/citronmount/config/sheet.py
+++ b/citronmount/config/sheet.py
@@ -18,7 +18,15 @@
 from citronmount.core import codes
 from citronmount.core import states
 
-__all__ = ["MAX_CONFIGURATION_BYTES", "Sheet", "load", "parse", "read", "write"]
+__all__ = [
+    "MAX_CONFIGURATION_BYTES",
+    "Sheet",
+    "load",
+    "parse",
+    "read",
+    "read_stream",
+    "write",
+]
 
 MAX_CONFIGURATION_BYTES = 1_000_000
 
@@ -57,7 +65,7 @@
         OSError: If the file cannot be read.
     """
     with pathlib.Path(path).open("rb") as stream:
-        return _read_stream(stream, os.fspath(path))
+        return read_stream(stream, file=os.fspath(path))
 
 
 def parse(data: bytes, *, file: str = "sheet") -> Sheet:
@@ -74,7 +82,37 @@
         >>> str(parse(b"kind;name\n").faults[0])[:22]
         'sheet:1: SHEET_HEADER:'
     """
-    return _read_stream(io.BytesIO(data), file)
+    return read_stream(io.BytesIO(data), file=file)
+
+
+def read_stream(stream: BinaryIO, *, file: str) -> Sheet:
+    """Reads a sheet from an open file, row by row.
+
+    Args:
+        stream: CSV in UTF-8.
+        file: The name that faults are listed under.
+
+    Returns:
+        The configuration, or every fault.
+    """
+    faults = sheet_faults.FaultList(file=file)
+    faulty_names: set[str] = set()
+    items = _read_items(stream, faults, faulty_names)
+    _check_references(items, faulty_names, faults)
+    found = faults.sorted()
+    if found:
+        return Sheet(
+            file=file,
+            configuration=None,
+            faults=found,
+            further_faults=faults.further,
+        )
+    guarantees = _of_type(items, configuration_lib.Guarantee)
+    return Sheet(
+        file=file,
+        configuration=_configuration(items),
+        guarantee_rows=tuple(row for row, _ in guarantees),
+    )
 
 
 def load(path: str | os.PathLike[str]) -> configuration_lib.Configuration:
@@ -155,27 +193,6 @@
     }
 
 
-def _read_stream(stream: BinaryIO, file: str) -> Sheet:
-    faults = sheet_faults.FaultList(file=file)
-    faulty_names: set[str] = set()
-    items = _read_items(stream, faults, faulty_names)
-    _check_references(items, faulty_names, faults)
-    found = faults.sorted()
-    if found:
-        return Sheet(
-            file=file,
-            configuration=None,
-            faults=found,
-            further_faults=faults.further,
-        )
-    guarantees = _of_type(items, configuration_lib.Guarantee)
-    return Sheet(
-        file=file,
-        configuration=_configuration(items),
-        guarantee_rows=tuple(row for row, _ in guarantees),
-    )
-
-
 def _read_items(
     stream: BinaryIO, faults: sheet_faults.FaultList, faulty_names: set[str]
 ) -> list[tuple[int, sheet_kinds.Item]]:
