--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,282 @@
+"""Runs the main job on both example sheets with real processes on loopback.
+
+For each sheet: six daemons in three failure domains, stand-ins of the platform
+and its targets, trial work that fills the pool, paying gangs that take back
+what is guaranteed to them, and a short request at each VM.
+"""
+
+import collections
+from collections.abc import Iterable
+import json
+import pathlib
+import sys
+import time
+import typing
+
+from citronmount.bench import loopback_cluster
+from citronmount.config import configuration as configuration_lib
+from citronmount.config import pool_file
+from citronmount.config import sheet
+from citronmount.core import states
+
+__all__ = ["main"]
+
+READY_LIMIT_S = 30.0
+POLL_S = 0.2
+LONG_RUN_MS = 6_000
+GANG_RUN_MS = 1_500
+WAIT_MS = 30_000
+ACCELERATORS_PER_WORKER = 8
+
+_EXAMPLES = pathlib.Path(__file__).parent
+
+
+class DemoError(Exception):
+    """Something did not go as it must."""
+
+
+def main() -> int:
+    """Runs the demo.
+
+    Returns:
+        0 if every job and request ended as it must.
+    """
+    begin_s = time.monotonic()
+    for name in ("hanbit", "perchero"):
+        _run_site(name)
+    print(f"demo done in {time.monotonic() - begin_s:.0f} s")
+    return 0
+
+
+def _run_site(name: str) -> None:
+    print(f"== {name}")
+    pool = pool_file.load(_EXAMPLES / name / "pool.toml")
+    content = sheet.load(_EXAMPLES / name / "sheet.csv")
+    with loopback_cluster.open_cluster(pool) as cluster:
+        _publish(cluster, (_EXAMPLES / name / "sheet.csv").read_bytes())
+        _wait_until_ready(cluster)
+        fillers = _fill(cluster, content)
+        gangs = _submit_gangs(cluster, content)
+        requests = _send_requests(cluster, content)
+        statuses = _results(cluster, [*gangs, *fillers])
+        _print_accounts(content, statuses, requests)
+        _check_reclaim(content, statuses)
+        _stop(cluster)
+
+
+def _publish(cluster: loopback_cluster.Cluster, data: bytes) -> None:
+    path = "/v1/configuration?base_version=0&author=demo"
+    answer = _until(
+        lambda: _call(cluster.vms[0], "PUT", path, data),
+        lambda found: found.body["code"] // 1_000 != 3,
+    )
+    _require(answer.body["code"] == 7_000, f"publish: {answer.body}")
+    print(f"published version {answer.body['version']}")
+
+
+def _wait_until_ready(cluster: loopback_cluster.Cluster) -> None:
+    begin_s = time.monotonic()
+    for vm in cluster.vms:
+        _until(
+            lambda vm=vm: _call(vm, "GET", "/v1/ready"),
+            lambda found: found.status == 200,
+        )
+        _until(
+            lambda vm=vm: _call(vm, "GET", "/v1/membership"),
+            lambda found: _owners(found.body) == _domains(cluster),
+        )
+    elapsed_s = time.monotonic() - begin_s
+    print(f"{len(cluster.vms)} VMs ready after {elapsed_s:.1f} s")
+
+
+def _domains(cluster: loopback_cluster.Cluster) -> set[str]:
+    return {vm.failure_domain for vm in cluster.vms}
+
+
+def _owners(body: typing.Any) -> set[str]:
+    return {m["failure_domain"] for m in body["members"] if m["owner"]}
+
+
+def _fill(
+    cluster: loopback_cluster.Cluster,
+    content: configuration_lib.Configuration,
+) -> list[str]:
+    """Fills the pool with trial work and work above a guarantee."""
+    command = json.dumps({"run_ms": LONG_RUN_MS})
+    whole_worker = {
+        "per_task": {"accelerators": ACCELERATORS_PER_WORKER, "cores": 8},
+        "command": command,
+        "run_time_s": LONG_RUN_MS / 1_000,
+    }
+    allowance = content.allowances[0]
+    trials = allowance.accelerators // ACCELERATORS_PER_WORKER
+    eager = _paying(content)[-1]
+    bodies = [{"account": allowance.account, **whole_worker}] * trials
+    others = len(cluster.pool.workers) - trials
+    bodies += [{"account": eager, **whole_worker}] * others
+    return _submit_all(cluster, bodies)
+
+
+def _submit_gangs(
+    cluster: loopback_cluster.Cluster,
+    content: configuration_lib.Configuration,
+) -> list[str]:
+    """Submits what other paying accounts are guaranteed."""
+    time.sleep(1)
+    eager = _paying(content)[-1]
+    bodies = [
+        {
+            "account": guarantee.account,
+            "tasks": guarantee.tasks,
+            "per_task": {
+                "accelerators": guarantee.per_task.accelerators,
+                "cores": guarantee.per_task.cores,
+                "memory_gb": guarantee.per_task.memory_gb,
+            },
+            "adjacency": guarantee.adjacency.value,
+            "command": json.dumps({"run_ms": GANG_RUN_MS}),
+            "run_time_s": GANG_RUN_MS / 1_000,
+        }
+        for guarantee in content.guarantees
+        if guarantee.account != eager
+        for _ in range(guarantee.copies)
+    ]
+    return _submit_all(cluster, bodies)
+
+
+def _submit_all(
+    cluster: loopback_cluster.Cluster, bodies: list[dict[str, typing.Any]]
+) -> list[str]:
+    found = []
+    for number, body in enumerate(bodies):
+        vm = cluster.vms[number % len(cluster.vms)]
+        data = json.dumps(body).encode("utf-8")
+        answer = _call(vm, "POST", "/v1/jobs", data)
+        _require(answer.status == 202, f"submit: {answer.body}")
+        found.append(answer.body["job"])
+    return found
+
+
+def _send_requests(
+    cluster: loopback_cluster.Cluster,
+    content: configuration_lib.Configuration,
+) -> collections.Counter[str]:
+    """Sends one short request at each VM and checks each answer."""
+    served: collections.Counter[str] = collections.Counter()
+    accounts = _paying(content)
+    for number, vm in enumerate(cluster.vms):
+        account = accounts[number % len(accounts)]
+        body = {
+            "account": account,
+            "request": f"check-{number}",
+            "payload": json.dumps({"service_ms": 20, "number": number}),
+        }
+        data = json.dumps(body).encode("utf-8")
+        answer = _call(vm, "POST", "/v1/requests", data)
+        whole = f"check-{number}::{body['payload']}"
+        _require(answer.body.get("payload") == whole, f"request: {answer.body}")
+        served[account] += 1
+    return served
+
+
+def _results(
+    cluster: loopback_cluster.Cluster, jobs: Iterable[str]
+) -> list[typing.Any]:
+    """Waits for the final result of each job."""
+    return [
+        _until(
+            lambda job=job: _call(
+                cluster.vms[0], "GET", f"/v1/jobs/{job}?wait_ms={WAIT_MS}"
+            ),
+            lambda found: _is_final(found.body),
+        ).body
+        for job in jobs
+    ]
+
+
+def _is_final(body: typing.Any) -> bool:
+    return "state" in body and states.JobState(body["state"]).final
+
+
+def _print_accounts(
+    content: configuration_lib.Configuration,
+    statuses: list[typing.Any],
+    requests: collections.Counter[str],
+) -> None:
+    print(f"{'account':22}{'class':8}{'jobs done':>10}", end="")
+    print(f"{'evictions':>10}{'requests':>9}")
+    for account in content.accounts:
+        own = [s for s in statuses if s["account"] == account.name]
+        done = sum(s["state"] == "done" for s in own)
+        evictions = sum(s["attempts"] - 1 for s in own)
+        print(
+            f"{account.name:22}{account.account_class.value:8}"
+            f"{f'{done} of {len(own)}':>10}{evictions:>10}"
+            f"{requests[account.name]:>9}"
+        )
+    bad = [s for s in statuses if s["state"] != "done"]
+    _require(not bad, f"jobs that did not complete: {bad}")
+
+
+def _check_reclaim(
+    content: configuration_lib.Configuration, statuses: list[typing.Any]
+) -> None:
+    trials = {allowance.account for allowance in content.allowances}
+    evicted = [
+        s["job"]
+        for s in statuses
+        if s["account"] in trials and s["attempts"] > 1
+    ]
+    _require(bool(evicted), "no trial job had to give way")
+    print(f"trial jobs that gave way and completed later: {len(evicted)}")
+
+
+def _stop(cluster: loopback_cluster.Cluster) -> None:
+    """Drains every daemon at once; each must end with status 0."""
+    for vm in cluster.vms:
+        vm.process.terminate()
+    found = {
+        vm.name: vm.process.wait(loopback_cluster.STOP_LIMIT_S)
+        for vm in cluster.vms
+    }
+    _require(not any(found.values()), f"exit statuses: {found}")
+    print(f"{len(found)} daemons drained with status 0")
+
+
+def _paying(content: configuration_lib.Configuration) -> list[str]:
+    return [
+        account.name
+        for account in content.accounts
+        if account.account_class is states.AccountClass.PAYING
+    ]
+
+
+def _call(
+    vm: loopback_cluster.Vm, method: str, path: str, body: bytes | None = None
+) -> loopback_cluster.Answer:
+    return loopback_cluster.call(vm.caller_address, method, path, body)
+
+
+def _until(
+    ask: typing.Callable[[], loopback_cluster.Answer],
+    good: typing.Callable[[loopback_cluster.Answer], bool],
+) -> loopback_cluster.Answer:
+    limit_s = time.monotonic() + READY_LIMIT_S
+    while True:
+        answer = ask()
+        if good(answer):
+            return answer
+        _require(time.monotonic() < limit_s, f"gave up: {answer.body}")
+        time.sleep(POLL_S)
+
+
+def _require(condition: bool, message: str) -> None:
+    if not condition:
+        raise DemoError(message)
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except DemoError as error:
+        sys.exit(f"demo failed: {error}")
