Sort workers of a level by free cores

Cause: tasks without accelerators scanned every worker of a full level.

Change: the room index bisects for the cores wanted.

--- a/citronmount/core/placement.py
+++ b/citronmount/core/placement.py
@@ -89,9 +89,10 @@
 
     def on_one_worker(self) -> tuple[jobs.TaskGroup, ...] | None:
         tasks = self._shape.tasks
+        need = self._shape.total
         found = [
             worker
-            for level in self._index.levels(self._shape.accelerators)
+            for level in self._index.levels(need.accelerators, need.cores)
             for worker, _ in self._take(level, tasks, _CANDIDATES_PER_LEVEL)
         ]
         if not found:
@@ -109,10 +110,11 @@
     def anywhere(self) -> tuple[jobs.TaskGroup, ...] | None:
         if self._index.total < self._shape.accelerators:
             return None
+        need = self._shape.per_task
         wanted = max(self._shape.tasks, _CANDIDATES_PER_LEVEL)
         found = [
             pair
-            for level in self._index.levels(self._shape.per_task.accelerators)
+            for level in self._index.levels(need.accelerators, need.cores)
             for pair in self._take(level, 1, wanted)
         ]
         return self._fill(found)
--- a/citronmount/core/pool.py
+++ b/citronmount/core/pool.py
@@ -17,9 +17,9 @@
 class RoomIndex:
     """Room of workers, indexed by level and by rack.
 
-    The level of a worker is its number of free accelerators. An update costs
-    a search among the racks; a search starts at the smallest level, or the
-    smallest rack, that can hold what is asked for.
+    The level of a worker is its number of free accelerators; within a level
+    workers are sorted by free cores. Updates and searches bisect; a search
+    starts at the smallest level, or the smallest rack, that is large enough.
     """
 
     def __init__(self) -> None:
@@ -27,7 +27,7 @@
         self._room: dict[ids.WorkerId, jobs.Resources] = {}
         self._rack: dict[ids.WorkerId, ids.RackId] = {}
         self._members: dict[ids.RackId, dict[ids.WorkerId, None]] = {}
-        self._levels: dict[int, dict[ids.WorkerId, None]] = {}
+        self._levels: dict[int, list[tuple[int, ids.WorkerId]]] = {}
         self._rack_totals: dict[ids.RackId, int] = {}
         self._racks: list[tuple[int, ids.RackId]] = []
         self.total = 0
@@ -82,23 +82,31 @@
             self._remove(worker)
             self._insert(worker, room)
 
-    def levels(self, accelerators: int) -> Iterator[list[ids.WorkerId]]:
+    def levels(
+        self, accelerators: int, cores: int = 0
+    ) -> Iterator[list[ids.WorkerId]]:
         """Iterates over levels from the smallest that is large enough.
 
         Args:
             accelerators: The lowest level wanted.
+            cores: The fewest free cores wanted.
 
         Yields:
-            The workers of one level.
+            The workers of one level, those with fewest free cores first.
         """
         for level in sorted(n for n in self._levels if n >= accelerators):
-            yield list(self._levels[level])
+            workers = self._levels[level]
+            start = bisect.bisect_left(workers, (cores, "")) if cores else 0
+            yield [worker for _, worker in workers[start:]]
 
     def emptiest_workers(self, limit: int) -> list[ids.WorkerId]:
         """Returns the workers with most free accelerators."""
-        falling = (self._levels[n] for n in sorted(self._levels, reverse=True))
+        falling = (
+            reversed(self._levels[n])
+            for n in sorted(self._levels, reverse=True)
+        )
         workers = itertools.chain.from_iterable(falling)
-        return list(itertools.islice(workers, limit))
+        return [worker for _, worker in itertools.islice(workers, limit)]
 
     def emptiest_racks(self, limit: int) -> list[ids.RackId]:
         """Returns the racks with most free accelerators."""
@@ -112,12 +120,14 @@
     def _insert(self, worker: ids.WorkerId, room: jobs.Resources) -> None:
         level = max(room.accelerators, 0)
         self._room[worker] = room
-        self._levels.setdefault(level, {})[worker] = None
+        bisect.insort(self._levels.setdefault(level, []), (room.cores, worker))
         self._shift(self._rack[worker], level)
 
     def _remove(self, worker: ids.WorkerId) -> None:
-        level = max(self._room.pop(worker).accelerators, 0)
-        del self._levels[level][worker]
+        room = self._room.pop(worker)
+        level = max(room.accelerators, 0)
+        at = bisect.bisect_left(self._levels[level], (room.cores, worker))
+        del self._levels[level][at]
         if not self._levels[level]:
             del self._levels[level]
         self._shift(self._rack[worker], -level)
