Wait before trying a worker that failed a job again

Cause: a gang that only fitted with one bad worker was placed on it five times within 30 ms and then ended as failed everywhere.

Change: a job strictly avoids workers at which it failed until a delay that doubles from 2 s to 60 s has passed; failing everywhere needs three distinct workers, or eight attempts.

Conclusion: tests bring about a lone bad worker, a job that fails everywhere and a worker that fails distinct jobs; all hold.

--- a/citronmount/core/domain.py
+++ b/citronmount/core/domain.py
@@ -86,6 +86,7 @@
         mix: Typical gangs.
         in_service: Whether tasks may start.
         unsettled: Accounts whose placed jobs may now run in cells.
+        wake_ups: Times at which to look again, a heap.
     """
 
     def __init__(self, *, policy: str) -> None:
@@ -104,6 +105,7 @@
         self.in_service = False
         self.unsettled: set[ids.AccountId] = set()
         self.secured = False
+        self.wake_ups: list[int] = []
         self._classes: dict[ids.AccountId, states.AccountClass] = {}
         self._allowances: dict[ids.AccountId, int] = {}
         self._trial_use: collections.Counter[ids.AccountId] = (
--- a/citronmount/core/guaranteed.py
+++ b/citronmount/core/guaranteed.py
@@ -118,9 +118,11 @@
     domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
 ) -> list[decisions.Decision] | None:
     """Returns None if the job found no room in its account's cells."""
-    uses = siting.find(domain, entry, entry.failed_on, now_ms)
-    if uses is None and entry.failed_on:
-        uses = siting.find(domain, entry, (), now_ms)
+    tries = (
+        siting.find(domain, entry, avoid, now_ms)
+        for avoid in entry.avoidances(now_ms)
+    )
+    uses = next((uses for uses in tries if uses is not None), None)
     if uses is None:
         return None
     groups = _groups(uses)
--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -84,7 +84,7 @@
     ) -> tuple[jobs.TaskGroup, ...] | None:
         domain = self._domain
         limit = self._limit if limited else None
-        for avoid in dict.fromkeys((entry.failed_on, frozenset())):
+        for avoid in entry.avoidances(self._now_ms):
             groups = placement.find(
                 domain.pool.free,
                 entry.shape,
--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -37,6 +37,7 @@
         attained_ms: Accelerator milliseconds that it was served.
         failed_on: Workers at which it failed.
         failures: Attempts that failed.
+        retry_ms: When it may be tried again at workers at which it failed.
         ran: Whether a task of it ever started.
         tried: Whether it was placed before.
         counted_as_trial: Whether it counts against an allowance at present.
@@ -50,6 +51,7 @@
         "lane",
         "progress",
         "ran",
+        "retry_ms",
         "sequence",
         "shape",
         "spec",
@@ -67,11 +69,22 @@
         self.attained_ms = 0
         self.failed_on: frozenset[ids.WorkerId] = frozenset()
         self.failures = 0
+        self.retry_ms = 0
         self.ran = progress > 0
         self.tried = self.ran
         self.counted_as_trial = False
         self.lane = Lane.NEW
 
+    def avoidances(self, now_ms: int) -> tuple[frozenset[ids.WorkerId], ...]:
+        """Returns sets of workers to avoid, to be tried in order.
+
+        Args:
+            now_ms: Monotonic time.
+        """
+        if not self.failed_on or now_ms < self.retry_ms:
+            return (self.failed_on,)
+        return (self.failed_on, frozenset())
+
 
 class JobQueue:
     """Queued jobs by account and lane; adding and removing cost O(1).
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -1,5 +1,6 @@
 """The scheduler of one failure domain: which job runs where, and when."""
 
+import heapq
 import itertools
 
 from citronmount.config import configuration as configuration_lib
@@ -271,7 +272,7 @@
         """
         self._advance(now_ms)
         ended = self._expire()
-        self._open_probes()
+        self._wake_up()
         if not self._changed or not self._domain.in_service:
             return ended
         self._changed = False
@@ -386,7 +387,11 @@
             for entry in expired
         ]
 
-    def _open_probes(self) -> None:
+    def _wake_up(self) -> None:
+        wake_ups = self._domain.wake_ups
+        while wake_ups and wake_ups[0] <= self._now_ms:
+            heapq.heappop(wake_ups)
+            self._changed = True
         for worker in self._domain.health.due(self._now_ms):
             self._changed = True
             self._domain.refresh_worker(worker, self._now_ms)
--- a/citronmount/core/tests/test_scheduler.py
+++ b/citronmount/core/tests/test_scheduler.py
@@ -143,5 +143,63 @@
         self.assertEqual(ended.result.code, codes.ResultCode.DEADLINE_PASSED)
 
 
+class FailureTest(unittest.TestCase):
+    def fail(self, made, job, now_ms, worker=None):
+        """Fails every placement that is decided; returns what came of it."""
+        for each in made.decide(now_ms):
+            workers = [group.worker for group in each.placement.groups]
+            if each.job == job or worker in workers:
+                culprits = (worker or workers[0],)
+                return made.ended(
+                    each.job,
+                    END.FAILED_TO_START,
+                    now_ms,
+                    culprits=culprits,
+                    requeue=True,
+                )
+        return None
+
+    def test_job_that_fails_on_distinct_workers_ends(self):
+        made = four_workers()
+        made.submit(fixtures.spec("bad", "paying", 1, 8), 0)
+        results = [self.fail(made, "kr-a/bad", now) for now in range(3)]
+        self.assertEqual(results[:2], [None, None])
+        self.assertEqual(results[2].code, codes.ResultCode.FAILED_EVERYWHERE)
+        self.assertEqual(made.quarantined(), ())
+        self.assertEqual(made.queued(), ())
+
+    def test_lone_bad_worker_is_tried_again_after_a_while_only(self):
+        made = four_workers()
+        made.submit(fixtures.spec("g", "extra", 4, 8, "failure_domain"), 0)
+        self.fail(made, "kr-a/g", 0, fixtures.worker(0).name)
+        self.assertEqual(made.decide(1_999), [])
+        self.assertEqual(len(made.decide(2_000)), 1)
+
+    def test_worker_that_fails_distinct_jobs_is_quarantined_and_probed(self):
+        made = four_workers()
+        bad = fixtures.worker(0).name
+        for number in range(8):
+            account = ("paying", "extra")[number % 2]
+            made.submit(fixtures.spec(f"j{number}", account, 1, 8), 0)
+        for now_ms in range(8):
+            for each in made.decide(now_ms):
+                (group,) = each.placement.groups
+                good = group.worker != bad
+                made.ended(
+                    each.job,
+                    END.DONE if good else END.FAILED_TO_START,
+                    now_ms,
+                    culprits=() if good else (bad,),
+                    requeue=not good,
+                )
+        self.assertEqual(made.quarantined(), (bad,))
+        self.assertEqual(made.free_accelerators(), 24)
+        made.submit(fixtures.spec("wide", "extra", 4, 8, "failure_domain"), 9)
+        self.assertEqual(made.decide(9), [])
+        (probe,) = made.decide(120_000)
+        made.ended(probe.job, END.DONE, 120_001)
+        self.assertEqual(made.quarantined(), ())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/citronmount/core/verdicts.py
+++ b/citronmount/core/verdicts.py
@@ -1,5 +1,7 @@
 """Draws conclusions from ended attempts: run times, workers, jobs."""
 
+import heapq
+
 from citronmount.core import codes
 from citronmount.core import decisions
 from citronmount.core import domain as domain_lib
@@ -11,7 +13,9 @@
 
 FAILED_EVERYWHERE_WORKERS = 3
 FAILED_EVERYWHERE_ATTEMPTS = 2
-MAX_FAILED_ATTEMPTS = 5
+MAX_FAILED_ATTEMPTS = 8
+RETRY_MS = 2_000
+RETRY_MAX_MS = 60_000
 
 _FAILURES = frozenset(
     {
@@ -50,8 +54,7 @@
             if domain.health.succeeded(spec.job, spec.account, group.worker)
         }
     elif how in _FAILURES and culprits:
-        entry.failures += 1
-        entry.failed_on |= set(culprits)
+        _note_failure(domain, entry, culprits, now_ms)
         changed |= {
             worker
             for worker in culprits
@@ -61,9 +64,25 @@
         domain.refresh_worker(worker, now_ms)
 
 
+def _note_failure(
+    domain: domain_lib.Domain,
+    entry: queueing.Entry,
+    culprits: tuple[ids.WorkerId, ...],
+    now_ms: int,
+) -> None:
+    wait_ms = min(RETRY_MS << entry.failures, RETRY_MAX_MS)
+    entry.failures += 1
+    entry.failed_on |= set(culprits)
+    entry.retry_ms = now_ms + wait_ms
+    heapq.heappush(domain.wake_ups, entry.retry_ms)
+
+
 def failed_everywhere(entry: queueing.Entry) -> bool:
     """Returns whether a job has failed too widely to run again.
 
+    A job that fails again and again at too few workers to tell is given up
+    after a number of attempts, between which it waits longer and longer.
+
     Args:
         entry: The job.
     """
