--- a/citronmount/agent/homes.py
+++ b/citronmount/agent/homes.py
@@ -7,6 +7,7 @@
 from citronmount.config import configuration
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import shares
 from citronmount.core import states
 from citronmount.membership import rendezvous
 
@@ -100,8 +101,10 @@
 ) -> list[ids.FailureDomainId]:
     """Returns the failure domains that could schedule a job, best first.
 
-    Those that hold a guarantee of the account come first, then those with the
-    most room after their queues; the own one wins ties.
+    Those whose part of the account's allowance is too small are left out,
+    unless that leaves none. Those that hold a guarantee of the account come
+    first, then those with the most room after their queues; the own one wins
+    ties.
 
     Args:
         current: The configuration in force.
@@ -112,11 +115,12 @@
     Returns:
         Failure domains in service.
     """
-    usable = [
+    allowed = shares.homes(current, spec) or tuple(
         domain.name
         for domain in current.failure_domains
-        if domain.name in rooms and domain.state is states.FailureDomainState.IN
-    ]
+        if domain.state is states.FailureDomainState.IN
+    )
+    usable = [name for name in allowed if name in rooms]
     holding = {
         guarantee.failure_domain
         for guarantee in current.guarantees
--- a/citronmount/agent/mover.py
+++ b/citronmount/agent/mover.py
@@ -11,6 +11,7 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import shares
 from citronmount.core import states
 from citronmount.peers import messages as peer_messages
 
@@ -136,13 +137,16 @@
             for guarantee in self._configuration.fold.current.guarantees
             if guarantee.account == spec.account
         }
+        allowed = shares.homes(self._configuration.fold.current, spec)
         hopeful = [
             name
             for name, room in rooms.items()
-            if room >= spec.accelerators
-            or name in guaranteed
-            or None in guaranteed
-            or leaving
+            if name in allowed
+            and (
+                leaving
+                or room >= spec.accelerators
+                or not guaranteed.isdisjoint({name, None})
+            )
         ]
         tried = self._tried_at.setdefault(spec.job, set())
         fresh = [name for name in hopeful if name not in tried]
