Leave out homes whose allowance cannot hold a trial job

Cause: a trial job homed where its account has no part of the allowance got the final refusal OVER_ALLOWANCE, although another failure domain had room. Change: homes are ranked among those that shares.homes names.

--- a/citronmount/agent/homes.py
+++ b/citronmount/agent/homes.py
@@ -7,6 +7,7 @@
 from citronmount.config import configuration
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import shares
 from citronmount.core import states
 from citronmount.membership import rendezvous
 
@@ -112,10 +113,13 @@
     Returns:
         Failure domains in service.
     """
+    promising = shares.homes(current, spec)
     usable = [
         domain.name
         for domain in current.failure_domains
-        if domain.name in rooms and domain.state is states.FailureDomainState.IN
+        if domain.name in rooms
+        and domain.state is states.FailureDomainState.IN
+        and (domain.name in promising or not promising)
     ]
     holding = {
         guarantee.failure_domain
