--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -29,7 +29,21 @@
 _CHECK_EVERY_MS = 500
 _REQUEST_EVERY_MS = 250
 _REQUESTS = 40
-_FAMILIES_WITH_SKIPS = ("job", "request")
+_FREQUENT_STEPS = frozenset(
+    {
+        "job.submit",
+        "job.accept",
+        "job.reserve",
+        "job.start",
+        "job.renew",
+        "job.report",
+        "job.end",
+        "request.arrive",
+        "request.claim",
+        "request.send",
+        "request.answer",
+    }
+)
 
 
 class Hit(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,9 +115,7 @@
         )
         self.evidence = evidence_lib.Evidence(harness=self.harness)
         self._skips = [
-            self.rng.choice([0, 0, 1, 3])
-            if step.family in _FAMILIES_WITH_SKIPS
-            else 0
+            self.rng.choice([0, 0, 1, 3]) if step.name in _FREQUENT_STEPS else 0
             for _, step in plan
         ]
         self._content = site.configuration
@@ -215,11 +227,11 @@
         """Runs the cell to its end."""
         self.harness.start_all()
         self.harness.run_until_ms(WARM_UP_MS)
-        self._schedule_workload()
-        if not {"takeover", "drain", "relay"} & self._families:
-            self._arm()
-        else:
+        if {"takeover", "drain", "relay"} & self._families:
             self.after(TRIGGER_MS - WARM_UP_MS, self._arm)
+        else:
+            self._arm()
+        self._schedule_workload()
         if self._plan:
             self._run_until_hit()
         self._run_to_end()
@@ -374,13 +386,27 @@
         ]
         return ids.VmId(taken[-1]) if taken else self.vms_in(self.focus)[0]
 
+    def _submit_to_focus(self) -> None:
+        """Submits a job while the focus has no owner, or a new one."""
+        vms = [
+            vm for vm in self.vms_in(self.focus) if vm in self.harness.live()
+        ]
+        self.callers.submit(
+            "after",
+            harness_site.PAYING,
+            run_ms=1_500,
+            vm=vms[0] if vms else None,
+        )
+
     def _kill_owner(self) -> None:
         owner = self._owner()
+        self.after(200, self._submit_to_focus)
         self.harness.kill(owner)
         self.heal_after(9_000, self.harness.start, owner)
 
     def _drain_owner(self) -> None:
         owner = self._owner()
+        self.after(200, self._submit_to_focus)
         self.harness.drain(owner)
         self.heal_after(100, lambda: None)
         self._replace_drained(owner)
--- a/citronmount/bench/faults/promises.py
+++ b/citronmount/bench/faults/promises.py
@@ -280,11 +280,8 @@
     result = told.body.result
     if result.request != told.request:
         yield told.at_ms, f"{told.request} got the answer to {result.request}"
-    spec = case.specs[told.request]
-    specs = [spec] if spec.idempotent else case.specs.values()
-    payloads = {runner.answer_payload(s) for s in specs}
-    done = result.code is codes.ResultCode.DONE
-    if done and result.payload not in payloads:
+    whole = runner.answer_payload(case.specs[told.request])
+    if result.code is codes.ResultCode.DONE and result.payload != whole:
         yield told.at_ms, f"{told.request} got payload {result.payload!r}"
 
 
@@ -292,7 +289,7 @@
 def _not_run(evidence: evidence_lib.Evidence) -> Iterator[tuple[int, str]]:
     """What a refusal says was not run was never run."""
     ran = {
-        event.request: at_ms
+        event.request.partition("~")[0]: at_ms
         for at_ms, event in _of_kind(evidence, events.EventKind.RUNNER_STARTED)
     }
     for case in evidence.callers.requests.values():
@@ -574,6 +571,13 @@
         )
 
 
+@promise("no-crash")
+def _no_crash(evidence: evidence_lib.Evidence) -> Iterator[tuple[int, str]]:
+    """No event makes an agent raise an exception."""
+    for at_ms, vm, lines in evidence.harness.crashes:
+        yield at_ms, f"{vm}: {' | '.join(line.strip() for line in lines)}"
+
+
 @promise("take-over")
 def _take_over(evidence: evidence_lib.Evidence) -> Iterator[tuple[int, str]]:
     """Every failure domain with a live VM has a rebuilt owner again."""
--- a/citronmount/bench/harness.py
+++ b/citronmount/bench/harness.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 import random
+import traceback
 from typing import Protocol
 
 import msgspec
@@ -44,7 +45,9 @@
 _TICK_MS = 250
 _SERVICE_MS = 1
 _REFUSED_MS = 2
+_RESTART_MS = 1_000
 _HTTP_HEADER_BYTES = 200
+_TRACE_LINES = 5
 
 
 class AgentLike(Protocol):
@@ -137,6 +140,7 @@
         down: Services and targets that do not answer.
         log_delay_ms: How long the log takes for each call.
         lose_append_answers: Whether appends take effect without an answer.
+        crashes: Time, VM and last lines of every exception of an agent.
         watchers: Called with the process and each event or effect before it
             is carried out.
     """
@@ -175,6 +179,7 @@
         self.down: set[str] = set()
         self.log_delay_ms = _SERVICE_MS
         self.lose_append_answers = False
+        self.crashes: list[tuple[int, ids.VmId, list[str]]] = []
         self.watchers: list[Callable[[Process, object], None]] = []
         self.arrivals: list[Callable[[str, str, object], None]] = []
         self._make_agent = make_agent
@@ -226,7 +231,8 @@
         process.paused = process.draining = False
         process.exited_ms = None
         process.started_ms = self.clock.now_ms
-        process.agent = self._make_agent(process.vm, self.rng.getrandbits(32))
+        incarnation_ms = EPOCH_MS + self.clock.now_ms + process.wall_skew_ms
+        process.agent = self._make_agent(process.vm, incarnation_ms)
         live = msgspec.structs.replace(process.vm, state=states.VmState.LIVE)
         self.platform.set_vm(live, self.clock.now_ms)
         self._post(process, process.incarnation, events.Started())
@@ -411,19 +417,31 @@
         if process.paused:
             process.inbox.append(event)
             return
-        now_ms = self.clock.now_ms
-        todo = process.agent.handle(
-            event,
-            now_ms + process.clock_start_ms,
-            EPOCH_MS + now_ms + process.wall_skew_ms,
-        )
-        for effect in todo:
+        for effect in self._handle(process, event):
             for watcher in tuple(self.watchers):
                 watcher(process, effect)
             if process.agent is None:
                 return
             self._carry_out(process, effect)
 
+    def _handle(
+        self, process: Process, event: events.Event
+    ) -> list[effects.Effect]:
+        """Lets the agent handle an event; an exception ends the process."""
+        now_ms = self.clock.now_ms
+        try:
+            return process.agent.handle(
+                event,
+                now_ms + process.clock_start_ms,
+                EPOCH_MS + now_ms + process.wall_skew_ms,
+            )
+        except Exception:
+            last_lines = traceback.format_exc().splitlines()[-_TRACE_LINES:]
+            self.crashes.append((now_ms, process.vm.vm, last_lines))
+            self.kill(process.vm.vm)
+            self.clock.after_ms(_RESTART_MS, self.start, process.vm.vm)
+            return []
+
     def _carry_out(self, process: Process, effect: effects.Effect) -> None:
         match effect:
             case effects.Trace():
--- a/citronmount/standins/runner.py
+++ b/citronmount/standins/runner.py
@@ -34,9 +34,9 @@
         spec: The request.
 
     Returns:
-        The answer, which no other request gets.
+        The answer, which no request with another key or payload gets.
     """
-    return f"{spec.request}:{spec.idempotency_key}:{spec.payload}"
+    return f"{spec.account}:{spec.idempotency_key}:{spec.payload}"
 
 
 class RunnerModel:
