Rank workers by fragmentation over the expected run time

Cause: the gradient looked at one moment, so long jobs started in the gaps of short bursts and kept many workers broken up for hours.

Change: the gradient is averaged over the expected run time, with the room of a worker as its jobs end; gangs outside guarantees wait a bounded share of their run time rather than outlast other jobs on many workers.

--- a/citronmount/core/domain.py
+++ b/citronmount/core/domain.py
@@ -1,6 +1,7 @@
 """The state of one failure domain's scheduler and its elementary changes."""
 
 import collections
+import functools
 
 from citronmount.config import configuration as configuration_lib
 from citronmount.core import cells
@@ -11,9 +12,12 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import ledger
+from citronmount.core import placement
 from citronmount.core import policy as policy_lib
 from citronmount.core import pool
 from citronmount.core import queueing
+from citronmount.core import ranking
+from citronmount.core import resources
 from citronmount.core import shapes
 from citronmount.core import shares
 from citronmount.core import states
@@ -102,11 +106,13 @@
         self.estimator = estimates.Estimator()
         self.health = health.Health()
         self.mix = fragmentation.Mix()
-        self.key = self.policy.key(self.mix)
         self.in_service = False
         self.unsettled: set[ids.AccountId] = set()
         self.secured = False
         self.wake_ups: list[int] = []
+        self._timelines: dict[
+            ids.WorkerId, tuple[int, list[tuple[int, jobs.Resources]]]
+        ] = {}
         self._classes: dict[ids.AccountId, states.AccountClass] = {}
         self._allowances: dict[ids.AccountId, int] = {}
         self._trial_use: collections.Counter[ids.AccountId] = (
@@ -271,6 +277,54 @@
         )
         return now_ms + left_ms
 
+    def key(self, entry: queueing.Entry, now_ms: int) -> placement.Key:
+        """Returns the ranking of workers for a job.
+
+        Args:
+            entry: The job.
+            now_ms: Monotonic time.
+        """
+        ranked = ranking.Ranking(
+            mix=self.mix,
+            timeline=functools.partial(self._timeline, now_ms),
+            now_ms=now_ms,
+            run_ms=self.estimator.run_ms(entry.spec, entry.progress),
+        )
+        return self.policy.key(ranked)
+
+    def busy_until(self, worker: ids.WorkerId, now_ms: int) -> int:
+        """Returns when the last job of a worker is expected to end.
+
+        Args:
+            worker: The worker.
+            now_ms: Monotonic time, returned if no job runs there.
+        """
+        ends = self._timeline(now_ms, worker)
+        return ends[-1][0] if ends else now_ms
+
+    def _timeline(
+        self, now_ms: int, worker: ids.WorkerId
+    ) -> list[tuple[int, jobs.Resources]]:
+        """Returns when jobs on a worker will end and what they then free."""
+        as_of_ms, ends = self._timelines.get(worker, (-1, []))
+        if as_of_ms == now_ms:
+            return ends
+        ends = [
+            (
+                self.end_of(self.placed[job], now_ms),
+                resources.scaled(self.placed[job].entry.spec.per_task, tasks),
+            )
+            for job, tasks in self.pool.jobs_on(worker).items()
+            if job in self.placed
+        ]
+        ends.sort(key=lambda end: end[0])
+        self._timelines[worker] = (now_ms, ends)
+        return ends
+
+    def _forget_timelines(self, groups: tuple[jobs.TaskGroup, ...]) -> None:
+        for group in groups:
+            self._timelines.pop(group.worker, None)
+
     def _take(
         self,
         entry: queueing.Entry,
@@ -280,6 +334,7 @@
     ) -> None:
         spec = entry.spec
         entry.tried = True
+        self._forget_timelines(groups)
         self.pool.take(spec.job, spec.per_task, groups)
         self.ledger.change(spec.account, entry.shape.accelerators, now_ms)
         if self.is_trial(spec.account):
@@ -295,6 +350,7 @@
         now_ms: int,
     ) -> None:
         spec = entry.spec
+        self._forget_timelines(groups)
         self.pool.give_back(spec.job, spec.per_task, groups)
         self.ledger.change(spec.account, -entry.shape.accelerators, now_ms)
         if entry.counted_as_trial:
--- a/citronmount/core/fragmentation.py
+++ b/citronmount/core/fragmentation.py
@@ -8,7 +8,6 @@
 from collections.abc import Mapping
 import heapq
 
-from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import pool
 from citronmount.core import resources
@@ -32,8 +31,7 @@
         self._promised: dict[shapes.Shape, float] = {}
         self._learnt: dict[shapes.Shape, float] = {}
         self._total_h = 0.0
-        self._typical: list[tuple[jobs.Resources, float]] = []
-        self._in_racks: list[tuple[shapes.Shape, float]] = []
+        self._units: list[tuple[jobs.Resources, float]] = []
         self._since_refresh = 0
         self._gradients: dict[tuple[jobs.Resources, jobs.Resources], float] = {}
 
@@ -65,59 +63,25 @@
         if self._since_refresh >= _REFRESH_SUBMISSIONS:
             self._refresh()
 
-    def key(
-        self,
-        index: pool.RoomIndex,
-        worker: ids.WorkerId,
-        per_task: jobs.Resources,
-        tasks: int,
-    ) -> tuple:
-        """Ranks workers by gradient, then by how broken up they are.
-
-        The gradient is the expected change in accelerators that a typical
-        gang cannot use, if the tasks are placed on the worker.
-        """
-        room = index.room(worker)
-        taken = resources.scaled(per_task, tasks)
-        rack = index.rack(worker)
-        gradient = self._on_worker(room, taken)
-        gradient += self._in_rack(index, rack, room, taken)
-        return (
-            round(gradient, 6),
-            room.accelerators - taken.accelerators,
-            index.rack_total(rack),
-            worker,
-        )
+    def on_worker(self, room: jobs.Resources, taken: jobs.Resources) -> float:
+        """Returns the accelerators made unusable by taking some of a room.
+
+        Args:
+            room: The free room of a worker.
+            taken: What would be taken of it.
 
-    def _on_worker(self, room: jobs.Resources, taken: jobs.Resources) -> float:
+        Returns:
+            The expected change; negative if unusable room is used up.
+        """
         key = (room, taken)
         if key not in self._gradients:
             after = resources.minus(room, taken)
             self._gradients[key] = sum(
                 weight * (_left_over(after, unit) - _left_over(room, unit))
-                for unit, weight in self._typical
+                for unit, weight in self._units
             )
         return self._gradients[key]
 
-    def _in_rack(
-        self,
-        index: pool.RoomIndex,
-        rack: ids.RackId,
-        room: jobs.Resources,
-        taken: jobs.Resources,
-    ) -> float:
-        change = 0.0
-        after = resources.minus(room, taken)
-        for shape, weight in self._in_racks:
-            per_task = shape.per_task
-            fits = index.rack_count(rack, per_task)
-            lost = resources.count(room, per_task)
-            lost -= resources.count(after, per_task)
-            gangs = fits // shape.tasks - (fits - lost) // shape.tasks
-            change += weight * (gangs * shape.accelerators)
-            change -= weight * taken.accelerators
-        return change
-
     def _refresh(self) -> None:
         weights = dict(self._promised)
         for shape, weight_h in self._learnt.items():
@@ -128,13 +92,7 @@
             key=lambda item: (item[1], item[0].accelerators),
         )
         total = sum(weight for _, weight in top) or 1.0
-        self._typical = []
-        self._in_racks = []
-        for shape, weight in top:
-            if _spans_rack(shape):
-                self._in_racks.append((shape, weight / total))
-            else:
-                self._typical.append((_unit(shape), weight / total))
+        self._units = [(_unit(shape), weight / total) for shape, weight in top]
         self._gradients = {}
         self._since_refresh = 0
 
@@ -147,10 +105,6 @@
         self._total_h = sum(self._learnt.values())
 
 
-def _spans_rack(shape: shapes.Shape) -> bool:
-    return shape.tasks > 1 and shape.adjacency is states.Adjacency.RACK
-
-
 def _unit(shape: shapes.Shape) -> jobs.Resources:
     """Returns what one worker must have to be of use to a gang."""
     on_one = shape.adjacency is states.Adjacency.WORKER
--- a/citronmount/core/guaranteed.py
+++ b/citronmount/core/guaranteed.py
@@ -169,7 +169,7 @@
     return placement.find(
         domain.pool.free,
         entry.shape,
-        key=domain.key,
+        key=domain.key(entry, now_ms),
         avoid=entry.avoidances(now_ms)[0],
     )
 
--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -9,6 +9,7 @@
 from citronmount.core import domain as domain_lib
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import patience
 from citronmount.core import placement
 from citronmount.core import policy as policy_lib
 from citronmount.core import queueing
@@ -71,6 +72,10 @@
         if groups is None:
             self._failed.add((entry.shape, limited))
             self._block(entry)
+        elif domain.policy.patient and patience.waits(
+            domain, entry, groups, self._now_ms
+        ):
+            return None
         return groups
 
     def _may_delay(self, entry: queueing.Entry) -> bool:
@@ -88,7 +93,7 @@
             groups = placement.find(
                 domain.pool.free,
                 entry.shape,
-                key=domain.key,
+                key=domain.key(entry, self._now_ms),
                 limit=limit,
                 avoid=avoid,
             )
--- a/citronmount/core/policy.py
+++ b/citronmount/core/policy.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from citronmount.core import fragmentation
 from citronmount.core import placement
+from citronmount.core import ranking
 
 __all__ = ["Backfill", "Order", "Policy", "get", "names", "register"]
 
@@ -35,14 +35,16 @@
             them is evicted for them.
         order: The order outside guarantees.
         backfill: What may pass the first job in line.
-        key: Makes the ranking of workers from the mix of gangs.
+        patient: Whether gangs may wait a little for a less scattered place.
+        key: Makes the ranking of workers for one gang.
     """
 
     name: str
     guarantees: bool
     order: Order
     backfill: Backfill
-    key: Callable[[fragmentation.Mix], placement.Key]
+    patient: bool
+    key: Callable[[ranking.Ranking], placement.Key]
 
 
 _POLICIES: dict[str, Policy] = {}
@@ -82,7 +84,8 @@
         guarantees=True,
         order=Order.FAIR,
         backfill=Backfill.RESERVATION,
-        key=lambda mix: mix.key,
+        patient=True,
+        key=lambda ranked: ranked.key,
     )
 
 
@@ -93,7 +96,8 @@
         guarantees=True,
         order=Order.FAIR,
         backfill=Backfill.NONE,
-        key=lambda mix: mix.key,
+        patient=True,
+        key=lambda ranked: ranked.key,
     )
 
 
@@ -104,7 +108,8 @@
         guarantees=False,
         order=Order.SUBMISSION,
         backfill=Backfill.NONE,
-        key=lambda mix: placement.best_fit,
+        patient=False,
+        key=lambda ranked: placement.best_fit,
     )
 
 
@@ -115,5 +120,6 @@
         guarantees=False,
         order=Order.SUBMISSION,
         backfill=Backfill.ANY,
-        key=lambda mix: placement.best_fit,
+        patient=False,
+        key=lambda ranked: placement.best_fit,
     )
--- a/citronmount/core/pool.py
+++ b/citronmount/core/pool.py
@@ -30,7 +30,6 @@
         self._levels: dict[int, list[tuple[int, ids.WorkerId]]] = {}
         self._rack_totals: dict[ids.RackId, int] = {}
         self._racks: list[tuple[int, ids.RackId]] = []
-        self._rack_counts: dict[ids.RackId, dict[jobs.Resources, int]] = {}
         self.total = 0
 
     def __contains__(self, worker: ids.WorkerId) -> bool:
@@ -53,21 +52,6 @@
         """Returns the free accelerators of a rack."""
         return self._rack_totals.get(rack, 0)
 
-    def rack_count(self, rack: ids.RackId, per_task: jobs.Resources) -> int:
-        """Returns how many tasks fit into a rack.
-
-        Args:
-            rack: The rack.
-            per_task: What one task needs.
-        """
-        counts = self._rack_counts.setdefault(rack, {})
-        if per_task not in counts:
-            counts[per_task] = sum(
-                resources.count(self._room[worker], per_task)
-                for worker in self._members.get(rack, ())
-            )
-        return counts[per_task]
-
     def members(self, rack: ids.RackId) -> list[ids.WorkerId]:
         """Returns the workers of a rack that are in the index."""
         return list(self._members.get(rack, ()))
@@ -149,7 +133,6 @@
         self._shift(self._rack[worker], -level)
 
     def _shift(self, rack: ids.RackId, change: int) -> None:
-        self._rack_counts.pop(rack, None)
         before = self._rack_totals.get(rack)
         if before is not None:
             at = bisect.bisect_left(self._racks, (before, rack))
--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -33,6 +33,7 @@
         spec: The job.
         shape: Its gang.
         sequence: Its place in the order of submission.
+        patient_until_ms: Until when it waits for a less scattered place.
         progress: Saved share of its work.
         attained_ms: Accelerator milliseconds that it was served.
         failed_on: Workers at which it failed.
@@ -49,6 +50,7 @@
         "failed_on",
         "failures",
         "lane",
+        "patient_until_ms",
         "progress",
         "ran",
         "retry_ms",
@@ -74,6 +76,7 @@
         self.tried = self.ran
         self.counted_as_trial = False
         self.lane = Lane.NEW
+        self.patient_until_ms: int | None = None
 
     def avoidances(self, now_ms: int) -> tuple[frozenset[ids.WorkerId], ...]:
         """Returns sets of workers to avoid, to be tried in order.
--- a/citronmount/core/siting.py
+++ b/citronmount/core/siting.py
@@ -43,11 +43,12 @@
     account = entry.spec.account
     free = domain.pool.free
     uses = plan.fit(account, entry.shape, free, avoid)
+    key = domain.key(entry, now_ms)
     opened = dict.fromkeys(u.cell for u in uses or () if not u.cell.held)
     for cell in opened:
         part = _part(cell, entry.shape)
         if part is not None and (
-            plan.relocate(cell, part, free, domain.key, avoid)
+            plan.relocate(cell, part, free, key, avoid)
             or _move_to_least_harm(domain, cell, part, avoid, now_ms)
         ):
             uses = plan.fit(account, entry.shape, free, avoid)
