--- a/citronmount/bench/__init__.py
+++ b/citronmount/bench/__init__.py
@@ -1,1 +1,34 @@
-"""Workloads, experiments and fault matrix."""
+"""Workloads, policies compared and regression bounds."""
+
+from citronmount.bench import registry
+from citronmount.bench import report
+from citronmount.bench import suite
+
+__all__ = ["names", "run"]
+
+
+def names() -> tuple[str, ...]:
+    """Returns the names of all benches, sorted."""
+    suite.load()
+    return registry.names()
+
+
+def run(
+    name: str, seed: int, policies: tuple[str, ...] | None = None
+) -> report.BenchReport:
+    """Runs one bench on virtual time.
+
+    Args:
+        name: The bench; see `names`.
+        seed: Seed of the workload; the same seed gives the same report.
+        policies: The policies to compare, or None for all that apply.
+
+    Returns:
+        The report.
+
+    Raises:
+        InvalidInputError: If there is no such bench.
+    """
+    suite.load()
+    function = registry.get(name)
+    return function(seed, registry.POLICIES if policies is None else policies)
--- /dev/null
+++ b/citronmount/bench/hanbit.py
@@ -0,0 +1,214 @@
+"""The Hanbit bench: nightly rebuilds, health checks and label bursts."""
+
+import itertools
+
+from citronmount.bench import metrics
+from citronmount.bench import private_pool
+from citronmount.bench import registry
+from citronmount.bench import replay
+from citronmount.bench import report
+from citronmount.bench import sites
+from citronmount.bench import workload
+from citronmount.core import jobs
+from citronmount.core import states
+
+__all__ = ["label_bursts", "run", "trace", "trial_jobs"]
+
+DAYS = 2
+NIGHT_MS = 22 * workload.HOUR_MS
+STORES_OPEN_MS = 32 * workload.HOUR_MS
+REBUILDS = {"ara": 6, "bora": 6, "chorok": 4, "dalbit": 4}
+BURST_SIZES = {"ara": 300, "bora": 200, "chorok": 100, "dalbit": 100}
+BURSTS_A_DAY = 6
+HEALTH_CHECKS_A_DAY = 500
+TRIALS_A_DAY = 80
+FRAGMENTATION_SHARE_OF_BEST_FIT = 0.5
+SERVED_LAG_BOUND = 0.1
+_WORKER = sites.HANBIT_WORKER
+_ONE = jobs.Resources(accelerators=1, cores=8, memory_gb=16)
+_TWO = jobs.Resources(accelerators=2, cores=16, memory_gb=32)
+
+
+def _rebuilds(seed: int, days: int) -> list[workload.TracedJob]:
+    rng = workload.stream("rebuilds", seed)
+    return [
+        workload.traced(
+            account=member,
+            kind="rebuild",
+            arrival_ms=day * workload.DAY_MS
+            + NIGHT_MS
+            + rng.randrange(20 * workload.MINUTE_MS),
+            true_run_s=workload.skewed(rng, 4_500.0, 0.3, 10_800.0),
+            tasks=4,
+            per_task=_WORKER,
+            adjacency=states.Adjacency.RACK,
+            declared_s=5_400.0,
+            deadline_ms=day * workload.DAY_MS + STORES_OPEN_MS,
+            checkpoint_ms=8 * workload.SECOND_MS,
+        )
+        for day in range(days)
+        for member, count in REBUILDS.items()
+        for _ in range(count)
+    ]
+
+
+def _health_checks(seed: int, days: int) -> list[workload.TracedJob]:
+    rng = workload.stream("health checks", seed)
+    return [
+        workload.traced(
+            account=member,
+            kind="health_check",
+            arrival_ms=at_ms,
+            true_run_s=workload.skewed(rng, 8.0, 0.4, 60.0),
+            tasks=1,
+            per_task=_ONE,
+            adjacency=states.Adjacency.WORKER,
+            declared_s=10.0,
+            urgent=True,
+        )
+        for member in REBUILDS
+        for at_ms in workload.poisson_times(
+            rng, 0, days * workload.DAY_MS, days * HEALTH_CHECKS_A_DAY
+        )
+    ]
+
+
+def label_bursts(seed: int, days: int) -> list[workload.TracedJob]:
+    """Returns bursts of label renders, three times larger for one member.
+
+    Args:
+        seed: Seed of the bench.
+        days: How many days.
+
+    Returns:
+        The jobs.
+    """
+    rng = workload.stream("label bursts", seed)
+    starts = [
+        (member, size, rng.randrange(days * workload.DAY_MS))
+        for member, size in BURST_SIZES.items()
+        for _ in range(BURSTS_A_DAY * days)
+    ]
+    return [
+        workload.traced(
+            account=member,
+            kind="label_render",
+            arrival_ms=start_ms + rng.randrange(workload.MINUTE_MS),
+            true_run_s=workload.skewed(rng, 360.0, 1.0, 7_200.0),
+            tasks=1,
+            per_task=rng.choice((_ONE, _ONE, _ONE, _TWO)),
+            adjacency=states.Adjacency.WORKER,
+            declared_s=600.0,
+        )
+        for member, size, start_ms in starts
+        for _ in range(size)
+    ]
+
+
+def trial_jobs(seed: int, days: int) -> list[workload.TracedJob]:
+    """Returns the long, small jobs of a trial account.
+
+    Args:
+        seed: Seed of the bench.
+        days: How many days.
+
+    Returns:
+        The jobs.
+    """
+    rng = workload.stream("trials", seed)
+    return [
+        workload.traced(
+            account="newcomer",
+            kind="trial",
+            arrival_ms=at_ms,
+            true_run_s=workload.skewed(rng, 9_000.0, 0.6, 36_000.0),
+            tasks=rng.choice((1, 2, 4)),
+            per_task=rng.choice((_ONE, _TWO)),
+            adjacency=states.Adjacency.FAILURE_DOMAIN,
+            declared_s=10_800.0,
+        )
+        for at_ms in workload.poisson_times(
+            rng, 0, days * workload.DAY_MS, days * TRIALS_A_DAY
+        )
+    ]
+
+
+def trace(seed: int, days: int = DAYS) -> tuple[workload.TracedJob, ...]:
+    """Returns the whole workload.
+
+    Args:
+        seed: Seed of the bench.
+        days: How many days.
+
+    Returns:
+        The jobs by arrival.
+    """
+    parts = (
+        _rebuilds(seed, days),
+        _health_checks(seed, days),
+        label_bursts(seed, days),
+        trial_jobs(seed, days),
+    )
+    return tuple(
+        sorted(
+            itertools.chain.from_iterable(parts),
+            key=lambda job: job.arrival_ms,
+        )
+    )
+
+
+@registry.bench("hanbit")
+def run(
+    seed: int, policies: tuple[str, ...], days: int = DAYS
+) -> report.BenchReport:
+    """Runs the Hanbit workload.
+
+    Args:
+        seed: Seed of the workload.
+        policies: The policies to compare.
+        days: How many days.
+
+    Returns:
+        The report, with the bars of guarantees, fragmentation and fairness.
+    """
+    site = sites.hanbit()
+    jobs_of = trace(seed, days)
+    horizon_ms = (
+        (days - 1) * workload.DAY_MS + STORES_OPEN_MS + 4 * workload.HOUR_MS
+    )
+    replays = {
+        policy: replay.replay(
+            site=site, trace=jobs_of, policy=policy, horizon_ms=horizon_ms
+        )
+        for policy in policies
+    }
+    return report.BenchReport(
+        bench="hanbit",
+        seed=seed,
+        metrics={p: metrics.policy_metrics(r) for p, r in replays.items()},
+        bars=tuple(_bars(site, jobs_of, replays)),
+    )
+
+
+def _bars(
+    site: sites.Site,
+    jobs_of: tuple[workload.TracedJob, ...],
+    replays: dict[str, replay.Replay],
+) -> list[report.Bar]:
+    ours = replays.get("citron")
+    if ours is None:
+        return []
+    bars = private_pool.wait_bars(site, jobs_of, ours, tuple(REBUILDS))
+    if "best_fit" in replays:
+        best_fit = replays["best_fit"].fragmentation.ratio
+        bars.append(
+            report.at_most(
+                "fragmentation",
+                "citron",
+                ours.fragmentation.ratio,
+                best_fit * FRAGMENTATION_SHARE_OF_BEST_FIT,
+            )
+        )
+    lag = metrics.served_lag(ours)
+    bars.append(report.at_most("served_lag", "citron", lag, SERVED_LAG_BOUND))
+    return bars
--- /dev/null
+++ b/citronmount/bench/metrics.py
@@ -0,0 +1,192 @@
+"""Metrics of a replay."""
+
+import collections
+import itertools
+import math
+
+from citronmount.bench import accounting
+from citronmount.bench import replay as replay_lib
+from citronmount.bench import report
+from citronmount.core import ids
+from citronmount.core import states
+
+__all__ = [
+    "policy_metrics",
+    "served_lag",
+    "wait_s",
+    "waits_of",
+    "work_done_ratio",
+]
+
+MIN_JOINT_DEMAND_S = 3_600.0
+
+
+def wait_s(job: replay_lib.JobTrace, horizon_ms: int) -> float:
+    """Returns how long a job waited for its first start.
+
+    Args:
+        job: What became of the job.
+        horizon_ms: The end of the replay, which counts for jobs that never
+            started.
+
+    Returns:
+        Seconds.
+    """
+    start_ms = job.first_start_ms
+    if start_ms is None:
+        start_ms = horizon_ms
+    return (start_ms - job.job.arrival_ms) / 1_000
+
+
+def _completion_s(job: replay_lib.JobTrace, horizon_ms: int) -> float:
+    end_ms = horizon_ms if job.ended_ms is None else job.ended_ms
+    return (end_ms - job.job.arrival_ms) / 1_000
+
+
+def _counted(job: replay_lib.JobTrace, horizon_ms: int) -> bool:
+    """Whether the job is one that runs to its end if it can."""
+    return (
+        job.job.cancel_ms is None
+        and not job.job.fails
+        and job.job.arrival_ms < horizon_ms
+    )
+
+
+def waits_of(
+    replay: replay_lib.Replay, account: ids.AccountId
+) -> dict[int, float]:
+    """Returns the waits of an account's jobs.
+
+    Args:
+        replay: A replay that was run.
+        account: The account.
+
+    Returns:
+        Seconds by the job's place in the trace.
+    """
+    return {
+        number: wait_s(job, replay.horizon_ms)
+        for number, job in enumerate(replay.jobs)
+        if job.spec.account == account and _counted(job, replay.horizon_ms)
+    }
+
+
+def work_done_ratio(replay: replay_lib.Replay) -> float:
+    """Returns useful work over the most that the capacity allowed.
+
+    Args:
+        replay: A replay that was run.
+
+    Returns:
+        A ratio of at most 1.
+    """
+    counted = [j for j in replay.jobs if _counted(j, replay.horizon_ms)]
+    done = math.fsum(
+        job.progress_at(replay.horizon_ms) * job.job.work_s for job in counted
+    )
+    allowed = accounting.allowed_work_s(
+        accounting.demand_rate(tuple(job.job for job in counted)),
+        replay.capacity,
+        replay.horizon_ms,
+    )
+    return done / allowed if allowed else 1.0
+
+
+def served_lag(replay: replay_lib.Replay) -> float:
+    """Returns how far a paying account fell behind another.
+
+    Args:
+        replay: A replay that was run.
+
+    Returns:
+        The largest shortfall over all pairs of paying accounts, as a share
+        of what the other was served while both had jobs queued in the same
+        failure domain.
+    """
+    paying = {
+        account.name
+        for account in replay.configuration.accounts
+        if account.account_class is states.AccountClass.PAYING
+    }
+    pooled: dict[tuple[ids.AccountId, ids.AccountId], list[float]]
+    pooled = collections.defaultdict(lambda: [0.0, 0.0])
+    for served in replay.served.values():
+        for pair, (first, second) in served.pairs().items():
+            if paying.issuperset(pair):
+                pooled[pair][0] += first
+                pooled[pair][1] += second
+    return max(
+        (
+            1 - min(shares) / max(shares)
+            for shares in pooled.values()
+            if max(shares) >= MIN_JOINT_DEMAND_S
+        ),
+        default=0.0,
+    )
+
+
+def policy_metrics(replay: replay_lib.Replay) -> report.PolicyMetrics:
+    """Returns the metrics of a replay.
+
+    Args:
+        replay: A replay that was run.
+
+    Returns:
+        Its metrics, by class of work.
+    """
+    horizon_ms = replay.horizon_ms
+    counted = sorted(
+        (j for j in replay.jobs if _counted(j, horizon_ms)),
+        key=lambda job: job.job.kind,
+    )
+    kinds = {
+        kind: list(group)
+        for kind, group in itertools.groupby(counted, lambda j: j.job.kind)
+    }
+    reclaims = [
+        wait_s(job, horizon_ms) for job in counted if job.waited_reclaim
+    ]
+    ratios = {
+        "fragmentation_of_pending": replay.pending_fragmentation.ratio,
+        "served_lag": served_lag(replay),
+        "deadlines_missed": _deadlines_missed(counted, horizon_ms),
+        "wait_p99_with_reclaim_s": report.percentile(sorted(reclaims), 0.99),
+    }
+    return report.PolicyMetrics(
+        completion_time_s={
+            kind: report.percentiles(
+                _completion_s(job, horizon_ms) for job in group
+            )
+            for kind, group in kinds.items()
+        },
+        wait_s={
+            kind: report.percentiles(wait_s(job, horizon_ms) for job in group)
+            for kind, group in kinds.items()
+        },
+        fragmentation=report.rounded(replay.fragmentation.ratio),
+        work_done_ratio=report.rounded(work_done_ratio(replay)),
+        counts={
+            **replay.counts,
+            "late_starts": replay.late_starts,
+            "unfinished": sum(job.code is None for job in counted),
+        },
+        ratios={
+            name: report.rounded(value) for name, value in ratios.items()
+        },
+    )
+
+
+def _deadlines_missed(
+    counted: list[replay_lib.JobTrace], horizon_ms: int
+) -> float:
+    bound = [
+        job
+        for job in counted
+        if job.spec.deadline_ms is not None
+        and job.spec.deadline_ms < horizon_ms
+    ]
+    missed = sum(
+        job.ended_ms is None or job.ended_ms > job.spec.deadline_ms
+        for job in bound
+    )
+    return missed / len(bound) if bound else 0.0
--- /dev/null
+++ b/citronmount/bench/pool_usage.py
@@ -0,0 +1,188 @@
+"""What jobs hold at each worker, and how fragmented the rest is.
+
+Fragmentation follows the idea of Weng et al., "Beware of Fragmentation",
+USENIX ATC 2023: free accelerators are fragmented as far as the shapes of the
+expected workload cannot use them. Here a shape can use the free accelerators
+of an enclosure, of the kind that its adjacency names, only if one whole gang
+fits there.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.platform import messages
+
+__all__ = ["Fragmentation", "PoolUsage", "Shape", "shape_of", "tasks_that_fit"]
+
+
+class Shape(msgspec.Struct, frozen=True, kw_only=True):
+    """What a gang needs, without its account and times.
+
+    Attributes:
+        tasks: Gang size.
+        per_task: Resources of each task.
+        adjacency: What must hold the gang.
+    """
+
+    tasks: int
+    per_task: jobs.Resources
+    adjacency: states.Adjacency
+
+
+def shape_of(spec: jobs.JobSpec) -> Shape:
+    """Returns the shape of a job.
+
+    Args:
+        spec: The job.
+
+    Returns:
+        Its shape.
+    """
+    return Shape(
+        tasks=spec.tasks, per_task=spec.per_task, adjacency=spec.adjacency
+    )
+
+
+def tasks_that_fit(free: jobs.Resources, per_task: jobs.Resources) -> int:
+    """Returns how many tasks fit into what is free.
+
+    Args:
+        free: Free resources.
+        per_task: Resources of one task.
+
+    Returns:
+        The number of tasks.
+    """
+    pairs = (
+        (free.accelerators, per_task.accelerators),
+        (free.cores, per_task.cores),
+        (free.memory_gb, per_task.memory_gb),
+    )
+    return max(0, min((have // need for have, need in pairs if need)))
+
+
+class PoolUsage:
+    """Free resources of every worker, by what was placed and ended."""
+
+    def __init__(self, *, workers: Iterable[messages.ListedTarget]) -> None:
+        """Initializes an idle pool.
+
+        Args:
+            workers: All workers.
+        """
+        self.workers = {ids.WorkerId(w.name): w for w in workers}
+        self.free = {name: w.capacity for name, w in self.workers.items()}
+        self.up = dict.fromkeys(self.workers, True)
+        self.by_domain: dict[ids.FailureDomainId, list[ids.WorkerId]] = (
+            collections.defaultdict(list)
+        )
+        for name, worker in self.workers.items():
+            self.by_domain[worker.failure_domain].append(name)
+
+    def take(
+        self, spec: jobs.JobSpec, placement: jobs.Placement, sign: int
+    ) -> None:
+        """Takes or returns what a gang holds.
+
+        Args:
+            spec: The job.
+            placement: Where it runs.
+            sign: 1 to take, -1 to return.
+
+        Raises:
+            ValueError: If the gang does not fit there or is not whole.
+        """
+        if sum(group.tasks for group in placement.groups) != spec.tasks:
+            raise ValueError(f"partial gang {spec.job}")
+        for group in placement.groups:
+            amount = sign * group.tasks
+            free = self.free[group.worker]
+            left = jobs.Resources(
+                accelerators=free.accelerators
+                - amount * spec.per_task.accelerators,
+                cores=free.cores - amount * spec.per_task.cores,
+                memory_gb=free.memory_gb - amount * spec.per_task.memory_gb,
+            )
+            if min(left.accelerators, left.cores, left.memory_gb) < 0:
+                raise ValueError(f"{spec.job} overfills {group.worker}")
+            self.free[group.worker] = left
+
+    def capacity(self, domain: ids.FailureDomainId) -> int:
+        """Returns the accelerators of a failure domain's usable workers.
+
+        Args:
+            domain: The failure domain.
+
+        Returns:
+            Their number.
+        """
+        return sum(
+            self.workers[name].capacity.accelerators
+            for name in self.by_domain[domain]
+            if self.up[name]
+        )
+
+
+class Fragmentation:
+    """Adds up free and unusable accelerators over samples."""
+
+    def __init__(self) -> None:
+        """Initializes without samples."""
+        self.free = 0.0
+        self.unusable = 0.0
+
+    @property
+    def ratio(self) -> float:
+        """Unusable over free accelerators of all samples."""
+        return self.unusable / self.free if self.free else 0.0
+
+    def sample(
+        self,
+        usage: PoolUsage,
+        domain: ids.FailureDomainId,
+        mix: dict[Shape, float],
+    ) -> None:
+        """Adds the present state of one failure domain.
+
+        Args:
+            usage: The pool.
+            domain: The failure domain.
+            mix: Shapes with their weights.
+        """
+        names = [name for name in usage.by_domain[domain] if usage.up[name]]
+        free = sum(usage.free[name].accelerators for name in names)
+        weight = sum(mix.values())
+        if not free or not weight:
+            return
+        usable = sum(
+            share * _usable(usage, names, shape)
+            for shape, share in mix.items()
+        )
+        self.free += free
+        self.unusable += free - usable / weight
+
+
+def _usable(
+    usage: PoolUsage, names: list[ids.WorkerId], shape: Shape
+) -> int:
+    enclosures: dict[str, int] = collections.Counter()
+    for name in names:
+        fit = tasks_that_fit(usage.free[name], shape.per_task)
+        enclosures[_enclosure(usage.workers[name], shape.adjacency)] += fit
+    fitting = sum(fit for fit in enclosures.values() if fit >= shape.tasks)
+    return fitting * shape.per_task.accelerators
+
+
+def _enclosure(
+    worker: messages.ListedTarget, adjacency: states.Adjacency
+) -> str:
+    if adjacency is states.Adjacency.WORKER:
+        return worker.name
+    if adjacency is states.Adjacency.RACK:
+        return worker.rack
+    return worker.failure_domain
--- /dev/null
+++ b/citronmount/bench/registry.py
@@ -0,0 +1,57 @@
+"""The registry of benches, filled by decorators."""
+
+from collections.abc import Callable
+
+from citronmount.bench import report
+from citronmount.core import codes
+from citronmount.core import errors
+
+__all__ = ["POLICIES", "bench", "get", "names"]
+
+POLICIES = ("citron", "fifo", "best_fit", "no_backfill")
+
+Bench = Callable[[int, tuple[str, ...]], report.BenchReport]
+
+_BENCHES: dict[str, Bench] = {}
+
+
+def bench(name: str) -> Callable[[Bench], Bench]:
+    """Registers a bench.
+
+    Args:
+        name: The name by which it is run.
+
+    Returns:
+        A decorator for a function of the seed and the policies.
+    """
+
+    def register(function: Bench) -> Bench:
+        _BENCHES[name] = function
+        return function
+
+    return register
+
+
+def get(name: str) -> Bench:
+    """Returns a registered bench.
+
+    Args:
+        name: Its name.
+
+    Returns:
+        The function that runs it.
+
+    Raises:
+        InvalidInputError: If there is no such bench.
+    """
+    if name not in _BENCHES:
+        raise errors.InvalidInputError(
+            f"no bench {name!r}; there are {', '.join(names())}",
+            code=codes.ResultCode.INVALID_REQUEST,
+        )
+    return _BENCHES[name]
+
+
+def names() -> tuple[str, ...]:
+    """Returns the names of all benches, sorted."""
+    return tuple(sorted(_BENCHES))
--- /dev/null
+++ b/citronmount/bench/suite.py
@@ -0,0 +1,21 @@
+"""Loads every module that registers a bench."""
+
+import importlib
+
+__all__ = ["load"]
+
+_MODULES = (
+    "burst",
+    "domain_out",
+    "failing_workers",
+    "hanbit",
+    "misdeclared",
+    "perchero",
+    "two_year",
+)
+
+
+def load() -> None:
+    """Imports the modules of all benches, so that they register."""
+    for name in _MODULES:
+        importlib.import_module(f"citronmount.bench.{name}")
