--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -219,7 +219,10 @@
         self._content = msgspec.structs.replace(
             self._content, failure_domains=domains
         )
-        self.callers.publish(self._content, self.evidence.log_version())
+        elsewhere = self.vms_in(ids.FailureDomainId(self.domains[1]))
+        self.callers.publish(
+            self._content, self.evidence.log_version(), elsewhere[0]
+        )
 
     # The course of a cell.
 
--- a/citronmount/bench/faults/promises.py
+++ b/citronmount/bench/faults/promises.py
@@ -584,24 +584,26 @@
     due_ms = evidence.healed_ms + TAKE_OVER_MS
     if evidence.ended_ms < due_ms:
         return
-    owners: dict[str, str] = {}
+    owners: set[str] = set()
     kinds = (
         events.EventKind.REBUILD_DONE,
         events.EventKind.OWNERSHIP_LEFT,
         events.EventKind.VM_STARTED,
         events.EventKind.VM_STOPPED,
     )
-    places = {vm.vm: str(vm.failure_domain) for vm in _vms(evidence)}
     for at_ms, event in _of_kind(evidence, *kinds):
         if at_ms > due_ms:
             break
-        domain = places[event.process]
         if event.kind is events.EventKind.REBUILD_DONE:
-            owners[domain] = event.process
-        elif owners.get(domain) == event.process:
-            del owners[domain]
-    for vm, process in evidence.harness.processes.items():
-        if process.agent is None and vm in owners.values():
-            del owners[places[vm]]
-    for domain in sorted(set(places.values()) - owners.keys()):
+            owners.add(event.process)
+        else:
+            owners.discard(event.process)
+    processes = evidence.harness.processes.values()
+    domains = {str(p.vm.failure_domain) for p in processes}
+    owned = {
+        str(p.vm.failure_domain)
+        for p in processes
+        if p.agent is not None and p.vm.vm in owners
+    }
+    for domain in sorted(domains - owned):
         yield due_ms, f"{domain} has no rebuilt owner at {due_ms} ms"
--- a/citronmount/bench/faults/steps.py
+++ b/citronmount/bench/faults/steps.py
@@ -196,7 +196,8 @@
 
 @registry.step("drain.handover")
 def _handover(cell: Any, process: Any, item: Any) -> bool:
-    return _sends(item, peer_messages.Handover)
+    left = timeline_events.EventKind.OWNERSHIP_LEFT
+    return process.draining and _traces(item, left)
 
 
 @registry.step("drain.finish")
--- a/citronmount/bench/faults/timeline_check.py
+++ b/citronmount/bench/faults/timeline_check.py
@@ -97,11 +97,20 @@
 
 
 def _tasks_of_jobs(timeline: list[events.TimelineEvent]) -> dict[str, int]:
-    return {
-        event.job: event.count
-        for event in timeline
-        if event.kind is _Kind.JOB_ACCEPTED
-    }
+    """Returns the gang sizes, from acceptances or else from reservations."""
+    reserved: dict[tuple[str, str], dict[str, int]] = collections.defaultdict(
+        dict
+    )
+    accepted: dict[str, int] = {}
+    for event in timeline:
+        if event.kind is _Kind.JOB_ACCEPTED:
+            accepted[event.job] = event.count
+        elif event.kind is _Kind.TASK_RESERVED:
+            reserved[event.job, event.attempt][event.target] = event.count
+    largest: dict[str, int] = {}
+    for (job, _), members in reserved.items():
+        largest[job] = max(largest.get(job, 0), sum(members.values()))
+    return largest | accepted
 
 
 def _done_is_done(
