--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -73,6 +73,7 @@
         focus: The failure domain that take-overs and drains concern.
         hits: Where the faults struck.
         healed_ms: When the last fault was over.
+        trial_run_ms: Run time of the trials that fill the pool.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         self.focus = site.failure_domains[0]
         self.hits: list[Hit] = []
         self.healed_ms = 0
+        self.trial_run_ms = 14_000
         self._plan = list(plan)
         self._families = {step.family for _, step in plan}
         retention_ms = min(
@@ -296,7 +298,7 @@
                 harness_site.TRIAL,
                 tasks=2,
                 accelerators=8,
-                run_ms=14_000,
+                run_ms=self.trial_run_ms,
                 save_ms=400,
                 vm=self.vms_in(domain)[0],
             )
