--- a/citronmount/bench/faults/promises.py
+++ b/citronmount/bench/faults/promises.py
@@ -26,6 +26,7 @@
 TAKE_OVER_MS = LEASE_TTL_MS + 2_000
 PARTIAL_GANG_MS = LEASE_TTL_MS + RESERVATION_TTL_MS
 RECLAIM_MS = TAKE_OVER_MS + PARTIAL_GANG_MS
+QUIET_RECLAIM_MS = 5_000
 DRAIN_MS = 35_000
 
 
@@ -123,7 +124,8 @@
         if not case.must_run or case.refused or case.accepted_ms is None:
             continue
         since_ms = max(case.accepted_ms, evidence.healed_ms)
-        bound_ms = since_ms + RECLAIM_MS
+        limit_ms = RECLAIM_MS if evidence.healed_ms else QUIET_RECLAIM_MS
+        bound_ms = since_ms + limit_ms
         starts = [
             max(spans[-1][0] for spans in at_workers.values())
             for attempt, at_workers in runs.items()
@@ -584,24 +586,26 @@
     due_ms = evidence.healed_ms + TAKE_OVER_MS
     if evidence.ended_ms < due_ms:
         return
-    owners: dict[str, str] = {}
+    owners: set[str] = set()
     kinds = (
         events.EventKind.REBUILD_DONE,
         events.EventKind.OWNERSHIP_LEFT,
         events.EventKind.VM_STARTED,
         events.EventKind.VM_STOPPED,
     )
-    places = {vm.vm: str(vm.failure_domain) for vm in _vms(evidence)}
     for at_ms, event in _of_kind(evidence, *kinds):
         if at_ms > due_ms:
             break
-        domain = places[event.process]
         if event.kind is events.EventKind.REBUILD_DONE:
-            owners[domain] = event.process
-        elif owners.get(domain) == event.process:
-            del owners[domain]
-    for vm, process in evidence.harness.processes.items():
-        if process.agent is None and vm in owners.values():
-            del owners[places[vm]]
-    for domain in sorted(set(places.values()) - owners.keys()):
+            owners.add(event.process)
+        else:
+            owners.discard(event.process)
+    processes = evidence.harness.processes.values()
+    domains = {str(p.vm.failure_domain) for p in processes}
+    owned = {
+        str(p.vm.failure_domain)
+        for p in processes
+        if p.agent is not None and p.vm.vm in owners
+    }
+    for domain in sorted(domains - owned):
         yield due_ms, f"{domain} has no rebuilt owner at {due_ms} ms"
