--- a/citronmount/bench/harness.py
+++ b/citronmount/bench/harness.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 import random
+import traceback
 from typing import Protocol
 
 import msgspec
@@ -44,7 +45,9 @@
 _TICK_MS = 250
 _SERVICE_MS = 1
 _REFUSED_MS = 2
+_RESTART_MS = 1_000
 _HTTP_HEADER_BYTES = 200
+_TRACE_LINES = 5
 
 
 class AgentLike(Protocol):
@@ -96,7 +99,10 @@
         calls: Calls that are not answered yet.
         tickets: Open requests of callers, with what to tell the caller.
         draining: Whether it was asked to stop.
+        started_ms: When it was started last.
         exited_ms: When it ended itself, if it did.
+        drained_ms: When it was asked to stop.
+        cut_ms: When it ended itself with requests of callers open.
         traffic: Its messages and bytes.
     """
 
@@ -112,7 +118,10 @@
         default_factory=dict
     )
     draining: bool = False
+    started_ms: int = 0
     exited_ms: int | None = None
+    drained_ms: int | None = None
+    cut_ms: list[int] = msgspec.field(default_factory=list)
     traffic: Traffic = msgspec.field(default_factory=Traffic)
 
 
@@ -131,6 +140,7 @@
         down: Services and targets that do not answer.
         log_delay_ms: How long the log takes for each call.
         lose_append_answers: Whether appends take effect without an answer.
+        crashes: Time, VM and last lines of every exception of an agent.
         watchers: Called with the process and each event or effect before it
             is carried out.
     """
@@ -149,8 +159,8 @@
 
         Args:
             site: The site.
-            make_agent: Makes the agent of a VM from its list entry and a
-                seed.
+            make_agent: Makes the agent of a VM from its list entry and the
+                wall-clock time of its start in ms.
             seed: The seed of all randomness.
             retention_ms: How long the log keeps records.
             list_lag_ms: How far the platform's list lags.
@@ -161,7 +171,7 @@
         self.network = harness_network.Network(
             rng=random.Random(self.rng.getrandbits(32))
         )
-        self.log = log.LogModel(retention_ms=retention_ms)
+        self.log = log.LogModel(retention_ms=retention_ms, keep_history=True)
         self.platform = platform.PlatformModel(
             lag_ms=list_lag_ms, view=site.view
         )
@@ -169,6 +179,7 @@
         self.down: set[str] = set()
         self.log_delay_ms = _SERVICE_MS
         self.lose_append_answers = False
+        self.crashes: list[tuple[int, ids.VmId, list[str]]] = []
         self.watchers: list[Callable[[Process, object], None]] = []
         self.arrivals: list[Callable[[str, str, object], None]] = []
         self._make_agent = make_agent
@@ -219,7 +230,9 @@
         process.incarnation += 1
         process.paused = process.draining = False
         process.exited_ms = None
-        process.agent = self._make_agent(process.vm, self.rng.getrandbits(32))
+        process.started_ms = self.clock.now_ms
+        incarnation_ms = EPOCH_MS + self.clock.now_ms + process.wall_skew_ms
+        process.agent = self._make_agent(process.vm, incarnation_ms)
         live = msgspec.structs.replace(process.vm, state=states.VmState.LIVE)
         self.platform.set_vm(live, self.clock.now_ms)
         self._post(process, process.incarnation, events.Started())
@@ -272,6 +285,7 @@
         if process.agent is None:
             return
         process.draining = True
+        process.drained_ms = self.clock.now_ms
         leaving = msgspec.structs.replace(
             process.vm, state=states.VmState.LEAVING
         )
@@ -403,19 +417,31 @@
         if process.paused:
             process.inbox.append(event)
             return
-        now_ms = self.clock.now_ms
-        todo = process.agent.handle(
-            event,
-            now_ms + process.clock_start_ms,
-            EPOCH_MS + now_ms + process.wall_skew_ms,
-        )
-        for effect in todo:
+        for effect in self._handle(process, event):
             for watcher in tuple(self.watchers):
                 watcher(process, effect)
             if process.agent is None:
                 return
             self._carry_out(process, effect)
 
+    def _handle(
+        self, process: Process, event: events.Event
+    ) -> list[effects.Effect]:
+        """Lets the agent handle an event; an exception ends the process."""
+        now_ms = self.clock.now_ms
+        try:
+            return process.agent.handle(
+                event,
+                now_ms + process.clock_start_ms,
+                EPOCH_MS + now_ms + process.wall_skew_ms,
+            )
+        except Exception:
+            last_lines = traceback.format_exc().splitlines()[-_TRACE_LINES:]
+            self.crashes.append((now_ms, process.vm.vm, last_lines))
+            self.kill(process.vm.vm)
+            self.clock.after_ms(_RESTART_MS, self.start, process.vm.vm)
+            return []
+
     def _carry_out(self, process: Process, effect: effects.Effect) -> None:
         match effect:
             case effects.Trace():
@@ -469,6 +495,8 @@
 
     def _exit(self, process: Process) -> None:
         process.exited_ms = self.clock.now_ms
+        if process.tickets:
+            process.cut_ms.append(self.clock.now_ms)
         self.kill(process.vm.vm)
 
     def _call_arrives(
