--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -180,6 +180,7 @@
             return
         self._ctx.trace(timeline.EventKind.VM_RESUMED_LATE, count=gap_ms)
         self.view.forget_silence(now_ms)
+        self.drain.resumed()
         self.ownership.step_down("paused")
         self.ownership.not_before(now_ms + self.settings.suspicion_ms)
 
--- a/citronmount/agent/attempts.py
+++ b/citronmount/agent/attempts.py
@@ -124,7 +124,8 @@
             )
             for group in placement.groups
         }
-        self._reserved_ms = 0
+        self._permitted = False
+        self._reserved_ms: int | None = None
         self._adopt_due_ms: int | None = None
         self._end = decisions.AttemptEnd.DONE
         self._culprits: tuple[ids.WorkerId, ...] = ()
@@ -153,6 +154,11 @@
         for worker in self._members:
             self._reserve(worker)
 
+    def permit(self) -> None:
+        """Lets starts go out: the intent of the attempt is durable."""
+        self._permitted = True
+        self._check_reserved()
+
     def adopt(self) -> None:
         """Takes over an attempt that another scheduler has started."""
         self._gang.all_reserved()
@@ -262,9 +268,11 @@
 
     def _window_end_ms(self) -> int:
         ttl_ms = self._ctx.settings.reservation_ttl_ms
-        return self._reserved_ms + ttl_ms
+        return (self._reserved_ms or 0) + ttl_ms
 
     def _tick_reserving(self) -> None:
+        if self._reserved_ms is None:
+            return
         if self._ctx.now_ms >= self._window_end_ms() - START_MARGIN_MS:
             silent = tuple(
                 worker
@@ -362,7 +370,9 @@
 
     def _check_reserved(self) -> None:
         in_time = self._ctx.now_ms < self._window_end_ms() - START_MARGIN_MS
-        whole = all(member.reserved for member in self._members.values())
+        whole = self._permitted and all(
+            member.reserved for member in self._members.values()
+        )
         if whole and in_time and self._gang.all_reserved():
             for worker in self._members:
                 self._start(worker)
--- a/citronmount/agent/drain.py
+++ b/citronmount/agent/drain.py
@@ -14,6 +14,7 @@
 __all__ = ["Drain"]
 
 LAME_DUCK_MS = 2_000
+RESUME_REST_MS = 1_000
 HANDOVER_TIMEOUT_MS = 1_000
 
 
@@ -54,6 +55,7 @@
         self._since_ms: int | None = None
         self._handing_over = False
         self._exited = False
+        self._resumed_ms: int | None = None
 
     @property
     def refusing(self) -> bool:
@@ -68,6 +70,10 @@
         self._view.draining = True
         self._ctx.trace(timeline.EventKind.VM_DRAINING)
 
+    def resumed(self) -> None:
+        """Notes a pause, after which calls may still wait to be read."""
+        self._resumed_ms = self._ctx.now_ms
+
     def tick(self, open_tickets: int) -> None:
         """Exits once nothing is open any more.
 
@@ -79,7 +85,7 @@
         if self._ownership.domain is not None:
             self._ownership.domain.table.answer_all()
         open_work = open_tickets or self._calls.busy() or self._requests.busy()
-        if open_work or not self._released():
+        if open_work or self._just_resumed() or not self._released():
             return
         if self._outbox.streams():
             self._hand_over()
@@ -91,6 +97,12 @@
             return -1
         return self._ctx.now_ms - self._since_ms
 
+    def _just_resumed(self) -> bool:
+        return (
+            self._resumed_ms is not None
+            and self._ctx.now_ms - self._resumed_ms < RESUME_REST_MS
+        )
+
     def _released(self) -> bool:
         """Returns whether another VM may schedule the failure domain."""
         if self._ownership.domain is None:
--- a/citronmount/agent/job_table.py
+++ b/citronmount/agent/job_table.py
@@ -67,10 +67,12 @@
         durability: Where its acceptance is recorded; None before that.
         attempts: How many attempts were made.
         cancelled: Whether a caller has cancelled it.
-        ever_ran: Whether a task of any attempt may have run.
+        ever_ran: Whether a task of any attempt may have run, as far as this
+            owner and the intents of earlier ones tell.
         progress: Saved share of its work.
         workers: Where it runs at present.
         ending: Whether its final result is being recorded.
+        refusals: How often in a row workers have refused it.
         accept_responders: Callers that wait for the acceptance.
     """
 
@@ -83,6 +85,7 @@
     progress: float = 0.0
     workers: tuple[ids.WorkerId, ...] = ()
     ending: bool = False
+    refusals: int = 0
     accept_responders: list[Responder] = msgspec.field(default_factory=list)
 
     def status(self) -> jobs.JobStatus:
--- a/citronmount/agent/outbox.py
+++ b/citronmount/agent/outbox.py
@@ -95,6 +95,7 @@
             ids.StreamName, dict[ids.RecordId, records.Record]
         ] = {}
         self._held_since_ms: dict[ids.RecordId, int] = {}
+        self._muted: dict[ids.VmId, int] = {}
         self.log_up = True
 
     def write(
@@ -228,7 +229,7 @@
         write.settle(WriteOutcome.NEVER_SENT)
 
     def _ask_peers(self, write: _Write) -> None:
-        peers = self._view.live_peers(self._ctx.now_ms)
+        peers = self._answering_peers()
         if not peers:
             return
         write.asked_peers = True
@@ -236,11 +237,20 @@
         for peer in peers[: REPLICAS + 1]:
             self._replicate(write, peer, needed)
 
+    def _answering_peers(self) -> list[ids.VmId]:
+        """Returns live peers, less those silent since an unanswered call."""
+        return [
+            peer
+            for peer in self._view.live_peers(self._ctx.now_ms)
+            if self._view.heard_ms(peer) > self._muted.get(peer, -1)
+        ]
+
     def _replicate(self, write: _Write, peer: ids.VmId, needed: int) -> None:
         call = self._ctx.new_call()
 
         def acknowledged(answer: peer_messages.Acknowledge | None) -> None:
             if answer is None:
+                self._muted[peer] = self._ctx.now_ms
                 write.asked_peers = False
                 return
             write.acks.add(peer)
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -26,6 +26,8 @@
 __all__ = ["OwnedDomain"]
 
 RETRY_AFTER_MS = 2_000
+BACKOFF_MS = 250
+BACKOFF_MAX_MS = 8_000
 
 
 class OwnedDomain:
@@ -265,6 +267,7 @@
         """
         entry = job_table.JobEntry(spec=spec, durability=states.Durability.LOG)
         self.table.entries[spec.job] = entry
+        self._trace_accepted(entry)
         entry.cancelled = spec.job in self._book.cancelled
         if spec.job in self._book.moved:
             entry.state = states.JobState.STOPPING
@@ -272,12 +275,12 @@
             return
         intent = self._book.intents.get(spec.job)
         if intent is not None:
+            entry.ever_ran = True
+            entry.attempts = intent.number
+        if intent is not None and not spec.idempotent:
             self._conclude_intent(entry, intent)
         elif entry.cancelled:
-            self._finish_job(
-                spec.job,
-                jobs.JobResult(code=codes.ResultCode.CANCELLED_AFTER_START),
-            )
+            self._finish_job(spec.job, _cancel_result(entry))
         elif hold_ms > 0:
             self._held_until_ms[spec.job] = self._ctx.now_ms + hold_ms
         else:
@@ -342,7 +345,7 @@
         return moved.to
 
     def queued_specs(self) -> list[jobs.JobSpec]:
-        """Returns the queued jobs that may be run anywhere, first first."""
+        """Returns the queued jobs that never ran, first in line first."""
         entries = (
             self.table.entries.get(job) for job in self._scheduler.queued()
         )
@@ -351,6 +354,7 @@
             for entry in entries
             if entry is not None
             and entry.spec.idempotent
+            and not entry.ever_ran
             and not entry.cancelled
             and not entry.ending
         ]
@@ -628,6 +632,7 @@
             return
         self._book.fold(record)
         entry.durability = outcome.durability or states.Durability.PEERS
+        self._trace_accepted(entry)
         if outcome is outbox_lib.WriteOutcome.UNKNOWN:
             answer: peer_messages.Answer = peer_messages.Failure(
                 result=jobs.JobResult(
@@ -636,13 +641,6 @@
                 )
             )
         else:
-            self._ctx.trace(
-                timeline.EventKind.JOB_ACCEPTED,
-                job=spec.job,
-                account=spec.account,
-                count=spec.tasks,
-                detail=entry.durability.value,
-            )
             answer = peer_messages.JobAnswer(status=entry.status())
         self._scheduler.restore(spec, self._ctx.now_ms)
         for respond in entry.accept_responders:
@@ -652,6 +650,17 @@
             self._carry_out_cancel(entry)
         self._decision_due = True
 
+    def _trace_accepted(self, entry: job_table.JobEntry) -> None:
+        spec = entry.spec
+        durability = entry.durability or states.Durability.LOG
+        self._ctx.trace(
+            timeline.EventKind.JOB_ACCEPTED,
+            job=spec.job,
+            account=spec.account,
+            count=spec.tasks,
+            detail=durability.value,
+        )
+
     def _not_accepted(
         self, entry: job_table.JobEntry, code: codes.ResultCode
     ) -> None:
@@ -716,6 +725,7 @@
         )
         if entry.spec.idempotent:
             attempt.begin()
+            self._write_intent(attempt)
         else:
             self._claim_attempt(entry, attempt)
 
@@ -766,6 +776,7 @@
             if attempt.attempt not in self.attempts:
                 return
             if outcome.granted:
+                attempt.begin()
                 self._write_intent(attempt)
                 return
             if outcome.holder is not None and self._all_fenced():
@@ -801,7 +812,7 @@
                 attempt.stop(decisions.AttemptEnd.REFUSED)
                 return
             self._book.fold(intent)
-            attempt.begin()
+            attempt.permit()
 
         self._outbox.write(self._stream, intent, written)
 
@@ -809,7 +820,6 @@
         self, entry: job_table.JobEntry, intent: records.AttemptIntended
     ) -> None:
         """Finds out whether an attempt of an earlier owner ever ran."""
-        entry.attempts = intent.number
         attempt = self._new_attempt(
             entry, intent.attempt, intent.number, intent.placement
         )
@@ -840,6 +850,7 @@
         entry = self.table.entries[attempt.spec.job]
         entry.state = states.JobState.RUNNING
         entry.ever_ran = True
+        entry.refusals = 0
         self._scheduler.started(attempt.spec.job, self._ctx.now_ms)
         self._ctx.trace(
             timeline.EventKind.JOB_STARTED,
@@ -864,24 +875,33 @@
         for worker in attempt.workers:
             self._forget.setdefault(worker, set()).add(attempt.attempt)
         final = _final_result(entry, result)
+        refused = result.how is decisions.AttemptEnd.REFUSED
         verdict = self._scheduler.ended(
             job,
             result.how,
             self._ctx.now_ms,
             culprits=result.culprits,
-            requeue=final is None,
+            requeue=final is None and not refused,
             progress=entry.progress,
         )
-        final = final or verdict
+        final = final or _truthful_verdict(entry, verdict)
         self._decision_due = True
         if final is not None:
             self._finish_job(job, final)
             return
         entry.state = states.JobState.QUEUED
+        if refused:
+            self._back_off(entry)
         claim = self._book.claims.get(f"job/{job}")
         if claim is not None:
             self._free_claim(claim)
 
+    def _back_off(self, entry: job_table.JobEntry) -> None:
+        """Keeps a job that was refused out of the queue for a while."""
+        hold_ms = min(BACKOFF_MS << entry.refusals, BACKOFF_MAX_MS)
+        entry.refusals += 1
+        self._held_until_ms[entry.spec.job] = self._ctx.now_ms + hold_ms
+
     def _finish_job(self, job: ids.JobId, result: jobs.JobResult) -> None:
         """Records a final result and tells it once it is safe to do so."""
         entry = self.table.entries[job]
@@ -978,6 +998,7 @@
                 spec=spec, durability=states.Durability.LOG
             )
             self.table.entries[spec.job] = entry
+            self._trace_accepted(entry)
         entry.attempts = lease.number
         entry.ever_ran = entry.ever_ran or lease.ran
         attempt = self._new_attempt(
@@ -1024,8 +1045,10 @@
         ]
         for job in due:
             del self._held_until_ms[job]
-            spec = self.table.entries[job].spec
-            self._scheduler.restore(spec, self._ctx.now_ms)
+            entry = self.table.entries[job]
+            self._scheduler.restore(
+                entry.spec, self._ctx.now_ms, progress=entry.progress
+            )
 
     def _send_forget(self) -> None:
         """Lets workers drop ended attempts whose results are in the log."""
@@ -1071,3 +1094,14 @@
     if result.ran is None:
         return jobs.JobResult(code=codes.ResultCode.OUTCOME_UNKNOWN)
     return jobs.JobResult(code=codes.ResultCode.INTERRUPTED)
+
+
+def _truthful_verdict(
+    entry: job_table.JobEntry, verdict: jobs.JobResult | None
+) -> jobs.JobResult | None:
+    """Returns the scheduler's verdict, or that no worker would start it."""
+    if verdict is None or entry.ever_ran:
+        return verdict
+    return jobs.JobResult(
+        code=codes.ResultCode.TARGET_REFUSED, detail=verdict.detail
+    )
--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -6,6 +6,7 @@
 from citronmount.agent import claims as claims_lib
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
+from citronmount.agent import fencing
 from citronmount.agent import outbox as outbox_lib
 from citronmount.agent import owned_domain
 from citronmount.core import ids
@@ -174,7 +175,7 @@
         """Raises the token at every worker and takes its report."""
         self._round += 1
         self.phase = OwnershipPhase.FENCING
-        self.token = ids.FenceToken(self.token + 1)
+        self.token = fencing.next_token(self.token, self._ctx.settings)
         self._reports = {}
         self._due_ms = self._ctx.now_ms + FENCE_TIMEOUT_MS
         self._ctx.trace(
--- a/citronmount/bench/metrics.py
+++ b/citronmount/bench/metrics.py
@@ -170,9 +170,7 @@
             "late_starts": replay.late_starts,
             "unfinished": sum(job.code is None for job in counted),
         },
-        ratios={
-            name: report.rounded(value) for name, value in ratios.items()
-        },
+        ratios={name: report.rounded(value) for name, value in ratios.items()},
     )
 
 
--- a/citronmount/bench/pool_usage.py
+++ b/citronmount/bench/pool_usage.py
@@ -160,16 +160,13 @@
         if not free or not weight:
             return
         usable = sum(
-            share * _usable(usage, names, shape)
-            for shape, share in mix.items()
+            share * _usable(usage, names, shape) for shape, share in mix.items()
         )
         self.free += free
         self.unusable += free - usable / weight
 
 
-def _usable(
-    usage: PoolUsage, names: list[ids.WorkerId], shape: Shape
-) -> int:
+def _usable(usage: PoolUsage, names: list[ids.WorkerId], shape: Shape) -> int:
     enclosures: dict[str, int] = collections.Counter()
     for name in names:
         fit = tasks_that_fit(usage.free[name], shape.per_task)
--- a/citronmount/bench/replay.py
+++ b/citronmount/bench/replay.py
@@ -274,9 +274,7 @@
     def _push(self, at_ms: int, event: object) -> None:
         heapq.heappush(self._heap, (at_ms, next(self._sequence), event))
 
-    def _handle(
-        self, event: object, now_ms: int
-    ) -> set[ids.FailureDomainId]:
+    def _handle(self, event: object, now_ms: int) -> set[ids.FailureDomainId]:
         """Handles one event.
 
         Args:
@@ -288,9 +286,7 @@
         """
         return _HANDLERS[type(event)](self, event, now_ms)
 
-    def _arrive(
-        self, event: _Arrive, now_ms: int
-    ) -> set[ids.FailureDomainId]:
+    def _arrive(self, event: _Arrive, now_ms: int) -> set[ids.FailureDomainId]:
         job = self.jobs[event.number]
         if job.code is not None:
             return set()
@@ -321,8 +317,7 @@
             d.name
             for d in self.configuration.failure_domains
             if d.state is states.FailureDomainState.IN
-            and self._schedulers[d.name].largest_gang()
-            >= job.spec.accelerators
+            and self._schedulers[d.name].largest_gang() >= job.spec.accelerators
         ]
         ranked = [
             (*self._guaranteed(job.spec, d), self._slack(d), -number, d)
@@ -468,9 +463,7 @@
             self._end(job, codes.ResultCode.INTERNAL, now_ms)
         return {job.domain}
 
-    def _finish(
-        self, event: _Finish, now_ms: int
-    ) -> set[ids.FailureDomainId]:
+    def _finish(self, event: _Finish, now_ms: int) -> set[ids.FailureDomainId]:
         job = self.jobs[event.number]
         if job.placement is None or job.attempts != event.attempt:
             return set()
@@ -517,16 +510,12 @@
         if self._state(job.domain) is states.FailureDomainState.OUT:
             self._set_capacity(job.domain, now_ms)
 
-    def _end(
-        self, job: JobTrace, code: codes.ResultCode, now_ms: int
-    ) -> None:
+    def _end(self, job: JobTrace, code: codes.ResultCode, now_ms: int) -> None:
         job.code = code
         job.ended_ms = now_ms
         self.counts[f"ended_{code.name.lower()}"] += 1
 
-    def _cancel(
-        self, event: _Cancel, now_ms: int
-    ) -> set[ids.FailureDomainId]:
+    def _cancel(self, event: _Cancel, now_ms: int) -> set[ids.FailureDomainId]:
         job = self.jobs[event.number]
         if job.code is not None:
             return set()
@@ -561,9 +550,7 @@
         for domain in self._schedulers:
             if self._state(domain) is states.FailureDomainState.OUT:
                 for number in sorted(self._queued[domain]):
-                    self._schedulers[domain].cancel(
-                        self.jobs[number].spec.job
-                    )
+                    self._schedulers[domain].cancel(self.jobs[number].spec.job)
                     self._dequeue(number, now_ms)
                     self._move(number, now_ms)
         return touched
@@ -596,9 +583,7 @@
         self._broken.add(event.worker)
         return set()
 
-    def _heal(
-        self, event: HealWorker, now_ms: int
-    ) -> set[ids.FailureDomainId]:
+    def _heal(self, event: HealWorker, now_ms: int) -> set[ids.FailureDomainId]:
         self._broken.discard(event.worker)
         return set()
 
@@ -606,9 +591,7 @@
         self._push(now_ms + TICK_MS, event)
         return {event.domain} if self._queued[event.domain] else set()
 
-    def _sample(
-        self, event: _Sample, now_ms: int
-    ) -> set[ids.FailureDomainId]:
+    def _sample(self, event: _Sample, now_ms: int) -> set[ids.FailureDomainId]:
         self._push(now_ms + self._sample_ms, event)
         for domain, numbers in self._queued.items():
             if self._state(domain) is states.FailureDomainState.OUT:
@@ -618,9 +601,7 @@
             self.pending_fragmentation.sample(self.usage, domain, pending)
         return set()
 
-    def _state(
-        self, domain: ids.FailureDomainId
-    ) -> states.FailureDomainState:
+    def _state(self, domain: ids.FailureDomainId) -> states.FailureDomainState:
         return next(
             d.state
             for d in self.configuration.failure_domains
--- a/citronmount/bench/report.py
+++ b/citronmount/bench/report.py
@@ -1,7 +1,7 @@
 """Typed reports of benches, encoded to the same bytes for the same seed."""
 
-import math
 from collections.abc import Iterable
+import math
 
 import msgspec
 
--- a/citronmount/bench/sites.py
+++ b/citronmount/bench/sites.py
@@ -213,7 +213,7 @@
         )
         for number, team in enumerate(paying)
     ]
-    classes = {team: states.AccountClass.TRIAL for team in trials}
+    classes = dict.fromkeys(trials, states.AccountClass.TRIAL)
     configuration = configuration_lib.Configuration(
         version=ids.Version(1),
         failure_domains=_domains(TWO_YEAR_DOMAINS),
--- a/citronmount/core/codes.py
+++ b/citronmount/core/codes.py
@@ -295,7 +295,7 @@
             _C.CANCELLED_AFTER_START,
             False,
             False,
-            "The job was cancelled after tasks had started.",
+            "The job was cancelled after a start; tasks may have run.",
             "Expect partial effects.",
         ),
         _row(
--- a/citronmount/membership/view.py
+++ b/citronmount/membership/view.py
@@ -101,12 +101,25 @@
             vm, Peer(vm=vm, failure_domain=heartbeat.failure_domain)
         )
         last = peer.heartbeat
-        if last is not None and _order(heartbeat) <= _order(last):
+        if last is not None and not self._is_newer(peer, heartbeat, now_ms):
             return False
         peer.heartbeat = heartbeat
         peer.heard_ms = now_ms
         return True
 
+    def _is_newer(
+        self, peer: Peer, heartbeat: peer_messages.Heartbeat, now_ms: int
+    ) -> bool:
+        """Returns whether a heartbeat follows the last one of its VM.
+
+        A process that was restarted after its wall clock went back has a
+        lower incarnation; it counts once the former one is silent.
+        """
+        if _order(heartbeat) > _order(peer.heartbeat):
+            return True
+        restarted = heartbeat.incarnation != peer.heartbeat.incarnation
+        return restarted and not self.alive(peer.vm, now_ms)
+
     def forget_silence(self, now_ms: int) -> None:
         """Restarts every silence timer, after the process itself was paused.
 
@@ -136,6 +149,18 @@
         limit = self._suspicion_ms if local else self._remote_suspicion_ms
         return now_ms - peer.heard_ms <= limit
 
+    def heard_ms(self, vm: ids.VmId) -> int:
+        """Returns when a VM was last heard, 0 if never.
+
+        Args:
+            vm: Another VM.
+
+        Returns:
+            Monotonic time.
+        """
+        peer = self.peers.get(vm)
+        return 0 if peer is None else peer.heard_ms or 0
+
     def candidates(
         self, failure_domain: ids.FailureDomainId, now_ms: int
     ) -> list[ids.VmId]:
