Test the daemon's shell; share the steps of loopback trials

Cause: API, runtime, server, telemetry and the whole path lacked tests. Change: in-memory tests of each, one end-to-end run with real processes; oversized bodies are refused and no longer reach the application; stages of jobs and requests are timed by class and fragmentation is a gauge.

--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -95,6 +95,10 @@
             largest_gang=self._scheduler.largest_gang(),
         )
 
+    def fragmentation(self) -> float:
+        """Returns the share of free accelerators that queued work can't use."""
+        return self._scheduler.fragmentation()
+
     def set_configuration(
         self, configuration: configuration_lib.Configuration
     ) -> None:
--- /dev/null
+++ b/citronmount/bench/loopback_steps.py
@@ -0,0 +1,185 @@
+"""Steps that trials on loopback share: publish, wait, submit, drain."""
+
+from collections.abc import Callable
+import json
+import time
+import typing
+
+from citronmount.bench import loopback_cluster
+from citronmount.core import codes
+from citronmount.core import states
+
+__all__ = [
+    "TrialError",
+    "call",
+    "drain_all",
+    "publish",
+    "require",
+    "result",
+    "submit",
+    "until",
+    "wait_until_ready",
+]
+
+LIMIT_S = 40.0
+POLL_S = 0.2
+WAIT_MS = 30_000
+
+_OK = 200
+_ACCEPTED = 202
+_FAMILY = 1_000
+_RETRYABLE_FAMILY = 3
+
+
+class TrialError(Exception):
+    """Something did not go as it must."""
+
+
+def require(condition: bool, message: str) -> None:
+    """Raises an error unless a condition holds.
+
+    Args:
+        condition: What must hold.
+        message: What is wrong otherwise.
+
+    Raises:
+        TrialError: The condition does not hold.
+    """
+    if not condition:
+        raise TrialError(message)
+
+
+def call(
+    vm: loopback_cluster.Vm, method: str, path: str, body: bytes | None = None
+) -> loopback_cluster.Answer:
+    """Sends one HTTP call to a daemon.
+
+    Args:
+        vm: The VM.
+        method: The HTTP method.
+        path: Path and query.
+        body: The body.
+
+    Returns:
+        The answer.
+    """
+    return loopback_cluster.call(vm.caller_address, method, path, body)
+
+
+def until(
+    ask: Callable[[], loopback_cluster.Answer],
+    good: Callable[[loopback_cluster.Answer], bool],
+) -> loopback_cluster.Answer:
+    """Repeats a call until its answer is good.
+
+    Args:
+        ask: The call.
+        good: Judges the answer.
+
+    Returns:
+        The good answer.
+
+    Raises:
+        TrialError: No answer was good within `LIMIT_S`.
+    """
+    limit_s = time.monotonic() + LIMIT_S
+    while True:
+        answer = ask()
+        if good(answer):
+            return answer
+        require(time.monotonic() < limit_s, f"gave up: {answer.body}")
+        time.sleep(POLL_S)
+
+
+def publish(cluster: loopback_cluster.Cluster, data: bytes) -> int:
+    """Publishes a sheet at the first VM as the first version.
+
+    Args:
+        cluster: The cluster.
+        data: The sheet.
+
+    Returns:
+        The version in force.
+    """
+    path = "/v1/configuration?base_version=0&author=trial"
+    answer = until(
+        lambda: call(cluster.vms[0], "PUT", path, data),
+        lambda found: found.body["code"] // _FAMILY != _RETRYABLE_FAMILY,
+    )
+    accepted = codes.ResultCode.CONFIGURATION_ACCEPTED
+    require(answer.body["code"] == accepted, f"publish: {answer.body}")
+    return answer.body["version"]
+
+
+def wait_until_ready(cluster: loopback_cluster.Cluster) -> None:
+    """Waits until every VM is ready and sees an owner in each domain.
+
+    Args:
+        cluster: The cluster.
+    """
+    domains = {vm.failure_domain for vm in cluster.vms}
+    for vm in cluster.vms:
+        until(
+            lambda vm=vm: call(vm, "GET", "/v1/ready"),
+            lambda found: found.status == _OK,
+        )
+        until(
+            lambda vm=vm: call(vm, "GET", "/v1/membership"),
+            lambda found: _owned(found.body) == domains,
+        )
+
+
+def submit(vm: loopback_cluster.Vm, body: dict[str, typing.Any]) -> str:
+    """Submits a job.
+
+    Args:
+        vm: Where to submit it.
+        body: The job as the HTTP API takes it.
+
+    Returns:
+        The id of the job.
+    """
+    data = json.dumps(body).encode("utf-8")
+    answer = call(vm, "POST", "/v1/jobs", data)
+    require(answer.status == _ACCEPTED, f"submit: {answer.body}")
+    return answer.body["job"]
+
+
+def result(vm: loopback_cluster.Vm, job: str) -> dict[str, typing.Any]:
+    """Waits for the final status of a job.
+
+    Args:
+        vm: Where to ask.
+        job: The job.
+
+    Returns:
+        The status as the HTTP API gives it.
+    """
+    path = f"/v1/jobs/{job}?wait_ms={WAIT_MS}"
+    return until(
+        lambda: call(vm, "GET", path), lambda found: _is_final(found.body)
+    ).body
+
+
+def drain_all(cluster: loopback_cluster.Cluster) -> None:
+    """Stops every daemon by SIGTERM; each must end with status 0.
+
+    Args:
+        cluster: The cluster.
+    """
+    running = [vm for vm in cluster.vms if vm.process.poll() is None]
+    for vm in running:
+        vm.process.terminate()
+    found = {
+        vm.name: vm.process.wait(loopback_cluster.STOP_LIMIT_S)
+        for vm in running
+    }
+    require(not any(found.values()), f"exit statuses: {found}")
+
+
+def _owned(body: dict[str, typing.Any]) -> set[str]:
+    return {m["failure_domain"] for m in body["members"] if m["owner"]}
+
+
+def _is_final(body: dict[str, typing.Any]) -> bool:
+    return "state" in body and states.JobState(body["state"]).final
--- /dev/null
+++ b/citronmount/bench/tests/test_loopback_cluster.py
@@ -0,0 +1,61 @@
+"""One small run of the whole path with real processes on loopback."""
+
+import json
+import unittest
+
+from citronmount.bench import loopback_cluster
+from citronmount.bench import loopback_steps as steps
+from citronmount.config import pool_file
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.platform import messages
+
+_DOMAIN = ids.FailureDomainId("kr-a")
+_SHEET = b"""\
+kind,name,class,state,failure_domain,copies,tasks,accelerators,cores,\
+memory_gb,adjacency
+failure_domain,kr-a,,in,,,,,,,
+client_account,hana,paying,,,,,,,,
+guarantee,hana,,,,1,2,8,8,8,rack
+"""
+
+
+def _pool() -> pool_file.Pool:
+    workers = tuple(
+        messages.ListedTarget(
+            name=f"w{number}",
+            address="",
+            failure_domain=_DOMAIN,
+            rack=ids.RackId("r1"),
+            capacity=jobs.Resources(accelerators=8, cores=64, memory_gb=128),
+        )
+        for number in range(2)
+    )
+    runner = messages.ListedTarget(
+        name="u1", address="", failure_domain=_DOMAIN, slots=8, connections=60
+    )
+    return pool_file.Pool(workers=workers, runners=(runner,))
+
+
+class LoopbackTest(unittest.TestCase):
+    """Two daemons, a platform, two workers and a runner."""
+
+    def test_publish_run_and_drain(self) -> None:
+        with loopback_cluster.open_cluster(_pool()) as cluster:
+            self.assertEqual(1, steps.publish(cluster, _SHEET))
+            steps.wait_until_ready(cluster)
+            first, second = cluster.vms
+            gang = {
+                "account": "hana",
+                "tasks": 2,
+                "per_task": {"accelerators": 8},
+                "command": json.dumps({"run_ms": 100}),
+            }
+            job = steps.submit(first, gang)
+            self.assertEqual("done", steps.result(second, job)["state"])
+            body = {"account": "hana", "request": "q", "payload": "mine"}
+            data = json.dumps(body).encode("ascii")
+            answer = steps.call(second, "POST", "/v1/requests", data)
+            self.assertEqual(1002, answer.body["code"])
+            self.assertTrue(answer.body["payload"].endswith("mine"))
+            steps.drain_all(cluster)
--- a/citronmount/service/agent_brain.py
+++ b/citronmount/service/agent_brain.py
@@ -65,6 +65,14 @@
         others = (_member(view, peer, now_ms) for peer in view.peers.values())
         return tuple(sorted((self._own(now_ms), *others), key=_by_name))
 
+    def fragmentation(self) -> float:
+        """Returns the share of free accelerators that queued work cannot use.
+
+        It is 0 at a VM that owns no failure domain.
+        """
+        domain = self._agent.ownership.domain
+        return 0.0 if domain is None else domain.fragmentation()
+
     def _own(self, now_ms: int) -> bodies.Member:
         view = self._agent.view
         return bodies.Member(
--- a/citronmount/service/brain.py
+++ b/citronmount/service/brain.py
@@ -48,3 +48,9 @@
         Returns:
             One entry for each VM, this one included.
         """
+
+    def fragmentation(self) -> float:
+        """Returns the share of free accelerators that queued work cannot use.
+
+        It is 0 at a VM that owns no failure domain.
+        """
--- a/citronmount/service/runtime.py
+++ b/citronmount/service/runtime.py
@@ -24,9 +24,8 @@
 from citronmount.platform import exchange
 from citronmount.platform import messages as platform_messages
 from citronmount.service import brain as brain_lib
-from citronmount.telemetry import logs
+from citronmount.telemetry import events as timeline_events
 from citronmount.telemetry import metrics as metrics_lib
-from citronmount.telemetry import store
 
 __all__ = ["Addresses", "Runtime"]
 
@@ -78,7 +77,7 @@
         peers: transport_lib.Transport,
         http: exchange.Exchange,
         addresses: Addresses,
-        timeline: store.TimelineStore,
+        on_trace: Callable[[timeline_events.TimelineEvent], None],
         metrics: metrics_lib.Metrics,
         now_ns: Callable[[], int] = time.monotonic_ns,
         wall_ns: Callable[[], int] = time.time_ns,
@@ -91,7 +90,7 @@
             peers: Sends messages to other VMs.
             http: Talks to platform and targets.
             addresses: Where the platform listens.
-            timeline: Keeps the events that the state machine traces.
+            on_trace: Takes the events that the state machine traces.
             metrics: Gets latencies and counts.
             now_ns: The monotonic clock.
             wall_ns: The wall clock.
@@ -101,7 +100,7 @@
         self._peers = peers
         self._http = http
         self._addresses = addresses
-        self._timeline = timeline
+        self._on_trace = on_trace
         self._metrics = metrics
         self._now_ns = now_ns
         self._wall_ns = wall_ns
@@ -339,8 +338,7 @@
 
     @_performs(effects.Trace)
     def _trace(self, effect: effects.Trace) -> None:
-        self._timeline.add(effect.event)
-        logs.log_event(self._logger, effect.event)
+        self._on_trace(effect.event)
 
     @_performs(effects.Exit)
     def _exit(self, effect: effects.Exit) -> None:
--- a/citronmount/service/site.py
+++ b/citronmount/service/site.py
@@ -46,6 +46,7 @@
     """A request that is refused once its body is too long."""
 
     limit_bytes = 0
+    _refused = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuses a body that announces too many bytes."""
@@ -57,10 +58,20 @@
         """Refuses a body of unknown length that grows too long."""
         if self.content.tell() + len(data) > self.limit_bytes:
             self._refuse()
-            return
-        super().handleContentChunk(data)
+        if not self._refused:
+            super().handleContentChunk(data)
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Serves the request unless its body was refused."""
+        if not self._refused:
+            super().requestReceived(command, path, version)
 
     def _refuse(self) -> None:
+        if self._refused:
+            return
+        self._refused = True
         body = msgspec.json.encode(bodies.refusal(codes.ResultCode.TOO_LARGE))
         head = (
             b"HTTP/1.1 413 Request Entity Too Large\r\n"
--- /dev/null
+++ b/citronmount/service/tests/test_api.py
@@ -0,0 +1,303 @@
+"""Tests of the HTTP API over an in-memory connection."""
+
+import unittest
+
+import msgspec
+from treq import testing
+from twisted.internet import defer
+from twisted.internet import task
+
+from citronmount.agent import events
+from citronmount.config import configuration as configuration_lib
+from citronmount.config import sheet
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.peers import messages as peer_messages
+from citronmount.service import api as api_lib
+from citronmount.service import rate_limit
+from citronmount.service import runtime as runtime_lib
+from citronmount.service.tests import fakes
+from citronmount.telemetry import events as timeline_events
+from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import store
+
+_STATUS = jobs.JobStatus(
+    job=ids.JobId("kr-a/7f"),
+    account=ids.AccountId("a"),
+    state=states.JobState.QUEUED,
+)
+_HEADER = (
+    "kind,name,class,state,failure_domain,copies,tasks,accelerators,cores,"
+    "memory_gb,adjacency\n"
+)
+_SHEET = _HEADER + "failure_domain,kr-a,,in,,,,,,,\n"
+_WALL_MS = 1_700_000_000_000
+
+
+def _failure(code: codes.ResultCode, retry_after_ms: int | None = None):
+    return peer_messages.Failure(
+        result=jobs.JobResult(code=code), retry_after_ms=retry_after_ms
+    )
+
+
+class ApiTest(unittest.TestCase):
+    """Every route, with a scripted state machine behind it."""
+
+    def setUp(self) -> None:
+        self.brain = fakes.FakeBrain()
+        self.metrics = metrics_lib.Metrics()
+        self.timeline = store.TimelineStore(max_events=2)
+        self.now_ms = 0
+        runtime = runtime_lib.Runtime(
+            reactor=task.Clock(),
+            brain=self.brain,
+            peers=fakes.FakePeers(),
+            http=fakes.FakeHttp(),
+            addresses=runtime_lib.Addresses(log="", vm_list=""),
+            on_trace=self.timeline.add,
+            metrics=self.metrics,
+        )
+        self.api = api_lib.Api(
+            vm=ids.VmId("v1"),
+            failure_domain=ids.FailureDomainId("kr-a"),
+            runtime=runtime,
+            brain=self.brain,
+            timeline=self.timeline,
+            metrics=self.metrics,
+            limit=rate_limit.RateLimit(rate_per_s=1, burst=2),
+            now_ms=lambda: self.now_ms,
+            wall_ms=lambda: _WALL_MS,
+            new_id=lambda: "made",
+        )
+        self.http = testing.StubTreq(self.api.app.resource())
+
+    def test_submit(self) -> None:
+        self._answer(peer_messages.JobAnswer(status=_STATUS))
+        status, body = self._send(
+            "POST", "/v1/jobs", b'{"account": "a", "tasks": 2}'
+        )
+        self.assertEqual(202, status)
+        self.assertEqual(_STATUS, msgspec.convert(body, jobs.JobStatus))
+        spec = self._calls()[0].spec
+        self.assertEqual(("", 2, _WALL_MS), _summary(spec))
+
+    def test_malformed_bodies_are_refused_before_the_state_machine(self):
+        bodies = (
+            b"",
+            b"\xff",
+            b"{}",
+            b'{"account": ""}',
+            b'{"account": "a", "tasks": 0}',
+            b'{"account": "a", "taks": 2}',
+            b'{"account": "a", "per_task": {"accelerators": -1}}',
+            b'{"account": "a", "adjacency": "planet"}',
+            b"[" * 100_000,
+        )
+        for body in bodies:
+            with self.subTest(body[:40]):
+                status, found = self._send("POST", "/v1/jobs", body)
+                self.assertEqual((400, 2002), (status, found["code"]))
+                self.assertTrue(found["proves_not_run"])
+        self.assertEqual([], self._calls())
+
+    def test_statuses_by_family(self) -> None:
+        rows = (
+            (codes.ResultCode.NEVER_FITS, 400),
+            (codes.ResultCode.UNKNOWN_JOB, 404),
+            (codes.ResultCode.TOO_LARGE, 413),
+            (codes.ResultCode.QUEUE_FULL, 503),
+            (codes.ResultCode.RATE_LIMITED, 429),
+            (codes.ResultCode.OUTCOME_UNKNOWN, 200),
+            (codes.ResultCode.INTERNAL, 500),
+            (codes.ResultCode.TIMED_OUT, 504),
+        )
+        for code, expected in rows:
+            with self.subTest(code.name):
+                self._answer(_failure(code))
+                status, body = self._send("GET", "/v1/jobs/kr-a/7f")
+                self.assertEqual((expected, int(code)), (status, body["code"]))
+
+    def test_retryable_refusal_says_when_to_come_back(self) -> None:
+        self._answer(_failure(codes.ResultCode.QUEUE_FULL, 1_500))
+        response = self._response("GET", "/v1/jobs/kr-a/7f")
+        self.assertEqual(["2"], response.headers.getRawHeaders("Retry-After"))
+
+    def test_get_and_cancel_a_job_whose_id_has_a_slash(self) -> None:
+        self._answer(peer_messages.JobAnswer(status=_STATUS))
+        self._send("GET", "/v1/jobs/kr-a/7f?wait_ms=999999999")
+        self._send("DELETE", "/v1/jobs/kr-a/7f")
+        self.assertEqual(
+            [
+                peer_messages.GetJob(
+                    job="kr-a/7f", wait_ms=api_lib.MAX_WAIT_MS
+                ),
+                peer_messages.CancelJob(job="kr-a/7f"),
+            ],
+            self._calls(),
+        )
+
+    def test_cancel_of_an_account_reaches_every_failure_domain(self) -> None:
+        self._answer(peer_messages.JobsAnswer(statuses=(_STATUS,), total=4))
+        status, body = self._send("DELETE", "/v1/jobs?account=a")
+        self.assertEqual(
+            (200, 8, 2), (status, body["total"], len(body["jobs"]))
+        )
+        domains = [call.failure_domain for call in self._calls()]
+        self.assertEqual(["kr-a", "kr-b"], domains)
+
+    def test_list_jobs(self) -> None:
+        self._answer(peer_messages.JobsAnswer(statuses=(_STATUS,), total=1))
+        status, body = self._send("GET", "/v1/jobs?account=a&limit=5")
+        self.assertEqual((200, 1), (status, body["total"]))
+        call = self._calls()[0]
+        self.assertEqual(("kr-a", "a", 5), msgspec.structs.astuple(call))
+
+    def test_bad_query_is_refused(self) -> None:
+        for query in ("limit=x", "limit=-1", "limit=%FF", "limit=%D9%A1"):
+            with self.subTest(query):
+                status, body = self._send("GET", f"/v1/jobs?{query}")
+                self.assertEqual((400, 2002), (status, body["code"]))
+
+    def test_request(self) -> None:
+        for code, expected in (
+            (codes.ResultCode.DONE, 200),
+            (codes.ResultCode.NO_SLOT, 503),
+        ):
+            result = jobs.RequestResult(request="made", code=code)
+            self._answer(peer_messages.RequestAnswer(result=result))
+            status, body = self._send(
+                "POST", "/v1/requests", b'{"account": "a"}'
+            )
+            self.assertEqual((expected, int(code)), (status, body["code"]))
+        self.assertEqual("made", self._calls()[0].spec.request)
+
+    def test_rate_limit_is_per_account(self) -> None:
+        self._answer(peer_messages.JobAnswer(status=_STATUS))
+        bodies = [b'{"account": "a"}'] * 3 + [b'{"account": "b"}']
+        found = [self._send("POST", "/v1/jobs", body)[0] for body in bodies]
+        self.assertEqual([202, 202, 429, 202], found)
+        self.now_ms = 1_000
+        self.assertEqual(202, self._send("POST", "/v1/jobs", bodies[0])[0])
+
+    def test_publish(self) -> None:
+        rows = (
+            (codes.ResultCode.CONFIGURATION_ACCEPTED, 200),
+            (codes.ResultCode.CONFIGURATION_STALE_BASE, 409),
+            (codes.ResultCode.CONFIGURATION_OUTCOME_UNKNOWN, 504),
+        )
+        for code, expected in rows:
+            with self.subTest(code.name):
+                self._answer(
+                    peer_messages.PublishAnswer(
+                        result=jobs.JobResult(code=code), version=4
+                    )
+                )
+                status, body = self._publish("base_version=3&author=me")
+                self.assertEqual((expected, 4), (status, body["version"]))
+        change = self._calls()[0].change
+        self.assertEqual((3, "me"), (change.base_version, change.author))
+        wanted = sheet.parse(_SHEET.encode()).configuration
+        self.assertEqual(wanted, change.content)
+
+    def test_faulty_sheet_is_refused_with_every_fault(self) -> None:
+        data = _HEADER + "failure_domain,kr-a,,off,,,,,,,\nwhat,,,,,,,,,,\n"
+        status, body = self._publish("base_version=3", data)
+        self.assertEqual((422, 7002, 2), _publish_summary(status, body))
+        self.assertEqual([], self._calls())
+
+    def test_publish_needs_a_base_version(self) -> None:
+        status, body = self._publish("author=me")
+        self.assertEqual((400, 2002), (status, body["code"]))
+
+    def test_configuration(self) -> None:
+        status, body = self._send("GET", "/v1/configuration")
+        self.assertEqual((200, 3), (status, body["version"]))
+        found = msgspec.convert(
+            body["content"], configuration_lib.Configuration
+        )
+        self.assertEqual(self.brain.configuration, found)
+        self.brain.configuration = None
+        status, body = self._send("GET", "/v1/configuration")
+        self.assertEqual((503, 3002), (status, body["code"]))
+
+    def test_timeline_is_filtered_and_bounded(self) -> None:
+        for number, account in enumerate("abab"):
+            self.timeline.add(
+                timeline_events.TimelineEvent(
+                    physical_ms=number,
+                    logical=0,
+                    process="v1",
+                    kind=timeline_events.EventKind.JOB_PLACED,
+                    account=account,
+                )
+            )
+        _, body = self._send("GET", "/v1/timeline?account=b")
+        self.assertEqual([3], [e["physical_ms"] for e in body["events"]])
+        self.assertEqual(2, body["dropped"])
+
+    def test_health_readiness_and_metrics(self) -> None:
+        self.metrics.record("job.paying", "queued", 5)
+        self.assertEqual(200, self._send("GET", "/v1/health")[0])
+        self.assertEqual(200, self._send("GET", "/v1/ready")[0])
+        self.assertEqual(200, self._send("GET", "/v1/membership")[0])
+        _, body = self._send("GET", "/v1/metrics")
+        found = [(h["work_class"], h["stage"]) for h in body["histograms"]]
+        self.assertEqual([("job.paying", "queued")], found)
+
+    def test_drain_turns_readiness_off(self) -> None:
+        self.assertEqual(202, self._send("POST", "/v1/drain")[0])
+        self.assertEqual(1, len(self.brain.of_type(events.DrainRequested)))
+        self.brain.ready, self.brain.draining = False, True
+        self.assertEqual(503, self._send("GET", "/v1/ready")[0])
+
+    def test_caller_that_closes_its_connection_has_left(self) -> None:
+        answer = self.http.request(
+            "POST", "http://127.0.0.1/v1/jobs", data=b'{"account": "a"}'
+        )
+        answer.addErrback(lambda reason: None)
+        self.http.flush()
+        answer.cancel()
+        self.http.flush()
+        arrived = self.brain.of_type(events.CallArrived)
+        left = self.brain.of_type(events.CallerLeft)
+        self.assertEqual(
+            [event.ticket for event in arrived],
+            [event.ticket for event in left],
+        )
+
+    def _answer(self, body: peer_messages.Answer) -> None:
+        self.brain.answer = lambda call: body
+
+    def _calls(self) -> list[peer_messages.CallerCall]:
+        return [event.body for event in self.brain.of_type(events.CallArrived)]
+
+    def _publish(self, query: str, data: str = _SHEET) -> tuple[int, dict]:
+        return self._send("PUT", f"/v1/configuration?{query}", data.encode())
+
+    def _send(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, dict]:
+        response = self._response(method, path, body)
+        data = self._result(response.content())
+        return response.code, msgspec.json.decode(data)
+
+    def _response(self, method: str, path: str, body: bytes | None = None):
+        url = f"http://127.0.0.1{path}"
+        return self._result(self.http.request(method, url, data=body))
+
+    def _result(self, answer: defer.Deferred) -> object:
+        results = []
+        answer.addBoth(results.append)
+        while not results:
+            self.http.flush()
+        return results[0]
+
+
+def _summary(spec: jobs.JobSpec) -> tuple[str, int, int]:
+    return spec.job, spec.tasks, spec.submitted_ms
+
+
+def _publish_summary(status: int, body: dict) -> tuple[int, int, int]:
+    return status, body["code"], len(body["faults"])
--- /dev/null
+++ b/citronmount/service/tests/test_runtime.py
@@ -0,0 +1,175 @@
+"""Tests of the loop round the state machine."""
+
+import unittest
+
+from structlog import testing
+from twisted.internet import defer
+from twisted.internet import task
+
+from citronmount.agent import effects
+from citronmount.agent import events
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.peers import messages as peer_messages
+from citronmount.platform import exchange
+from citronmount.platform import messages
+from citronmount.platform import wire
+from citronmount.service import runtime as runtime_lib
+from citronmount.service.tests import fakes
+from citronmount.telemetry import metrics as metrics_lib
+
+_CALL = ids.CallId("c1")
+_ADDRESS = "127.0.0.1:1"
+_RUN = effects.CallRunner(
+    call=_CALL,
+    runner=ids.RunnerId("r1"),
+    address=_ADDRESS,
+    spec=jobs.RequestSpec(request=ids.RequestId("q"), account="a"),
+)
+_EFFECTS_WITH_CALLS = (
+    effects.AppendLog(call=_CALL, stream="s", records=()),
+    effects.ReadLog(call=_CALL, stream="s", start=0),
+    effects.ListPlatform(call=_CALL),
+    effects.CallWorker(
+        call=_CALL,
+        worker="w",
+        address=_ADDRESS,
+        body=messages.WorkerCall(token=1),
+    ),
+    _RUN,
+)
+
+
+def _no_answer(sent: bool = True) -> exchange.NoAnswerError:
+    return exchange.NoAnswerError(
+        "lost", code=codes.ResultCode.UNREACHABLE, sent=sent
+    )
+
+
+class RuntimeTest(unittest.TestCase):
+    """Events in, effects out."""
+
+    def setUp(self) -> None:
+        self.lines = self.enterContext(testing.capture_logs())
+        self.clock = task.Clock()
+        self.brain = fakes.FakeBrain()
+        self.peers = fakes.FakePeers()
+        self.http = fakes.FakeHttp()
+        self.traced = []
+        self.metrics = metrics_lib.Metrics()
+        self.runtime = runtime_lib.Runtime(
+            reactor=self.clock,
+            brain=self.brain,
+            peers=self.peers,
+            http=self.http,
+            addresses=runtime_lib.Addresses(log=_ADDRESS, vm_list=_ADDRESS),
+            on_trace=self.traced.append,
+            metrics=self.metrics,
+        )
+
+    def test_ticks_until_stopped(self) -> None:
+        self.runtime.start(250)
+        self.clock.pump([0.25] * 4)
+        self.runtime.stop()
+        self.clock.pump([0.25] * 4)
+        self.assertEqual(1, len(self.brain.of_type(events.Started)))
+        self.assertEqual(4, len(self.brain.of_type(events.Tick)))
+
+    def test_each_call_gets_exactly_one_event(self) -> None:
+        for effect in _EFFECTS_WITH_CALLS:
+            with self.subTest(type(effect).__name__):
+                self.brain.effects = {events.Started: [effect]}
+                self.brain.events.clear()
+                self.runtime.feed(events.Started())
+                self.http.open.pop().errback(_no_answer())
+                answers = self.brain.events[1:]
+                self.assertEqual([_CALL], [event.call for event in answers])
+
+    def test_good_answers_are_passed_on(self) -> None:
+        view = messages.PlatformView(
+            vms=(
+                messages.ListedVm(
+                    vm="v", failure_domain="kr-a", peer_address=_ADDRESS
+                ),
+            )
+        )
+        self.brain.effects = {
+            events.Started: [
+                effects.ListPlatform(call=_CALL),
+                effects.AppendLog(call=_CALL, stream="s", records=()),
+            ]
+        }
+        self.runtime.feed(events.Started())
+        self.http.open[0].callback(view)
+        self.http.open[1].callback(wire.AppendAnswer(offset=ids.Offset(9)))
+        self.assertEqual(
+            [
+                events.PlatformListed(call=_CALL, view=view),
+                events.LogAppended(call=_CALL, offset=9),
+            ],
+            self.brain.events[1:],
+        )
+        self.assertEqual({"v": _ADDRESS}, self.peers.peers)
+
+    def test_runner_answer_tells_whether_it_was_sent(self) -> None:
+        for sent in (True, False):
+            with self.subTest(sent=sent):
+                self.brain.effects = {events.Started: [_RUN]}
+                self.runtime.feed(events.Started())
+                self.http.open.pop().errback(_no_answer(sent))
+                self.assertIs(sent, self.brain.events[-1].sent)
+
+    def test_event_that_arises_in_an_effect_waits_for_its_turn(self) -> None:
+        order = []
+
+        def send(to: str, message: peer_messages.PeerMessage) -> bool:
+            self.runtime.feed(events.Tick())
+            order.append((to, len(self.brain.events)))
+            return True
+
+        self.peers.send = send
+        message = peer_messages.Acknowledge(call=_CALL)
+        self.brain.effects = {
+            events.Started: [
+                effects.SendPeer(to=ids.VmId(name), message=message)
+                for name in "ab"
+            ]
+        }
+        self.runtime.feed(events.Started())
+        self.assertEqual([("a", 1), ("b", 1)], order)
+        self.assertEqual(2, len(self.brain.of_type(events.Tick)))
+
+    def test_caller_that_leaves_is_told_once(self) -> None:
+        body = peer_messages.GetJob(job=ids.JobId("kr-a/1"))
+        answer = self.runtime.call(body)
+        left = []
+        answer.addErrback(left.append)
+        answer.cancel()
+        self.assertTrue(left[0].check(defer.CancelledError))
+        ticket = self.brain.of_type(events.CallerLeft)[0].ticket
+        late = effects.Reply(
+            ticket=ticket, body=peer_messages.JobsAnswer(statuses=())
+        )
+        self.brain.effects = {events.Tick: [late, late]}
+        self.runtime.feed(events.Tick())
+        self.assertEqual(0, self.runtime.open_calls)
+
+    def test_fault_of_the_state_machine_is_answered_and_counted(self) -> None:
+        self.brain.broken = True
+        answer = self.runtime.call(peer_messages.GetJob(job="kr-a/1"))
+        logged = [line["event"] for line in self.lines]
+        self.assertEqual(["event_failed"], logged)
+        results = []
+        answer.addCallback(results.append)
+        self.assertIs(codes.ResultCode.INTERNAL, results[0].result.code)
+        counters = self.metrics.snapshot().counters
+        self.assertEqual(1, counters["events_failed"])
+
+    def test_exit_fires_once(self) -> None:
+        self.brain.effects = {events.Tick: [effects.Exit(), effects.Exit()]}
+        exits = []
+        self.runtime.exited.addCallback(exits.append)
+        self.runtime.feed(events.Tick())
+        self.runtime.feed(events.Tick())
+        self.assertEqual([None], exits)
--- a/citronmount/service/wiring.py
+++ b/citronmount/service/wiring.py
@@ -2,6 +2,7 @@
 
 import time
 
+import structlog
 from twisted.internet import interfaces
 
 from citronmount.agent import agent as agent_lib
@@ -16,7 +17,10 @@
 from citronmount.service import rate_limit
 from citronmount.service import runtime as runtime_lib
 from citronmount.service import settings as settings_lib
+from citronmount.telemetry import events
+from citronmount.telemetry import logs
 from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import stages
 from citronmount.telemetry import store
 
 __all__ = ["Parts", "make_brain"]
@@ -60,9 +64,13 @@
             keys=_peer_keys(settings.curve),
             on_message=self._peer_arrived,
         )
-        timeline = store.TimelineStore(
+        self._logger = structlog.get_logger()
+        self._timeline = store.TimelineStore(
             max_events=settings.limits.max_timeline_events
         )
+        self._stages = stages.StageTimer(
+            metrics=self.metrics, class_of=self._class_of
+        )
         self.runtime = runtime_lib.Runtime(
             reactor=reactor,
             brain=brain,
@@ -72,7 +80,7 @@
                 log=settings.platform.log_address,
                 vm_list=settings.platform.vm_list_address,
             ),
-            timeline=timeline,
+            on_trace=self._traced,
             metrics=self.metrics,
         )
         self.api = api_lib.Api(
@@ -80,7 +88,7 @@
             failure_domain=settings.vm.failure_domain_id,
             runtime=self.runtime,
             brain=brain,
-            timeline=timeline,
+            timeline=self._timeline,
             metrics=self.metrics,
             limit=_limit(settings.limits),
             now_ms=_now_ms,
@@ -91,9 +99,22 @@
     def _peer_arrived(self, sender: ids.VmId, message: object) -> None:
         self.runtime.peer_arrived(sender, message)
 
+    def _traced(self, event: events.TimelineEvent) -> None:
+        self._timeline.add(event)
+        self._stages.observe(event)
+        logs.log_event(self._logger, event)
+
+    def _class_of(self, account: str) -> str:
+        content = self.brain.configuration
+        known = () if content is None else content.accounts
+        return next(
+            (a.account_class.value for a in known if a.name == account),
+            "unknown",
+        )
+
     def _register_gauges(self) -> None:
-        names = transport.Counters.__struct_fields__
-        for name in names:
+        self.metrics.gauge("fragmentation", self.brain.fragmentation)
+        for name in transport.Counters.__struct_fields__:
             self.metrics.gauge(f"peers.{name}", self._peer_counter(name))
         self.metrics.gauge("open_calls", lambda: self.runtime.open_calls)
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Iterable
+import itertools
 import json
 import pathlib
 import sys
@@ -14,6 +15,7 @@
 import typing
 
 from citronmount.bench import loopback_cluster
+from citronmount.bench import loopback_steps as steps
 from citronmount.config import configuration as configuration_lib
 from citronmount.config import pool_file
 from citronmount.config import sheet
@@ -21,20 +23,13 @@
 
 __all__ = ["main"]
 
-READY_LIMIT_S = 30.0
-POLL_S = 0.2
 LONG_RUN_MS = 6_000
 GANG_RUN_MS = 1_500
-WAIT_MS = 30_000
 ACCELERATORS_PER_WORKER = 8
 
 _EXAMPLES = pathlib.Path(__file__).parent
 
 
-class DemoError(Exception):
-    """Something did not go as it must."""
-
-
 def main() -> int:
     """Runs the demo.
 
@@ -53,48 +48,18 @@
     pool = pool_file.load(_EXAMPLES / name / "pool.toml")
     content = sheet.load(_EXAMPLES / name / "sheet.csv")
     with loopback_cluster.open_cluster(pool) as cluster:
-        _publish(cluster, (_EXAMPLES / name / "sheet.csv").read_bytes())
-        _wait_until_ready(cluster)
+        data = (_EXAMPLES / name / "sheet.csv").read_bytes()
+        print(f"published version {steps.publish(cluster, data)}")
+        steps.wait_until_ready(cluster)
+        print(f"{len(cluster.vms)} VMs ready")
         fillers = _fill(cluster, content)
         gangs = _submit_gangs(cluster, content)
         requests = _send_requests(cluster, content)
         statuses = _results(cluster, [*gangs, *fillers])
         _print_accounts(content, statuses, requests)
         _check_reclaim(content, statuses)
-        _stop(cluster)
-
-
-def _publish(cluster: loopback_cluster.Cluster, data: bytes) -> None:
-    path = "/v1/configuration?base_version=0&author=demo"
-    answer = _until(
-        lambda: _call(cluster.vms[0], "PUT", path, data),
-        lambda found: found.body["code"] // 1_000 != 3,
-    )
-    _require(answer.body["code"] == 7_000, f"publish: {answer.body}")
-    print(f"published version {answer.body['version']}")
-
-
-def _wait_until_ready(cluster: loopback_cluster.Cluster) -> None:
-    begin_s = time.monotonic()
-    for vm in cluster.vms:
-        _until(
-            lambda vm=vm: _call(vm, "GET", "/v1/ready"),
-            lambda found: found.status == 200,
-        )
-        _until(
-            lambda vm=vm: _call(vm, "GET", "/v1/membership"),
-            lambda found: _owners(found.body) == _domains(cluster),
-        )
-    elapsed_s = time.monotonic() - begin_s
-    print(f"{len(cluster.vms)} VMs ready after {elapsed_s:.1f} s")
-
-
-def _domains(cluster: loopback_cluster.Cluster) -> set[str]:
-    return {vm.failure_domain for vm in cluster.vms}
-
-
-def _owners(body: typing.Any) -> set[str]:
-    return {m["failure_domain"] for m in body["members"] if m["owner"]}
+        steps.drain_all(cluster)
+        print(f"{len(cluster.vms)} daemons drained with status 0")
 
 
 def _fill(
@@ -147,14 +112,10 @@
 def _submit_all(
     cluster: loopback_cluster.Cluster, bodies: list[dict[str, typing.Any]]
 ) -> list[str]:
-    found = []
-    for number, body in enumerate(bodies):
-        vm = cluster.vms[number % len(cluster.vms)]
-        data = json.dumps(body).encode("utf-8")
-        answer = _call(vm, "POST", "/v1/jobs", data)
-        _require(answer.status == 202, f"submit: {answer.body}")
-        found.append(answer.body["job"])
-    return found
+    vms = itertools.cycle(cluster.vms)
+    return [
+        steps.submit(vm, body) for vm, body in zip(vms, bodies, strict=False)
+    ]
 
 
 def _send_requests(
@@ -172,11 +133,11 @@
             "payload": json.dumps({"service_ms": 20, "number": number}),
         }
         data = json.dumps(body).encode("utf-8")
-        answer = _call(vm, "POST", "/v1/requests", data)
+        answer = steps.call(vm, "POST", "/v1/requests", data)
         payload = answer.body.get("payload", "")
         mine = payload.startswith(body["request"])
         whole = payload.endswith(body["payload"])
-        _require(mine and whole, f"request: {answer.body}")
+        steps.require(mine and whole, f"request: {answer.body}")
         served[account] += 1
     return served
 
@@ -185,19 +146,7 @@
     cluster: loopback_cluster.Cluster, jobs: Iterable[str]
 ) -> list[typing.Any]:
     """Waits for the final result of each job."""
-    return [
-        _until(
-            lambda job=job: _call(
-                cluster.vms[0], "GET", f"/v1/jobs/{job}?wait_ms={WAIT_MS}"
-            ),
-            lambda found: _is_final(found.body),
-        ).body
-        for job in jobs
-    ]
-
-
-def _is_final(body: typing.Any) -> bool:
-    return "state" in body and states.JobState(body["state"]).final
+    return [steps.result(cluster.vms[0], job) for job in jobs]
 
 
 def _print_accounts(
@@ -217,7 +166,7 @@
             f"{requests[account.name]:>9}"
         )
     bad = [s for s in statuses if s["state"] != "done"]
-    _require(not bad, f"jobs that did not complete: {bad}")
+    steps.require(not bad, f"jobs that did not complete: {bad}")
 
 
 def _check_reclaim(
@@ -229,22 +178,10 @@
         for s in statuses
         if s["account"] in trials and s["attempts"] > 1
     ]
-    _require(bool(evicted), "no trial job had to give way")
+    steps.require(bool(evicted), "no trial job had to give way")
     print(f"trial jobs that gave way and completed later: {len(evicted)}")
 
 
-def _stop(cluster: loopback_cluster.Cluster) -> None:
-    """Drains every daemon at once; each must end with status 0."""
-    for vm in cluster.vms:
-        vm.process.terminate()
-    found = {
-        vm.name: vm.process.wait(loopback_cluster.STOP_LIMIT_S)
-        for vm in cluster.vms
-    }
-    _require(not any(found.values()), f"exit statuses: {found}")
-    print(f"{len(found)} daemons drained with status 0")
-
-
 def _paying(content: configuration_lib.Configuration) -> list[str]:
     return [
         account.name
@@ -253,32 +190,8 @@
     ]
 
 
-def _call(
-    vm: loopback_cluster.Vm, method: str, path: str, body: bytes | None = None
-) -> loopback_cluster.Answer:
-    return loopback_cluster.call(vm.caller_address, method, path, body)
-
-
-def _until(
-    ask: typing.Callable[[], loopback_cluster.Answer],
-    good: typing.Callable[[loopback_cluster.Answer], bool],
-) -> loopback_cluster.Answer:
-    limit_s = time.monotonic() + READY_LIMIT_S
-    while True:
-        answer = ask()
-        if good(answer):
-            return answer
-        _require(time.monotonic() < limit_s, f"gave up: {answer.body}")
-        time.sleep(POLL_S)
-
-
-def _require(condition: bool, message: str) -> None:
-    if not condition:
-        raise DemoError(message)
-
-
 if __name__ == "__main__":
     try:
         sys.exit(main())
-    except DemoError as error:
+    except steps.TrialError as error:
         sys.exit(f"demo failed: {error}")
