--- a/citronmount/agent/homes.py
+++ b/citronmount/agent/homes.py
@@ -101,8 +101,10 @@
 ) -> list[ids.FailureDomainId]:
     """Returns the failure domains that could schedule a job, best first.
 
-    Those that hold a guarantee of the account come first, then those with the
-    most room after their queues; the own one wins ties.
+    Those whose part of the account's allowance is too small are left out,
+    unless that leaves none. Those that hold a guarantee of the account come
+    first, then those with the most room after their queues; the own one wins
+    ties.
 
     Args:
         current: The configuration in force.
@@ -113,14 +115,12 @@
     Returns:
         Failure domains in service.
     """
-    promising = shares.homes(current, spec)
-    usable = [
+    allowed = shares.homes(current, spec) or tuple(
         domain.name
         for domain in current.failure_domains
-        if domain.name in rooms
-        and domain.state is states.FailureDomainState.IN
-        and (domain.name in promising or not promising)
-    ]
+        if domain.state is states.FailureDomainState.IN
+    )
+    usable = [name for name in allowed if name in rooms]
     holding = {
         guarantee.failure_domain
         for guarantee in current.guarantees
