Add the loopback run under load with a kill and a drain

Cause: answers had to be checked over real processes while VMs go away. Change: closed-loop callers behind a readiness-following balancer, checks for wrong, doubled and cut answers, bytes and processor time of each daemon.

--- /dev/null
+++ b/citronmount/bench/loopback.py
@@ -0,0 +1,287 @@
+"""Load on six daemons over loopback while one is killed and one drained.
+
+``python -m citronmount.bench.loopback --json`` prints one JSON object with
+latencies, bytes of each daemon and the checks. It exits with 1 if an answer
+was wrong or doubled or a request was cut by the drain.
+"""
+
+import collections
+import sys
+import time
+import typing
+
+import click
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.internet import threads
+
+from citronmount.bench import loopback_cluster
+from citronmount.bench import loopback_load
+from citronmount.bench import loopback_steps as steps
+from citronmount.config import pool_file
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.platform import messages
+from citronmount.telemetry import events
+from citronmount.telemetry import metrics as metrics_lib
+
+__all__ = ["Report", "main", "run"]
+
+DOMAINS = ("kr-a", "kr-b", "kr-c")
+WORKERS_PER_DOMAIN = 4
+RUNNERS_PER_DOMAIN = 3
+SLOTS = 8
+CALLERS = 12
+WARM_UP_S = 4.0
+PHASE_S = 8.0
+ACCOUNTS = ("hana", "duri")
+
+_SHEET = "\n".join(
+    (
+        (
+            "kind,name,class,state,failure_domain,copies,tasks,accelerators,"
+            "cores,memory_gb,adjacency"
+        ),
+        *(f"failure_domain,{name},,in,,,,,,," for name in DOMAINS),
+        *(f"client_account,{name},paying,,,,,,,," for name in ACCOUNTS),
+        *(f"guarantee,{name},,,,3,2,4,4,4,rack" for name in ACCOUNTS),
+        "",
+    )
+).encode("ascii")
+_TRAFFIC = (
+    "peers.sent_bytes",
+    "peers.received_bytes",
+    "http.sent_bytes",
+    "http.received_bytes",
+)
+
+
+class VmUse(msgspec.Struct, frozen=True, kw_only=True):
+    """What a daemon used under load.
+
+    Attributes:
+        peer_bytes_per_s: Bytes to and from other VMs, without ZeroMQ's own.
+        http_bytes_per_s: Bytes to and from platform and targets.
+        processor_share: Processor time by elapsed time.
+        resident_mb: Resident memory at the end.
+    """
+
+    peer_bytes_per_s: float
+    http_bytes_per_s: float
+    processor_share: float
+    resident_mb: float
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run brought.
+
+    Attributes:
+        tally: What became of the calls.
+        latencies: Latencies that callers saw, by kind.
+        doubled: Requests not to be repeated that a runner began twice.
+        killed: The VM that was killed under load.
+        drained: The VM that was drained under load.
+        drain_status: Its exit status.
+        cut_by_drain: Calls that it cut.
+        use: What each surviving daemon used.
+        faults: What must not happen but did.
+    """
+
+    tally: loopback_load.Tally
+    latencies: tuple[metrics_lib.HistogramSummary, ...]
+    doubled: int
+    killed: str
+    drained: str
+    drain_status: int
+    cut_by_drain: int
+    use: dict[str, VmUse]
+    faults: tuple[str, ...]
+
+
+def _pool() -> pool_file.Pool:
+    workers = tuple(
+        messages.ListedTarget(
+            name=f"{domain}-w{number}",
+            address="",
+            failure_domain=ids.FailureDomainId(domain),
+            rack=ids.RackId(f"{domain}-r1"),
+            capacity=jobs.Resources(accelerators=8, cores=64, memory_gb=128),
+        )
+        for domain in DOMAINS
+        for number in range(WORKERS_PER_DOMAIN)
+    )
+    runners = tuple(
+        messages.ListedTarget(
+            name=f"{domain}-u{number}",
+            address="",
+            failure_domain=ids.FailureDomainId(domain),
+            slots=SLOTS,
+            connections=60,
+        )
+        for domain in DOMAINS
+        for number in range(RUNNERS_PER_DOMAIN)
+    )
+    return pool_file.Pool(workers=workers, runners=runners)
+
+
+async def run() -> Report:
+    """Runs the load, kills one daemon and drains another.
+
+    Returns:
+        What was measured and checked.
+    """
+    with loopback_cluster.open_cluster(_pool()) as cluster:
+        steps.publish(cluster, _SHEET)
+        steps.wait_until_ready(cluster)
+        killed, drained = cluster.vms[0], cluster.vms[2]
+        survivors = tuple(
+            vm for vm in cluster.vms if vm not in (killed, drained)
+        )
+        load = loopback_load.Load(
+            reactor=reactor, vms=cluster.vms, accounts=ACCOUNTS
+        )
+        parts = load.start(CALLERS)
+        await task.deferLater(reactor, WARM_UP_S)
+        before, begin_s = _gauges(survivors), time.monotonic()
+        await task.deferLater(reactor, PHASE_S)
+        killed.process.kill()
+        await task.deferLater(reactor, PHASE_S)
+        cut_before = load.tally.cut.get(drained.name, 0)
+        drained.process.terminate()
+        status = await threads.deferToThread(
+            drained.process.wait, loopback_cluster.STOP_LIMIT_S
+        )
+        await task.deferLater(reactor, PHASE_S)
+        after, end_s = _gauges(survivors), time.monotonic()
+        load.stop()
+        await defer.gatherResults(parts)
+        await load.close()
+        cut = load.tally.cut.get(drained.name, 0) - cut_before
+        doubled = _doubled(cluster)
+        steps.drain_all(_survivors_only(cluster, survivors))
+    report = Report(
+        tally=load.tally,
+        latencies=load.metrics.snapshot().histograms,
+        doubled=doubled,
+        killed=killed.name,
+        drained=drained.name,
+        drain_status=status,
+        cut_by_drain=cut,
+        use=_use(before, after, end_s - begin_s),
+        faults=(),
+    )
+    return msgspec.structs.replace(report, faults=_faults(report))
+
+
+def _survivors_only(
+    cluster: loopback_cluster.Cluster, vms: tuple[loopback_cluster.Vm, ...]
+) -> loopback_cluster.Cluster:
+    cluster.vms = vms
+    return cluster
+
+
+def _gauges(
+    vms: tuple[loopback_cluster.Vm, ...],
+) -> dict[str, dict[str, float]]:
+    return {
+        vm.name: steps.call(vm, "GET", "/v1/metrics").body["gauges"]
+        for vm in vms
+    }
+
+
+def _use(
+    before: dict[str, dict[str, float]],
+    after: dict[str, dict[str, float]],
+    elapsed_s: float,
+) -> dict[str, VmUse]:
+    def rate(name: str, *gauges: str) -> float:
+        total = sum(after[name][g] - before[name][g] for g in gauges)
+        return round(total / elapsed_s, 4)
+
+    return {
+        name: VmUse(
+            peer_bytes_per_s=rate(name, *_TRAFFIC[:2]),
+            http_bytes_per_s=rate(name, *_TRAFFIC[2:]),
+            processor_share=rate(name, "process.processor_s"),
+            resident_mb=round(gauges["process.resident_bytes"] / 1e6, 1),
+        )
+        for name, gauges in after.items()
+    }
+
+
+def _doubled(cluster: loopback_cluster.Cluster) -> int:
+    """Counts keys that runners began more than once."""
+    data = loopback_cluster.call(cluster.list_address, "GET", "/timeline").body
+    started = collections.Counter(
+        event["job"]
+        for event in data
+        if event["kind"] == events.EventKind.RUNNER_STARTED.value
+        and event.get("job")
+    )
+    return sum(count > 1 for count in started.values())
+
+
+def _faults(report: Report) -> tuple[str, ...]:
+    tally = report.tally
+    unfinished = [state for state in tally.jobs_by_state if state != "done"]
+    checks = (
+        (tally.wrong == 0, f"{tally.wrong} wrong answers"),
+        (report.doubled == 0, f"{report.doubled} doubled requests"),
+        (report.cut_by_drain == 0, f"{report.cut_by_drain} cut by the drain"),
+        (report.drain_status == 0, f"drain status {report.drain_status}"),
+        (not unfinished, f"jobs not done: {tally.jobs_by_state}"),
+        (tally.answered > 0, "no request was answered"),
+    )
+    return tuple(text for holds, text in checks if not holds)
+
+
+def _print(report: Report) -> None:
+    for row in report.latencies:
+        points = row.percentiles_ms
+        click.echo(
+            f"{row.work_class}/{row.stage}: {row.count} calls, "
+            f"p50 {points['50']:.1f} ms, p99 {points['99']:.1f} ms"
+        )
+    for name, use in report.use.items():
+        click.echo(
+            f"{name}: peers {use.peer_bytes_per_s:.0f} B/s, "
+            f"http {use.http_bytes_per_s:.0f} B/s, "
+            f"processor {use.processor_share:.1%}, {use.resident_mb} MB"
+        )
+    tally = report.tally
+    click.echo(
+        f"{tally.answered} answered, {tally.refused} refused, "
+        f"{tally.unknown} unknown, {tally.wrong} wrong, "
+        f"{report.doubled} doubled, cut by the drain: {report.cut_by_drain}"
+    )
+    click.echo(f"jobs: {tally.jobs_by_state} of {tally.jobs_accepted}")
+    for fault in report.faults:
+        click.echo(f"FAULT: {fault}")
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def main(as_json: bool) -> None:
+    """Puts load on six daemons, kills one and drains one."""
+    reports: list[typing.Any] = []
+
+    def end(result: typing.Any) -> None:
+        reports.append(result)
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: defer.ensureDeferred(run()).addBoth(end))
+    reactor.run()
+    report = reports[0]
+    if not isinstance(report, Report):
+        report.raiseException()
+    if as_json:
+        click.echo(msgspec.json.encode(report).decode("utf-8"))
+    else:
+        _print(report)
+    sys.exit(1 if report.faults else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/citronmount/bench/loopback_load.py
@@ -0,0 +1,266 @@
+"""A load of short requests and jobs over HTTP, with checks of every answer."""
+
+import itertools
+import json
+import time
+import typing
+
+import hyperlink
+import msgspec
+import treq
+from treq import client as treq_client
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import client as web_client
+
+from citronmount.bench import loopback_cluster
+from citronmount.core import codes
+from citronmount.core import states
+from citronmount.platform import counted
+from citronmount.platform import exchange
+from citronmount.telemetry import metrics as metrics_lib
+
+__all__ = ["Load", "Tally"]
+
+REQUEST_TIMEOUT_MS = 5_000
+SERVICE_MS = (2, 5, 10, 20)
+JOB_RUN_MS = (200, 500, 1_000)
+JOB_WAIT_MS = 30_000
+BALANCER_PERIOD_S = 0.25
+RETRY_S = 0.05
+JOB_PERIOD_S = 0.25
+
+_MS_PER_S = 1_000
+_OK = 200
+
+
+class Tally(msgspec.Struct, kw_only=True):
+    """What became of the calls of a load.
+
+    Attributes:
+        answered: Short requests that were answered whole.
+        refused: Refusals that prove that nothing was run.
+        unknown: Answers that tell that the outcome is not known.
+        wrong: Answers that belong to another request or are not whole.
+        cut: Connections lost with a call open, by the VM.
+        jobs_accepted: Jobs that were accepted.
+        jobs_by_state: Final states of accepted jobs.
+        keys: Idempotency keys of requests that are not to be repeated.
+    """
+
+    answered: int = 0
+    refused: int = 0
+    unknown: int = 0
+    wrong: int = 0
+    cut: dict[str, int] = msgspec.field(default_factory=dict)
+    jobs_accepted: int = 0
+    jobs_by_state: dict[str, int] = msgspec.field(default_factory=dict)
+    keys: list[str] = msgspec.field(default_factory=list)
+
+
+class Load:
+    """Closed-loop callers behind a balancer that follows readiness.
+
+    Attributes:
+        tally: What became of the calls.
+        metrics: How long they took.
+        ready: VMs that the balancer sends calls to.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        vms: tuple[loopback_cluster.Vm, ...],
+        accounts: tuple[str, ...],
+    ) -> None:
+        """Initializes a load that is not started.
+
+        Args:
+            reactor: The reactor to connect and time with.
+            vms: The daemons.
+            accounts: Client accounts to call for.
+        """
+        self.tally = Tally()
+        self.metrics = metrics_lib.Metrics()
+        self.ready = list(vms)
+        self._vms = vms
+        self._accounts = accounts
+        self._reactor = reactor
+        self._numbers = itertools.count()
+        self._stopped = False
+        pool = web_client.HTTPConnectionPool(reactor)
+        agent = exchange.make_agent(reactor, pool, counted.Traffic())
+        self._pool = pool
+        self._http = treq_client.HTTPClient(agent)
+
+    def start(self, callers: int) -> list[defer.Deferred[None]]:
+        """Starts the balancer, the callers and the jobs.
+
+        Args:
+            callers: How many short requests are open at once.
+
+        Returns:
+            One Deferred for each part, which fires once it has stopped.
+        """
+        parts = (
+            self._balance(),
+            self._submit_jobs(),
+            *(self._send_requests() for _ in range(callers)),
+        )
+        return [defer.ensureDeferred(part) for part in parts]
+
+    def stop(self) -> None:
+        """Lets every part end after its present call."""
+        self._stopped = True
+
+    def close(self) -> defer.Deferred[None]:
+        """Closes idle connections.
+
+        Returns:
+            Fires once they are closed.
+        """
+        return self._pool.closeCachedConnections()
+
+    async def _balance(self) -> None:
+        while not self._stopped:
+            self.ready = [
+                vm for vm in self._vms if await self._is_ready(vm)
+            ] or self.ready
+            await self._sleep(BALANCER_PERIOD_S)
+
+    async def _is_ready(self, vm: loopback_cluster.Vm) -> bool:
+        try:
+            status, _ = await self._call(vm, "GET", "/v1/ready")
+        except Exception:
+            return False
+        return status == _OK
+
+    async def _send_requests(self) -> None:
+        while not self._stopped:
+            number = next(self._numbers)
+            await self._send_request(number, self._pick(self.ready, number))
+
+    async def _send_request(self, number: int, vm: loopback_cluster.Vm) -> None:
+        payload = json.dumps(
+            {"service_ms": self._pick(SERVICE_MS, number), "number": number}
+        )
+        once = number % 2 == 0
+        key = f"key-{number}" if once else ""
+        if once:
+            self.tally.keys.append(key)
+        body = {
+            "account": self._pick(self._accounts, number),
+            "request": f"q{number}",
+            "payload": payload,
+            "timeout_ms": REQUEST_TIMEOUT_MS,
+            "idempotent": not once,
+            "idempotency_key": key,
+        }
+        begin_s = time.monotonic()
+        found = await self._try(vm, "POST", "/v1/requests", body)
+        if found is None:
+            await self._sleep(RETRY_S)
+            return
+        duration_ms = (time.monotonic() - begin_s) * _MS_PER_S
+        self.metrics.record("request", "once" if once else "any", duration_ms)
+        self._judge(found, body)
+
+    def _judge(
+        self, found: dict[str, typing.Any], body: dict[str, typing.Any]
+    ) -> None:
+        code = codes.ResultCode(found["code"])
+        if code is codes.ResultCode.DONE:
+            mine = found["request"] == body["request"]
+            whole = found["payload"].endswith(body["payload"])
+            self.tally.answered += mine and whole
+            self.tally.wrong += not (mine and whole)
+        elif codes.info(code).proves_not_run:
+            self.tally.refused += 1
+        else:
+            self.tally.unknown += 1
+
+    async def _submit_jobs(self) -> None:
+        ends = []
+        while not self._stopped:
+            number = next(self._numbers)
+            run = self._run_job(number, self._pick(self.ready, number))
+            ends.append(defer.ensureDeferred(run))
+            await self._sleep(JOB_PERIOD_S)
+        await defer.gatherResults(ends)
+
+    async def _run_job(self, number: int, vm: loopback_cluster.Vm) -> None:
+        run_ms = self._pick(JOB_RUN_MS, number)
+        body = {
+            "account": self._pick(self._accounts, number),
+            "tasks": 1 + number % 2,
+            "per_task": {"accelerators": 1 + number % 4},
+            "command": json.dumps({"run_ms": run_ms}),
+            "run_time_s": run_ms / _MS_PER_S,
+        }
+        begin_s = time.monotonic()
+        found = await self._try(vm, "POST", "/v1/jobs", body)
+        if found is None or "job" not in found:
+            self.tally.refused += found is not None
+            return
+        self.tally.jobs_accepted += 1
+        state = await self._final_state(found["job"], number)
+        counts = self.tally.jobs_by_state
+        counts[state] = counts.get(state, 0) + 1
+        duration_ms = (time.monotonic() - begin_s) * _MS_PER_S
+        self.metrics.record("job", "beyond_run", duration_ms - run_ms)
+
+    async def _final_state(self, job: str, number: int) -> str:
+        limit_s = time.monotonic() + 2 * JOB_WAIT_MS / _MS_PER_S
+        path = f"/v1/jobs/{job}?wait_ms=1000"
+        last = "no answer"
+        for attempt in itertools.count(number):
+            vm = self._pick(self.ready, attempt)
+            found = await self._try(vm, "GET", path) or {}
+            if "state" in found and states.JobState(found["state"]).final:
+                return found["state"]
+            last = found.get("name") or found.get("state") or last
+            if time.monotonic() > limit_s:
+                return f"not final: {last}"
+            await self._sleep(RETRY_S)
+        raise AssertionError("unreachable")
+
+    async def _try(
+        self,
+        vm: loopback_cluster.Vm,
+        method: str,
+        path: str,
+        body: dict[str, typing.Any] | None = None,
+    ) -> dict[str, typing.Any] | None:
+        """Calls a VM; a connection that is lost half-way counts as cut."""
+        try:
+            _, found = await self._call(vm, method, path, body)
+        except exchange.NOT_SENT:
+            return None
+        except Exception:
+            self.tally.cut[vm.name] = self.tally.cut.get(vm.name, 0) + 1
+            return None
+        return found
+
+    async def _call(
+        self,
+        vm: loopback_cluster.Vm,
+        method: str,
+        path: str,
+        body: dict[str, typing.Any] | None = None,
+    ) -> tuple[int, dict[str, typing.Any]]:
+        url = hyperlink.EncodedURL.from_text(
+            f"http://{vm.caller_address}{path}"
+        )
+        data = None if body is None else json.dumps(body).encode("utf-8")
+        response = await self._http.request(
+            method, url, data=data, unbuffered=True
+        )
+        return response.code, json.loads(await treq.content(response))
+
+    def _pick(self, choices: typing.Sequence, number: int) -> typing.Any:
+        return choices[number % len(choices)]
+
+    def _sleep(self, seconds: float) -> defer.Deferred[None]:
+        return task.deferLater(self._reactor, seconds)
--- a/citronmount/platform/exchange.py
+++ b/citronmount/platform/exchange.py
@@ -18,9 +18,10 @@
 
 from citronmount.core import codes
 from citronmount.core import errors
+from citronmount.platform import counted
 from citronmount.platform import wire
 
-__all__ = ["Exchange", "NoAnswerError", "make_agent"]
+__all__ = ["NOT_SENT", "Exchange", "NoAnswerError", "make_agent"]
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_CONNECTION_S = 30
@@ -30,7 +31,7 @@
 
 _OK = 200
 _MS_PER_S = 1_000
-_NOT_SENT = (
+NOT_SENT = (
     error.ConnectError,
     error.ConnectingCancelledError,
     web_client.RequestNotSent,
@@ -63,8 +64,11 @@
 class _NumericEndpoints:
     """Connects to IP numbers, with no resolver and so with no thread."""
 
-    def __init__(self, reactor: interfaces.IReactorTCP) -> None:
+    def __init__(
+        self, reactor: interfaces.IReactorTCP, traffic: counted.Traffic
+    ) -> None:
         self._reactor = reactor
+        self._traffic = traffic
 
     def endpointForURI(  # noqa: N802
         self, uri: web_client.URI
@@ -77,28 +81,36 @@
             else endpoints.TCP4ClientEndpoint
         )
         timeout_s = CONNECT_TIMEOUT_MS / _MS_PER_S
-        return make(self._reactor, host, uri.port, timeout=timeout_s)
+        endpoint = make(self._reactor, host, uri.port, timeout=timeout_s)
+        return counted.CountedEndpoint(endpoint=endpoint, traffic=self._traffic)
 
 
 def make_agent(
-    reactor: interfaces.IReactorTCP, pool: web_client.HTTPConnectionPool
+    reactor: interfaces.IReactorTCP,
+    pool: web_client.HTTPConnectionPool,
+    traffic: counted.Traffic,
 ) -> iweb.IAgent:
     """Returns an HTTP agent for services that are named by IP numbers.
 
     Args:
         reactor: The reactor to connect with.
         pool: Keeps idle connections.
+        traffic: Gets the bytes of all connections.
 
     Returns:
         The agent.
     """
     return web_client.Agent.usingEndpointFactory(
-        reactor, _NumericEndpoints(reactor), pool
+        reactor, _NumericEndpoints(reactor, traffic), pool
     )
 
 
 class Exchange:
-    """Sends requests over bounded pools of persistent connections."""
+    """Sends requests over bounded pools of persistent connections.
+
+    Attributes:
+        traffic: Bytes of all connections so far.
+    """
 
     def __init__(
         self,
@@ -116,7 +128,8 @@
         self._pool = web_client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-        pooled = make_agent(reactor, self._pool)
+        self.traffic = counted.Traffic()
+        pooled = make_agent(reactor, self._pool, self.traffic)
         self._http = treq_client.HTTPClient(agent or pooled)
         self._urls: dict[tuple[str, str], hyperlink.EncodedURL] = {}
 
@@ -246,7 +259,7 @@
         raise NoAnswerError(
             f"no answer within {timeout_s} s",
             code=codes.ResultCode.TIMED_OUT,
-            sent=not result.check(*_NOT_SENT),
+            sent=not result.check(*NOT_SENT),
         ) from result.value
     return result
 
@@ -258,5 +271,5 @@
     raise NoAnswerError(
         reason.getErrorMessage(),
         code=codes.ResultCode.UNREACHABLE,
-        sent=not reason.check(*_NOT_SENT),
+        sent=not reason.check(*NOT_SENT),
     ) from reason.value
--- a/citronmount/service/wiring.py
+++ b/citronmount/service/wiring.py
@@ -10,6 +10,7 @@
 from citronmount.core import ids
 from citronmount.peers import keys
 from citronmount.peers import transport
+from citronmount.platform import counted
 from citronmount.platform import exchange
 from citronmount.service import agent_brain
 from citronmount.service import api as api_lib
@@ -20,6 +21,7 @@
 from citronmount.telemetry import events
 from citronmount.telemetry import logs
 from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import process
 from citronmount.telemetry import stages
 from citronmount.telemetry import store
 
@@ -114,10 +116,17 @@
 
     def _register_gauges(self) -> None:
         self.metrics.gauge("fragmentation", self.brain.fragmentation)
+        self.metrics.gauge("process.processor_s", process.processor_s)
+        self.metrics.gauge("process.resident_bytes", process.resident_bytes)
         for name in transport.Counters.__struct_fields__:
             self.metrics.gauge(f"peers.{name}", self._peer_counter(name))
+        for name in counted.Traffic.__struct_fields__:
+            self.metrics.gauge(f"http.{name}", self._http_counter(name))
         self.metrics.gauge("open_calls", lambda: self.runtime.open_calls)
 
+    def _http_counter(self, name: str) -> metrics_lib.Gauge:
+        return lambda: getattr(self.http.traffic, name)
+
     def _peer_counter(self, name: str) -> metrics_lib.Gauge:
         return lambda: getattr(self.peers.counters, name)
 
--- a/citronmount/standins/tests/test_http.py
+++ b/citronmount/standins/tests/test_http.py
@@ -15,6 +15,7 @@
 from citronmount.core import jobs
 from citronmount.core import states
 from citronmount.platform import clients
+from citronmount.platform import counted
 from citronmount.platform import exchange
 from citronmount.platform import messages
 from citronmount.standins import http
@@ -84,6 +85,8 @@
         found = tuple((r.record, r.data) for r in page.records)
         self.assertEqual(records, found)
         self.assertEqual((0, 2), (page.oldest, page.end))
+        self.assertLess(100, self.http.traffic.sent_bytes)
+        self.assertLess(100, self.http.traffic.received_bytes)
 
     def test_lost_append_answer_took_effect(self) -> None:
         self._put_faults(
@@ -208,7 +211,9 @@
 
     def _put(self, address: str, path: str, body: bytes) -> None:
         pool = client.HTTPConnectionPool(reactor, persistent=False)
-        http_client = treq_client.HTTPClient(exchange.make_agent(reactor, pool))
+        http_client = treq_client.HTTPClient(
+            exchange.make_agent(reactor, pool, counted.Traffic())
+        )
         url = f"http://{address}{path}"
         response = loop.run(_wait(http_client.put(url, body)))
         self.assertEqual(200, response.code)
