Let two faults strike at once and each at its own step

In pairs a fault waited for the other's family to be triggered, and two faults at one step needed it twice.

--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -29,6 +29,7 @@
 _CHECK_EVERY_MS = 500
 _REQUEST_EVERY_MS = 250
 _REQUESTS = 40
+_TRIGGERED_FAMILIES = frozenset({"takeover", "drain", "relay"})
 _FREQUENT_STEPS = frozenset(
     {
         "job.submit",
@@ -62,6 +63,14 @@
     at_ms: int
 
 
+class _Strike(msgspec.Struct, kw_only=True):
+    """A fault that waits for its step."""
+
+    fault: registry.Fault
+    step: registry.Step
+    skips: int
+
+
 class Cell:
     """Runs the workload, strikes with the faults, heals and waits.
 
@@ -99,7 +108,16 @@
         self.hits: list[Hit] = []
         self.healed_ms = 0
         self.trial_run_ms = 14_000
-        self._plan = list(plan)
+        self._plan = [
+            _Strike(
+                fault=fault,
+                step=step,
+                skips=self.rng.choice([0, 0, 1, 3])
+                if step.name in _FREQUENT_STEPS
+                else 0,
+            )
+            for fault, step in plan
+        ]
         self._families = {step.family for _, step in plan}
         retention_ms = min(
             [f.retention_ms for f, _ in plan], default=registry.DAY_MS
@@ -116,10 +134,6 @@
             harness=self.harness, rng=random.Random(self.rng.getrandbits(32))
         )
         self.evidence = evidence_lib.Evidence(harness=self.harness)
-        self._skips = [
-            self.rng.choice([0, 0, 1, 3]) if step.name in _FREQUENT_STEPS else 0
-            for _, step in plan
-        ]
         self._content = site.configuration
         self.harness.watchers.append(self.evidence.watch)
         self.harness.arrivals.append(self.evidence.arrive)
@@ -232,30 +246,27 @@
         """Runs the cell to its end."""
         self.harness.start_all()
         self.harness.run_until_ms(WARM_UP_MS)
-        if {"takeover", "drain", "relay"} & self._families:
-            self.after(TRIGGER_MS - WARM_UP_MS, self._arm)
-        else:
-            self._arm()
+        if self._plan:
+            self.harness.watchers.append(self._watch)
         self._schedule_workload()
         if self._plan:
             self._run_until_hit()
         self._run_to_end()
         self.evidence.finish(self.callers, self.healed_ms)
 
-    def _arm(self) -> None:
-        if self._plan:
-            self.harness.watchers.append(self._watch)
-
     def _watch(self, process: harness_lib.Process, item: Any) -> None:
-        for index, (fault, step) in enumerate(self._plan):
-            if not step.seen(self, process, item):
+        triggered = self.harness.clock.now_ms >= TRIGGER_MS
+        for strike in list(self._plan):
+            late = strike.step.family in _TRIGGERED_FAMILIES
+            if late and not triggered:
+                continue
+            if not strike.step.seen(self, process, item):
                 continue
-            if self._skips[index]:
-                self._skips[index] -= 1
+            if strike.skips:
+                strike.skips -= 1
                 continue
-            del self._plan[index], self._skips[index]
-            self._strike(fault, process, item)
-            break
+            self._plan.remove(strike)
+            self._strike(strike.fault, process, item)
         if not self._plan:
             self.harness.watchers.remove(self._watch)
 
