Take room back from trials for paying work beyond guarantees

Cause: paying jobs beyond their guarantee waited for hours behind trials, and the use of guarantees counted against an account in the fair order.

Change: a paying job that has waited for 30 s, or an urgent one at once, evicts trials that can run again; such a claim yields to guarantees. The ledger counts only what an account uses beyond its guarantee. A job that fails by itself four times ends.

--- a/citronmount/core/domain.py
+++ b/citronmount/core/domain.py
@@ -1,6 +1,7 @@
 """The state of one failure domain's scheduler and its elementary changes."""
 
 import collections
+from collections.abc import Iterable
 import functools
 
 from citronmount.config import configuration as configuration_lib
@@ -33,9 +34,11 @@
         groups: Where it runs.
         since_ms: When it was placed or started.
         evicting: Whether it was told to stop.
+        lent: Whether its room may be taken back for paying work outside
+            guarantees.
     """
 
-    __slots__ = ("entry", "evicting", "groups", "since_ms")
+    __slots__ = ("entry", "evicting", "groups", "lent", "since_ms")
 
     def __init__(
         self,
@@ -49,6 +52,7 @@
         self.groups = groups
         self.since_ms = since_ms
         self.evicting = False
+        self.lent = False
 
 
 class Claim:
@@ -171,7 +175,7 @@
         }
         share = shares.share(configuration, failure_domain)
         self._allowances = share.allowances
-        self._weigh(configuration, now_ms)
+        self._weigh(configuration, share, now_ms)
         if self.policy.guarantees:
             self._require(share, now_ms)
 
@@ -211,8 +215,10 @@
         """Gives room to a queued job, in cells or outside them."""
         job = entry.spec.job
         self.queue.remove(job)
-        self.placed[job] = Placed(entry=entry, groups=groups, since_ms=now_ms)
+        placed = Placed(entry=entry, groups=groups, since_ms=now_ms)
+        self.placed[job] = placed
         self._take(entry, groups, now_ms, uses)
+        self._lend(placed)
         self._note_probes(job, groups, now_ms)
 
     def claim(
@@ -243,6 +249,7 @@
         claim = self.claims.pop(job)
         placed = Placed(entry=claim.entry, groups=claim.groups, since_ms=now_ms)
         self.placed[job] = placed
+        self._lend(placed)
         self._note_probes(job, claim.groups, now_ms)
         return placed
 
@@ -251,11 +258,27 @@
         placed = self.placed.pop(job, None)
         if placed is None:
             return None
+        self._end_loan(placed)
         self._give_back(placed.entry, placed.groups, now_ms)
         for claim in self.claims.values():
             claim.victims.discard(job)
         return placed
 
+    def evict(self, job: ids.JobId) -> None:
+        """Notes that a placed job was told to stop."""
+        placed = self.placed[job]
+        placed.evicting = True
+        self._end_loan(placed)
+
+    def release_outside_claims(
+        self, workers: Iterable[ids.WorkerId], now_ms: int
+    ) -> None:
+        """Gives back what claims outside guarantees hold of some workers."""
+        for worker in workers:
+            for job in list(self.pool.jobs_on(worker)):
+                if job in self.claims and not self.plan.holds(job):
+                    self.release_claim(job, now_ms)
+
     def enqueue(
         self,
         entry: queueing.Entry,
@@ -264,6 +287,7 @@
     ) -> None:
         """Queues an entry."""
         account = entry.spec.account
+        entry.queued_ms = now_ms
         if not self.queue.size(account):
             self.ledger.wake(account, self.queue.accounts(), now_ms)
         self.queue.add(entry, press_at_ms=press_at_ms)
@@ -361,6 +385,22 @@
             self.unsettled.add(spec.account)
             self.secured = self.secured and not self.plan.unplanned()
 
+    def _lend(self, placed: Placed) -> None:
+        spec = placed.entry.spec
+        placed.lent = (
+            self.policy.guarantees
+            and spec.idempotent
+            and self.is_trial(spec.account)
+        )
+        if placed.lent:
+            self.pool.lend(spec.per_task, placed.groups)
+
+    def _end_loan(self, placed: Placed) -> None:
+        if placed.lent:
+            placed.lent = False
+            back = resources.scaled(placed.entry.spec.per_task, -1)
+            self.pool.lend(back, placed.groups)
+
     def _note_probes(
         self,
         job: ids.JobId,
@@ -372,18 +412,25 @@
                 self.refresh_worker(group.worker, now_ms)
 
     def _weigh(
-        self, configuration: configuration_lib.Configuration, now_ms: int
+        self,
+        configuration: configuration_lib.Configuration,
+        share: shares.Share,
+        now_ms: int,
     ) -> None:
-        weights = dict.fromkeys(self._classes, 0)
-        for guarantee in configuration.guarantees:
-            if guarantee.account in weights:
-                weights[guarantee.account] += (
-                    guarantee.copies
-                    * guarantee.tasks
-                    * guarantee.per_task.accelerators
-                )
-        for account, weight in weights.items():
-            self.ledger.set_weight(account, weight, now_ms)
+        weights: collections.Counter[ids.AccountId] = collections.Counter()
+        for row in configuration.guarantees:
+            accelerators = row.tasks * row.per_task.accelerators
+            weights[row.account] += row.copies * accelerators
+        here: collections.Counter[ids.AccountId] = collections.Counter()
+        for part in share.guarantees:
+            here[part.account] += part.copies * part.shape.accelerators
+        for account in self._classes:
+            self.ledger.set_due(
+                account,
+                weight=weights[account],
+                guaranteed=here[account],
+                now_ms=now_ms,
+            )
 
     def _require(self, share: shares.Share, now_ms: int) -> None:
         wanted = {
--- a/citronmount/core/guaranteed.py
+++ b/citronmount/core/guaranteed.py
@@ -211,31 +211,18 @@
     uses: tuple[cells.Use, ...],
     now_ms: int,
 ) -> list[decisions.Decision] | None:
+    domain.release_outside_claims(_need(uses), now_ms)
     victims = _victims(domain, uses, now_ms)
     owners = _paying_owners(domain, victims or ()) - {entry.spec.account}
     if owners and _settle_accounts(domain, owners, tight=False):
         uses = _find(domain, entry, now_ms)
+        domain.release_outside_claims(_need(uses or ()), now_ms)
         victims = _victims(domain, uses, now_ms) if uses else None
     if victims is None:
         return None
-    for victim in victims:
-        domain.placed[victim].evicting = True
-    need = _need(uses)
-    waiting = {
-        job
-        for worker, wanted in need.items()
-        if not resources.covers(domain.pool.free.room(worker), wanted)
-        for job in reclaim.stopping(domain, worker)
-    }
+    made, waiting = reclaim.evict(domain, entry, _need(uses), victims)
     domain.claim(entry, _groups(uses), now_ms, uses, waiting)
-    urgent = entry.spec.urgent
-    grace_ms = reclaim.URGENT_GRACE_MS if urgent else reclaim.GRACE_MS
-    return [
-        decisions.EvictJob(
-            job=victim, beneficiary=entry.spec.job, grace_ms=grace_ms
-        )
-        for victim in victims
-    ]
+    return made
 
 
 def _victims(
--- a/citronmount/core/ledger.py
+++ b/citronmount/core/ledger.py
@@ -8,18 +8,30 @@
 
 
 class _Served:
-    __slots__ = ("accelerators", "as_of_ms", "virtual_ms", "weight")
+    __slots__ = (
+        "accelerators",
+        "as_of_ms",
+        "guaranteed",
+        "virtual_ms",
+        "weight",
+    )
 
     def __init__(self, now_ms: int) -> None:
         self.accelerators = 0
+        self.guaranteed = 0
         self.as_of_ms = now_ms
         self.virtual_ms = 0.0
         self.weight = 1
 
+    @property
+    def extra(self) -> int:
+        return max(self.accelerators - self.guaranteed, 0)
+
 
 class Ledger:
-    """Served accelerator time of each account over its weight.
+    """Accelerator time served beyond guarantees, over the account's weight.
 
+    What an account uses of its guarantee is its own and is not counted.
     An account that comes back after a pause starts at the smallest served
     share of the accounts with demand, so that a pause earns no credit
     (start-time fair queueing, Goyal et al., SIGCOMM 1996).
@@ -29,12 +41,25 @@
         """Initializes an empty ledger."""
         self._served: dict[ids.AccountId, _Served] = {}
 
-    def set_weight(
-        self, account: ids.AccountId, weight: int, now_ms: int
+    def set_due(
+        self,
+        account: ids.AccountId,
+        *,
+        weight: int,
+        guaranteed: int,
+        now_ms: int,
     ) -> None:
-        """Sets the due share of an account, its guaranteed accelerators."""
+        """Sets what an account is due.
+
+        Args:
+            account: The account.
+            weight: Its share beyond guarantees, relative to others.
+            guaranteed: Accelerators guaranteed to it in the failure domain.
+            now_ms: Monotonic time.
+        """
         served = self._settle(account, now_ms)
         served.weight = max(weight, 1)
+        served.guaranteed = guaranteed
 
     def change(
         self, account: ids.AccountId, accelerators: int, now_ms: int
@@ -76,7 +101,7 @@
             Its served share, in accelerator milliseconds over weight.
         """
         served = self._settle(account, now_ms)
-        ahead = served.accelerators * _LOOKAHEAD_MS / served.weight
+        ahead = served.extra * _LOOKAHEAD_MS / served.weight
         return served.virtual_ms + ahead
 
     def _settle(self, account: ids.AccountId, now_ms: int) -> _Served:
@@ -84,6 +109,6 @@
         if served is None:
             served = self._served[account] = _Served(now_ms)
         elapsed_ms = max(now_ms - served.as_of_ms, 0)
-        served.virtual_ms += elapsed_ms * served.accelerators / served.weight
+        served.virtual_ms += elapsed_ms * served.extra / served.weight
         served.as_of_ms = max(now_ms, served.as_of_ms)
         return served
--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -1,6 +1,7 @@
 """Places jobs on what guarantees leave over, in a fair order."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import heapq
 import itertools
 
@@ -13,11 +14,14 @@
 from citronmount.core import placement
 from citronmount.core import policy as policy_lib
 from citronmount.core import queueing
+from citronmount.core import reclaim
+from citronmount.core import resources
 from citronmount.core import shapes
 
 __all__ = ["SCAN_LIMIT", "place"]
 
 SCAN_LIMIT = 256
+RECLAIM_AFTER_MS = 30_000
 
 
 def place(domain: domain_lib.Domain, now_ms: int) -> list[decisions.PlaceJob]:
@@ -30,19 +34,11 @@
     Returns:
         The placements.
     """
-    visit = _Pass(domain, now_ms)
-    found = []
+    visits = _Pass(domain, now_ms)
+    found: list[decisions.Decision] = []
     for entry in _in_order(domain, now_ms):
-        groups = visit.find(entry)
-        if groups is not None:
-            domain.place(entry, groups, now_ms)
-            found.append(
-                decisions.PlaceJob(
-                    job=entry.spec.job,
-                    placement=jobs.Placement(groups=groups),
-                )
-            )
-        elif visit.over:
+        found.extend(visits.visit(entry))
+        if visits.over:
             break
     return found
 
@@ -59,23 +55,41 @@
         self._domain = domain
         self._now_ms = now_ms
         self._failed: set[tuple[shapes.Shape, bool]] = set()
+        self._unreclaimable: set[shapes.Shape] = set()
         self._reservation: backfill.Reservation | None = None
 
-    def find(self, entry: queueing.Entry) -> tuple[jobs.TaskGroup, ...] | None:
+    def visit(self, entry: queueing.Entry) -> Sequence[decisions.Decision]:
+        """Places a job, makes room for it or notes that it is blocked."""
         domain = self._domain
         if domain.is_trial(entry.spec.account) and not domain.allows(entry):
-            return None
+            return ()
+        groups = self._find(entry)
+        if groups is not None:
+            return self._place(entry, groups)
+        made = self._reclaim(entry)
+        if made is None:
+            self._block(entry)
+        return made or ()
+
+    def _place(
+        self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
+    ) -> Sequence[decisions.PlaceJob]:
+        domain = self._domain
+        if domain.policy.patient and patience.waits(
+            domain, entry, groups, self._now_ms
+        ):
+            return ()
+        domain.place(entry, groups, self._now_ms)
+        placed = jobs.Placement(groups=groups)
+        return (decisions.PlaceJob(job=entry.spec.job, placement=placed),)
+
+    def _find(self, entry: queueing.Entry) -> tuple[jobs.TaskGroup, ...] | None:
         limited = self._may_delay(entry)
         if {(entry.shape, False), (entry.shape, limited)} & self._failed:
             return None
         groups = self._search(entry, limited)
         if groups is None:
             self._failed.add((entry.shape, limited))
-            self._block(entry)
-        elif domain.policy.patient and patience.waits(
-            domain, entry, groups, self._now_ms
-        ):
-            return None
         return groups
 
     def _may_delay(self, entry: queueing.Entry) -> bool:
@@ -104,6 +118,53 @@
     def _limit(self, worker: ids.WorkerId) -> jobs.Resources:
         return self._reservation.limit(self._domain, worker, self._now_ms)
 
+    def _reclaim(
+        self, entry: queueing.Entry
+    ) -> list[decisions.EvictJob] | None:
+        """Takes room back from trials; None if the job gets none."""
+        domain = self._domain
+        if domain.is_trial(entry.spec.account) or not self._waited(entry):
+            return None
+        if entry.shape in self._unreclaimable:
+            return None
+        groups = placement.find(
+            domain.pool.lendable,
+            entry.shape,
+            key=placement.best_fit,
+            limit=self._unreserved,
+            avoid=entry.avoidances(self._now_ms)[0],
+        )
+        victims = self._victims(entry, groups) if groups else None
+        if victims is None:
+            self._unreclaimable.add(entry.shape)
+            return None
+        need = _need(entry, groups)
+        made, waiting = reclaim.evict(domain, entry, need, victims)
+        domain.claim(entry, groups, self._now_ms, (), waiting)
+        return made
+
+    def _victims(
+        self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
+    ) -> list[ids.JobId] | None:
+        short = reclaim.shortfall(self._domain, _need(entry, groups))
+        return reclaim.choose(self._domain, short, self._now_ms, lent_only=True)
+
+    def _waited(self, entry: queueing.Entry) -> bool:
+        if not self._domain.policy.guarantees:
+            return False
+        if entry.spec.urgent:
+            return True
+        due_ms = entry.queued_ms + RECLAIM_AFTER_MS
+        if self._now_ms < due_ms and entry.reclaim_ms != due_ms:
+            entry.reclaim_ms = due_ms
+            heapq.heappush(self._domain.wake_ups, due_ms)
+        return self._now_ms >= due_ms
+
+    def _unreserved(self, worker: ids.WorkerId) -> jobs.Resources:
+        if self._reservation and worker in self._reservation.need:
+            return resources.NONE
+        return self._domain.pool.lendable.room(worker)
+
     def _block(self, entry: queueing.Entry) -> None:
         backfills = self._domain.policy.backfill
         if backfills is policy_lib.Backfill.NONE:
@@ -116,6 +177,16 @@
             )
 
 
+def _need(
+    entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
+) -> dict[ids.WorkerId, jobs.Resources]:
+    per_task = entry.spec.per_task
+    return {
+        group.worker: resources.scaled(per_task, group.tasks)
+        for group in groups
+    }
+
+
 def _in_order(
     domain: domain_lib.Domain, now_ms: int
 ) -> Iterator[queueing.Entry]:
--- a/citronmount/core/pool.py
+++ b/citronmount/core/pool.py
@@ -148,11 +148,14 @@
 
     Attributes:
         free: Free room of the usable workers.
+        lendable: The same with the room of loans that may be called in.
     """
 
     def __init__(self) -> None:
         """Initializes an empty pool."""
         self.free = RoomIndex()
+        self.lendable = RoomIndex()
+        self._lent: dict[ids.WorkerId, jobs.Resources] = {}
         self._listed: dict[ids.WorkerId, messages.ListedTarget] = {}
         self._states: dict[ids.WorkerId, states.TargetState] = {}
         self._closed: set[ids.WorkerId] = set()
@@ -255,13 +258,31 @@
             self._jobs[group.worker].pop(job, None)
             self._use(group.worker, resources.scaled(per_task, -group.tasks))
 
+    def lend(
+        self, per_task: jobs.Resources, groups: tuple[jobs.TaskGroup, ...]
+    ) -> None:
+        """Notes that room in use may be taken back, or not if negative."""
+        for group in groups:
+            lent = self._lent.get(group.worker, resources.NONE)
+            amount = resources.scaled(per_task, group.tasks)
+            self._lent[group.worker] = resources.plus(lent, amount)
+            if self._lent[group.worker] == resources.NONE:
+                del self._lent[group.worker]
+            self._index(group.worker)
+
     def _use(self, worker: ids.WorkerId, amount: jobs.Resources) -> None:
         used = self._used.get(worker, resources.NONE)
         self._used[worker] = resources.plus(used, amount)
         if not self._jobs[worker]:
             del self._jobs[worker]
             del self._used[worker]
-        self.free.set_room(worker, self._free(worker))
+        self._index(worker)
+
+    def _index(self, worker: ids.WorkerId) -> None:
+        free = self._free(worker)
+        lent = self._lent.get(worker, resources.NONE)
+        self.free.set_room(worker, free)
+        self.lendable.set_room(worker, resources.plus(free, lent))
 
     def _free(self, worker: ids.WorkerId) -> jobs.Resources:
         used = self._used.get(worker, resources.NONE)
@@ -269,6 +290,10 @@
 
     def _refresh(self, worker: ids.WorkerId) -> None:
         if self.usable(worker):
-            self.free.put(worker, self.rack(worker), self._free(worker))
+            rack = self.rack(worker)
+            self.free.put(worker, rack, self._free(worker))
+            self.lendable.put(worker, rack, self._free(worker))
+            self._index(worker)
         else:
             self.free.drop(worker)
+            self.lendable.drop(worker)
--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -38,8 +38,11 @@
         attained_ms: Accelerator milliseconds that it was served.
         failed_on: Workers at which it failed.
         failures: Attempts that failed.
+        own_failures: Those that started and failed by themselves.
         retry_ms: When it may be tried again at workers at which it failed.
+        queued_ms: When it came into the queue last.
         ran: Whether a task of it ever started.
+        reclaim_ms: When it may take room back from trials.
         tried: Whether it was placed before.
         counted_as_trial: Whether it counts against an allowance at present.
     """
@@ -50,9 +53,12 @@
         "failed_on",
         "failures",
         "lane",
+        "own_failures",
         "patient_until_ms",
         "progress",
+        "queued_ms",
         "ran",
+        "reclaim_ms",
         "retry_ms",
         "sequence",
         "shape",
@@ -71,7 +77,10 @@
         self.attained_ms = 0
         self.failed_on: frozenset[ids.WorkerId] = frozenset()
         self.failures = 0
+        self.own_failures = 0
         self.retry_ms = 0
+        self.queued_ms = 0
+        self.reclaim_ms = 0
         self.ran = progress > 0
         self.tried = self.ran
         self.counted_as_trial = False
--- a/citronmount/core/reclaim.py
+++ b/citronmount/core/reclaim.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Mapping
 
+from citronmount.core import decisions
 from citronmount.core import domain as domain_lib
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import queueing
 from citronmount.core import resources
 
 __all__ = [
@@ -12,6 +14,7 @@
     "URGENT_GRACE_MS",
     "choose",
     "cost",
+    "evict",
     "shortfall",
     "stopping",
 ]
@@ -58,8 +61,48 @@
     return short
 
 
+def evict(
+    domain: domain_lib.Domain,
+    entry: queueing.Entry,
+    need: Mapping[ids.WorkerId, jobs.Resources],
+    victims: list[ids.JobId],
+) -> tuple[list[decisions.EvictJob], set[ids.JobId]]:
+    """Tells victims to stop for a job.
+
+    Args:
+        domain: The failure domain.
+        entry: The job that needs the room.
+        need: What it needs of each worker.
+        victims: The jobs to stop.
+
+    Returns:
+        The decisions, and all jobs that have to end before the room is free.
+    """
+    for victim in victims:
+        domain.evict(victim)
+    free = domain.pool.free
+    waiting = {
+        job
+        for worker, wanted in need.items()
+        if not resources.covers(free.room(worker), wanted)
+        for job in stopping(domain, worker)
+    }
+    grace_ms = URGENT_GRACE_MS if entry.spec.urgent else GRACE_MS
+    made = [
+        decisions.EvictJob(
+            job=victim, beneficiary=entry.spec.job, grace_ms=grace_ms
+        )
+        for victim in victims
+    ]
+    return made, waiting
+
+
 def choose(
-    domain: domain_lib.Domain, short: _Short, now_ms: int
+    domain: domain_lib.Domain,
+    short: _Short,
+    now_ms: int,
+    *,
+    lent_only: bool = False,
 ) -> list[ids.JobId] | None:
     """Chooses victims that free what is short.
 
@@ -71,6 +114,7 @@
         domain: The failure domain.
         short: What is missing of each worker.
         now_ms: Monotonic time.
+        lent_only: Whether only trials that can run again may be chosen.
 
     Returns:
         The victims, or None if revocable work is not enough.
@@ -82,7 +126,9 @@
             job
             for worker in left
             for job in domain.pool.jobs_on(worker)
-            if domain.revocable(job) and job not in victims
+            if domain.revocable(job)
+            and job not in victims
+            and (domain.placed[job].lent or not lent_only)
         }
         if not candidates:
             return None
--- a/citronmount/core/tests/test_scheduler.py
+++ b/citronmount/core/tests/test_scheduler.py
@@ -70,6 +70,25 @@
         made.submit(fixtures.spec("p", "paying", 1, 8), 1)
         self.assertEqual([e.job for e in made.decide(1)], ["kr-a/t2"])
 
+    def test_paying_work_beyond_guarantees_takes_trials_room_in_time(self):
+        made = four_workers()
+        for number in range(2):
+            name = fixtures.worker(number).name
+            made.set_worker_state(name, states.TargetState.LEAVING, 0)
+            made.submit(fixtures.spec(f"t{number}", "trial", 1, 8), 0)
+        made.decide(0)
+        made.submit(fixtures.spec("x", "extra", 4, 2), 0)
+        self.assertEqual(made.decide(29_999), [])
+        (evicted,) = made.decide(30_000)
+        for name in "pq":
+            made.submit(fixtures.spec(name, "paying", 1, 8), 30_001)
+        (reclaimed,) = made.decide(30_001)
+        for job in (evicted.job, reclaimed.job):
+            made.ended(job, END.EVICTED, 30_002, requeue=True)
+        placed = {each.job for each in made.decide(30_002)}
+        self.assertEqual(placed, {"kr-a/p", "kr-a/q"})
+        self.assertIn("kr-a/x", made.queued())
+
     def test_work_above_the_guarantee_moves_into_it(self):
         made = four_workers()
         for number in range(3):
--- a/citronmount/core/verdicts.py
+++ b/citronmount/core/verdicts.py
@@ -13,6 +13,7 @@
 
 FAILED_EVERYWHERE_WORKERS = 3
 FAILED_EVERYWHERE_ATTEMPTS = 2
+MAX_OWN_FAILURES = 4
 MAX_FAILED_ATTEMPTS = 8
 RETRY_MS = 2_000
 RETRY_MAX_MS = 60_000
@@ -54,6 +55,7 @@
             if domain.health.succeeded(spec.job, spec.account, group.worker)
         }
     elif how in _FAILURES and culprits:
+        entry.own_failures += how is decisions.AttemptEnd.FAILED_BY_JOB
         _note_failure(domain, entry, culprits, now_ms)
         changed |= {
             worker
@@ -88,6 +90,8 @@
     """
     if entry.failures >= MAX_FAILED_ATTEMPTS:
         return True
+    if entry.own_failures >= MAX_OWN_FAILURES:
+        return True
     return (
         entry.failures >= FAILED_EVERYWHERE_ATTEMPTS
         and len(entry.failed_on) >= FAILED_EVERYWHERE_WORKERS
