Let urgent jobs use their account's guarantee first

Cause: an urgent job waited while small jobs of its own account filled the guarantee.

Change: small repeatable jobs of the account lose their protection to an urgent job, the latest first; they go on unless their room is needed.

--- a/citronmount/core/guaranteed.py
+++ b/citronmount/core/guaranteed.py
@@ -20,6 +20,8 @@
 __all__ = ["SCAN_LIMIT", "place", "redeem", "settle"]
 
 SCAN_LIMIT = 256
+_MAX_DEMOTIONS = 8
+_MAX_DEMOTED_SIZE = 2
 
 
 def settle(domain: domain_lib.Domain) -> None:
@@ -138,6 +140,8 @@
 ) -> list[decisions.Decision] | None:
     """Returns None if the job found no room in its account's cells."""
     uses = _find(domain, entry, now_ms)
+    if uses is None and entry.spec.urgent:
+        uses = _find_by_demotion(domain, entry, now_ms)
     if uses is None:
         return None
     if _opens_wider_cell(uses):
@@ -163,6 +167,49 @@
     return next((uses for uses in tries if uses is not None), None)
 
 
+def _find_by_demotion(
+    domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
+) -> tuple[cells.Use, ...] | None:
+    """Gives an urgent job the cells of later jobs of its account.
+
+    Those jobs go on, but are revocable from then on.
+    """
+    loose: list[tuple[ids.JobId, tuple[cells.Use, ...]]] = []
+    for job in _demotable(domain, entry)[:_MAX_DEMOTIONS]:
+        loose.append((job, domain.plan.uses(job)))
+        domain.plan.release(job)
+        uses = _find(domain, entry, now_ms)
+        if uses is not None:
+            return uses
+    for job, uses in loose:
+        if all(use.worker in use.cell.slots for use in uses):
+            domain.plan.bind(job, uses)
+    return None
+
+
+def _demotable(
+    domain: domain_lib.Domain, entry: queueing.Entry
+) -> list[ids.JobId]:
+    """Returns small jobs in the account's cells, the latest first."""
+    widest = _MAX_DEMOTED_SIZE * entry.shape.accelerators
+    found = {
+        job: domain.placed[job].entry
+        for cell in domain.plan.cells(entry.spec.account)
+        for job in cell.jobs
+        if job in domain.placed
+    }
+    return sorted(
+        (
+            job
+            for job, other in found.items()
+            if not other.spec.urgent
+            and other.spec.idempotent
+            and other.shape.accelerators <= widest
+        ),
+        key=lambda job: -found[job].sequence,
+    )
+
+
 def _find_outside(
     domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
 ) -> tuple[jobs.TaskGroup, ...] | None:
--- a/citronmount/core/tests/test_scheduler.py
+++ b/citronmount/core/tests/test_scheduler.py
@@ -89,6 +89,20 @@
         self.assertEqual(placed, {"kr-a/p", "kr-a/q"})
         self.assertIn("kr-a/x", made.queued())
 
+    def test_urgent_job_comes_before_others_in_its_guarantee(self):
+        made = four_workers()
+        for number in range(4):
+            account = ("paying", "extra")[number // 2]
+            made.submit(fixtures.spec(f"j{number}", account, 1, 8), number)
+        made.decide(3)
+        made.submit(fixtures.spec("now", "paying", 1, 8, urgent=True), 4)
+        (evicted,) = made.decide(4)
+        self.assertEqual(evicted.grace_ms, 500)
+        self.assertIn(evicted.job, ("kr-a/j1", "kr-a/j2", "kr-a/j3"))
+        made.ended(evicted.job, END.EVICTED, 5, requeue=True)
+        self.assertEqual([e.job for e in made.decide(5)], ["kr-a/now"])
+        self.assertFalse(made.revocable("kr-a/j0"))
+
     def test_work_above_the_guarantee_moves_into_it(self):
         made = four_workers()
         for number in range(3):
