Let urgent jobs beyond guarantees take their account's own room

Cause: health checks beyond the guarantee waited up to minutes behind label renders of the same account.

Change: an urgent job may evict a later repeatable job of its account that is not protected.

--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -56,6 +56,9 @@
         self._now_ms = now_ms
         self._failed: set[tuple[shapes.Shape, bool]] = set()
         self._unreclaimable: set[shapes.Shape] = set()
+        self._own: dict[
+            ids.AccountId, list[tuple[ids.JobId, domain_lib.Placed]]
+        ] = {}
         self._reservation: backfill.Reservation | None = None
 
     def visit(self, entry: queueing.Entry) -> Sequence[decisions.Decision]:
@@ -121,33 +124,76 @@
     def _reclaim(
         self, entry: queueing.Entry
     ) -> list[decisions.EvictJob] | None:
-        """Takes room back from trials; None if the job gets none."""
+        """Evicts work of less right; None if the job gets no room by it."""
         domain = self._domain
         if domain.is_trial(entry.spec.account) or not self._waited(entry):
             return None
-        if entry.shape in self._unreclaimable:
+        groups, victims = self._from_trials(entry)
+        if victims is None and entry.spec.urgent:
+            groups, victims = self._from_own_jobs(entry)
+        if victims is None:
             return None
+        need = _need(entry, groups)
+        made, waiting = reclaim.evict(domain, entry, need, victims)
+        domain.claim(entry, groups, self._now_ms, (), waiting)
+        return made
+
+    def _from_trials(
+        self, entry: queueing.Entry
+    ) -> tuple[tuple[jobs.TaskGroup, ...], list[ids.JobId] | None]:
+        if entry.shape in self._unreclaimable:
+            return (), None
         groups = placement.find(
-            domain.pool.lendable,
+            self._domain.pool.lendable,
             entry.shape,
             key=placement.best_fit,
             limit=self._unreserved,
             avoid=entry.avoidances(self._now_ms)[0],
         )
-        victims = self._victims(entry, groups) if groups else None
+        victims = None
+        if groups:
+            short = reclaim.shortfall(self._domain, _need(entry, groups))
+            victims = reclaim.choose(
+                self._domain, short, self._now_ms, lent_only=True
+            )
         if victims is None:
             self._unreclaimable.add(entry.shape)
-            return None
-        need = _need(entry, groups)
-        made, waiting = reclaim.evict(domain, entry, need, victims)
-        domain.claim(entry, groups, self._now_ms, (), waiting)
-        return made
+        return groups or (), victims
 
-    def _victims(
-        self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
-    ) -> list[ids.JobId] | None:
-        short = reclaim.shortfall(self._domain, _need(entry, groups))
-        return reclaim.choose(self._domain, short, self._now_ms, lent_only=True)
+    def _from_own_jobs(
+        self, entry: queueing.Entry
+    ) -> tuple[tuple[jobs.TaskGroup, ...], list[ids.JobId] | None]:
+        """Finds a later job of the account on one worker to give way."""
+        total = entry.shape.total
+        for job, placed in self._own_revocable(entry.spec.account):
+            worker = placed.groups[0].worker
+            if worker not in self._domain.pool.free:
+                continue
+            room = resources.plus(
+                self._domain.pool.free.room(worker), placed.entry.shape.total
+            )
+            if len(placed.groups) == 1 and resources.covers(room, total):
+                group = jobs.TaskGroup(worker=worker, tasks=entry.shape.tasks)
+                return (group,), [job]
+        return (), None
+
+    def _own_revocable(
+        self, account: ids.AccountId
+    ) -> list[tuple[ids.JobId, domain_lib.Placed]]:
+        if account not in self._own:
+            domain = self._domain
+            self._own[account] = [
+                (job, placed)
+                for job, placed in reversed(domain.placed.items())
+                if placed.entry.spec.account == account
+                and placed.entry.spec.idempotent
+                and not placed.entry.spec.urgent
+            ]
+        return [
+            pair
+            for pair in self._own[account]
+            if self._domain.revocable(pair[0])
+        ]
 
     def _waited(self, entry: queueing.Entry) -> bool:
         if not self._domain.policy.guarantees:
--- a/citronmount/core/tests/test_scheduler.py
+++ b/citronmount/core/tests/test_scheduler.py
@@ -103,6 +103,17 @@
         self.assertEqual([e.job for e in made.decide(5)], ["kr-a/now"])
         self.assertFalse(made.revocable("kr-a/j0"))
 
+    def test_urgent_job_beyond_guarantees_takes_its_accounts_room(self):
+        made = four_workers()
+        for number in range(4):
+            made.submit(fixtures.spec(f"j{number}", "extra", 1, 8), number)
+        made.decide(3)
+        made.submit(fixtures.spec("now", "extra", 1, 1, urgent=True), 4)
+        (evicted,) = made.decide(4)
+        self.assertEqual(evicted.beneficiary, "kr-a/now")
+        made.ended(evicted.job, END.EVICTED, 5, requeue=True)
+        self.assertEqual([e.job for e in made.decide(5)], ["kr-a/now"])
+
     def test_work_above_the_guarantee_moves_into_it(self):
         made = four_workers()
         for number in range(3):
