--- a/citronmount/agent/call_desk.py
+++ b/citronmount/agent/call_desk.py
@@ -23,6 +23,7 @@
 RETRY_AFTER_MS = 2_000
 MAX_TASKS = 128
 MAX_WAIT_MS = 60_000
+REMEMBERED_CALLS = 50_000
 
 Respond = Callable[[peer_messages.Answer], None]
 DomainCall = (
@@ -77,6 +78,9 @@
         self._ownership = ownership
         self._requests = requests
         self._routed: list[_Routed] = []
+        self._seen: collections.OrderedDict[ids.CallId, None] = (
+            collections.OrderedDict()
+        )
         self._sent: collections.deque[tuple[int, ids.FailureDomainId, int]] = (
             collections.deque()
         )
@@ -115,8 +119,13 @@
 
         Args:
             sender: The other VM.
-            message: The call.
+            message: The call; a copy of one served before is dropped.
         """
+        if message.call in self._seen:
+            return
+        self._seen[message.call] = None
+        while len(self._seen) > REMEMBERED_CALLS:
+            self._seen.popitem(last=False)
 
         def respond(answer: peer_messages.Answer) -> None:
             reply = peer_messages.ForwardAnswer(call=message.call, body=answer)
@@ -347,6 +356,7 @@
                 return
             if message is None:
                 call.uncertain = True
+                call.body = _decisive(call.body)
                 return
             if not _is_for_retry(message.body):
                 self._routed.remove(call)
@@ -435,6 +445,13 @@
     )
 
 
+def _decisive(body: DomainCall) -> DomainCall:
+    """Returns a call whose repetition settles whether the job is accepted."""
+    if isinstance(body, peer_messages.SubmitJob):
+        return msgspec.structs.replace(body, eager=False)
+    return body
+
+
 def _is_not_startable(answer: peer_messages.Answer) -> bool:
     """Returns whether an eager submission was refused for lack of room."""
     return isinstance(answer, peer_messages.Failure) and (
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -176,8 +176,6 @@
                 return
             self._answer_again(spec, digest, known, respond)
             return
-        if spec.job in self._book.moved:
-            self._come_back(spec.job)
         refusal = self._check(spec)
         if refusal is None and eager and not self._would_start(spec):
             refusal = jobs.JobResult(code=codes.ResultCode.TARGET_REFUSED)
@@ -613,6 +611,8 @@
         )
 
     def _accept(self, spec: jobs.JobSpec, respond: job_table.Responder) -> None:
+        if spec.job in self._book.moved:
+            self._come_back(spec.job)
         entry = job_table.JobEntry(spec=spec, accept_responders=[respond])
         self.table.entries[spec.job] = entry
         record = records.JobAccepted(
--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -23,6 +23,8 @@
 FENCE_TIMEOUT_MS = 1_000
 LOG_READ_TRIES = 3
 FENCED_BACKOFF_MS = 1_000
+FENCED_BACKOFF_MAX_MS = 8_000
+FENCED_REST_MS = 30_000
 FOLLOW_PERIOD_MS = 5_000
 SNAPSHOTS_PER_RETENTION = 4
 SNAPSHOT_EVERY_RECORDS = 20_000
@@ -85,6 +87,8 @@
         self._log_tries = 0
         self._follow_ms = 0
         self._snapshot_ms = 0
+        self._fenced_ms = 0
+        self._backoff_ms = FENCED_BACKOFF_MS
         self._fenced_by: ids.FenceToken | None = None
 
     def learn_token(self, token: ids.FenceToken) -> None:
@@ -132,7 +136,16 @@
         """Steps down if a worker or peer has shown a higher token."""
         if self._fenced_by is not None:
             self.step_down("fenced")
-            self.not_before(self._ctx.now_ms + FENCED_BACKOFF_MS)
+            self._back_off()
+
+    def _back_off(self) -> None:
+        """Waits longer each time that two owners keep fencing each other."""
+        rested_ms = self._ctx.now_ms - self._fenced_ms
+        if rested_ms > FENCED_REST_MS:
+            self._backoff_ms = FENCED_BACKOFF_MS
+        self._fenced_ms = self._ctx.now_ms
+        self.not_before(self._ctx.now_ms + self._backoff_ms)
+        self._backoff_ms = min(2 * self._backoff_ms, FENCED_BACKOFF_MAX_MS)
 
     def tick(self) -> None:
         """Takes over, goes on with taking over, or steps down."""
@@ -163,11 +176,8 @@
         domain = self.domain
         if domain is None:
             return
-        domain.placing = mine
+        domain.placing = mine or not self._view.draining
         domain.tick()
-        if not mine and domain.idle():
-            self.step_down("another owner")
-            return
         if self._ctx.now_ms >= self._follow_ms:
             self._follow()
 
--- a/citronmount/bench/faults/sabotage.py
+++ b/citronmount/bench/faults/sabotage.py
@@ -275,7 +275,10 @@
 
 
 @sabotage(
-    "claims-always-granted", "at-most-once", ("vm-dies", "request.answer")
+    "claims-always-granted",
+    "at-most-once",
+    ("vm-dies", "request.answer"),
+    seeds=40,
 )
 def _no_claims() -> Iterator[Callable[..., Any]]:
     def granted(
--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -36,7 +36,8 @@
         progress: Saved share of its work.
         attained_ms: Accelerator milliseconds that it was served.
         failed_on: Workers at which it failed.
-        failures: Attempts that failed.
+        failures: Attempts that ran and failed.
+        setbacks: Attempts that failed, those that never started included.
         retry_ms: When it may be tried again at workers at which it failed.
         ran: Whether a task of it ever started.
         tried: Whether it was placed before.
@@ -53,6 +54,7 @@
         "ran",
         "retry_ms",
         "sequence",
+        "setbacks",
         "shape",
         "spec",
         "tried",
@@ -69,6 +71,7 @@
         self.attained_ms = 0
         self.failed_on: frozenset[ids.WorkerId] = frozenset()
         self.failures = 0
+        self.setbacks = 0
         self.retry_ms = 0
         self.ran = progress > 0
         self.tried = self.ran
--- a/citronmount/core/verdicts.py
+++ b/citronmount/core/verdicts.py
@@ -13,9 +13,9 @@
 
 FAILED_EVERYWHERE_WORKERS = 3
 FAILED_EVERYWHERE_ATTEMPTS = 2
-MAX_FAILED_ATTEMPTS = 8
+MAX_FAILED_ATTEMPTS = 6
 RETRY_MS = 2_000
-RETRY_MAX_MS = 60_000
+RETRY_MAX_MS = 16_000
 
 _FAILURES = frozenset(
     {
@@ -54,7 +54,8 @@
             if domain.health.succeeded(spec.job, spec.account, group.worker)
         }
     elif how in _FAILURES and culprits:
-        _note_failure(domain, entry, culprits, now_ms)
+        own = how is decisions.AttemptEnd.FAILED_BY_JOB
+        _note_failure(domain, entry, culprits, now_ms, own=own)
         changed |= {
             worker
             for worker in culprits
@@ -69,9 +70,13 @@
     entry: queueing.Entry,
     culprits: tuple[ids.WorkerId, ...],
     now_ms: int,
+    *,
+    own: bool,
 ) -> None:
-    wait_ms = min(RETRY_MS << entry.failures, RETRY_MAX_MS)
-    entry.failures += 1
+    """Counts a failure; one to start speaks of the worker, not of the job."""
+    wait_ms = min(RETRY_MS << entry.setbacks, RETRY_MAX_MS)
+    entry.setbacks += 1
+    entry.failures += own
     entry.failed_on |= set(culprits)
     entry.retry_ms = now_ms + wait_ms
     heapq.heappush(domain.wake_ups, entry.retry_ms)
@@ -89,7 +94,7 @@
     if entry.failures >= MAX_FAILED_ATTEMPTS:
         return True
     return (
-        entry.failures >= FAILED_EVERYWHERE_ATTEMPTS
+        entry.setbacks >= FAILED_EVERYWHERE_ATTEMPTS
         and len(entry.failed_on) >= FAILED_EVERYWHERE_WORKERS
     )
 
