Ask busy peers again and hedge only with slots to spare

Cause: a request was offered to each peer once, so the head of a VM's queue blocked the offers behind it, and hedges at 80% load took slots that first attempts needed. Change: offers to a peer that refused resume after 5 ms, four at a time; hedges need a fifth of the share free.

--- a/citronmount/core/request_peers.py
+++ b/citronmount/core/request_peers.py
@@ -7,8 +7,8 @@
 __all__ = ["PeerSlots"]
 
 PEER_VIEW_TTL_MS = 3_000
-PEER_REFUSED_PAUSE_MS = 10
-PEER_UNSURE_OFFERS = 2
+PEER_REFUSED_PAUSE_MS = 5
+PEER_UNSURE_OFFERS = 4
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -78,9 +78,7 @@
         """
         self._peers.pop(vm, None)
 
-    def choose(
-        self, now_ms: int, *, exclude: frozenset[ids.VmId]
-    ) -> ids.VmId | None:
+    def choose(self, now_ms: int) -> ids.VmId | None:
         """Returns the peer that is believed to have most free slots.
 
         A peer that is believed to have none is still asked for a few
@@ -89,7 +87,6 @@
 
         Args:
             now_ms: Monotonic time.
-            exclude: Peers that must not be chosen.
 
         Returns:
             The peer, or None if none may be asked now.
@@ -97,8 +94,7 @@
         able = [
             (peer.free, vm)
             for vm, peer in self._peers.items()
-            if vm not in exclude
-            and peer.heard_ms + PEER_VIEW_TTL_MS > now_ms
+            if peer.heard_ms + PEER_VIEW_TTL_MS > now_ms
             and peer.paused_until_ms <= now_ms
             and (peer.free > 0 or peer.pending < PEER_UNSURE_OFFERS)
         ]
--- a/citronmount/core/request_slots.py
+++ b/citronmount/core/request_slots.py
@@ -25,6 +25,7 @@
 EJECTED_MAX_SHARE = 0.5
 BUSY_BACKOFF_MS = 20
 LEAVING_HOLD_MS = 15_000
+HEDGE_SPARE_SHARE = 0.2
 
 
 def deal_shares(
@@ -152,6 +153,15 @@
             if runner.closed_until_ms <= now_ms
         )
 
+    def has_spare(self, now_ms: int) -> bool:
+        """Returns whether enough of the share is free to spend on hedges.
+
+        Args:
+            now_ms: Monotonic time.
+        """
+        limit = sum(runner.limit for runner in self._usable)
+        return self.free(now_ms) > HEDGE_SPARE_SHARE * limit
+
     def choose(
         self,
         now_ms: int,
--- a/citronmount/core/short_requests.py
+++ b/citronmount/core/short_requests.py
@@ -34,7 +34,7 @@
 HEDGE_AGAIN_MS = 50
 MAX_UNSENT_ATTEMPTS = 8
 MAX_RUNS = 3
-MAX_OFFERS = 2
+MAX_OFFERS = 8
 DEADLINES_KEPT = 1_024
 RETRY_AFTER_MIN_MS = 50
 RETRY_AFTER_MAX_MS = 5_000
@@ -64,7 +64,6 @@
     active: int = 0
     offers: int = 0
     offered_to: ids.VmId | None = None
-    asked: frozenset[ids.VmId] = frozenset()
 
 
 class RequestRouter:
@@ -75,11 +74,14 @@
     `answered`, also when the caller has had an answer before.
     """
 
-    def __init__(self, *, vm: ids.VmId) -> None:
+    def __init__(
+        self, *, vm: ids.VmId, hedge_share: float = HEDGE_SHARE
+    ) -> None:
         """Initializes a router without runners.
 
         Args:
             vm: The VM, which seeds the choice between runners.
+            hedge_share: Hedges allowed for each request; 0 for none.
         """
         self._slots = request_slots.RunnerSlots(seed=zlib.crc32(vm.encode()))
         self._queue = request_queue.FairQueue(bound=QUEUE_BOUND)
@@ -96,7 +98,7 @@
             share=RETRY_SHARE, burst=RETRY_BURST
         )
         self._hedge_budget = request_hedging.Budget(
-            share=HEDGE_SHARE, burst=HEDGE_BURST
+            share=hedge_share, burst=HEDGE_BURST if hedge_share else 0.0
         )
         self._now_ms = 0
 
@@ -465,7 +467,7 @@
     def _try_hedge(
         self, live: _Live, now_ms: int
     ) -> request_decisions.Send | None:
-        if len(self._queue):
+        if len(self._queue) or not self._slots.has_spare(now_ms):
             return None
         runner = self._slots.choose(
             now_ms, exclude=live.runners, avoid_probe=True
@@ -480,13 +482,12 @@
             live = self._live[request]
             if live.from_peer or live.sends or live.offers >= MAX_OFFERS:
                 break
-            vm = self._peers.choose(now_ms, exclude=live.asked)
+            vm = self._peers.choose(now_ms)
             if vm is None:
                 break
             self._queue.pop()
             live.offers += 1
             live.offered_to = vm
-            live.asked |= {vm}
             self._peers.offered(vm)
             offers.append(
                 request_decisions.Offer(
