Add the documents, the tutorial and their checks

A newcomer needs to install, drive and trust the system in ten minutes, and pages that drift from the code are worse than none.

The page of result codes is generated and compared; relative links, examples in docstrings, commands on the pages and every curl example of the API page are run or resolved by tests. Settings that nothing read are gone.

--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -1,5 +1,6 @@
 """The commands for jobs and short requests."""
 
+import itertools
 import uuid
 
 import click
@@ -19,7 +20,7 @@
 __all__ = ["cancel", "request", "status", "submit"]
 
 _POLL_MS = 10_000
-_ANSWER_MARGIN_MS = 5_000
+_ANSWER_MARGIN_MS = 10_000
 _JOBS = ("v1", "jobs")
 
 _wait_option = click.option(
@@ -103,9 +104,9 @@
 
 @click.command()
 @click.argument("job", required=False)
-@click.option("--account", default="", help="List only this account's jobs.")
+@click.option("--account", default="", help="Only jobs of this account.")
 @click.option(
-    "--failure-domain", default="", help="List this failure domain's jobs."
+    "--failure-domain", default="", help="Only jobs of this failure domain."
 )
 @click.option("--limit", type=click.IntRange(1, 10_000), default=100)
 @_wait_option
@@ -130,15 +131,9 @@
 
         _show_job(connection.run(one), as_json)
         return
-    query = {
-        "account": account,
-        "failure_domain": failure_domain,
-        "limit": str(limit),
-    }
-    call = transport_lib.Call(
-        method="GET", path=_JOBS, query={k: v for k, v in query.items() if v}
+    found = connection.run(
+        lambda client: _list_jobs(client, account, failure_domain, limit)
     )
-    found = connection.run(lambda client: client.call(call, bodies.JobsBody))
     output.emit_lines(found, job_text.table(found), as_json=as_json)
 
 
@@ -222,6 +217,34 @@
     raise SystemExit(output.exit_of(found.code))
 
 
+async def _list_jobs(
+    client: client_lib.Client, account: str, failure_domain: str, limit: int
+) -> bodies.JobsBody:
+    """Lists the jobs of one failure domain, or of all in turn."""
+    domains = [failure_domain]
+    if not failure_domain:
+        in_force = await client.configuration()
+        domains = [d.name for d in in_force.content.failure_domains]
+    calls = [
+        transport_lib.Call(
+            method="GET",
+            path=_JOBS,
+            query={
+                "account": account,
+                "failure_domain": domain,
+                "limit": str(limit),
+            },
+        )
+        for domain in domains
+    ]
+    parts = [await client.call(call, bodies.JobsBody) for call in calls]
+    listed = itertools.chain.from_iterable(part.jobs for part in parts)
+    return bodies.JobsBody(
+        jobs=tuple(itertools.islice(listed, limit)),
+        total=sum(part.total for part in parts),
+    )
+
+
 def _get(job: str, wait_ms: int = 0) -> transport_lib.Call:
     return transport_lib.Call(
         method="GET",
--- a/citronmount/cli/transport.py
+++ b/citronmount/cli/transport.py
@@ -33,6 +33,11 @@
     error.ConnectingCancelledError,
     web_client.RequestNotSent,
 )
+_BROKEN = (
+    error.ConnectionClosed,
+    web_client.ResponseFailed,
+    ssl.SSL.Error,
+)
 _T = typing.TypeVar("_T")
 
 
@@ -188,16 +193,17 @@
             NoAnswerError: If there was none.
         """
         exchange = defer.ensureDeferred(self._exchange(server, call))
-        exchange.addTimeout(call.timeout_ms / _MS_PER_S, self._reactor)
+        timeout_s = call.timeout_ms / _MS_PER_S
+        exchange.addTimeout(timeout_s, self._reactor, _timed_out)
         try:
             return await exchange
         except _NOT_SENT as reason:
             message = f"{server}: cannot connect: {reason}"
             raise NoAnswerError(message, sent=False) from reason
-        except (error.ConnectionClosed, defer.TimeoutError) as reason:
-            message = f"{server}: no answer: {reason}"
+        except defer.TimeoutError as reason:
+            message = f"{server}: no answer within {timeout_s} s"
             raise NoAnswerError(message, sent=True) from reason
-        except (web_client.ResponseFailed, ssl.SSL.Error) as reason:
+        except _BROKEN as reason:
             message = f"{server}: the connection broke: {reason}"
             raise NoAnswerError(message, sent=True) from reason
 
@@ -218,6 +224,13 @@
         return Reply(server=server, status=response.code, body=body)
 
 
+def _timed_out(result: object, timeout_s: float) -> typing.NoReturn:
+    """Marks an exchange that was cancelled, unless it never connected."""
+    if isinstance(result, failure.Failure) and result.check(*_NOT_SENT):
+        result.raiseException()
+    raise defer.TimeoutError(timeout_s)
+
+
 def run(
     main: typing.Callable[
         [interfaces.IReactorCore], Coroutine[object, object, _T]
--- a/citronmount/service/settings.py
+++ b/citronmount/service/settings.py
@@ -130,16 +130,12 @@
         max_body_bytes: The longest body of a request.
         requests_per_second_per_account: Sustained rate of one account.
         burst_requests_per_account: Requests that may come at once.
-        max_queued_jobs_per_account: Bound of an account's queue.
-        max_queued_requests: Bound of short requests that wait at the VM.
         max_timeline_events: Events of the time line kept in memory.
     """
 
     max_body_bytes: Bytes = 8_388_608
     requests_per_second_per_account: Rate = 500.0
     burst_requests_per_account: Count = 1_000
-    max_queued_jobs_per_account: Count = 5_000
-    max_queued_requests: Count = 2_000
     max_timeline_events: Count = 20_000
 
 
@@ -184,15 +180,11 @@
 
     Attributes:
         log_retention_ms: How long the log service keeps a record.
-        snapshot_period_ms: When a snapshot is appended again.
         key_lifetime_ms: How long an idempotency key is remembered.
-        max_ended_jobs: Final results kept for callers.
     """
 
     log_retention_ms: RetentionMs = 86_400_000
-    snapshot_period_ms: RetentionMs = 3_600_000
     key_lifetime_ms: RetentionMs = 43_200_000
-    max_ended_jobs: Count = 10_000
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/service/settings_rules.py
+++ b/citronmount/service/settings_rules.py
@@ -110,7 +110,6 @@
     ("timing", "renew_period_ms", "tick_ms"),
     ("timing", "reservation_ttl_ms", "tick_ms"),
     ("timing", "heartbeat_ms", "tick_ms"),
-    ("retention", "log_retention_ms", "snapshot_period_ms"),
     ("retention", "log_retention_ms", "key_lifetime_ms"),
 )
 
--- /dev/null
+++ b/citronmount/testing/code_table.py
@@ -0,0 +1,68 @@
+"""Makes the page of result codes from their enumeration.
+
+``python -m citronmount.testing.code_table`` writes the page anew.
+"""
+
+from collections.abc import Iterator
+import itertools
+import pathlib
+
+from citronmount.core import codes
+
+__all__ = ["PAGE", "page"]
+
+PAGE = pathlib.Path("docs/CODES.md")
+
+_FAMILY = 1_000
+_FAMILIES = {
+    1: "Good results",
+    2: "Final refusals",
+    3: "Refusals worth a later retry",
+    4: "Ends of work that was accepted",
+    5: "Faults of a sheet",
+    6: "Faults of settings",
+    7: "Results of a configuration change",
+    9: "Faults of the system",
+}
+_HEAD = """\
+# Result codes
+
+Every answer of the system carries one of these codes. The page is made from
+`citronmount/core/codes.py` by `python -m citronmount.testing.code_table`;
+`citronmount codes --json` prints the same. *Not run* is yes only if the code
+proves that the work was not run and will not be; *retry* is yes if the same
+request may succeed later.
+"""
+
+
+def page() -> str:
+    """Returns the whole page of result codes."""
+    return "\n".join(itertools.chain([_HEAD], _tables()))
+
+
+def _tables() -> Iterator[str]:
+    rows = sorted(codes.CODES.values(), key=lambda row: row.code)
+    for family, members in itertools.groupby(
+        rows, key=lambda row: row.code // _FAMILY
+    ):
+        yield f"## {family}xxx: {_FAMILIES[family]}\n"
+        yield "| code | name | not run | retry | meaning | what to do |"
+        yield "|---|---|---|---|---|---|"
+        yield from map(_row, members)
+        yield ""
+
+
+def _row(row: codes.CodeInfo) -> str:
+    cells = (
+        str(int(row.code)),
+        f"`{row.code.name}`",
+        "yes" if row.proves_not_run else "no",
+        "yes" if row.retry else "no",
+        row.meaning,
+        row.action,
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+if __name__ == "__main__":
+    PAGE.write_text(page(), encoding="utf-8")
--- /dev/null
+++ b/citronmount/testing/tests/test_documents.py
@@ -0,0 +1,27 @@
+import pathlib
+import unittest
+
+from citronmount.testing import documents
+
+_ROOT = pathlib.Path()
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_relative_links_lead_somewhere(self):
+        found = list(documents.documents(_ROOT))
+        self.assertTrue(found)
+        for path in found:
+            with self.subTest(path=path):
+                self.assertEqual(documents.broken_links(path), [])
+
+    def test_every_api_example_can_be_read(self):
+        path = _ROOT / "docs" / "API.md"
+        examples = list(documents.curl_examples(path))
+        text = path.read_text(encoding="utf-8")
+        self.assertEqual(len(examples), text.count("\n```sh\n"))
+        for example in examples:
+            self.assertTrue(example.url.startswith("http://$SERVER/"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/citronmount/testing/tests/test_tutorial.py
@@ -0,0 +1,66 @@
+import pathlib
+import re
+import shlex
+import unittest
+
+import click
+import msgspec
+
+from citronmount.cli import main
+from citronmount.config import pool_file
+from citronmount.config import sheet
+from citronmount.config import sheet_fit
+from citronmount.service import settings
+from citronmount.standins import http
+
+_EXAMPLES = pathlib.Path("examples/tutorial")
+_PAGES = (
+    pathlib.Path("docs/OPERATIONS.md"),
+    pathlib.Path("docs/REFERENCE.md"),
+    pathlib.Path("docs/TUTORIAL.md"),
+    *sorted(pathlib.Path("docs/operations").glob("*.md")),
+)
+_COMMAND = re.compile(
+    r"^ {4,6}citronmount (?!completion)(.+)$|`citronmount (.+?)`", re.M
+)
+
+
+def _commands(page):
+    for line, inline in _COMMAND.findall(page.read_text(encoding="utf-8")):
+        yield shlex.split((line or inline).partition(" > ")[0])
+
+
+class TutorialTest(unittest.TestCase):
+    def test_files_fit_together(self):
+        data = (_EXAMPLES / "standins.toml").read_bytes()
+        standins = msgspec.toml.decode(data, type=http.StandinSettings)
+        listed = {vm.vm: vm.peer_address for vm in standins.vms}
+        for vm, peer_address in listed.items():
+            loaded = settings.load(_EXAMPLES / f"{vm}.toml")
+            self.assertEqual(loaded.listen.peer_address, peer_address)
+            self.assertEqual(loaded.platform.log_address, standins.log_address)
+        pool = pool_file.load(_EXAMPLES / "pool.toml")
+        self.assertEqual(
+            [(worker.rack, worker.capacity) for worker in pool.workers],
+            [(worker.rack, worker.capacity) for worker in standins.workers],
+        )
+        found = sheet_fit.check(sheet.read(_EXAMPLES / "sheet.csv"), pool)
+        self.assertEqual(found.faults, ())
+
+    def test_commands_of_the_pages_are_known(self):
+        for page in _PAGES:
+            for arguments in _commands(page):
+                with self.subTest(page=page, arguments=arguments):
+                    self.check_command(main.main, arguments)
+
+    def check_command(self, command, arguments):
+        while isinstance(command, click.Group):
+            command = command.commands[arguments[0]]
+            arguments = arguments[1:]
+        known = {opt for param in command.params for opt in param.opts}
+        options = [a for a in arguments if a.startswith("--")]
+        self.assertLessEqual(set(options), known)
+
+
+if __name__ == "__main__":
+    unittest.main()
