Test the command line and run it on the shared reactor

TLS writes of Twisted are flushed by the shared reactor, so that calls over TLS never left a private one: the new test timed out before and passes now. The reactor is left by crash, which lets one process run several commands.

--- /dev/null
+++ b/citronmount/cli/tests/test_client.py
@@ -0,0 +1,86 @@
+import unittest
+
+import msgspec
+
+from citronmount.cli import client as client_lib
+from citronmount.cli import transport
+from citronmount.core import codes
+from citronmount.service import bodies
+
+_CODES = codes.ResultCode
+_GOOD = bodies.refusal(_CODES.OK, "alive")
+
+
+class _Servers:
+    """Answers calls from a script, one entry a server."""
+
+    def __init__(self, **script):
+        self.script = script
+        self.asked = []
+
+    async def send(self, server, call):
+        self.asked.append(server)
+        answer = self.script[server]
+        if isinstance(answer, Exception):
+            raise answer
+        body = msgspec.json.encode(answer)
+        return transport.Reply(server=server, status=200, body=body)
+
+
+def _run(coroutine):
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the client waited for something")
+
+
+def _lost(sent):
+    return transport.NoAnswerError("lost", sent=sent)
+
+
+class ClientTest(unittest.TestCase):
+    def call(self, *, idempotent=True, kind=bodies.JobsBody, **script):
+        self.servers = _Servers(**script)
+        client = client_lib.Client(servers=script, transport=self.servers)
+        call = transport.Call(method="GET", path=("v1",), idempotent=idempotent)
+        return _run(client.call(call, kind))
+
+    def test_next_server_is_asked_when_nothing_took_effect(self):
+        good = bodies.JobsBody(jobs=(), total=0)
+        for answer in (
+            _lost(sent=False),
+            bodies.refusal(_CODES.DRAINING),
+            bodies.refusal(_CODES.REBUILDING),
+            bodies.refusal(_CODES.NO_CONFIGURATION),
+        ):
+            found = self.call(idempotent=False, a=answer, b=good)
+            self.assertEqual(found, good)
+            self.assertEqual(self.servers.asked, ["a", "b"])
+
+    def test_only_idempotent_calls_go_on_after_a_broken_connection(self):
+        good = bodies.JobsBody(jobs=(), total=0)
+        self.assertEqual(self.call(a=_lost(sent=True), b=good), good)
+        with self.assertRaises(ExceptionGroup):
+            self.call(idempotent=False, a=_lost(sent=True), b=good)
+        self.assertEqual(self.servers.asked, ["a"])
+
+    def test_other_refusals_are_final(self):
+        refusal = bodies.refusal(_CODES.UNKNOWN_ACCOUNT)
+        with self.assertRaises(client_lib.RefusedError) as caught:
+            self.call(a=refusal, b=bodies.JobsBody(jobs=(), total=0))
+        self.assertEqual(caught.exception.refusal, refusal)
+        self.assertEqual(self.servers.asked, ["a"])
+
+    def test_every_failure_is_reported(self):
+        with self.assertRaises(ExceptionGroup) as caught:
+            self.call(a=_lost(sent=False), b=_lost(sent=False))
+        self.assertEqual(len(caught.exception.exceptions), 2)
+
+    def test_unreadable_answer_counts_as_none(self):
+        with self.assertRaises(ExceptionGroup):
+            self.call(a={"strange": 1})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/citronmount/cli/tests/test_transport.py
@@ -0,0 +1,139 @@
+import datetime
+import ipaddress
+import unittest
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+import msgspec
+from twisted.internet import protocol
+from twisted.internet import ssl
+from twisted.web import resource
+from twisted.web import server
+
+from citronmount.cli import transport
+
+_HOST = "127.0.0.1"
+_CALL = transport.Call(
+    method="POST",
+    path=("v1", "한 빛/1"),
+    query={"a": "x y&z"},
+    body=b"body",
+    timeout_ms=60_000,
+)
+
+
+class _Echo(resource.Resource):
+    def getChild(self, path, request):  # noqa: N802
+        return self
+
+    def render(self, request):
+        path = request.uri + b" "
+        return request.method + b" " + path + request.content.read()
+
+
+class _Silent(protocol.Protocol):
+    pass
+
+
+class _Rude(protocol.Protocol):
+    def dataReceived(self, data):  # noqa: N802
+        self.transport.loseConnection()
+
+
+def _certificate():
+    """Returns a key and a certificate that it has signed itself."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name(
+        [x509.NameAttribute(x509.NameOID.COMMON_NAME, "citronmount")]
+    )
+    alternative = x509.IPAddress(ipaddress.ip_address(_HOST))
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([alternative]), False)
+        .sign(key, hashes.SHA256())
+    )
+    encoding = serialization.Encoding.PEM
+    key_pem = key.private_bytes(
+        encoding,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    return key_pem, certificate.public_bytes(encoding)
+
+
+class TransportTest(unittest.TestCase):
+    def send(
+        self, factory, *, host=_HOST, tls=None, authority_pem=None, call=_CALL
+    ):
+        """Serves a factory and sends one call to it."""
+
+        async def main(reactor):
+            if tls is None:
+                port = reactor.listenTCP(0, factory, interface=host)
+            else:
+                options = ssl.PrivateCertificate.loadPEM(tls).options()
+                port = reactor.listenSSL(0, factory, options, interface=host)
+            shown = f"[{host}]" if ":" in host else host
+            address = f"{shown}:{port.getHost().port}"
+            sender = transport.Transport(
+                reactor=reactor, authority_pem=authority_pem
+            )
+            try:
+                return await sender.send(address, call)
+            finally:
+                await port.stopListening()
+
+        return transport.run(main)
+
+    def assert_echo(self, reply):
+        self.assertEqual(reply.status, 200)
+        path = b"/v1/%ED%95%9C%20%EB%B9%9B%2F1?a=x%20y%26z"
+        self.assertEqual(reply.body, b"POST " + path + b" body")
+
+    def test_calls_reach_ip_numbers_of_both_kinds(self):
+        for host in (_HOST, "::1"):
+            with self.subTest(host=host):
+                site = server.Site(_Echo())
+                self.assert_echo(self.send(site, host=host))
+
+    def test_tls_trusts_the_named_authority_only(self):
+        key_pem, certificate_pem = _certificate()
+        _, other_pem = _certificate()
+        tls = key_pem + certificate_pem
+        reply = self.send(
+            server.Site(_Echo()), tls=tls, authority_pem=certificate_pem
+        )
+        self.assert_echo(reply)
+        with self.assertRaises(transport.NoAnswerError):
+            self.send(server.Site(_Echo()), tls=tls, authority_pem=other_pem)
+
+    def test_no_answer_tells_whether_the_call_was_sent(self):
+        brief = msgspec.structs.replace(_CALL, timeout_ms=100)
+        for kind, call in ((_Silent, brief), (_Rude, _CALL)):
+            with self.subTest(kind=kind):
+                factory = protocol.Factory.forProtocol(kind)
+                with self.assertRaises(transport.NoAnswerError) as caught:
+                    self.send(factory, call=call)
+                self.assertTrue(caught.exception.sent)
+
+    def test_refused_connection_proves_that_nothing_was_sent(self):
+        async def main(reactor):
+            sender = transport.Transport(reactor=reactor)
+            return await sender.send(f"{_HOST}:1", _CALL)
+
+        with self.assertRaises(transport.NoAnswerError) as caught:
+            transport.run(main)
+        self.assertFalse(caught.exception.sent)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/citronmount/cli/transport.py
+++ b/citronmount/cli/transport.py
@@ -7,12 +7,10 @@
 import hyperlink
 import msgspec
 import treq
-from twisted.internet import base
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
-from twisted.internet import selectreactor
 from twisted.internet import ssl
 from twisted.python import failure
 from twisted.web import client as web_client
@@ -236,7 +234,10 @@
         [interfaces.IReactorCore], Coroutine[object, object, _T]
     ],
 ) -> _T:
-    """Runs a coroutine on a reactor of its own until it ends.
+    """Runs a coroutine on the reactor until it ends.
+
+    The reactor is left by `crash`, which fires no shutdown events, so that a
+    process may do this more than once.
 
     Args:
         main: Makes the coroutine from the reactor.
@@ -247,12 +248,13 @@
     Raises:
         KeyboardInterrupt: If the user stopped it.
     """
-    reactor: base.ReactorBase = selectreactor.SelectReactor()
+    from twisted.internet import reactor
+
     results: list[_T | failure.Failure] = []
 
     def end(result: _T | failure.Failure) -> None:
         results.append(result)
-        reactor.stop()
+        reactor.crash()
 
     def start() -> None:
         defer.ensureDeferred(main(reactor)).addBoth(end)
--- a/citronmount/config/sheet_rows.py
+++ b/citronmount/config/sheet_rows.py
@@ -77,9 +77,7 @@
         self._lines_in_row = 0
 
 
-def rows(
-    stream: BinaryIO, faults: sheet_faults.FaultList
-) -> Iterator[tuple[int, list[str]]]:
+def rows(stream: BinaryIO, faults: sheet_faults.FaultList) -> Iterator[Row]:
     """Yields the rows below the header that have the right form.
 
     Cells lose surrounding space. Blank rows are passed over but counted.
@@ -94,7 +92,15 @@
     text = io.TextIOWrapper(
         stream, encoding="utf-8-sig", errors="surrogateescape", newline=""
     )
-    lines = _Lines(text)
+    try:
+        yield from _rows_below_header(_Lines(text), faults)
+    finally:
+        text.detach()
+
+
+def _rows_below_header(
+    lines: _Lines, faults: sheet_faults.FaultList
+) -> Iterator[Row]:
     header_seen = False
     for number, cells in _numbered(lines, faults):
         if not any(cells):
@@ -107,7 +113,8 @@
         if _check_cells(number, cells, faults):
             yield number, cells[:_COLUMNS]
     if not header_seen and not faults.any():
-        faults.add(1, codes.ResultCode.SHEET_EMPTY, "the sheet has no header")
+        message = "the sheet has no header"
+        faults.add(1, codes.ResultCode.SHEET_EMPTY, message)
 
 
 def _numbered(lines: _Lines, faults: sheet_faults.FaultList) -> Iterator[Row]:
