--- a/citronmount/cli/transport.py
+++ b/citronmount/cli/transport.py
@@ -7,12 +7,10 @@
 import hyperlink
 import msgspec
 import treq
-from twisted.internet import base
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
-from twisted.internet import selectreactor
 from twisted.internet import ssl
 from twisted.python import failure
 from twisted.web import client as web_client
@@ -33,6 +31,11 @@
     error.ConnectingCancelledError,
     web_client.RequestNotSent,
 )
+_BROKEN = (
+    error.ConnectionClosed,
+    web_client.ResponseFailed,
+    ssl.SSL.Error,
+)
 _T = typing.TypeVar("_T")
 
 
@@ -188,16 +191,17 @@
             NoAnswerError: If there was none.
         """
         exchange = defer.ensureDeferred(self._exchange(server, call))
-        exchange.addTimeout(call.timeout_ms / _MS_PER_S, self._reactor)
+        timeout_s = call.timeout_ms / _MS_PER_S
+        exchange.addTimeout(timeout_s, self._reactor, _timed_out)
         try:
             return await exchange
         except _NOT_SENT as reason:
             message = f"{server}: cannot connect: {reason}"
             raise NoAnswerError(message, sent=False) from reason
-        except (error.ConnectionClosed, defer.TimeoutError) as reason:
-            message = f"{server}: no answer: {reason}"
+        except defer.TimeoutError as reason:
+            message = f"{server}: no answer within {timeout_s} s"
             raise NoAnswerError(message, sent=True) from reason
-        except (web_client.ResponseFailed, ssl.SSL.Error) as reason:
+        except _BROKEN as reason:
             message = f"{server}: the connection broke: {reason}"
             raise NoAnswerError(message, sent=True) from reason
 
@@ -218,12 +222,22 @@
         return Reply(server=server, status=response.code, body=body)
 
 
+def _timed_out(result: object, timeout_s: float) -> typing.NoReturn:
+    """Marks an exchange that was cancelled, unless it never connected."""
+    if isinstance(result, failure.Failure) and result.check(*_NOT_SENT):
+        result.raiseException()
+    raise defer.TimeoutError(timeout_s)
+
+
 def run(
     main: typing.Callable[
         [interfaces.IReactorCore], Coroutine[object, object, _T]
     ],
 ) -> _T:
-    """Runs a coroutine on a reactor of its own until it ends.
+    """Runs a coroutine on the reactor until it ends.
+
+    The reactor is left by `crash`, which fires no shutdown events, so that a
+    process may do this more than once.
 
     Args:
         main: Makes the coroutine from the reactor.
@@ -234,12 +248,13 @@
     Raises:
         KeyboardInterrupt: If the user stopped it.
     """
-    reactor: base.ReactorBase = selectreactor.SelectReactor()
+    from twisted.internet import reactor
+
     results: list[_T | failure.Failure] = []
 
     def end(result: _T | failure.Failure) -> None:
         results.append(result)
-        reactor.stop()
+        reactor.crash()
 
     def start() -> None:
         defer.ensureDeferred(main(reactor)).addBoth(end)
