Ask the platform's list only for changes

Cause: at 1,300 workers each poll of the list would carry some 200 KB. Change: the list is read with its ETag; an unchanged one is answered by 304 and needs no decoding; the stand-in serves ETags. Conclusion: the second read of an unchanged list returns the same object.

--- a/citronmount/platform/clients.py
+++ b/citronmount/platform/clients.py
@@ -85,7 +85,11 @@
         Fires with the list.
     """
     return http.get(
-        address, wire.PLATFORM_PATH, messages.PlatformView, timeout_ms
+        address,
+        wire.PLATFORM_PATH,
+        messages.PlatformView,
+        timeout_ms,
+        revalidate=True,
     )
 
 
--- a/citronmount/platform/exchange.py
+++ b/citronmount/platform/exchange.py
@@ -13,6 +13,7 @@
 from twisted.internet import interfaces
 from twisted.python import failure
 from twisted.web import client as web_client
+from twisted.web import http
 from twisted.web import iweb
 from zope.interface import implementer
 
@@ -29,7 +30,6 @@
 MAX_BODY_BYTES = 64 << 20
 MAX_CACHED_URLS = 10_000
 
-_OK = 200
 _MS_PER_S = 1_000
 NOT_SENT = (
     error.ConnectError,
@@ -105,6 +105,13 @@
     )
 
 
+class _Kept(msgspec.Struct, frozen=True, kw_only=True):
+    """An answer that may still be valid."""
+
+    etag: str
+    body: msgspec.Struct
+
+
 class Exchange:
     """Sends requests over bounded pools of persistent connections.
 
@@ -132,6 +139,7 @@
         pooled = make_agent(reactor, self._pool, self.traffic)
         self._http = treq_client.HTTPClient(agent or pooled)
         self._urls: dict[tuple[str, str], hyperlink.EncodedURL] = {}
+        self._kept: dict[tuple[str, str], _Kept] = {}
 
     def get(
         self,
@@ -140,6 +148,8 @@
         kind: type[_Body],
         timeout_ms: int,
         params: dict[str, str] | None = None,
+        *,
+        revalidate: bool = False,
     ) -> defer.Deferred[_Body]:
         """Reads a resource.
 
@@ -149,11 +159,17 @@
             kind: The type of the answer.
             timeout_ms: When to give up.
             params: The query.
+            revalidate: Whether to keep the answer with its ETag and to ask
+                next time only whether it has changed (RFC 9110, section 13).
 
         Returns:
             Fires with the answer or fails with `NoAnswerError`.
         """
-        request = self._request("GET", address, path, kind, params=params)
+        request = (
+            self._read_if_changed(address, path, kind)
+            if revalidate
+            else self._request("GET", address, path, kind, params=params)
+        )
         return self._bounded(request, timeout_ms)
 
     def post(
@@ -205,22 +221,41 @@
         kind: type[_Body],
         **options: object,
     ) -> _Body:
-        response = await self._http.request(
+        response = await self._respond(method, address, path, **options)
+        return await _decoded(response, kind)
+
+    async def _read_if_changed(
+        self, address: str, path: str, kind: type[_Body]
+    ) -> _Body:
+        kept = self._kept.get((address, path))
+        headers = {"If-None-Match": kept.etag} if kept else {}
+        response = await self._respond("GET", address, path, headers)
+        if kept and response.code == http.NOT_MODIFIED:
+            await _content(response)
+            return kept.body
+        body = await _decoded(response, kind)
+        etags = response.headers.getRawHeaders("ETag", [])
+        self._kept.pop((address, path), None)
+        if etags:
+            self._kept[address, path] = _Kept(etag=etags[0], body=body)
+        return body
+
+    def _respond(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        **options: object,
+    ) -> defer.Deferred[iweb.IResponse]:
+        return self._http.request(
             method,
             self._url(address, path),
-            headers={"Content-Type": wire.CONTENT_TYPE},
+            headers={"Content-Type": wire.CONTENT_TYPE, **(headers or {})},
             allow_redirects=False,
             unbuffered=True,
             **options,
         )
-        data = await _content(response)
-        if response.code != _OK:
-            raise NoAnswerError(
-                f"HTTP status {response.code}",
-                code=codes.ResultCode.UNREACHABLE,
-                sent=True,
-            )
-        return wire.decode(data, kind)
 
     def _bounded(
         self,
@@ -234,6 +269,17 @@
         return answer.addErrback(_raise_no_answer)
 
 
+async def _decoded(response: iweb.IResponse, kind: type[_Body]) -> _Body:
+    data = await _content(response)
+    if response.code != http.OK:
+        raise NoAnswerError(
+            f"HTTP status {response.code}",
+            code=codes.ResultCode.UNREACHABLE,
+            sent=True,
+        )
+    return wire.decode(data, kind)
+
+
 async def _content(response: iweb.IResponse) -> bytes:
     parts: list[bytes] = []
     size = 0
--- a/citronmount/standins/http.py
+++ b/citronmount/standins/http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import hashlib
 import time
 import typing
 
@@ -37,6 +38,7 @@
 _MS_PER_S = 1_000
 _MS_PER_NS = 1 / 1_000_000
 _MAX_PAGE_RECORDS = 10_000
+_ETAG_BYTES = 16
 
 Emit = Callable[[events.TimelineEvent], None]
 
@@ -171,10 +173,15 @@
 
     @app.route(wire.PLATFORM_PATH, methods=["GET"])
     def view(self, request: http.Request) -> defer.Deferred[bytes]:
-        """Returns the list."""
-        return self._serve(
-            request, lambda: wire.encode(self._model.view(_now_ms()))
-        )
+        """Returns the list, or 304 if the caller has it."""
+        return self._serve(request, lambda: self._view(request))
+
+    def _view(self, request: http.Request) -> bytes:
+        body = wire.encode(self._model.view(_now_ms()))
+        etag = hashlib.blake2b(body, digest_size=_ETAG_BYTES).hexdigest()
+        if request.setETag(f'"{etag}"'.encode("ascii")) is http.CACHED:
+            return b""
+        return body
 
     @app.route("/vms/<vm>", methods=["PUT"])
     def set_vm(self, request: http.Request, vm: str) -> bytes:
--- a/citronmount/standins/tests/test_http.py
+++ b/citronmount/standins/tests/test_http.py
@@ -131,6 +131,19 @@
         answer = loop.run(_wait(self._run(_request("q1"))))
         self.assertIs(messages.RunnerOutcome.LEAVING, answer.outcome)
 
+    def test_unchanged_list_costs_little(self) -> None:
+        address = self.settings.vm_list_address
+        first, second = (
+            loop.run(_wait(clients.list_all(self.http, address, _TIMEOUT_MS)))
+            for _ in range(2)
+        )
+        self.assertIs(first, second)
+        self._put(address, "/targets/w1/state", b"leaving")
+        third = loop.run(
+            _wait(clients.list_all(self.http, address, _TIMEOUT_MS))
+        )
+        self.assertIs(states.TargetState.LEAVING, third.workers[0].state)
+
     def test_worker_reserves_and_refuses_a_stale_token(self) -> None:
         spec = jobs.JobSpec(job=ids.JobId("kr-a/1"), account="a")
         placement = jobs.Placement(
