--- /dev/null
+++ b/citronmount/bench/capacity.py
@@ -0,0 +1,227 @@
+"""Measures slopes at several sizes and works out the two-year size.
+
+``python -m citronmount.bench.capacity --json`` prints one JSON object;
+``--page FILE`` writes the page for people from the same run.
+"""
+
+import pathlib
+import time
+
+import click
+import msgspec
+
+from citronmount.bench import capacity_agents
+from citronmount.bench import capacity_daemon
+from citronmount.bench import capacity_page
+from citronmount.bench import capacity_plan
+from citronmount.bench import harness_traffic
+from citronmount.config import configuration as configuration_lib
+from citronmount.config import fold as fold_lib
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import scheduler
+from citronmount.core import states
+from citronmount.peers import messages as peer_messages
+from citronmount.platform import messages
+from citronmount.state import records
+from citronmount.telemetry import events
+
+__all__ = ["main", "measure"]
+
+SITES = ((3, 2, 8), (3, 8, 8), (5, 8, 8), (5, 8, 32))
+STATE_POINTS = (
+    (65, 65, 70),
+    (130, 65, 70),
+    (260, 65, 70),
+    (65, 130, 70),
+    (65, 160, 70),
+    (65, 65, 140),
+    (65, 65, 280),
+)
+TEAMS = (70, 140, 280)
+IDLE_WORKERS_EACH = (4, 16)
+SAMPLE_EVENTS = 2_000
+
+_NS_PER_US = 1_000
+
+
+def measure() -> capacity_plan.Measured:
+    """Runs every measurement.
+
+    Returns:
+        What was measured.
+    """
+    return capacity_plan.Measured(
+        traffic=tuple(_traffic(*site) for site in SITES),
+        costs=capacity_agents.measure_costs(
+            failure_domains=5, vms_each=8, workers_each=32
+        ),
+        state=tuple(
+            capacity_agents.measure_state(
+                workers=workers, job_count=job_count, teams=teams
+            )
+            for workers, job_count, teams in STATE_POINTS
+        ),
+        idle=tuple(map(capacity_daemon.measure_idle, IDLE_WORKERS_EACH)),
+        exchange=capacity_daemon.measure_exchange(),
+        message_us=capacity_daemon.measure_message_us(_heartbeat()),
+        change_bytes={n: len(records.encode(_change(n))) for n in TEAMS},
+        change_us={n: _change_us(n) for n in TEAMS},
+        event_bytes=_event_bytes(),
+    )
+
+
+def _traffic(
+    failure_domains: int, vms_each: int, workers_each: int
+) -> harness_traffic.TrafficRow:
+    return harness_traffic.measure_traffic(
+        capacity_agents.make_agent,
+        failure_domains=failure_domains,
+        vms_each=vms_each,
+        workers_each=workers_each,
+    )
+
+
+def _heartbeat() -> peer_messages.Heartbeat:
+    return peer_messages.Heartbeat(
+        failure_domain=ids.FailureDomainId("kr-a"),
+        incarnation=1_800_000_000_000,
+        sequence=100_000,
+        config_version=ids.Version(10_000),
+        config_offset=ids.Offset(100_000),
+        ready=True,
+        draining=False,
+        physical_ms=1_800_000_000_000,
+    )
+
+
+def _change(teams: int) -> records.ConfigurationChange:
+    names = [ids.AccountId(f"team-{number:04}") for number in range(teams)]
+    domains = [ids.FailureDomainId(f"kr-{letter}") for letter in "abcde"]
+    content = configuration_lib.Configuration(
+        failure_domains=tuple(
+            configuration_lib.FailureDomain(
+                name=name, state=states.FailureDomainState.IN
+            )
+            for name in domains
+        ),
+        accounts=tuple(
+            configuration_lib.Account(
+                name=name, account_class=states.AccountClass.PAYING
+            )
+            for name in names
+        ),
+        guarantees=tuple(
+            configuration_lib.Guarantee(
+                account=name,
+                failure_domain=None,
+                copies=1,
+                tasks=4,
+                per_task=jobs.Resources(accelerators=2, cores=8, memory_gb=16),
+                adjacency=states.Adjacency.RACK,
+            )
+            for name in names
+        ),
+    )
+    return records.ConfigurationChange(
+        record=ids.RecordId("0123456789abcdef0123456789abcdef"),
+        base_version=ids.Version(0),
+        author="planner",
+        content=content,
+    )
+
+
+def _change_us(teams: int) -> float:
+    """Times decoding, folding and taking a change over by a scheduler."""
+    data = records.encode(_change(teams))
+    decider = scheduler.DomainScheduler(
+        failure_domain=ids.FailureDomainId("kr-a")
+    )
+    decider.set_workers(
+        tuple(
+            messages.ListedTarget(
+                name=f"w{number:03}",
+                address="127.0.0.1:1",
+                failure_domain=ids.FailureDomainId("kr-a"),
+                rack=ids.RackId(f"r{number // 8}"),
+                capacity=jobs.Resources(
+                    accelerators=8, cores=64, memory_gb=128
+                ),
+            )
+            for number in range(260)
+        )
+    )
+    page = messages.LogPage(
+        records=(
+            messages.LogRecord(
+                offset=ids.Offset(0), record=ids.RecordId("r"), data=data
+            ),
+        ),
+        oldest=ids.Offset(0),
+        end=ids.Offset(1),
+    )
+    fold = fold_lib.ConfigurationFold()
+    begin_ns = time.process_time_ns()
+    fold.fold_page(page)
+    decider.set_configuration(fold.current)
+    decider.decide(0)
+    return round((time.process_time_ns() - begin_ns) / _NS_PER_US, 1)
+
+
+def _event_bytes() -> float:
+    sample = [
+        events.TimelineEvent(
+            physical_ms=1_800_000_000_000 + number,
+            logical=0,
+            process="kr-a-1",
+            kind=events.EventKind.JOB_PLACED,
+            job=f"kr-a/kr-a-1-19a0b1c2d3e-{number:x}",
+            attempt=f"kr-a/kr-a-1-19a0b1c2d3e-{number:x}#1.5",
+            account="team-0001",
+            count=24,
+        )
+        for number in range(SAMPLE_EVENTS)
+    ]
+    return round(capacity_agents.deep_bytes(sample) / SAMPLE_EVENTS, 1)
+
+
+class Output(msgspec.Struct, frozen=True, kw_only=True):
+    """What the script prints.
+
+    Attributes:
+        size: The two-year size.
+        budget: What a node may spend.
+        measured: The measurements.
+        plan: What follows from them.
+    """
+
+    size: capacity_plan.Size
+    budget: capacity_plan.Budget
+    measured: capacity_plan.Measured
+    plan: capacity_plan.Plan
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--page", type=click.Path(), help="Write the page to this file.")
+def main(as_json: bool, page: str | None) -> None:
+    """Measures slopes and works out the two-year size."""
+    found = measure()
+    plan = capacity_plan.work_out(found)
+    text = capacity_page.render(found, plan)
+    if page is not None:
+        pathlib.Path(page).write_text(text, encoding="utf-8")
+    if as_json:
+        output = Output(
+            size=capacity_plan.SIZE,
+            budget=capacity_plan.BUDGET,
+            measured=found,
+            plan=plan,
+        )
+        click.echo(msgspec.json.encode(output).decode("utf-8"))
+    elif page is None:
+        click.echo(text)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/citronmount/bench/capacity_agents.py
@@ -0,0 +1,282 @@
+"""Measures agents in the virtual-time harness: bytes, events and state."""
+
+import collections
+import gc
+import sys
+import time
+import types
+
+import msgspec
+
+from citronmount.agent import agent as agent_lib
+from citronmount.agent import effects
+from citronmount.agent import events
+from citronmount.agent import settings as agent_settings
+from citronmount.bench import harness as harness_lib
+from citronmount.bench import harness_site
+from citronmount.config import configuration as configuration_lib
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.peers import messages as peer_messages
+from citronmount.platform import messages
+
+__all__ = [
+    "EventCost",
+    "StateRow",
+    "deep_bytes",
+    "make_agent",
+    "measure_costs",
+    "measure_state",
+]
+
+WARM_UP_MS = 15_000
+RUN_MS = 20_000
+SUBMIT_PERIOD_MS = 20
+TASKS_PER_JOB = 24
+LONG_COMMAND = '{"run_ms": 100000000}'
+SEED = 1
+
+_NS_PER_US = 1_000
+_OPAQUE = (
+    type,
+    types.ModuleType,
+    types.FunctionType,
+    types.BuiltinFunctionType,
+    types.CodeType,
+)
+
+
+class EventCost(msgspec.Struct, frozen=True, kw_only=True):
+    """Processor time that agents take for one kind of event.
+
+    Attributes:
+        kind: The kind of event.
+        count: How many were taken in.
+        mean_us: Their mean processor time.
+        per_vm_per_s: How many a VM takes in each second.
+    """
+
+    kind: str
+    count: int
+    mean_us: float
+    per_vm_per_s: float
+
+
+class StateRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Memory of the agent that owns a failure domain of one size.
+
+    Attributes:
+        workers: Workers of the failure domain.
+        jobs: Running jobs, of `TASKS_PER_JOB` tasks each.
+        teams: Paying accounts with one guarantee each.
+        owner_bytes: Memory of the owner's agent.
+        member_bytes: Memory of another VM's agent.
+    """
+
+    workers: int
+    jobs: int
+    teams: int
+    owner_bytes: int
+    member_bytes: int
+
+
+def make_agent(vm: messages.ListedVm, incarnation_ms: int) -> agent_lib.Agent:
+    """Returns the agent of a VM with the default timing.
+
+    Args:
+        vm: Its entry in the platform's list.
+        incarnation_ms: Wall-clock time of its start.
+
+    Returns:
+        The agent.
+    """
+    return agent_lib.Agent(
+        settings=agent_settings.AgentSettings(
+            vm=vm.vm,
+            failure_domain=vm.failure_domain,
+            incarnation=incarnation_ms,
+        )
+    )
+
+
+class _TimedAgent:
+    """An agent whose processor time is added up by kind of event."""
+
+    def __init__(
+        self,
+        agent: agent_lib.Agent,
+        spent_ns: collections.Counter[str],
+        counts: collections.Counter[str],
+    ) -> None:
+        self._agent = agent
+        self._spent_ns = spent_ns
+        self._counts = counts
+
+    def handle(
+        self, event: events.Event, now_ms: int, wall_ms: int
+    ) -> list[effects.Effect]:
+        """Passes an event on and times it."""
+        begin_ns = time.process_time_ns()
+        found = self._agent.handle(event, now_ms, wall_ms)
+        spent_ns = time.process_time_ns() - begin_ns
+        kind = type(event).__name__
+        self._spent_ns[kind] += spent_ns
+        self._counts[kind] += 1
+        return found
+
+
+def measure_costs(
+    *, failure_domains: int, vms_each: int, workers_each: int
+) -> tuple[EventCost, ...]:
+    """Runs an idle site and times its agents.
+
+    Args:
+        failure_domains: Failure domains of the site.
+        vms_each: VMs in each.
+        workers_each: Workers in each.
+
+    Returns:
+        One row for each kind of event.
+    """
+    spent_ns: collections.Counter[str] = collections.Counter()
+    counts: collections.Counter[str] = collections.Counter()
+    harness = harness_lib.Harness(
+        site=harness_site.make_site(
+            failure_domains=failure_domains,
+            vms_each=vms_each,
+            workers_each=workers_each,
+        ),
+        make_agent=lambda vm, incarnation_ms: _TimedAgent(
+            make_agent(vm, incarnation_ms), spent_ns, counts
+        ),
+        seed=SEED,
+    )
+    harness.start_all()
+    harness.run_until_ms(WARM_UP_MS)
+    spent_ns.clear()
+    counts.clear()
+    harness.run_until_ms(WARM_UP_MS + RUN_MS)
+    vms = failure_domains * vms_each
+    return tuple(
+        EventCost(
+            kind=kind,
+            count=count,
+            mean_us=round(spent_ns[kind] / count / _NS_PER_US, 1),
+            per_vm_per_s=round(count * 1_000 / RUN_MS / vms, 2),
+        )
+        for kind, count in sorted(counts.items())
+    )
+
+
+def measure_state(*, workers: int, job_count: int, teams: int) -> StateRow:
+    """Fills one failure domain with running jobs and weighs its agents.
+
+    Args:
+        workers: Workers of the failure domain.
+        job_count: Jobs to start.
+        teams: Paying accounts.
+
+    Returns:
+        The memory of the agents once all jobs run.
+    """
+    site = _site(workers, teams)
+    harness = harness_lib.Harness(site=site, make_agent=make_agent, seed=SEED)
+    harness.start_all()
+    harness.run_until_ms(WARM_UP_MS)
+    vm = next(iter(harness.processes))
+    accepted: list[object] = []
+    for number in range(job_count):
+        harness.clock.after_ms(
+            number * SUBMIT_PERIOD_MS,
+            harness.call,
+            vm,
+            peer_messages.SubmitJob(spec=_job(number, teams)),
+            accepted.append,
+        )
+    harness.run_until_ms(WARM_UP_MS + job_count * SUBMIT_PERIOD_MS + RUN_MS)
+    _require_accepted(accepted, job_count)
+    weights = sorted(
+        deep_bytes(process.agent) for process in harness.processes.values()
+    )
+    return StateRow(
+        workers=workers,
+        jobs=job_count,
+        teams=teams,
+        owner_bytes=weights[-1],
+        member_bytes=weights[0],
+    )
+
+
+def _require_accepted(answers: list[object], job_count: int) -> None:
+    good = [a for a in answers if isinstance(a, peer_messages.JobAnswer)]
+    if len(good) != job_count:
+        bad = next((a for a in answers if a not in good), None)
+        raise RuntimeError(f"{len(good)} of {job_count} accepted: {bad}")
+
+
+def _site(workers: int, teams: int) -> harness_site.Site:
+    site = harness_site.make_site(
+        failure_domains=1, vms_each=2, workers_each=workers, runners_each=1
+    )
+    names = [ids.AccountId(f"team-{number:03}") for number in range(teams)]
+    content = configuration_lib.Configuration(
+        failure_domains=site.configuration.failure_domains,
+        accounts=tuple(
+            configuration_lib.Account(
+                name=name, account_class=states.AccountClass.PAYING
+            )
+            for name in names
+        ),
+        guarantees=tuple(
+            configuration_lib.Guarantee(
+                account=name,
+                failure_domain=None,
+                copies=1,
+                tasks=1,
+                per_task=jobs.Resources(accelerators=1, cores=1, memory_gb=1),
+                adjacency=states.Adjacency.WORKER,
+            )
+            for name in names[: workers * 4]
+        ),
+    )
+    return msgspec.structs.replace(site, configuration=content)
+
+
+def _job(number: int, teams: int) -> jobs.JobSpec:
+    return jobs.JobSpec(
+        job=ids.JobId(""),
+        account=ids.AccountId(f"team-{number % teams:03}"),
+        tasks=TASKS_PER_JOB,
+        per_task=jobs.Resources(cores=1, memory_gb=1),
+        run_time_s=86_400.0,
+        command=LONG_COMMAND,
+    )
+
+
+def deep_bytes(root: object) -> int:
+    """Returns the memory of all objects that belong to an object.
+
+    Classes, functions and modules are not counted.
+
+    Args:
+        root: The object.
+
+    Returns:
+        The sum of the sizes, each object counted once.
+    """
+    seen = {id(root)}
+    queue = [root]
+    total = 0
+    while queue:
+        item = queue.pop()
+        total += sys.getsizeof(item)
+        for other in gc.get_referents(item):
+            if id(other) not in seen and _is_weighed(other):
+                seen.add(id(other))
+                queue.append(other)
+    return total
+
+
+def _is_weighed(item: object) -> bool:
+    return not isinstance(item, _OPAQUE)
--- /dev/null
+++ b/citronmount/bench/capacity_daemon.py
@@ -0,0 +1,215 @@
+"""Measures real processes: idle daemons, HTTP exchanges and peer messages."""
+
+import statistics
+import time
+
+import msgspec
+from twisted.internet import reactor
+
+from citronmount.bench import harness_site
+from citronmount.bench import loopback_cluster
+from citronmount.bench import loopback_steps as steps
+from citronmount.config import pool_file
+from citronmount.config import sheet
+from citronmount.core import ids
+from citronmount.peers import keys
+from citronmount.peers import messages as peer_messages
+from citronmount.peers import transport
+from citronmount.platform import clients
+from citronmount.platform import exchange
+from citronmount.platform import messages
+from citronmount.testing import loop
+
+__all__ = [
+    "ExchangeCost",
+    "IdleDaemon",
+    "measure_exchange",
+    "measure_idle",
+    "measure_message_us",
+]
+
+SETTLE_S = 4.0
+COUNT_S = 12.0
+CALLS = 400
+MESSAGES = 4_000
+BURST_MESSAGES = 200
+VMS_PER_DOMAIN = 2
+DOMAINS = 3
+
+_TIMEOUT_MS = 10_000
+_US_PER_S = 1_000_000
+_BYTES_PER_MB = 1_000_000
+
+
+class IdleDaemon(msgspec.Struct, frozen=True, kw_only=True):
+    """What a daemon of an idle site uses; the mean and the most of six.
+
+    Attributes:
+        workers_kept: Workers of the site by its VMs.
+        processor_share: Mean processor time by elapsed time.
+        most_processor_share: That of the busiest daemon.
+        resident_mb: Mean resident memory.
+        http_bytes_per_s: Mean bytes to and from platform and targets.
+        peer_bytes_per_s: Mean bytes to and from other VMs.
+    """
+
+    workers_kept: float
+    processor_share: float
+    most_processor_share: float
+    resident_mb: float
+    http_bytes_per_s: float
+    peer_bytes_per_s: float
+
+
+class ExchangeCost(msgspec.Struct, frozen=True, kw_only=True):
+    """What one renewal of a worker costs the VM that sends it.
+
+    Attributes:
+        processor_us: Processor time of the client.
+        wire_bytes: Bytes in both directions, HTTP headers included.
+    """
+
+    processor_us: float
+    wire_bytes: float
+
+
+def measure_idle(workers_each: int) -> IdleDaemon:
+    """Runs six idle daemons on loopback.
+
+    Args:
+        workers_each: Workers in each of three failure domains.
+
+    Returns:
+        What they used.
+    """
+    site = harness_site.make_site(
+        failure_domains=DOMAINS,
+        vms_each=VMS_PER_DOMAIN,
+        workers_each=workers_each,
+    )
+    pool = pool_file.Pool(workers=site.view.workers, runners=site.view.runners)
+    with loopback_cluster.open_cluster(pool, VMS_PER_DOMAIN) as cluster:
+        steps.publish(cluster, sheet.write(site.configuration).encode("utf-8"))
+        steps.wait_until_ready(cluster)
+        time.sleep(SETTLE_S)
+        before, begin_s = _gauges(cluster), time.monotonic()
+        time.sleep(COUNT_S)
+        after = _gauges(cluster)
+        elapsed_s = time.monotonic() - begin_s
+        steps.drain_all(cluster)
+
+    def rates(*names: str) -> list[float]:
+        return [
+            sum(new[name] - old[name] for name in names) / elapsed_s
+            for old, new in zip(before, after, strict=True)
+        ]
+
+    shares = rates("process.processor_s")
+    resident = [g["process.resident_bytes"] / _BYTES_PER_MB for g in after]
+    http = rates("http.sent_bytes", "http.received_bytes")
+    peers = rates("peers.sent_bytes", "peers.received_bytes")
+    return IdleDaemon(
+        workers_kept=workers_each / VMS_PER_DOMAIN,
+        processor_share=round(statistics.mean(shares), 4),
+        most_processor_share=round(max(shares), 4),
+        resident_mb=round(statistics.mean(resident), 1),
+        http_bytes_per_s=round(statistics.mean(http)),
+        peer_bytes_per_s=round(statistics.mean(peers)),
+    )
+
+
+def _gauges(cluster: loopback_cluster.Cluster) -> list[dict[str, float]]:
+    return [
+        steps.call(vm, "GET", "/v1/metrics").body["gauges"]
+        for vm in cluster.vms
+    ]
+
+
+def measure_exchange() -> ExchangeCost:
+    """Renews a worker over HTTP many times, one call after the other.
+
+    Returns:
+        The cost of one renewal.
+    """
+    site = harness_site.make_site(
+        failure_domains=1, vms_each=1, workers_each=1, runners_each=0
+    )
+    pool = pool_file.Pool(workers=site.view.workers, runners=())
+    with loopback_cluster.open_cluster(pool, 0) as cluster:
+        return loop.run(_renew_often(cluster.pool.workers[0].address))
+
+
+async def _renew_often(address: str) -> ExchangeCost:
+    http = exchange.Exchange(reactor=reactor)
+    call = messages.WorkerCall(
+        token=ids.FenceToken(1), acts=(messages.Renew(ttl_ms=10_000),)
+    )
+    answer = await clients.call_worker(http, address, call, _TIMEOUT_MS)
+    known = msgspec.structs.replace(call, known_sequence=answer.report.sequence)
+    before, begin_s = _bytes(http), time.process_time()
+    for _ in range(CALLS):
+        await clients.call_worker(http, address, known, _TIMEOUT_MS)
+    spent_s = time.process_time() - begin_s
+    wire_bytes = (_bytes(http) - before) / CALLS
+    await http.close()
+    return ExchangeCost(
+        processor_us=round(spent_s * _US_PER_S / CALLS),
+        wire_bytes=round(wire_bytes),
+    )
+
+
+def _bytes(http: exchange.Exchange) -> int:
+    return http.traffic.sent_bytes + http.traffic.received_bytes
+
+
+def measure_message_us(message: peer_messages.PeerMessage) -> float:
+    """Sends a message many times between two encrypted transports.
+
+    Args:
+        message: The message.
+
+    Returns:
+        Processor time of sending and receiving one, in us.
+    """
+    shared = keys.new_keys()
+    received: list[ids.VmId] = []
+    nodes = [
+        transport.Transport(
+            reactor=reactor,
+            vm=ids.VmId(name),
+            bind_address="127.0.0.1:0",
+            keys=shared,
+            on_message=lambda sender, _: received.append(sender),
+        )
+        for name in ("a", "b")
+    ]
+    for node in nodes:
+        node.open()
+    try:
+        return loop.run(_send_often(nodes[0], nodes[1], message, received))
+    finally:
+        for node in nodes:
+            node.close()
+
+
+async def _send_often(
+    source: transport.Transport,
+    target: transport.Transport,
+    message: peer_messages.PeerMessage,
+    received: list[ids.VmId],
+) -> float:
+    source.set_peers({target.vm: target.address})
+
+    def connected() -> bool:
+        return source.send(target.vm, message)
+
+    await loop.until(connected)
+    await loop.until(lambda: bool(received))
+    begin_s = time.process_time()
+    for _ in range(MESSAGES // BURST_MESSAGES):
+        wanted = len(received) + BURST_MESSAGES
+        for _ in range(BURST_MESSAGES):
+            source.send(target.vm, message)
+        await loop.until(lambda wanted=wanted: len(received) >= wanted)
+    spent_s = time.process_time() - begin_s
+    return round(spent_s * _US_PER_S / MESSAGES, 1)
--- /dev/null
+++ b/citronmount/bench/capacity_plan.py
@@ -0,0 +1,319 @@
+"""Works the two-year size out from measured slopes."""
+
+import msgspec
+
+from citronmount.bench import capacity_agents
+from citronmount.bench import capacity_daemon
+from citronmount.bench import harness_traffic
+
+__all__ = [
+    "BUDGET",
+    "PACKET_BYTES",
+    "SIZE",
+    "TASKS_PER_JOB",
+    "Budget",
+    "Measured",
+    "Need",
+    "Plan",
+    "Size",
+    "state_slopes",
+    "work_out",
+]
+
+_DAY_S = 24 * 60 * 60
+_US_PER_S = 1_000_000
+_KB = 1_000
+_MB = 1_000_000
+
+
+class Size(msgspec.Struct, frozen=True, kw_only=True):
+    """The size to design for.
+
+    Attributes:
+        workers: Workers of all failure domains.
+        failure_domains: Failure domains.
+        vms: VMs of the system.
+        tasks: Running tasks.
+        jobs_per_day: Jobs in a day.
+        teams: Client accounts with guarantees.
+        changes_per_day: Configuration changes in a day.
+        events_kept: Events of the time line that a VM keeps.
+    """
+
+    workers: int = 1_300
+    failure_domains: int = 5
+    vms: int = 40
+    tasks: int = 30_000
+    jobs_per_day: int = 4_600
+    teams: int = 280
+    changes_per_day: int = 3_700
+    events_kept: int = 20_000
+
+
+class Budget(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node may spend on control.
+
+    Attributes:
+        processor_share: Of one core.
+        resident_mb: Memory.
+        bytes_per_s: Bytes in both directions.
+    """
+
+    processor_share: float = 0.035
+    resident_mb: float = 128.0
+    bytes_per_s: float = 14_000.0
+
+
+SIZE = Size()
+BUDGET = Budget()
+RENEW_PERIOD_S = 3.0
+LIST_PERIOD_S = 2.0
+TICKS_PER_S = 4.0
+ENDED_JOB_SHARE = 1.0
+PACKET_BYTES = 100
+UNCHANGED_LIST_BYTES = 400
+TASKS_PER_JOB = capacity_agents.TASKS_PER_JOB
+
+
+class Measured(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run of the script measured.
+
+    Attributes:
+        traffic: Bytes of idle sites at several sizes, in the harness.
+        costs: Processor time of agents at 40 VMs and 160 workers.
+        state: Memory of agents at several sizes.
+        idle: Idle daemons at two numbers of workers.
+        exchange: One renewal over HTTP.
+        message_us: Processor time of one heartbeat sent and received.
+        change_bytes: A configuration change by number of teams.
+        change_us: Processor time to take it in, by number of teams.
+        event_bytes: Memory of one event of the time line.
+    """
+
+    traffic: tuple[harness_traffic.TrafficRow, ...]
+    costs: tuple[capacity_agents.EventCost, ...]
+    state: tuple[capacity_agents.StateRow, ...]
+    idle: tuple[capacity_daemon.IdleDaemon, ...]
+    exchange: capacity_daemon.ExchangeCost
+    message_us: float
+    change_bytes: dict[int, int]
+    change_us: dict[int, float]
+    event_bytes: float
+
+
+class Need(msgspec.Struct, frozen=True, kw_only=True):
+    """What one role takes of a VM at the two-year size.
+
+    Attributes:
+        role: The role.
+        mechanism: What carries it.
+        messages_per_s: Messages and calls, both directions.
+        bytes_per_s: Bytes, both directions.
+        processor_share: Of one core.
+        memory_mb: Memory.
+    """
+
+    role: str
+    mechanism: str
+    messages_per_s: float
+    bytes_per_s: float
+    processor_share: float
+    memory_mb: float
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """The needs of the busiest VM, which has every role.
+
+    Attributes:
+        needs: One row for each role.
+        messages_per_s: Their sum.
+        bytes_per_s: Their sum.
+        processor_share: Their sum.
+        memory_mb: Their sum.
+        within: Whether each budget is kept.
+    """
+
+    needs: tuple[Need, ...]
+    messages_per_s: float
+    bytes_per_s: float
+    processor_share: float
+    memory_mb: float
+    within: dict[str, bool]
+
+
+def work_out(found: Measured) -> Plan:
+    """Works out what the busiest VM needs at the two-year size.
+
+    Args:
+        found: The measurements.
+
+    Returns:
+        The needs by role, their sums and the comparison with the budget.
+    """
+    needs = (
+        _process(found),
+        _member(found),
+        _keeper(found),
+        _owner(found),
+        _configuration(found),
+        _timeline(found),
+    )
+    share = sum(need.processor_share for need in needs)
+    memory_mb = sum(need.memory_mb for need in needs)
+    bytes_per_s = sum(need.bytes_per_s for need in needs)
+    return Plan(
+        needs=needs,
+        messages_per_s=round(sum(n.messages_per_s for n in needs), 1),
+        bytes_per_s=round(bytes_per_s),
+        processor_share=round(share, 4),
+        memory_mb=round(memory_mb, 1),
+        within={
+            "processor_share": share <= BUDGET.processor_share,
+            "resident_mb": memory_mb <= BUDGET.resident_mb,
+            "bytes_per_s": bytes_per_s <= BUDGET.bytes_per_s,
+        },
+    )
+
+
+def _cost_us(found: Measured, kind: str) -> float:
+    return next(row.mean_us for row in found.costs if row.kind == kind)
+
+
+def _need(
+    role: str,
+    mechanism: str,
+    *,
+    messages_per_s: float = 0.0,
+    bytes_per_s: float = 0.0,
+    processor_us_per_s: float = 0.0,
+    memory_bytes: float = 0.0,
+) -> Need:
+    return Need(
+        role=role,
+        mechanism=mechanism,
+        messages_per_s=round(messages_per_s, 2),
+        bytes_per_s=round(bytes_per_s),
+        processor_share=round(processor_us_per_s / _US_PER_S, 5),
+        memory_mb=round(memory_bytes / _MB, 2),
+    )
+
+
+def _process(found: Measured) -> Need:
+    """The process itself, as measured idle on loopback."""
+    small = found.idle[0]
+    return _need(
+        "process",
+        "one Twisted loop; tick each 250 ms, poll of list and configuration",
+        messages_per_s=2 / LIST_PERIOD_S * 2,
+        bytes_per_s=2 * UNCHANGED_LIST_BYTES / LIST_PERIOD_S,
+        processor_us_per_s=small.processor_share * _US_PER_S,
+        memory_bytes=small.resident_mb * _MB,
+    )
+
+
+def _member(found: Measured) -> Need:
+    """Heartbeats to and from all other VMs."""
+    row = found.traffic[-1]
+    size = row.bytes_per_s_by_kind["Heartbeat"]
+    per_s = next(
+        cost.per_vm_per_s for cost in found.costs if cost.kind == "PeerArrived"
+    )
+    both_ways = 2 * per_s
+    each_us = found.message_us + _cost_us(found, "PeerArrived")
+    return _need(
+        "member",
+        "heartbeats, each 1 s within and each 3 s between failure domains",
+        messages_per_s=both_ways,
+        bytes_per_s=size + both_ways * PACKET_BYTES,
+        processor_us_per_s=per_s * each_us,
+    )
+
+
+def _keeper(found: Measured) -> Need:
+    """Renewal of the leases of some workers of the failure domain."""
+    kept = SIZE.workers / SIZE.vms
+    per_s = kept / RENEW_PERIOD_S
+    each_us = found.exchange.processor_us + _cost_us(found, "WorkerAnswered")
+    return _need(
+        "keeper",
+        "one renewal a worker for all its leases; reports only when changed",
+        messages_per_s=2 * per_s,
+        bytes_per_s=per_s * found.exchange.wire_bytes,
+        processor_us_per_s=per_s * each_us,
+    )
+
+
+def _owner(found: Measured) -> Need:
+    """Scheduling of one failure domain."""
+    domain_workers = SIZE.workers / SIZE.failure_domains
+    running = SIZE.tasks / TASKS_PER_JOB / SIZE.failure_domains
+    ended = SIZE.jobs_per_day / SIZE.failure_domains
+    per_worker, per_job, per_team = state_slopes(found.state)
+    memory_bytes = (
+        domain_workers * per_worker
+        + (running + ended * ENDED_JOB_SHARE) * per_job
+        + SIZE.teams * per_team
+    )
+    workers_per_job = 8
+    changes_per_s = ended * workers_per_job * 4 / _DAY_S
+    report_bytes = 3 * _KB
+    return _need(
+        "owner",
+        "decisions on state in memory; keepers pass changed reports",
+        messages_per_s=changes_per_s * 2,
+        bytes_per_s=changes_per_s * report_bytes,
+        processor_us_per_s=TICKS_PER_S * _cost_us(found, "Tick"),
+        memory_bytes=memory_bytes,
+    )
+
+
+def state_slopes(
+    rows: tuple[capacity_agents.StateRow, ...],
+) -> tuple[float, float, float]:
+    """Returns the owner's bytes for a worker, a job and a team.
+
+    Args:
+        rows: Measurements; the first one is the base, from which others
+            differ in one size each.
+
+    Returns:
+        Least-squares slopes, each from the rows that differ in that size.
+    """
+    base = rows[0]
+
+    def along(name: str) -> float:
+        others = {"workers", "jobs", "teams"} - {name}
+        points = [
+            (float(getattr(row, name)), float(row.owner_bytes))
+            for row in rows
+            if all(getattr(row, o) == getattr(base, o) for o in others)
+        ]
+        return max(0.0, harness_traffic.slope(points))
+
+    return along("workers"), along("jobs"), along("teams")
+
+
+def _configuration(found: Measured) -> Need:
+    """Reading every change of the configuration."""
+    per_s = SIZE.changes_per_day / _DAY_S
+    points = [(float(n), float(b)) for n, b in found.change_bytes.items()]
+    largest = max(found.change_us)
+    change_bytes = found.change_bytes[largest] + (
+        (SIZE.teams - largest) * harness_traffic.slope(points)
+    )
+    return _need(
+        "configuration",
+        "whole changes through the log, folded by offset at every VM",
+        messages_per_s=per_s,
+        bytes_per_s=per_s * change_bytes,
+        processor_us_per_s=per_s * found.change_us[largest],
+    )
+
+
+def _timeline(found: Measured) -> Need:
+    """The bounded time line in memory."""
+    return _need(
+        "time line",
+        "a bounded queue of events at each VM, merged by the reader",
+        memory_bytes=SIZE.events_kept * found.event_bytes,
+    )
--- a/citronmount/bench/loopback_steps.py
+++ b/citronmount/bench/loopback_steps.py
@@ -156,9 +156,12 @@
         The status as the HTTP API gives it.
     """
     path = f"/v1/jobs/{job}?wait_ms={WAIT_MS}"
-    return until(
-        lambda: call(vm, "GET", path), lambda found: _is_final(found.body)
-    ).body
+    try:
+        return until(
+            lambda: call(vm, "GET", path), lambda found: _is_final(found.body)
+        ).body
+    except TrialError as error:
+        raise TrialError(f"{job}: {error}") from error
 
 
 def drain_all(cluster: loopback_cluster.Cluster) -> None:
--- /dev/null
+++ b/citronmount/bench/tests/test_capacity.py
@@ -0,0 +1,114 @@
+"""Tests of the capacity script's arithmetic and of its measurements."""
+
+import unittest
+
+import msgspec
+
+from citronmount.bench import capacity_agents
+from citronmount.bench import capacity_daemon
+from citronmount.bench import capacity_page
+from citronmount.bench import capacity_plan
+from citronmount.bench import harness_traffic
+
+
+def _state(workers: int, jobs: int, teams: int) -> capacity_agents.StateRow:
+    return capacity_agents.StateRow(
+        workers=workers,
+        jobs=jobs,
+        teams=teams,
+        owner_bytes=1_000 + 10 * workers + 20 * jobs + 30 * teams,
+        member_bytes=0,
+    )
+
+
+def _measured() -> capacity_plan.Measured:
+    idle = capacity_daemon.IdleDaemon(
+        workers_kept=2,
+        processor_share=0.01,
+        most_processor_share=0.02,
+        resident_mb=60,
+        http_bytes_per_s=100,
+        peer_bytes_per_s=100,
+    )
+    return capacity_plan.Measured(
+        traffic=(
+            harness_traffic.TrafficRow(
+                vms=40,
+                failure_domains=5,
+                workers=40,
+                mean_bytes_per_s=0,
+                most_bytes_per_s=0,
+                mean_messages_per_s=0,
+                most_messages_per_s=0,
+                bytes_per_s_by_kind={"Heartbeat": 5_000, "PlatformListed": 0},
+            ),
+        ),
+        costs=tuple(
+            capacity_agents.EventCost(
+                kind=kind, count=1, mean_us=100, per_vm_per_s=20
+            )
+            for kind in ("PeerArrived", "Tick", "WorkerAnswered")
+        ),
+        state=(
+            _state(1, 1, 1),
+            _state(9, 1, 1),
+            _state(1, 9, 1),
+            _state(1, 1, 9),
+        ),
+        idle=(idle,),
+        exchange=capacity_daemon.ExchangeCost(processor_us=900, wire_bytes=300),
+        message_us=25,
+        change_bytes={140: 20_000, 280: 40_000},
+        change_us={140: 1_000, 280: 2_000},
+        event_bytes=300,
+    )
+
+
+class PlanTest(unittest.TestCase):
+    """From measurements to the needs of the busiest VM."""
+
+    def test_slopes_are_taken_from_their_own_rows(self) -> None:
+        found = capacity_plan.state_slopes(_measured().state)
+        self.assertEqual((10, 20, 30), tuple(map(round, found)))
+
+    def test_roles_add_up_and_misses_are_told(self) -> None:
+        found = _measured()
+        plan = capacity_plan.work_out(found)
+        needs = {need.role: need for need in plan.needs}
+        self.assertEqual(9_000, needs["member"].bytes_per_s)
+        self.assertAlmostEqual(
+            1_300 / 40 / 3 * 1_000 / 1e6, needs["keeper"].processor_share, 4
+        )
+        self.assertEqual(
+            round(sum(need.bytes_per_s for need in plan.needs)),
+            plan.bytes_per_s,
+        )
+        self.assertTrue(plan.within["resident_mb"])
+        slow = msgspec.structs.replace(
+            found,
+            idle=(
+                msgspec.structs.replace(found.idle[0], processor_share=0.04),
+            ),
+        )
+        plan = capacity_plan.work_out(slow)
+        self.assertFalse(plan.within["processor_share"])
+        self.assertIn("**misses**", capacity_page.render(slow, plan))
+
+
+class MeasureTest(unittest.TestCase):
+    """Small runs of what needs no process."""
+
+    def test_shared_objects_are_weighed_once(self) -> None:
+        shared = bytes(10_000)
+        once = capacity_agents.deep_bytes([shared])
+        twice = capacity_agents.deep_bytes([shared, [shared]])
+        self.assertLess(twice, once + 10_000)
+        self.assertLess(10_000, once)
+
+    def test_owner_grows_with_its_jobs(self) -> None:
+        few, more = (
+            capacity_agents.measure_state(workers=4, job_count=n, teams=2)
+            for n in (1, 6)
+        )
+        self.assertLess(few.owner_bytes, more.owner_bytes)
+        self.assertLess(more.member_bytes, more.owner_bytes)
