--- a/citronmount/bench/faults/promises.py
+++ b/citronmount/bench/faults/promises.py
@@ -111,7 +111,11 @@
             at_worker.append((at_ms, evidence.ended_ms + 1, "running"))
         elif at_worker:
             at_worker[-1] = (at_worker[-1][0], at_ms, event.detail)
-    return {a: w for a, w in runs.items() if any(w.values())}
+    started = {
+        attempt: {worker: spans for worker, spans in at.items() if spans}
+        for attempt, at in runs.items()
+    }
+    return {attempt: at for attempt, at in started.items() if at}
 
 
 @promise("guarantee-reclaimable")
