--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -37,8 +37,8 @@
         progress: Saved share of its work.
         attained_ms: Accelerator milliseconds that it was served.
         failed_on: Workers at which it failed.
-        failures: Attempts that failed.
-        own_failures: Those that started and failed by themselves.
+        failures: Attempts that ran and failed.
+        setbacks: Attempts that failed, those that never started included.
         retry_ms: When it may be tried again at workers at which it failed.
         queued_ms: When it came into the queue last.
         ran: Whether a task of it ever started.
@@ -53,7 +53,6 @@
         "failed_on",
         "failures",
         "lane",
-        "own_failures",
         "patient_until_ms",
         "progress",
         "queued_ms",
@@ -61,6 +60,7 @@
         "reclaim_ms",
         "retry_ms",
         "sequence",
+        "setbacks",
         "shape",
         "spec",
         "tried",
@@ -77,7 +77,7 @@
         self.attained_ms = 0
         self.failed_on: frozenset[ids.WorkerId] = frozenset()
         self.failures = 0
-        self.own_failures = 0
+        self.setbacks = 0
         self.retry_ms = 0
         self.queued_ms = 0
         self.reclaim_ms = 0
