Lift cells whose workers no longer share an enclosure

Change: a freed cell whose workers lie in different enclosures is planned anew; a gang prefers a cell of its own shape.

--- a/citronmount/core/cells.py
+++ b/citronmount/core/cells.py
@@ -177,8 +177,9 @@
     ) -> tuple[Use, ...] | None:
         """Finds room for a job in the cells of its account.
 
-        The fewest cells without jobs are opened, then the least spare room
-        is touched, then room that is free at once is preferred.
+        The fewest cells without jobs are opened, then cells of the gang's own
+        shape, then the least spare room is touched, then room that is free at
+        once is preferred.
 
         Args:
             account: The account.
@@ -195,7 +196,9 @@
             uses = _fill(sorted(scope, key=lambda o: o[0]), shape)
             if uses:
                 found.append(uses)
-        return min(found, key=lambda uses: _cost(uses, free), default=None)
+        return min(
+            found, key=lambda uses: _cost(uses, shape, free), default=None
+        )
 
     def bind(self, job: ids.JobId, uses: tuple[Use, ...]) -> None:
         """Lets a job run in cells."""
@@ -375,6 +378,7 @@
                 at_once = resources.count(free.room(worker), shape.per_task)
                 rank = (
                     not cell.held,
+                    cell.shape != shape,
                     spare,
                     at_once < use.tasks,
                     rest.accelerators,
@@ -620,7 +624,10 @@
             self._lift(cell)
 
     def _lift_if_unusable(self, cell: Cell) -> None:
-        if any(
+        scopes = {
+            self._scope(worker, cell.shape.adjacency) for worker in cell.slots
+        }
+        if len(scopes) > 1 or any(
             worker not in self.room or _negative(self._room(worker))
             for worker in cell.slots
         ):
@@ -673,14 +680,18 @@
     return ()
 
 
-def _cost(uses: tuple[Use, ...], free: pool.RoomIndex) -> tuple:
+def _cost(
+    uses: tuple[Use, ...], shape: shapes.Shape, free: pool.RoomIndex
+) -> tuple:
     short = sum(
         resources.count(free.room(use.worker), use.per_task) < use.tasks
         for use in uses
     )
     opened = len({use.cell for use in uses if not use.cell.held})
     used = {use.cell for use in uses}
-    return (opened, sum(cell.spare_accelerators for cell in used), short)
+    other = sum(not cell.held and cell.shape != shape for cell in used)
+    spare = sum(cell.spare_accelerators for cell in used)
+    return (opened, other, spare, short)
 
 
 def _largest_first(cells: Iterable[Cell]) -> list[Cell]:
