Number the moves of a job; confirm the token before every end but success

Cause, by trace: peers append what they held through an outage behind newer records, and an old move home wiped the pointer to where a job ran; an owner that drained told FAILED_EVERYWHERE after its successor had begun to decide.

--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -271,7 +271,7 @@
         self.table.entries[spec.job] = entry
         self._trace_accepted(entry)
         entry.cancelled = spec.job in self._book.cancelled
-        if spec.job in self._book.moved:
+        if self._book.moved_away(spec.job) is not None:
             entry.state = states.JobState.STOPPING
             entry.ending = True
             return
@@ -341,7 +341,7 @@
         Returns:
             The failure domain, or None if the job was not moved.
         """
-        moved = self._book.moved.get(job)
+        moved = self._book.moved_away(job)
         if moved is None or job in self.table.entries:
             return None
         return moved.to
@@ -369,6 +369,7 @@
             (self.table.entries[job].spec, moved.to)
             for job, moved in self._book.moved.items()
             if not moved.confirmed
+            and moved.to != self._domain
             and job in self.table.entries
             and self.table.entries[job].ending
         ]
@@ -397,7 +398,10 @@
         entry.state = states.JobState.STOPPING
         entry.ending = True
         moved = records.JobMoved(
-            record=ids.RecordId(self._ctx.unique()), job=job, to=to
+            record=ids.RecordId(self._ctx.unique()),
+            job=job,
+            number=self._book.next_move(job),
+            to=to,
         )
 
         def released() -> None:
@@ -425,14 +429,10 @@
         entry = self.table.entries.get(job)
         if entry is None:
             return
-        record = records.JobMoved(
-            record=ids.RecordId(self._ctx.unique()),
-            job=job,
-            to=to if accepted else self._domain,
-            confirmed=accepted,
-        )
-        self._book.fold(record)
-        self._outbox.write(self._stream, record)
+        if accepted:
+            self._confirm_move(job, to)
+        else:
+            self._move_home(job)
         if accepted:
             self.table.forward(job)
             return
@@ -449,17 +449,39 @@
         void = [
             moved.job
             for moved in self._book.moved.values()
-            if moved.job in self.table.entries
+            if moved.to != self._domain
+            and moved.job in self.table.entries
             and not self.table.entries[moved.job].ending
         ]
         for job in void:
-            record = records.JobMoved(
+            self._move_home(job)
+
+    def _confirm_move(self, job: ids.JobId, to: ids.FailureDomainId) -> None:
+        """Records that another failure domain schedules a job now."""
+        self._record(
+            records.JobMoved(
                 record=ids.RecordId(self._ctx.unique()),
                 job=job,
+                number=max(self._book.next_move(job) - 1, 1),
+                to=to,
+                confirmed=True,
+            )
+        )
+
+    def _move_home(self, job: ids.JobId) -> None:
+        """Records that this failure domain schedules a job again."""
+        self._record(
+            records.JobMoved(
+                record=ids.RecordId(self._ctx.unique()),
+                job=job,
+                number=self._book.next_move(job),
                 to=self._domain,
             )
-            self._book.fold(record)
-            self._outbox.write(self._stream, record)
+        )
+
+    def _record(self, record: records.Record) -> None:
+        self._book.fold(record)
+        self._outbox.write(self._stream, record)
 
     def _drop_ended(self) -> None:
         """Gives up open jobs whose final result the book already has."""
@@ -565,14 +587,6 @@
         result = jobs.JobResult(code=codes.ResultCode.KEY_REUSED)
         respond(peer_messages.Failure(result=result))
 
-    def _come_back(self, job: ids.JobId) -> None:
-        """Notes that a job which was moved away is submitted here again."""
-        record = records.JobMoved(
-            record=ids.RecordId(self._ctx.unique()), job=job, to=self._domain
-        )
-        self._book.fold(record)
-        self._outbox.write(self._stream, record)
-
     def _would_start(self, spec: jobs.JobSpec) -> bool:
         """Returns whether a job could start now, after those being accepted."""
         pending = any(
@@ -611,8 +625,8 @@
         )
 
     def _accept(self, spec: jobs.JobSpec, respond: job_table.Responder) -> None:
-        if spec.job in self._book.moved:
-            self._come_back(spec.job)
+        if self._book.moved_away(spec.job) is not None:
+            self._move_home(spec.job)
         entry = job_table.JobEntry(spec=spec, accept_responders=[respond])
         self.table.entries[spec.job] = entry
         record = records.JobAccepted(
@@ -929,15 +943,16 @@
         )
 
     def _end_written(self, ended: records.JobEnded) -> None:
-        if codes.info(ended.result.code).proves_not_run:
-            self._token_check.confirm(lambda: self._tell_end(ended))
-        else:
+        if ended.result.code is codes.ResultCode.DONE:
             self._tell_end(ended)
+        else:
+            self._token_check.confirm(lambda: self._tell_end(ended))
 
     def _tell_end(self, ended: records.JobEnded) -> None:
         if ended.job not in self.table.entries:
             return
         self._book.fold(ended)
+        ended = self._book.ended[ended.job]
         self._ctx.trace(
             timeline.EventKind.JOB_ENDED,
             job=ended.job,
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -256,7 +256,8 @@
             See `outlook.would_start`.
         """
         self._advance(now_ms)
-        return outlook.would_start(self._domain, self._entry(spec, 0.0))
+        entry = self._entry(spec, 0.0)
+        return outlook.would_start(self._domain, entry, self._now_ms)
 
     def decide(self, now_ms: int) -> list[decisions.Decision]:
         """Returns what to do now.
--- a/citronmount/state/job_book.py
+++ b/citronmount/state/job_book.py
@@ -92,6 +92,29 @@
             case records.JobSnapshot():
                 self.merge(record)
 
+    def moved_away(self, job: ids.JobId) -> records.JobMoved | None:
+        """Returns the move by which a job has left the failure domain.
+
+        Args:
+            job: The job.
+
+        Returns:
+            The last move, or None if the job never left or is back.
+        """
+        moved = self.moved.get(job)
+        if moved is None or moved.to == self._failure_domain:
+            return None
+        return moved
+
+    def next_move(self, job: ids.JobId) -> int:
+        """Returns the number of a job's next move.
+
+        Args:
+            job: The job.
+        """
+        moved = self.moved.get(job)
+        return 1 if moved is None else moved.number + 1
+
     def merge(self, snapshot: records.JobSnapshot) -> None:
         """Folds a snapshot, which never outranks what is known.
 
@@ -147,7 +170,7 @@
         )
 
     def _accept(self, spec: jobs.JobSpec) -> None:
-        moved = self.moved.get(spec.job)
+        moved = self.moved_away(spec.job)
         gone = moved is not None and moved.confirmed
         if spec.job not in self.ended and not gone:
             self.accepted.setdefault(spec.job, spec)
@@ -166,14 +189,11 @@
     def _move(self, moved: records.JobMoved) -> None:
         if moved.job in self.ended:
             return
-        if moved.to == self._failure_domain:
-            self.moved.pop(moved.job, None)
-            return
         known = self.moved.get(moved.job)
-        if known is not None and known.confirmed and not moved.confirmed:
+        if known is not None and _rank(known) >= _rank(moved):
             return
         self.moved[moved.job] = moved
-        if moved.confirmed:
+        if moved.confirmed and moved.to != self._failure_domain:
             self.accepted.pop(moved.job, None)
         while len(self.moved) > REMEMBERED_ENDED:
             self.moved.popitem(last=False)
@@ -214,3 +234,7 @@
         held = self.claims.get(key)
         if held is not None and held.record == claim:
             del self.claims[key]
+
+
+def _rank(moved: records.JobMoved) -> tuple[int, bool]:
+    return moved.number, moved.confirmed
--- a/citronmount/state/records.py
+++ b/citronmount/state/records.py
@@ -145,6 +145,7 @@
     Attributes:
         record: The id.
         job: The job.
+        number: Counts the moves of the job; the highest one counts.
         to: The failure domain that schedules it from now on; the stream's
             own one takes the job back.
         confirmed: Whether that failure domain has accepted it.
@@ -152,6 +153,7 @@
 
     record: ids.RecordId
     job: ids.JobId
+    number: int
     to: ids.FailureDomainId
     confirmed: bool = False
 
--- a/citronmount/state/tests/test_job_book.py
+++ b/citronmount/state/tests/test_job_book.py
@@ -52,10 +52,11 @@
     )
 
 
-def moved(to, *, confirmed=False):
+def moved(to, *, number=1, confirmed=False):
     return records.JobMoved(
-        record=ids.RecordId(f"moved-{to}-{confirmed}"),
+        record=ids.RecordId(f"moved-{to}-{number}-{confirmed}"),
         job=JOB,
+        number=number,
         to=ids.FailureDomainId(to),
         confirmed=confirmed,
     )
@@ -110,10 +111,22 @@
         self.assertNotIn(JOB, book.accepted)
         self.assertTrue(book.moved[JOB].confirmed)
 
-    def test_a_move_back_home_removes_the_pointer(self):
-        book = folded(ACCEPTED, moved("fd-b"), moved(HOME))
+    def test_the_last_move_counts_in_any_order(self):
+        moves = (
+            moved("fd-b"),
+            moved(HOME, number=2),
+            moved("fd-c", number=3),
+            moved("fd-c", number=3, confirmed=True),
+        )
+        for order in itertools.permutations(moves):
+            book = folded(ACCEPTED, *order)
+            self.assertEqual(book.moved_away(JOB).to, "fd-c")
+            self.assertNotIn(JOB, book.accepted)
+
+    def test_a_job_that_moved_back_home_is_not_away(self):
+        book = folded(ACCEPTED, moved("fd-b"), moved(HOME, number=2))
         self.assertIn(JOB, book.accepted)
-        self.assertEqual(dict(book.moved), {})
+        self.assertIsNone(book.moved_away(JOB))
 
     def test_a_snapshot_carries_everything(self):
         book = folded(ACCEPTED, intent(2), CANCELLED, claim("a"), moved("b"))
