--- a/citronmount/core/tests/test_scheduler.py
+++ b/citronmount/core/tests/test_scheduler.py
@@ -70,6 +70,50 @@
         made.submit(fixtures.spec("p", "paying", 1, 8), 1)
         self.assertEqual([e.job for e in made.decide(1)], ["kr-a/t2"])
 
+    def test_paying_work_beyond_guarantees_takes_trials_room_in_time(self):
+        made = four_workers()
+        for number in range(2):
+            name = fixtures.worker(number).name
+            made.set_worker_state(name, states.TargetState.LEAVING, 0)
+            made.submit(fixtures.spec(f"t{number}", "trial", 1, 8), 0)
+        made.decide(0)
+        made.submit(fixtures.spec("x", "extra", 4, 2), 0)
+        self.assertEqual(made.decide(29_999), [])
+        (evicted,) = made.decide(30_000)
+        for name in "pq":
+            made.submit(fixtures.spec(name, "paying", 1, 8), 30_001)
+        (reclaimed,) = made.decide(30_001)
+        for job in (evicted.job, reclaimed.job):
+            made.ended(job, END.EVICTED, 30_002, requeue=True)
+        placed = {each.job for each in made.decide(30_002)}
+        self.assertEqual(placed, {"kr-a/p", "kr-a/q"})
+        self.assertIn("kr-a/x", made.queued())
+
+    def test_urgent_job_comes_before_others_in_its_guarantee(self):
+        made = four_workers()
+        for number in range(4):
+            account = ("paying", "extra")[number // 2]
+            made.submit(fixtures.spec(f"j{number}", account, 1, 8), number)
+        made.decide(3)
+        made.submit(fixtures.spec("now", "paying", 1, 8, urgent=True), 4)
+        (evicted,) = made.decide(4)
+        self.assertEqual(evicted.grace_ms, 500)
+        self.assertIn(evicted.job, ("kr-a/j1", "kr-a/j2", "kr-a/j3"))
+        made.ended(evicted.job, END.EVICTED, 5, requeue=True)
+        self.assertEqual([e.job for e in made.decide(5)], ["kr-a/now"])
+        self.assertFalse(made.revocable("kr-a/j0"))
+
+    def test_urgent_job_beyond_guarantees_takes_its_accounts_room(self):
+        made = four_workers()
+        for number in range(4):
+            made.submit(fixtures.spec(f"j{number}", "extra", 1, 8), number)
+        made.decide(3)
+        made.submit(fixtures.spec("now", "extra", 1, 1, urgent=True), 4)
+        (evicted,) = made.decide(4)
+        self.assertEqual(evicted.beneficiary, "kr-a/now")
+        made.ended(evicted.job, END.EVICTED, 5, requeue=True)
+        self.assertEqual([e.job for e in made.decide(5)], ["kr-a/now"])
+
     def test_work_above_the_guarantee_moves_into_it(self):
         made = four_workers()
         for number in range(3):
