Keep each format of a setting in one place and check named files

The description of a format stood twice, and a daemon with a certificate or log file that cannot be used failed only at its start.

--- a/citronmount/service/settings_formats.py
+++ b/citronmount/service/settings_formats.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 import ipaddress
 
+import msgspec
+
 from citronmount.config import names
 from citronmount.core import codes
 
-__all__ = ["Address", "fault_of", "parse_address"]
+__all__ = ["Address", "expected_of", "fault_of", "parse_address"]
 
 _LAST_PORT = 65_535
 _CURVE_KEY_CHARACTERS = 40
@@ -19,21 +21,52 @@
 
 Address = tuple[ipaddress.IPv4Address | ipaddress.IPv6Address, int]
 Fault = tuple[codes.ResultCode, str]
-Format = Callable[[str], Fault | None]
+Check = Callable[[str], bool]
+
+
+class _Format(msgspec.Struct, frozen=True, kw_only=True):
+    """A format of text.
+
+    Attributes:
+        expected: What it asks for, for a person.
+        code: The result code of a text that does not keep it.
+        check: Whether a text keeps it.
+    """
+
+    expected: str
+    code: codes.ResultCode
+    check: Check
 
-_FORMATS: dict[str, Format] = {}
 
+_FORMATS: dict[str, _Format] = {}
 
-def _format(name: str) -> Callable[[Format], Format]:
+
+def _format(
+    name: str,
+    expected: str,
+    code: codes.ResultCode = codes.ResultCode.SETTING_RANGE,
+) -> Callable[[Check], Check]:
     """Registers the check of a format."""
 
-    def register(check: Format) -> Format:
-        _FORMATS[name] = check
+    def register(check: Check) -> Check:
+        _FORMATS[name] = _Format(expected=expected, code=code, check=check)
         return check
 
     return register
 
 
+def expected_of(name: str) -> str:
+    """Returns what a format asks for.
+
+    Args:
+        name: The name of a format.
+
+    Returns:
+        A text for a person.
+    """
+    return _FORMATS[name].expected
+
+
 def fault_of(name: str, text: str) -> Fault | None:
     """Checks a text against a format.
 
@@ -50,7 +83,8 @@
         >>> fault_of("address", "log.example:8080")[1]
         'an IP number and a port, such as 10.0.0.1:8080'
     """
-    return _FORMATS[name](text)
+    found = _FORMATS[name]
+    return None if found.check(text) else (found.code, found.expected)
 
 
 def parse_address(text: str) -> Address | None:
@@ -81,51 +115,33 @@
     return ip, int(port)
 
 
-@_format("address")
-def _address_fault(text: str) -> Fault | None:
+@_format(
+    "address",
+    "an IP number and a port, such as 10.0.0.1:8080",
+    codes.ResultCode.SETTING_ADDRESS,
+)
+def _is_address(text: str) -> bool:
     address = parse_address(text)
-    if address is None:
-        return (
-            codes.ResultCode.SETTING_ADDRESS,
-            "an IP number and a port, such as 10.0.0.1:8080",
-        )
-    if not 1 <= address[1] <= _LAST_PORT:
-        return codes.ResultCode.SETTING_RANGE, "a port from 1 to 65535"
-    return None
-
-
-@_format("curve_key")
-def _curve_key_fault(text: str) -> Fault | None:
-    if len(text) == _CURVE_KEY_CHARACTERS and _Z85.issuperset(text):
-        return None
-    return codes.ResultCode.SETTING_RANGE, "a CURVE key of 40 Z85 characters"
+    return address is not None and 1 <= address[1] <= _LAST_PORT
+
+
+@_format("curve_key", "a CURVE key of 40 Z85 characters")
+def _is_curve_key(text: str) -> bool:
+    return len(text) == _CURVE_KEY_CHARACTERS and _Z85.issuperset(text)
 
 
-@_format("id")
-def _id_fault(text: str) -> Fault | None:
-    valid = 1 <= len(text) <= _MAX_ID_CHARACTERS and all(
+@_format("id", "1 to 64 ASCII letters, digits, '-', '_' or '.'")
+def _is_id(text: str) -> bool:
+    return 1 <= len(text) <= _MAX_ID_CHARACTERS and all(
         (c.isascii() and c.isalnum()) or c in _ID_PUNCTUATION for c in text
     )
-    if valid:
-        return None
-    return (
-        codes.ResultCode.SETTING_RANGE,
-        "1 to 64 ASCII letters, digits, '-', '_' or '.'",
-    )
 
 
-@_format("name")
-def _name_fault(text: str) -> Fault | None:
-    if names.is_valid(text) and names.normalize(text) == text:
-        return None
-    return (
-        codes.ResultCode.SETTING_RANGE,
-        "1 to 64 visible characters without '/' and '#'",
-    )
+@_format("name", "1 to 64 visible characters without '/' and '#'")
+def _is_name(text: str) -> bool:
+    return names.is_valid(text) and names.normalize(text) == text
 
 
-@_format("path")
-def _path_fault(text: str) -> Fault | None:
-    if text and "\0" not in text:
-        return None
-    return codes.ResultCode.SETTING_RANGE, "a path of a file"
+@_format("path", "a path of a file")
+def _is_path(text: str) -> bool:
+    return bool(text) and "\0" not in text
--- a/citronmount/service/settings_reader.py
+++ b/citronmount/service/settings_reader.py
@@ -182,7 +182,7 @@
         return f"one of {', '.join(values)}"
     name = _format_of(kind)
     if name is not None:
-        return _FORMAT_NAMES[name]
+        return settings_formats.expected_of(name)
     meta = _meta_of(kind)
     if meta is None:
         return _TYPE_NAMES[plain]
@@ -195,10 +195,3 @@
     int: "a whole number",
     float: "a number",
 }
-_FORMAT_NAMES = {
-    "address": "an IP number and a port, such as 10.0.0.1:8080",
-    "curve_key": "CURVE keys of 40 Z85 characters",
-    "id": "a name of ASCII letters, digits, '-', '_' or '.'",
-    "name": "1 to 64 visible characters without '/' and '#'",
-    "path": "a path of a file",
-}
--- a/citronmount/service/settings_rules.py
+++ b/citronmount/service/settings_rules.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import os
 import typing
 
 import zmq
@@ -20,6 +21,7 @@
 Found = tuple[str, codes.ResultCode, str]
 Rule = Callable[["settings_lib.Settings"], Iterator[Found]]
 
+_FILE = codes.ResultCode.SETTING_FILE
 _MISSING = codes.ResultCode.SETTING_MISSING
 _RANGE = codes.ResultCode.SETTING_RANGE
 
@@ -78,6 +80,23 @@
         yield "listen.tls_certificate_path", _MISSING, expected
 
 
+@_rule
+def _files_can_be_used(settings: settings_lib.Settings) -> Iterator[Found]:
+    for name in ("tls_certificate_path", "tls_key_path"):
+        path = getattr(settings.listen, name)
+        if path is not None and not os.access(path, os.R_OK):
+            yield f"listen.{name}", _FILE, "a file that can be read"
+    log_path = settings.logging.file_path
+    if log_path is not None and not _can_be_written(log_path):
+        yield "logging.file_path", _FILE, "a file that can be written"
+
+
+def _can_be_written(path: str) -> bool:
+    if os.path.exists(path):
+        return os.path.isfile(path) and os.access(path, os.W_OK)
+    return os.access(os.path.dirname(path) or ".", os.W_OK)
+
+
 @_rule
 def _curve_has_keys(settings: settings_lib.Settings) -> Iterator[Found]:
     curve = settings.curve
--- a/citronmount/service/tests/test_settings.py
+++ b/citronmount/service/tests/test_settings.py
@@ -63,18 +63,20 @@
             ("[limits]", "[limits]\nmax_body_bytes = true", "limits"),
             ("enabled = true", "enabled = 1", "curve.enabled"),
             ('# level = "info"', 'level = "loud"', "logging.level"),
+            ('# level = "info"', 'file_path = "/no/x"', "logging.file_path"),
         )
         expected = (
             _CODES.SETTING_UNKNOWN,
             _CODES.SETTING_TYPE,
             _CODES.SETTING_RANGE,
             _CODES.SETTING_ADDRESS,
-            _CODES.SETTING_RANGE,
+            _CODES.SETTING_ADDRESS,
             _CODES.SETTING_MISSING,
             _CODES.SETTING_RANGE,
             _CODES.SETTING_TYPE,
             _CODES.SETTING_TYPE,
             _CODES.SETTING_TYPE,
+            _CODES.SETTING_FILE,
         )
         for (old, new, key), code in zip(cases, expected, strict=True):
             with self.subTest(new=new):
