--- a/citronmount/bench/faults/promises.py
+++ b/citronmount/bench/faults/promises.py
@@ -112,7 +112,7 @@
         elif at_worker:
             at_worker[-1] = (at_worker[-1][0], at_ms, event.detail)
     started = {
-        attempt: {target: spans for target, spans in at.items() if spans}
+        attempt: {worker: spans for worker, spans in at.items() if spans}
         for attempt, at in runs.items()
     }
     return {attempt: at for attempt, at in started.items() if at}
--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -33,10 +33,12 @@
         spec: The job.
         shape: Its gang.
         sequence: Its place in the order of submission.
+        patient_until_ms: Until when it waits for a less scattered place.
         progress: Saved share of its work.
         attained_ms: Accelerator milliseconds that it was served.
         failed_on: Workers at which it failed.
-        failures: Attempts that failed.
+        failures: Attempts that ran and failed.
+        setbacks: Attempts that failed, those that never started included.
         retry_ms: When it may be tried again at workers at which it failed.
         ran: Whether a task of it ever started.
         tried: Whether it was placed before.
@@ -49,10 +51,12 @@
         "failed_on",
         "failures",
         "lane",
+        "patient_until_ms",
         "progress",
         "ran",
         "retry_ms",
         "sequence",
+        "setbacks",
         "shape",
         "spec",
         "tried",
@@ -69,11 +73,13 @@
         self.attained_ms = 0
         self.failed_on: frozenset[ids.WorkerId] = frozenset()
         self.failures = 0
+        self.setbacks = 0
         self.retry_ms = 0
         self.ran = progress > 0
         self.tried = self.ran
         self.counted_as_trial = False
         self.lane = Lane.NEW
+        self.patient_until_ms: int | None = None
 
     def avoidances(self, now_ms: int) -> tuple[frozenset[ids.WorkerId], ...]:
         """Returns sets of workers to avoid, to be tried in order.
