--- a/citronmount/cli/bench_command.py
+++ b/citronmount/cli/bench_command.py
@@ -1,13 +1,20 @@
 """The command that runs a bench on virtual time."""
 
+from collections.abc import Iterator
 import importlib
+import types
+import typing
 
 import click
 from click import shell_completion
 
+from citronmount.cli import options
 from citronmount.cli import output
 from citronmount.cli import progress
 
+if typing.TYPE_CHECKING:
+    from citronmount.bench import report as report_lib
+
 __all__ = ["bench"]
 
 
@@ -27,10 +34,14 @@
         ]
 
 
-def _registry() -> object:
-    """Loads the benches, which no other command needs."""
-    importlib.import_module("citronmount.bench.suite").load()
-    return importlib.import_module("citronmount.bench.registry")
+def _module(name: str) -> types.ModuleType:
+    """Imports a module that no other command needs."""
+    return importlib.import_module(f"citronmount.{name}")
+
+
+def _registry() -> types.ModuleType:
+    _module("bench.suite").load()
+    return _module("bench.registry")
 
 
 @click.command()
@@ -42,10 +53,20 @@
     multiple=True,
     help="Compare only these policies; repeat it for several.",
 )
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON value.")
+@click.option(
+    "--plot",
+    "plot_path",
+    type=click.Path(dir_okay=False, writable=True),
+    help="Also write a plot; the ending chooses the format, such as .svg.",
+)
+@options.json_option
 @output.reports_errors
 def bench(
-    name: str, seed: int, policies: tuple[str, ...], as_json: bool
+    name: str,
+    seed: int,
+    policies: tuple[str, ...],
+    plot_path: str | None,
+    as_json: bool,
 ) -> None:
     """Run the bench NAME for each policy on virtual time."""
     registry = _registry()
@@ -56,22 +77,31 @@
     with progress.notes() as note:
         note(f"running {name}, seed {seed}")
         report = registry.get(name)(seed, policies or registry.POLICIES)
-    report_lib = importlib.import_module("citronmount.bench.report")
+    if plot_path is not None:
+        _module("cli.bench_plot").write(report, plot_path)
     if as_json:
-        click.echo(report_lib.encode(report))
+        click.echo(_module("bench.report").encode(report))
         return
+    for line in _lines(report):
+        click.echo(line)
+
+
+def _lines(report: "report_lib.BenchReport") -> Iterator[str]:
+    """Yields a report as text for people."""
     for policy, metrics in report.metrics.items():
-        click.echo(policy)
+        yield policy
         for work, times in metrics.completion_time_s.items():
-            click.echo(
-                f"  completion {work}: {times.count} ended, "
+            yield (
+                f"  completion {work}: {times.count} samples, "
                 f"p50 {times.p50} s, p99 {times.p99} s"
             )
-        click.echo(f"  fragmentation {metrics.fragmentation}")
-        click.echo(f"  work done ratio {metrics.work_done_ratio}")
+        if metrics.fragmentation is not None:
+            yield f"  fragmentation {metrics.fragmentation}"
+        if metrics.work_done_ratio is not None:
+            yield f"  work done ratio {metrics.work_done_ratio}"
     for bar in report.bars:
         mark = "met" if bar.met else "missed"
-        click.echo(
+        yield (
             f"{mark}: {bar.name}, {bar.policy}: {bar.measured} "
             f"against {bar.bound}"
         )
