--- /dev/null
+++ b/citronmount/cli/tests/fakes.py
@@ -0,0 +1,39 @@
+"""Servers that answer from a script, for tests of the command line."""
+
+import msgspec
+
+from citronmount.cli import transport
+
+__all__ = ["Servers", "run"]
+
+
+class Servers:
+    """Answers calls by server and method.
+
+    Attributes:
+        asked: The servers that were asked, in order.
+    """
+
+    def __init__(self, **script):
+        self.asked = []
+        self._script = script
+
+    async def send(self, server, call):
+        """Answers a call, or raises the exception of the script."""
+        self.asked.append(server)
+        answer = self._script[server]
+        if isinstance(answer, dict) and call.method in answer:
+            answer = answer[call.method]
+        if isinstance(answer, Exception):
+            raise answer
+        body = msgspec.json.encode(answer)
+        return transport.Reply(server=server, status=200, body=body)
+
+
+def run(coroutine):
+    """Runs a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the coroutine waited for something")
--- a/citronmount/cli/tests/test_client.py
+++ b/citronmount/cli/tests/test_client.py
@@ -1,38 +1,12 @@
 import unittest
 
-import msgspec
-
 from citronmount.cli import client as client_lib
 from citronmount.cli import transport
+from citronmount.cli.tests import fakes
 from citronmount.core import codes
 from citronmount.service import bodies
 
 _CODES = codes.ResultCode
-_GOOD = bodies.refusal(_CODES.OK, "alive")
-
-
-class _Servers:
-    """Answers calls from a script, one entry a server."""
-
-    def __init__(self, **script):
-        self.script = script
-        self.asked = []
-
-    async def send(self, server, call):
-        self.asked.append(server)
-        answer = self.script[server]
-        if isinstance(answer, Exception):
-            raise answer
-        body = msgspec.json.encode(answer)
-        return transport.Reply(server=server, status=200, body=body)
-
-
-def _run(coroutine):
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise AssertionError("the client waited for something")
 
 
 def _lost(sent):
@@ -41,10 +15,10 @@
 
 class ClientTest(unittest.TestCase):
     def call(self, *, idempotent=True, kind=bodies.JobsBody, **script):
-        self.servers = _Servers(**script)
+        self.servers = fakes.Servers(**script)
         client = client_lib.Client(servers=script, transport=self.servers)
         call = transport.Call(method="GET", path=("v1",), idempotent=idempotent)
-        return _run(client.call(call, kind))
+        return fakes.run(client.call(call, kind))
 
     def test_next_server_is_asked_when_nothing_took_effect(self):
         good = bodies.JobsBody(jobs=(), total=0)
--- /dev/null
+++ b/citronmount/cli/tests/test_publishing.py
@@ -0,0 +1,64 @@
+import unittest
+
+import msgspec
+
+from citronmount.cli import client as client_lib
+from citronmount.cli import output
+from citronmount.cli import publishing
+from citronmount.cli.tests import fakes
+from citronmount.config import sheet
+from citronmount.core import codes
+from citronmount.service import bodies
+
+_CODES = codes.ResultCode
+_CONTENT = sheet.load("examples/hanbit/sheet.csv")
+_OTHER = sheet.load("examples/perchero/sheet.csv")
+
+
+def _answer(code, version=4):
+    return bodies.PublishBody(
+        code=int(code), name=code.name, detail="", version=version
+    )
+
+
+def _in_force(content, version=5):
+    content = msgspec.structs.replace(content, version=version)
+    return bodies.ConfigurationBody(version=version, content=content)
+
+
+class PublishingTest(unittest.TestCase):
+    def publish(self, answer, in_force):
+        servers = fakes.Servers(a={"PUT": answer, "GET": in_force})
+        client = client_lib.Client(servers="a", transport=servers)
+        found = fakes.run(publishing.publish(client, _CONTENT, 4, "planner"))
+        return codes.ResultCode(found.code), publishing.exit_of(found)
+
+    def test_open_outcomes_are_resolved_by_what_is_in_force(self):
+        cases = (
+            (_CODES.CONFIGURATION_OUTCOME_UNKNOWN, _CONTENT, output.Exit.OK),
+            (_CODES.CONFIGURATION_OUTCOME_UNKNOWN, _OTHER, output.Exit.FAILED),
+            (_CODES.CONFIGURATION_STALE_BASE, _CONTENT, output.Exit.OK),
+            (_CODES.CONFIGURATION_STALE_BASE, _OTHER, output.Exit.FAILED),
+        )
+        for code, content, expected in cases:
+            with self.subTest(code=code, expected=expected):
+                found, exit_code = self.publish(
+                    _answer(code), _in_force(content)
+                )
+                self.assertEqual(exit_code, expected)
+                good = expected is output.Exit.OK
+                accepted = found is _CODES.CONFIGURATION_ACCEPTED
+                self.assertEqual(accepted, good)
+
+    def test_plain_answers_are_passed_on(self):
+        for code, expected in (
+            (_CODES.CONFIGURATION_ACCEPTED, output.Exit.OK),
+            (_CODES.CONFIGURATION_INVALID, output.Exit.BAD_INPUT),
+        ):
+            unused = AssertionError("nothing is to be read")
+            found, exit_code = self.publish(_answer(code), unused)
+            self.assertEqual((found, exit_code), (code, expected))
+
+
+if __name__ == "__main__":
+    unittest.main()
