--- a/citronmount/cli/client.py
+++ b/citronmount/cli/client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from citronmount.cli import transport as transport_lib
+from citronmount.cli import calls
 from citronmount.config import configuration as configuration_lib
 from citronmount.core import codes
 from citronmount.core import errors
@@ -46,9 +46,7 @@
 class _Sender(typing.Protocol):
     """What a client needs of a transport."""
 
-    async def send(
-        self, server: str, call: transport_lib.Call
-    ) -> transport_lib.Reply:
+    async def send(self, server: str, call: calls.Call) -> calls.Reply:
         """Sends a call to one server."""
 
 
@@ -70,7 +68,7 @@
         self.servers = tuple(servers)
         self._transport = transport
 
-    async def call(self, call: transport_lib.Call, kind: type[_T]) -> _T:
+    async def call(self, call: calls.Call, kind: type[_T]) -> _T:
         """Calls the first server that can serve it.
 
         Args:
@@ -84,12 +82,12 @@
             RefusedError: If a server refused the call.
             ExceptionGroup: Of `NoAnswerError`, if no server answered.
         """
-        failures: list[transport_lib.NoAnswerError] = []
+        failures: list[calls.NoAnswerError] = []
         refused: RefusedError | None = None
         for server in self.servers:
             try:
                 return await self.call_server(server, call, kind)
-            except transport_lib.NoAnswerError as failure:
+            except calls.NoAnswerError as failure:
                 failures.append(failure)
                 if failure.sent and not call.idempotent:
                     break
@@ -102,7 +100,7 @@
         raise ExceptionGroup("no server answered", failures)
 
     async def call_server(
-        self, server: str, call: transport_lib.Call, kind: type[_T]
+        self, server: str, call: calls.Call, kind: type[_T]
     ) -> _T:
         """Calls one server.
 
@@ -134,7 +132,7 @@
             RefusedError: If no server has a configuration.
             ExceptionGroup: If no server answered.
         """
-        call = transport_lib.Call(method="GET", path=("v1", "configuration"))
+        call = calls.Call(method="GET", path=("v1", "configuration"))
         return await self.call(call, bodies.ConfigurationBody)
 
     async def in_force(
@@ -153,11 +151,11 @@
         return found if found.content == same else None
 
 
-def _refusal(reply: transport_lib.Reply) -> Exception:
+def _refusal(reply: calls.Reply) -> Exception:
     try:
         return RefusedError(
             msgspec.json.decode(reply.body, type=bodies.Refusal)
         )
     except (msgspec.DecodeError, ValueError):
         message = f"{reply.server}: HTTP status {reply.status}, not readable"
-        return transport_lib.NoAnswerError(message, sent=True)
+        return calls.NoAnswerError(message, sent=True)
--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -6,12 +6,12 @@
 import click
 import msgspec
 
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
 from citronmount.cli import job_text
 from citronmount.cli import options
 from citronmount.cli import output
 from citronmount.cli import progress
-from citronmount.cli import transport as transport_lib
 from citronmount.core import codes
 from citronmount.core import jobs
 from citronmount.core import states
@@ -91,9 +91,7 @@
         idempotency_key=key or uuid.uuid4().hex,
         command=command,
     )
-    call = transport_lib.Call(
-        method="POST", path=_JOBS, body=msgspec.json.encode(body)
-    )
+    call = calls.Call(method="POST", path=_JOBS, body=msgspec.json.encode(body))
 
     async def main(client: client_lib.Client) -> jobs.JobStatus:
         found = await client.call(call, jobs.JobStatus)
@@ -157,14 +155,14 @@
     if (job is None) == (not account):
         raise click.UsageError("give either JOB or --account NAME")
     if job is not None:
-        call = transport_lib.Call(method="DELETE", path=(*_JOBS, job))
+        call = calls.Call(method="DELETE", path=(*_JOBS, job))
         found = connection.run(lambda c: c.call(call, jobs.JobStatus))
         output.emit(found, job_text.line(found), as_json=as_json)
         return
     query = {"account": account}
     if failure_domain:
         query["failure_domain"] = failure_domain
-    call = transport_lib.Call(method="DELETE", path=_JOBS, query=query)
+    call = calls.Call(method="DELETE", path=_JOBS, query=query)
     listed = connection.run(lambda c: c.call(call, bodies.JobsBody))
     output.emit_lines(listed, job_text.table(listed), as_json=as_json)
 
@@ -203,7 +201,7 @@
         idempotent=not once,
         idempotency_key=key,
     )
-    call = transport_lib.Call(
+    call = calls.Call(
         method="POST",
         path=("v1", "requests"),
         body=msgspec.json.encode(body),
@@ -226,7 +224,7 @@
         in_force = await client.configuration()
         domains = [d.name for d in in_force.content.failure_domains]
     calls = [
-        transport_lib.Call(
+        calls.Call(
             method="GET",
             path=_JOBS,
             query={
@@ -245,8 +243,8 @@
     )
 
 
-def _get(job: str, wait_ms: int = 0) -> transport_lib.Call:
-    return transport_lib.Call(
+def _get(job: str, wait_ms: int = 0) -> calls.Call:
+    return calls.Call(
         method="GET",
         path=(*_JOBS, job),
         query={"wait_ms": str(wait_ms)},
--- a/citronmount/cli/operate_commands.py
+++ b/citronmount/cli/operate_commands.py
@@ -1,15 +1,16 @@
 """The commands that look after VMs and look up tables."""
 
+import importlib
+
 import click
 from click import shell_completion
 import msgspec
-import zmq
 
 import citronmount
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
 from citronmount.cli import options
 from citronmount.cli import output
-from citronmount.cli import transport as transport_lib
 from citronmount.core import codes as codes_lib
 from citronmount.service import bodies
 
@@ -50,7 +51,7 @@
     """Stop the one VM that --server names, without cutting any request."""
     if len(connection.servers) != 1:
         raise click.UsageError("name exactly one --server to drain")
-    call = transport_lib.Call(method="POST", path=("v1", "drain"))
+    call = calls.Call(method="POST", path=("v1", "drain"))
     found = connection.run(lambda c: c.call(call, bodies.Refusal))
     text = f"{connection.servers[0]}: {found.detail}"
     output.emit(found, text, as_json=as_json)
@@ -62,7 +63,7 @@
 @output.reports_errors
 def members(connection: options.Connection, as_json: bool) -> None:
     """Show the VMs of the system as the first server sees them."""
-    call = transport_lib.Call(method="GET", path=("v1", "membership"))
+    call = calls.Call(method="GET", path=("v1", "membership"))
 
     async def main(client: client_lib.Client) -> bodies.MembersBody:
         return await client.call(call, bodies.MembersBody)
@@ -110,6 +111,7 @@
 @options.json_option
 def keys(as_json: bool) -> None:
     """Make a CURVE key pair for the settings of a VM."""
+    zmq = importlib.import_module("zmq")
     public, secret = (key.decode("ascii") for key in zmq.curve_keypair())
     body = KeysBody(public_key=public, secret_key=secret)
     text = f'public_key = "{public}"\nsecret_key = "{secret}"'
--- a/citronmount/cli/options.py
+++ b/citronmount/cli/options.py
@@ -4,14 +4,13 @@
 from collections.abc import Coroutine
 import functools
 import getpass
+import importlib
 import pathlib
 import typing
 
 import click
-from twisted.internet import interfaces
 
 from citronmount.cli import client as client_lib
-from citronmount.cli import transport as transport_lib
 from citronmount.service import settings_formats
 
 __all__ = [
@@ -71,16 +70,18 @@
     ) -> _T:
         """Runs a coroutine with a client.
 
+        The HTTP libraries are imported only now, so that commands and
+        completions without a call start fast.
+
         Args:
             main: Makes the coroutine.
 
         Returns:
             Its result.
         """
+        transport_lib = importlib.import_module("citronmount.cli.transport")
 
-        def start(
-            reactor: interfaces.IReactorCore,
-        ) -> Coroutine[object, object, _T]:
+        def start(reactor: object) -> Coroutine[object, object, _T]:
             transport = transport_lib.Transport(
                 reactor=reactor, authority_pem=self._authority_pem
             )
--- a/citronmount/cli/publishing.py
+++ b/citronmount/cli/publishing.py
@@ -1,8 +1,8 @@
 """Publishes a configuration and finds out what a lost answer was."""
 
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
 from citronmount.cli import output
-from citronmount.cli import transport as transport_lib
 from citronmount.config import configuration as configuration_lib
 from citronmount.config import sheet as sheet_lib
 from citronmount.core import codes
@@ -40,7 +40,7 @@
         The answer. It is CONFIGURATION_ACCEPTED also if an answer was lost
         and the content is found in force.
     """
-    call = transport_lib.Call(
+    call = calls.Call(
         method="PUT",
         path=("v1", "configuration"),
         query={"base_version": str(base_version), "author": author},
--- a/citronmount/cli/tests/fakes.py
+++ b/citronmount/cli/tests/fakes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from citronmount.cli import transport
+from citronmount.cli import calls
 
 __all__ = ["Servers", "run"]
 
@@ -27,7 +27,7 @@
         if isinstance(answer, Exception):
             raise answer
         body = msgspec.json.encode(answer)
-        return transport.Reply(server=server, status=200, body=body)
+        return calls.Reply(server=server, status=200, body=body)
 
 
 def run(coroutine):
--- a/citronmount/cli/tests/test_client.py
+++ b/citronmount/cli/tests/test_client.py
@@ -1,7 +1,7 @@
 import unittest
 
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
-from citronmount.cli import transport
 from citronmount.cli.tests import fakes
 from citronmount.core import codes
 from citronmount.service import bodies
@@ -10,14 +10,14 @@
 
 
 def _lost(sent):
-    return transport.NoAnswerError("lost", sent=sent)
+    return calls.NoAnswerError("lost", sent=sent)
 
 
 class ClientTest(unittest.TestCase):
     def call(self, *, idempotent=True, kind=bodies.JobsBody, **script):
         self.servers = fakes.Servers(**script)
         client = client_lib.Client(servers=script, transport=self.servers)
-        call = transport.Call(method="GET", path=("v1",), idempotent=idempotent)
+        call = calls.Call(method="GET", path=("v1",), idempotent=idempotent)
         return fakes.run(client.call(call, kind))
 
     def test_next_server_is_asked_when_nothing_took_effect(self):
--- a/citronmount/cli/tests/test_transport.py
+++ b/citronmount/cli/tests/test_transport.py
@@ -12,10 +12,11 @@
 from twisted.web import resource
 from twisted.web import server
 
+from citronmount.cli import calls
 from citronmount.cli import transport
 
 _HOST = "127.0.0.1"
-_CALL = transport.Call(
+_CALL = calls.Call(
     method="POST",
     path=("v1", "한 빛/1"),
     query={"a": "x y&z"},
@@ -113,7 +114,7 @@
             server.Site(_Echo()), tls=tls, authority_pem=certificate_pem
         )
         self.assert_echo(reply)
-        with self.assertRaises(transport.NoAnswerError):
+        with self.assertRaises(calls.NoAnswerError):
             self.send(server.Site(_Echo()), tls=tls, authority_pem=other_pem)
 
     def test_no_answer_tells_whether_the_call_was_sent(self):
@@ -121,7 +122,7 @@
         for kind, call in ((_Silent, brief), (_Rude, _CALL)):
             with self.subTest(kind=kind):
                 factory = protocol.Factory.forProtocol(kind)
-                with self.assertRaises(transport.NoAnswerError) as caught:
+                with self.assertRaises(calls.NoAnswerError) as caught:
                     self.send(factory, call=call)
                 self.assertTrue(caught.exception.sent)
 
@@ -130,7 +131,7 @@
             sender = transport.Transport(reactor=reactor)
             return await sender.send(f"{_HOST}:1", _CALL)
 
-        with self.assertRaises(transport.NoAnswerError) as caught:
+        with self.assertRaises(calls.NoAnswerError) as caught:
             transport.run(main)
         self.assertFalse(caught.exception.sent)
 
--- a/citronmount/cli/timeline_command.py
+++ b/citronmount/cli/timeline_command.py
@@ -3,12 +3,12 @@
 import click
 import msgspec
 
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
 from citronmount.cli import options
 from citronmount.cli import output
 from citronmount.cli import progress
 from citronmount.cli import timeline_text
-from citronmount.cli import transport as transport_lib
 from citronmount.core import errors
 from citronmount.service import bodies
 from citronmount.telemetry import events
@@ -53,7 +53,7 @@
         "target": target,
         "limit": str(limit),
     }
-    call = transport_lib.Call(
+    call = calls.Call(
         method="GET",
         path=("v1", "timeline"),
         query={k: v for k, v in query.items() if v},
@@ -74,7 +74,7 @@
 
 
 async def _ask_all(
-    client: client_lib.Client, call: transport_lib.Call
+    client: client_lib.Client, call: calls.Call
 ) -> TimelineResult:
     parts: list[bodies.TimelineBody] = []
     unanswered: dict[str, str] = {}
--- a/citronmount/cli/transport.py
+++ b/citronmount/cli/transport.py
@@ -5,7 +5,6 @@
 import typing
 
 import hyperlink
-import msgspec
 import treq
 from twisted.internet import defer
 from twisted.internet import endpoints
@@ -18,10 +17,9 @@
 from twisted.web import iweb
 import zope.interface
 
-from citronmount.core import codes
-from citronmount.core import errors
+from citronmount.cli import calls
 
-__all__ = ["Call", "NoAnswerError", "Reply", "Transport", "run"]
+__all__ = ["Transport", "run"]
 
 CONNECT_TIMEOUT_S = 3.0
 
@@ -39,61 +37,6 @@
 _T = typing.TypeVar("_T")
 
 
-class Call(msgspec.Struct, frozen=True, kw_only=True):
-    """One call of the HTTP API.
-
-    Attributes:
-        method: The HTTP method.
-        path: The path, whose segments are not yet percent-encoded.
-        query: The query.
-        body: The body.
-        idempotent: Whether it may be sent to a second server.
-        timeout_ms: How long to wait for the answer.
-    """
-
-    method: str
-    path: tuple[str, ...]
-    query: dict[str, str] = {}
-    body: bytes = b""
-    idempotent: bool = True
-    timeout_ms: int = 10_000
-
-
-class Reply(msgspec.Struct, frozen=True, kw_only=True):
-    """The answer of a server.
-
-    Attributes:
-        server: The server that answered.
-        status: The HTTP status.
-        body: The body.
-    """
-
-    server: str
-    status: int
-    body: bytes
-
-
-class NoAnswerError(errors.UnreachableError):
-    """A server that gave no answer.
-
-    Attributes:
-        sent: Whether any byte of the call may have reached it.
-    """
-
-    def __init__(self, message: str, *, sent: bool) -> None:
-        """Initializes the error.
-
-        Args:
-            message: What went wrong.
-            sent: Whether any byte of the call may have reached the server.
-        """
-        code = (
-            codes.ResultCode.TIMED_OUT if sent else codes.ResultCode.UNREACHABLE
-        )
-        super().__init__(message, code=code)
-        self.sent = sent
-
-
 @zope.interface.implementer(iweb.IBodyProducer)
 class _BytesProducer:
     """Writes a body at once."""
@@ -177,7 +120,7 @@
             web_client.HTTPConnectionPool(reactor, persistent=False),
         )
 
-    async def send(self, server: str, call: Call) -> Reply:
+    async def send(self, server: str, call: calls.Call) -> calls.Reply:
         """Sends a call to one server.
 
         Args:
@@ -188,7 +131,7 @@
             The answer, whatever its status.
 
         Raises:
-            NoAnswerError: If there was none.
+            calls.NoAnswerError: If there was none.
         """
         exchange = defer.ensureDeferred(self._exchange(server, call))
         timeout_s = call.timeout_ms / _MS_PER_S
@@ -197,15 +140,15 @@
             return await exchange
         except _NOT_SENT as reason:
             message = f"{server}: cannot connect: {reason}"
-            raise NoAnswerError(message, sent=False) from reason
+            raise calls.NoAnswerError(message, sent=False) from reason
         except defer.TimeoutError as reason:
             message = f"{server}: no answer within {timeout_s} s"
-            raise NoAnswerError(message, sent=True) from reason
+            raise calls.NoAnswerError(message, sent=True) from reason
         except _BROKEN as reason:
             message = f"{server}: the connection broke: {reason}"
-            raise NoAnswerError(message, sent=True) from reason
+            raise calls.NoAnswerError(message, sent=True) from reason
 
-    async def _exchange(self, server: str, call: Call) -> Reply:
+    async def _exchange(self, server: str, call: calls.Call) -> calls.Reply:
         target = hyperlink.DecodedURL.from_text("/").replace(
             path=call.path, query=tuple(call.query.items())
         )
@@ -219,7 +162,7 @@
         parts: list[bytes] = []
         await treq.collect(response, parts.append)
         body = b"".join(parts)
-        return Reply(server=server, status=response.code, body=body)
+        return calls.Reply(server=server, status=response.code, body=body)
 
 
 def _timed_out(result: object, timeout_s: float) -> typing.NoReturn:
