--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -223,7 +223,7 @@
     if not failure_domain:
         in_force = await client.configuration()
         domains = [d.name for d in in_force.content.failure_domains]
-    calls = [
+    listings = [
         calls.Call(
             method="GET",
             path=_JOBS,
@@ -235,7 +235,7 @@
         )
         for domain in domains
     ]
-    parts = [await client.call(call, bodies.JobsBody) for call in calls]
+    parts = [await client.call(call, bodies.JobsBody) for call in listings]
     listed = itertools.chain.from_iterable(part.jobs for part in parts)
     return bodies.JobsBody(
         jobs=tuple(itertools.islice(listed, limit)),
