--- a/citronmount/cli/client.py
+++ b/citronmount/cli/client.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Client", "RefusedError"]
 
+RETRY_PAUSE_MS = 1_000
+
 _ELSEWHERE = frozenset(
     {
         codes.ResultCode.NO_CONFIGURATION,
@@ -49,6 +51,9 @@
     async def send(self, server: str, call: calls.Call) -> calls.Reply:
         """Sends a call to one server."""
 
+    async def sleep(self, pause_ms: int) -> None:
+        """Waits."""
+
 
 class Client:
     """Calls one of several equal servers.
@@ -99,6 +104,40 @@
             raise refused
         raise ExceptionGroup("no server answered", failures)
 
+    async def call_patiently(
+        self, call: calls.Call, kind: type[_T], patience_ms: int
+    ) -> _T:
+        """Calls again after refusals and failures that may pass.
+
+        Args:
+            call: The call.
+            kind: The type of a good answer.
+            patience_ms: The pauses that may be made in all.
+
+        Returns:
+            The answer.
+
+        Raises:
+            RefusedError: If the refusal is final or the patience is at its
+                end.
+            ExceptionGroup: Of `NoAnswerError`, if the call is not idempotent
+                or the patience is at its end.
+        """
+        while True:
+            try:
+                return await self.call(call, kind)
+            except RefusedError as failure:
+                if patience_ms <= 0 or not codes.info(failure.code).retry:
+                    raise
+                pause_ms = failure.refusal.retry_after_ms or RETRY_PAUSE_MS
+            except ExceptionGroup:
+                if patience_ms <= 0 or not call.idempotent:
+                    raise
+                pause_ms = RETRY_PAUSE_MS
+            pause_ms = min(pause_ms, patience_ms)
+            patience_ms -= pause_ms
+            await self._transport.sleep(pause_ms)
+
     async def call_server(
         self, server: str, call: calls.Call, kind: type[_T]
     ) -> _T:
--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -20,6 +20,8 @@
 __all__ = ["cancel", "request", "status", "submit"]
 
 _POLL_MS = 10_000
+_WAIT_PATIENCE_MS = 300_000
+_MS_PER_S = 1_000
 _ANSWER_MARGIN_MS = 10_000
 _JOBS = ("v1", "jobs")
 
@@ -55,6 +57,12 @@
     "--once", is_flag=True, help="Never run it again after it has started."
 )
 @click.option("--key", default="", help="Idempotency key; made if absent.")
+@click.option(
+    "--retry-for-s",
+    type=click.FloatRange(0, 86_400),
+    default=0.0,
+    help="Submit again for so long after refusals that may pass.",
+)
 @_wait_option
 @options.connected()
 @options.json_option
@@ -72,6 +80,7 @@
     urgent: bool,
     once: bool,
     key: str,
+    retry_for_s: float,
     wait: bool,
     connection: options.Connection,
     as_json: bool,
@@ -94,7 +103,8 @@
     call = calls.Call(method="POST", path=_JOBS, body=msgspec.json.encode(body))
 
     async def main(client: client_lib.Client) -> jobs.JobStatus:
-        found = await client.call(call, jobs.JobStatus)
+        patience_ms = round(retry_for_s * _MS_PER_S)
+        found = await client.call_patiently(call, jobs.JobStatus, patience_ms)
         return await _final(client, found) if wait else found
 
     _show_job(connection.run(main), as_json)
--- a/citronmount/cli/tests/test_client.py
+++ b/citronmount/cli/tests/test_client.py
@@ -39,6 +39,32 @@
             self.call(idempotent=False, a=_lost(sent=True), b=good)
         self.assertEqual(self.servers.asked, ["a"])
 
+    def call_patiently(self, answers, patience_ms, *, idempotent=True):
+        self.servers = fakes.Servers(a=answers)
+        client = client_lib.Client(servers="a", transport=self.servers)
+        call = calls.Call(method="GET", path=("v1",), idempotent=idempotent)
+        return fakes.run(
+            client.call_patiently(call, bodies.JobsBody, patience_ms)
+        )
+
+    def test_patience_waits_as_told_and_ends(self):
+        good = bodies.JobsBody(jobs=(), total=0)
+        busy = bodies.refusal(_CODES.QUEUE_FULL, retry_after_ms=300)
+        self.assertEqual(
+            self.call_patiently([busy, _lost(sent=True), good], 9_000), good
+        )
+        self.assertEqual(self.servers.pauses_ms, [300, 1_000])
+        with self.assertRaises(client_lib.RefusedError):
+            self.call_patiently([busy] * 9, 700)
+        self.assertEqual(self.servers.pauses_ms, [300, 300, 100])
+
+    def test_patience_repeats_nothing_that_may_have_taken_effect(self):
+        final = bodies.refusal(_CODES.UNKNOWN_ACCOUNT)
+        with self.assertRaises(client_lib.RefusedError):
+            self.call_patiently([final], 9_000)
+        with self.assertRaises(ExceptionGroup):
+            self.call_patiently([_lost(sent=True)], 9_000, idempotent=False)
+
     def test_other_refusals_are_final(self):
         refusal = bodies.refusal(_CODES.UNKNOWN_ACCOUNT)
         with self.assertRaises(client_lib.RefusedError) as caught:
--- a/citronmount/cli/timeline_command.py
+++ b/citronmount/cli/timeline_command.py
@@ -65,8 +65,8 @@
         else timeline_text.draw_list(found.events)
     )
     output.emit_lines(found, lines, as_json=as_json)
-    for server, why in found.unanswered.items():
-        click.echo(f"no events from {server}: {why}", err=True)
+    for why in found.unanswered.values():
+        click.echo(f"no events from {why}", err=True)
     if found.dropped:
         click.echo(f"{found.dropped} older events are gone", err=True)
     if len(found.unanswered) == len(connection.servers):
--- a/citronmount/cli/transport.py
+++ b/citronmount/cli/transport.py
@@ -11,6 +11,7 @@
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import ssl
+from twisted.internet import task
 from twisted.python import failure
 from twisted.web import client as web_client
 from twisted.web import http_headers
@@ -148,6 +149,14 @@
             message = f"{server}: the connection broke: {reason}"
             raise calls.NoAnswerError(message, sent=True) from reason
 
+    async def sleep(self, pause_ms: int) -> None:
+        """Waits.
+
+        Args:
+            pause_ms: How long.
+        """
+        await task.deferLater(self._reactor, pause_ms / _MS_PER_S)
+
     async def _exchange(self, server: str, call: calls.Call) -> calls.Reply:
         target = hyperlink.DecodedURL.from_text("/").replace(
             path=call.path, query=tuple(call.query.items())
--- a/citronmount/config/tests/test_pool_file.py
+++ b/citronmount/config/tests/test_pool_file.py
@@ -2,6 +2,9 @@
 import tempfile
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from citronmount.config import pool_file
 from citronmount.core import errors
 
@@ -35,6 +38,31 @@
                 self.assertEqual(caught.exception.code.name, name)
                 self.assertIn(str(path), str(caught.exception))
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.sampled_from(("racks", "runners")),
+        strategies.dictionaries(
+            strategies.sampled_from(
+                ("failure_domain", "rack", "workers", "cores", "slots", "x")
+            ),
+            strategies.sampled_from(
+                ("1", "-1", "'a'", "''", "nan", "true", "[1]", "{}", "9e9")
+            ),
+        ),
+        strategies.binary(max_size=20),
+    )
+    def test_any_file_is_read_or_refused(self, table, entries, junk):
+        lines = [f"{key} = {value}" for key, value in entries.items()]
+        text = "\n".join((f"[[{table}]]", *lines, ""))
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "pool.toml"
+            for data in (text.encode(), text.encode() + junk):
+                path.write_bytes(data)
+                try:
+                    pool_file.load(path)
+                except errors.InvalidInputError as error:
+                    self.assertEqual(int(error.code) // 1000, 6)
+
 
 if __name__ == "__main__":
     unittest.main()
