--- a/citronmount/cli/client.py
+++ b/citronmount/cli/client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from citronmount.cli import transport as transport_lib
+from citronmount.cli import calls
 from citronmount.config import configuration as configuration_lib
 from citronmount.core import codes
 from citronmount.core import errors
@@ -13,6 +13,8 @@
 
 __all__ = ["Client", "RefusedError"]
 
+RETRY_PAUSE_MS = 1_000
+
 _ELSEWHERE = frozenset(
     {
         codes.ResultCode.NO_CONFIGURATION,
@@ -46,11 +48,12 @@
 class _Sender(typing.Protocol):
     """What a client needs of a transport."""
 
-    async def send(
-        self, server: str, call: transport_lib.Call
-    ) -> transport_lib.Reply:
+    async def send(self, server: str, call: calls.Call) -> calls.Reply:
         """Sends a call to one server."""
 
+    async def sleep(self, pause_ms: int) -> None:
+        """Waits."""
+
 
 class Client:
     """Calls one of several equal servers.
@@ -70,7 +73,7 @@
         self.servers = tuple(servers)
         self._transport = transport
 
-    async def call(self, call: transport_lib.Call, kind: type[_T]) -> _T:
+    async def call(self, call: calls.Call, kind: type[_T]) -> _T:
         """Calls the first server that can serve it.
 
         Args:
@@ -84,12 +87,12 @@
             RefusedError: If a server refused the call.
             ExceptionGroup: Of `NoAnswerError`, if no server answered.
         """
-        failures: list[transport_lib.NoAnswerError] = []
+        failures: list[calls.NoAnswerError] = []
         refused: RefusedError | None = None
         for server in self.servers:
             try:
                 return await self.call_server(server, call, kind)
-            except transport_lib.NoAnswerError as failure:
+            except calls.NoAnswerError as failure:
                 failures.append(failure)
                 if failure.sent and not call.idempotent:
                     break
@@ -101,8 +104,42 @@
             raise refused
         raise ExceptionGroup("no server answered", failures)
 
+    async def call_patiently(
+        self, call: calls.Call, kind: type[_T], patience_ms: int
+    ) -> _T:
+        """Calls again after refusals and failures that may pass.
+
+        Args:
+            call: The call.
+            kind: The type of a good answer.
+            patience_ms: The pauses that may be made in all.
+
+        Returns:
+            The answer.
+
+        Raises:
+            RefusedError: If the refusal is final or the patience is at its
+                end.
+            ExceptionGroup: Of `NoAnswerError`, if the call is not idempotent
+                or the patience is at its end.
+        """
+        while True:
+            try:
+                return await self.call(call, kind)
+            except RefusedError as failure:
+                if patience_ms <= 0 or not codes.info(failure.code).retry:
+                    raise
+                pause_ms = failure.refusal.retry_after_ms or RETRY_PAUSE_MS
+            except ExceptionGroup:
+                if patience_ms <= 0 or not call.idempotent:
+                    raise
+                pause_ms = RETRY_PAUSE_MS
+            pause_ms = min(pause_ms, patience_ms)
+            patience_ms -= pause_ms
+            await self._transport.sleep(pause_ms)
+
     async def call_server(
-        self, server: str, call: transport_lib.Call, kind: type[_T]
+        self, server: str, call: calls.Call, kind: type[_T]
     ) -> _T:
         """Calls one server.
 
@@ -134,7 +171,7 @@
             RefusedError: If no server has a configuration.
             ExceptionGroup: If no server answered.
         """
-        call = transport_lib.Call(method="GET", path=("v1", "configuration"))
+        call = calls.Call(method="GET", path=("v1", "configuration"))
         return await self.call(call, bodies.ConfigurationBody)
 
     async def in_force(
@@ -153,11 +190,11 @@
         return found if found.content == same else None
 
 
-def _refusal(reply: transport_lib.Reply) -> Exception:
+def _refusal(reply: calls.Reply) -> Exception:
     try:
         return RefusedError(
             msgspec.json.decode(reply.body, type=bodies.Refusal)
         )
     except (msgspec.DecodeError, ValueError):
         message = f"{reply.server}: HTTP status {reply.status}, not readable"
-        return transport_lib.NoAnswerError(message, sent=True)
+        return calls.NoAnswerError(message, sent=True)
