Rank workers with the time of the question in would_start

Cause: Domain.key takes the entry and the time since the gradient looks at the expected run time; would_start still passed the bare method, so every eager submission without a guarantee raised TypeError and got 9001 INTERNAL. Change: would_start gets now_ms; the end-to-end test submits leftover work.

--- a/citronmount/bench/tests/test_loopback_cluster.py
+++ b/citronmount/bench/tests/test_loopback_cluster.py
@@ -16,6 +16,7 @@
 memory_gb,adjacency
 failure_domain,kr-a,,in,,,,,,,
 client_account,hana,paying,,,,,,,,
+client_account,duri,paying,,,,,,,,
 guarantee,hana,,,,1,2,8,8,8,rack
 """
 
@@ -51,8 +52,10 @@
                 "per_task": {"accelerators": 8},
                 "command": json.dumps({"run_ms": 100}),
             }
-            job = steps.submit(first, gang)
-            self.assertEqual("done", steps.result(second, job)["state"])
+            leftover = {**gang, "account": "duri", "tasks": 1}
+            found = [steps.submit(first, body) for body in (gang, leftover)]
+            ends = [steps.result(second, job)["state"] for job in found]
+            self.assertEqual(["done", "done"], ends)
             body = {"account": "hana", "request": "q", "payload": "mine"}
             data = json.dumps(body).encode("ascii")
             answer = steps.call(second, "POST", "/v1/requests", data)
--- a/citronmount/core/outlook.py
+++ b/citronmount/core/outlook.py
@@ -7,12 +7,15 @@
 __all__ = ["would_start"]
 
 
-def would_start(domain: domain_lib.Domain, entry: queueing.Entry) -> bool:
+def would_start(
+    domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
+) -> bool:
     """Returns whether a new job would be placed or get room evicted now.
 
     Args:
         domain: The failure domain.
         entry: The job; it need not be queued.
+        now_ms: Monotonic time.
 
     Returns:
         Whether the account has nothing queued before it and its guarantee or
@@ -27,4 +30,5 @@
         return True
     if domain.is_trial(account) and not domain.allows(entry):
         return False
-    return placement.find(free, entry.shape, key=domain.key) is not None
+    key = domain.key(entry, now_ms)
+    return placement.find(free, entry.shape, key=key) is not None
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -256,7 +256,7 @@
             See `outlook.would_start`.
         """
         self._advance(now_ms)
-        return outlook.would_start(self._domain, self._entry(spec, 0.0))
+        return outlook.would_start(self._domain, self._entry(spec, 0.0), now_ms)
 
     def decide(self, now_ms: int) -> list[decisions.Decision]:
         """Returns what to do now.
