--- a/citronmount/telemetry/metrics.py
+++ b/citronmount/telemetry/metrics.py
@@ -55,6 +55,26 @@
     gauges: dict[str, float]
 
 
+class _Recorder:
+    """A histogram with the exact sum of its values.
+
+    The library finds the mean by a walk over the whole histogram, which would
+    hold the loop up at each export.
+    """
+
+    def __init__(self) -> None:
+        self.histogram = histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+        self.sum_us = 0
+
+    def record(self, value_us: int) -> None:
+        """Records one value, at the nearest bound if it is out of range."""
+        bounded_us = min(max(value_us, LOWEST_US), HIGHEST_US)
+        self.histogram.record_value(bounded_us)
+        self.sum_us += bounded_us
+
+
 class Metrics:
     """Records what one process does.
 
@@ -64,7 +84,7 @@
 
     def __init__(self) -> None:
         """Initializes without any value."""
-        self._histograms: dict[tuple[str, str], histogram.HdrHistogram] = {}
+        self._histograms: dict[tuple[str, str], _Recorder] = {}
         self._counters: collections.Counter[str] = collections.Counter()
         self._gauges: dict[str, Gauge] = {}
 
@@ -79,11 +99,8 @@
         key = (work_class, stage)
         recorder = self._histograms.get(key)
         if recorder is None:
-            recorder = self._histograms[key] = histogram.HdrHistogram(
-                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
-            )
-        duration_us = int(duration_ms * _US_PER_MS)
-        recorder.record_value(min(max(duration_us, LOWEST_US), HIGHEST_US))
+            recorder = self._histograms[key] = _Recorder()
+        recorder.record(int(duration_ms * _US_PER_MS))
 
     def count(self, name: str, amount: int = 1) -> None:
         """Adds to a counter.
@@ -118,18 +135,20 @@
 
 
 def _summary(
-    work_class: str, stage: str, recorder: histogram.HdrHistogram
+    work_class: str, stage: str, recorder: _Recorder
 ) -> HistogramSummary:
+    values = recorder.histogram
+    count = values.get_total_count()
+    points_us = values.get_percentile_to_value_dict(list(PERCENTILES))
     return HistogramSummary(
         work_class=work_class,
         stage=stage,
-        count=recorder.get_total_count(),
-        mean_ms=recorder.get_mean_value() / _US_PER_MS,
-        max_ms=recorder.get_max_value() / _US_PER_MS,
+        count=count,
+        mean_ms=recorder.sum_us / count / _US_PER_MS,
+        max_ms=values.get_max_value() / _US_PER_MS,
         percentiles_ms={
-            f"{percentile:g}": recorder.get_value_at_percentile(percentile)
-            / _US_PER_MS
+            f"{percentile:g}": points_us[percentile] / _US_PER_MS
             for percentile in PERCENTILES
         },
-        encoded=recorder.encode().decode("ascii"),
+        encoded=values.encode().decode("ascii"),
     )
--- a/citronmount/telemetry/tests/test_telemetry.py
+++ b/citronmount/telemetry/tests/test_telemetry.py
@@ -37,6 +37,7 @@
         found = metrics.snapshot()
         summary = found.histograms[0]
         self.assertEqual(100, summary.count)
+        self.assertAlmostEqual(50.5, summary.mean_ms)
         self.assertAlmostEqual(50, summary.percentiles_ms["50"], delta=1)
         self.assertAlmostEqual(99, summary.percentiles_ms["99"], delta=1)
         self.assertEqual({"calls": 2}, found.counters)
