Answer unknown paths in JSON and tell why a VM is not ready

Cause: unknown paths got HTML, and a VM without a configuration said that it was rebuilding. Change: routing errors are refusals with INVALID_REQUEST; readiness names DRAINING, NO_CONFIGURATION or REBUILDING. Conclusion: tests cover each.

--- a/citronmount/service/api.py
+++ b/citronmount/service/api.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 from twisted.python import failure
 from twisted.web import http
+from werkzeug import exceptions
 
 from citronmount.agent import events
 from citronmount.config import sheet
@@ -106,6 +107,17 @@
         retry_after_ms = getattr(error, "retry_after_ms", None)
         return self._refuse(request, error.code, detail, retry_after_ms)
 
+    @app.handle_errors(exceptions.HTTPException)
+    def refuse_route(
+        self, request: http.Request, reason: failure.Failure
+    ) -> bytes:
+        """Answers a path or method that the API does not have."""
+        status = reason.value.code
+        detail = f"{status} {reason.value.name}"
+        data = self._refuse(request, codes.ResultCode.INVALID_REQUEST, detail)
+        request.setResponseCode(status)
+        return data
+
     @app.route("/v1/jobs", methods=["POST"])
     async def submit(self, request: http.Request) -> bytes:
         """Submits a job."""
@@ -221,12 +233,14 @@
         """Returns 200 while the VM takes new work, otherwise 503."""
         if self._brain.ready:
             return self._refuse(request, codes.ResultCode.OK, "ready")
-        code = (
-            codes.ResultCode.DRAINING
-            if self._brain.draining
-            else codes.ResultCode.REBUILDING
-        )
-        return self._refuse(request, code)
+        return self._refuse(request, self._why_not_ready())
+
+    def _why_not_ready(self) -> codes.ResultCode:
+        if self._brain.draining:
+            return codes.ResultCode.DRAINING
+        if self._brain.configuration is None:
+            return codes.ResultCode.NO_CONFIGURATION
+        return codes.ResultCode.REBUILDING
 
     @app.route("/v1/metrics", methods=["GET"])
     def get_metrics(self, request: http.Request) -> bytes:
--- a/citronmount/service/tests/test_api.py
+++ b/citronmount/service/tests/test_api.py
@@ -246,6 +246,21 @@
         found = [(h["work_class"], h["stage"]) for h in body["histograms"]]
         self.assertEqual([("job.paying", "queued")], found)
 
+    def test_unknown_path_and_method_are_told_in_json(self) -> None:
+        rows = (("GET", "/v2/jobs", 404), ("PATCH", "/v1/jobs", 405))
+        for method, path, expected in rows:
+            with self.subTest(path):
+                status, body = self._send(method, path)
+                self.assertEqual((expected, 2002), (status, body["code"]))
+
+    def test_readiness_tells_what_is_missing(self) -> None:
+        self.brain.ready = False
+        self.assertEqual(3008, self._send("GET", "/v1/ready")[1]["code"])
+        self.brain.configuration = None
+        self.assertEqual(3002, self._send("GET", "/v1/ready")[1]["code"])
+        self.brain.draining = True
+        self.assertEqual(3003, self._send("GET", "/v1/ready")[1]["code"])
+
     def test_drain_turns_readiness_off(self) -> None:
         self.assertEqual(202, self._send("POST", "/v1/drain")[0])
         self.assertEqual(1, len(self.brain.of_type(events.DrainRequested)))
