--- a/citronmount/service/daemon.py
+++ b/citronmount/service/daemon.py
@@ -6,6 +6,7 @@
 
 import click
 import structlog
+from twisted import logger
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.python import failure
@@ -38,7 +39,7 @@
     Raises:
         ExceptionGroup: Parts could not be closed.
     """
-    logger = structlog.get_logger()
+    log = structlog.get_logger()
     brain = wiring.make_brain(settings)
     parts = wiring.Parts(reactor=reactor, settings=settings, brain=brain)
     async with closing.ClosingStack() as stack:
@@ -49,13 +50,13 @@
         await _open_api(reactor, settings, parts, stack)
         _drain_on_signal(reactor, parts)
         parts.runtime.start(settings.timing.tick_ms)
-        logger.info(
+        log.info(
             "listening",
             callers=settings.listen.caller_address,
             peers=parts.peers.address,
         )
         await parts.runtime.exited
-        logger.info("exiting")
+        log.info("exiting")
 
 
 async def _open_api(
@@ -110,6 +111,9 @@
     def start() -> None:
         defer.ensureDeferred(serve(reactor, settings)).addBoth(end)
 
+    logger.globalLogBeginner.beginLoggingTo(
+        [], discardBuffer=True, redirectStandardIO=False
+    )
     reactor.callWhenRunning(start)
     reactor.run()
     return statuses[0] if statuses else EXIT_FAILED
--- a/citronmount/telemetry/logs.py
+++ b/citronmount/telemetry/logs.py
@@ -8,6 +8,8 @@
 
 import msgspec
 import structlog
+from twisted import logger
+from twisted.python import failure
 
 from citronmount.core import codes
 from citronmount.telemetry import events
@@ -50,16 +52,34 @@
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(vm=vm)
+    logger.globalLogPublisher.addObserver(_pass_on)
+    stack.callback(logger.globalLogPublisher.removeObserver, _pass_on)
     return stack
 
 
+def _pass_on(event: logger.LogEvent) -> None:
+    """Writes what Twisted tells at level warn or above as one line."""
+    level = event.get("log_level", logger.LogLevel.info)
+    if level < logger.LogLevel.warn:
+        return
+    structlog.get_logger().error(
+        "twisted",
+        text=logger.formatEvent(event),
+        error=_traceback(event.get("log_failure")),
+    )
+
+
+def _traceback(reason: failure.Failure | None) -> str:
+    return "" if reason is None else reason.getTraceback()
+
+
 def log_event(
-    logger: structlog.typing.FilteringBoundLogger, event: events.TimelineEvent
+    log: structlog.typing.FilteringBoundLogger, event: events.TimelineEvent
 ) -> None:
     """Writes an event of the time line as one line.
 
     Args:
-        logger: The logger.
+        log: The logger.
         event: The event.
     """
     fields = {
@@ -69,7 +89,7 @@
     }
     if event.code:
         fields["code_name"] = codes.ResultCode(event.code).name
-    logger.info(event.kind.value, **fields)
+    log.info(event.kind.value, **fields)
 
 
 def _to_json(line: dict[str, object], **options: object) -> str:
