Split the loopback run into steps

Cause: one function did the whole run. Change: a class with the phases; drained daemons that died before count as a fault.

--- a/citronmount/bench/loopback.py
+++ b/citronmount/bench/loopback.py
@@ -126,8 +126,60 @@
     return pool_file.Pool(workers=workers, runners=runners)
 
 
+class _Trial:
+    """One run under load on a cluster that is ready."""
+
+    def __init__(self, cluster: loopback_cluster.Cluster) -> None:
+        self._cluster = cluster
+        self._killed, self._drained = cluster.vms[0], cluster.vms[2]
+        self._survivors = tuple(
+            vm for vm in cluster.vms if vm not in (self._killed, self._drained)
+        )
+        self._load = loopback_load.Load(
+            reactor=reactor, vms=cluster.vms, accounts=ACCOUNTS
+        )
+
+    async def run(self) -> Report:
+        """Loads the cluster, kills one daemon and drains another."""
+        parts = self._load.start(CALLERS)
+        await _sleep(WARM_UP_S)
+        before, begin_s = _gauges(self._survivors), time.monotonic()
+        await _sleep(PHASE_S)
+        self._killed.process.kill()
+        await _sleep(PHASE_S)
+        status, cut = await self._drain()
+        await _sleep(PHASE_S)
+        after, end_s = _gauges(self._survivors), time.monotonic()
+        self._load.stop()
+        await defer.gatherResults(parts)
+        await self._load.close()
+        report = Report(
+            tally=self._load.tally,
+            latencies=self._load.metrics.snapshot().histograms,
+            doubled=_doubled(self._cluster),
+            killed=self._killed.name,
+            drained=self._drained.name,
+            drain_status=status,
+            cut_by_drain=cut,
+            use=_use(before, after, end_s - begin_s),
+            faults=(),
+        )
+        return msgspec.structs.replace(report, faults=_faults(report))
+
+    async def _drain(self) -> tuple[int, int]:
+        """Returns the exit status and how many calls were cut meanwhile."""
+        name = self._drained.name
+        before = self._load.tally.cut.get(name, 0)
+        self._drained.process.terminate()
+        status = await threads.deferToThread(
+            self._drained.process.wait, loopback_cluster.STOP_LIMIT_S
+        )
+        await _sleep(loopback_load.RETRY_S)
+        return status, self._load.tally.cut.get(name, 0) - before
+
+
 async def run() -> Report:
-    """Runs the load, kills one daemon and drains another.
+    """Runs the trial on a new cluster, which is stopped at the end.
 
     Returns:
         What was measured and checked.
@@ -135,51 +187,13 @@
     with loopback_cluster.open_cluster(_pool()) as cluster:
         steps.publish(cluster, _SHEET)
         steps.wait_until_ready(cluster)
-        killed, drained = cluster.vms[0], cluster.vms[2]
-        survivors = tuple(
-            vm for vm in cluster.vms if vm not in (killed, drained)
-        )
-        load = loopback_load.Load(
-            reactor=reactor, vms=cluster.vms, accounts=ACCOUNTS
-        )
-        parts = load.start(CALLERS)
-        await task.deferLater(reactor, WARM_UP_S)
-        before, begin_s = _gauges(survivors), time.monotonic()
-        await task.deferLater(reactor, PHASE_S)
-        killed.process.kill()
-        await task.deferLater(reactor, PHASE_S)
-        cut_before = load.tally.cut.get(drained.name, 0)
-        drained.process.terminate()
-        status = await threads.deferToThread(
-            drained.process.wait, loopback_cluster.STOP_LIMIT_S
-        )
-        await task.deferLater(reactor, PHASE_S)
-        after, end_s = _gauges(survivors), time.monotonic()
-        load.stop()
-        await defer.gatherResults(parts)
-        await load.close()
-        cut = load.tally.cut.get(drained.name, 0) - cut_before
-        doubled = _doubled(cluster)
-        steps.drain_all(_survivors_only(cluster, survivors))
-    report = Report(
-        tally=load.tally,
-        latencies=load.metrics.snapshot().histograms,
-        doubled=doubled,
-        killed=killed.name,
-        drained=drained.name,
-        drain_status=status,
-        cut_by_drain=cut,
-        use=_use(before, after, end_s - begin_s),
-        faults=(),
-    )
-    return msgspec.structs.replace(report, faults=_faults(report))
+        report = await _Trial(cluster).run()
+        steps.drain_all(cluster, gone=(report.killed, report.drained))
+    return report
 
 
-def _survivors_only(
-    cluster: loopback_cluster.Cluster, vms: tuple[loopback_cluster.Vm, ...]
-) -> loopback_cluster.Cluster:
-    cluster.vms = vms
-    return cluster
+def _sleep(seconds: float) -> defer.Deferred[None]:
+    return task.deferLater(reactor, seconds)
 
 
 def _gauges(
--- a/citronmount/bench/loopback_steps.py
+++ b/citronmount/bench/loopback_steps.py
@@ -164,13 +164,16 @@
         raise TrialError(f"{job}: {error}") from error
 
 
-def drain_all(cluster: loopback_cluster.Cluster) -> None:
+def drain_all(
+    cluster: loopback_cluster.Cluster, gone: tuple[str, ...] = ()
+) -> None:
     """Stops every daemon by SIGTERM; each must end with status 0.
 
     Args:
         cluster: The cluster.
+        gone: VMs that were stopped before.
     """
-    running = [vm for vm in cluster.vms if vm.process.poll() is None]
+    running = [vm for vm in cluster.vms if vm.name not in gone]
     for vm in running:
         vm.process.terminate()
     found = {
