Let callers ask again with a key and call twice at once

A caller that is told that the outcome is unknown asks again with the same key, and every eighth request goes through two VMs at once, so that claims are tested by concurrent and late copies too.

--- a/citronmount/bench/faults/callers.py
+++ b/citronmount/bench/faults/callers.py
@@ -21,6 +21,7 @@
 _POLL_MS = 1_500
 _MAX_TRIES = 30
 _REQUEST_TRIES = 4
+_IMPATIENT_MS = 3
 
 
 def key_of(name: str) -> str:
@@ -96,14 +97,19 @@
         specs: The request of each try, by request id.
         told: Every answer.
         submitted_ms: True time of the first try.
-        done: Whether the caller waits for nothing more.
+        open: Tries that are under way or will be made.
     """
 
     name: str
     specs: dict[str, jobs.RequestSpec]
     submitted_ms: int
     told: list[Told] = msgspec.field(default_factory=list)
-    done: bool = False
+    open: int = 0
+
+    @property
+    def done(self) -> bool:
+        """Whether the caller waits for nothing more."""
+        return not self.open
 
 
 class PublishCase(msgspec.Struct, kw_only=True):
@@ -291,6 +297,7 @@
         *,
         idempotent: bool,
         service_ms: int,
+        twice: bool = False,
     ) -> RequestCase:
         """Sends a short request.
 
@@ -298,6 +305,8 @@
             account: The client account.
             idempotent: Whether it may run more than once.
             service_ms: How long a runner works on it.
+            twice: Whether an impatient caller sends it through a second VM
+                without waiting for the first answer.
 
         Returns:
             What its caller sees.
@@ -307,7 +316,19 @@
             name=name, specs={}, submitted_ms=self._harness.clock.now_ms
         )
         self.requests[name] = case
-        self._request(case, account, idempotent, service_ms, None)
+        template = jobs.RequestSpec(
+            request=ids.RequestId(name),
+            account=account,
+            payload=json.dumps({"service_ms": service_ms, "name": name}),
+            idempotent=idempotent,
+            idempotency_key="" if idempotent else name,
+        )
+        self._request(case, template, None)
+        if twice:
+            case.open += 1
+            self._later(
+                _IMPATIENT_MS, self._request_again, case, template, None
+            )
         return case
 
     def publish(
@@ -438,38 +459,36 @@
     def _request(
         self,
         case: RequestCase,
-        account: ids.AccountId,
-        idempotent: bool,
-        service_ms: int,
+        template: jobs.RequestSpec,
         avoid: ids.VmId | None,
     ) -> None:
         number = len(case.specs) + 1
-        spec = jobs.RequestSpec(
-            request=ids.RequestId(f"{case.name}.{number}"),
-            account=account,
-            payload=json.dumps({"service_ms": service_ms, "name": case.name}),
-            idempotent=idempotent,
-            idempotency_key="" if idempotent else case.name,
+        spec = msgspec.structs.replace(
+            template, request=ids.RequestId(f"{case.name}.{number}")
         )
         case.specs[spec.request] = spec
+        case.open += 1
 
         def told(told: Told) -> None:
             case.told.append(told)
-            if number < _REQUEST_TRIES and _worth_retry(told.body):
+            case.open -= 1
+            if len(case.specs) < _REQUEST_TRIES and _worth_retry(told.body):
+                case.open += 1
                 self._later(
-                    _RETRY_MS,
-                    self._request,
-                    case,
-                    account,
-                    idempotent,
-                    service_ms,
-                    told.vm,
+                    _RETRY_MS, self._request_again, case, template, told.vm
                 )
-            else:
-                case.done = True
 
         self._call(peer_messages.RunRequest(spec=spec), told, avoid=avoid)
 
+    def _request_again(
+        self,
+        case: RequestCase,
+        template: jobs.RequestSpec,
+        avoid: ids.VmId | None,
+    ) -> None:
+        case.open -= 1
+        self._request(case, template, avoid)
+
     def _publish(self, case: PublishCase, vm: ids.VmId | None) -> None:
         def told(told: Told) -> None:
             case.told.append(told)
@@ -491,12 +510,15 @@
 
 
 def _worth_retry(body: peer_messages.Answer | None) -> bool:
+    """Returns whether a caller asks again, with the same key if any."""
     match body:
         case None:
             return True
         case peer_messages.RequestAnswer(result=result):
-            return codes.info(result.code).retry
+            code = result.code
         case peer_messages.Failure(result=result):
-            return codes.info(result.code).retry
+            code = result.code
         case _:
             return False
+    unknown = code is codes.ResultCode.OUTCOME_UNKNOWN
+    return unknown or codes.info(code).retry
--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -365,6 +365,7 @@
             harness_site.PAYING,
             idempotent=index % 2 == 0,
             service_ms=self.rng.choice([10, 30, 80, 300]),
+            twice=index % 8 == 3,
         )
 
     def _schedule_trigger(self) -> None:
--- a/citronmount/bench/faults/sabotage.py
+++ b/citronmount/bench/faults/sabotage.py
@@ -277,7 +277,7 @@
 @sabotage(
     "claims-always-granted",
     "at-most-once",
-    ("vm-dies", "request.answer"),
+    ("process-paused", "request.send"),
     seeds=40,
 )
 def _no_claims() -> Iterator[Callable[..., Any]]:
