--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -6,12 +6,12 @@
 import click
 import msgspec
 
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
 from citronmount.cli import job_text
 from citronmount.cli import options
 from citronmount.cli import output
 from citronmount.cli import progress
-from citronmount.cli import transport as transport_lib
 from citronmount.core import codes
 from citronmount.core import jobs
 from citronmount.core import states
@@ -20,6 +20,8 @@
 __all__ = ["cancel", "request", "status", "submit"]
 
 _POLL_MS = 10_000
+_WAIT_PATIENCE_MS = 300_000
+_MS_PER_S = 1_000
 _ANSWER_MARGIN_MS = 10_000
 _JOBS = ("v1", "jobs")
 
@@ -55,6 +57,12 @@
     "--once", is_flag=True, help="Never run it again after it has started."
 )
 @click.option("--key", default="", help="Idempotency key; made if absent.")
+@click.option(
+    "--retry-for-s",
+    type=click.FloatRange(0, 86_400),
+    default=0.0,
+    help="Submit again for so long after refusals that may pass.",
+)
 @_wait_option
 @options.connected()
 @options.json_option
@@ -72,6 +80,7 @@
     urgent: bool,
     once: bool,
     key: str,
+    retry_for_s: float,
     wait: bool,
     connection: options.Connection,
     as_json: bool,
@@ -91,12 +100,11 @@
         idempotency_key=key or uuid.uuid4().hex,
         command=command,
     )
-    call = transport_lib.Call(
-        method="POST", path=_JOBS, body=msgspec.json.encode(body)
-    )
+    call = calls.Call(method="POST", path=_JOBS, body=msgspec.json.encode(body))
 
     async def main(client: client_lib.Client) -> jobs.JobStatus:
-        found = await client.call(call, jobs.JobStatus)
+        patience_ms = round(retry_for_s * _MS_PER_S)
+        found = await client.call_patiently(call, jobs.JobStatus, patience_ms)
         return await _final(client, found) if wait else found
 
     _show_job(connection.run(main), as_json)
@@ -157,14 +165,14 @@
     if (job is None) == (not account):
         raise click.UsageError("give either JOB or --account NAME")
     if job is not None:
-        call = transport_lib.Call(method="DELETE", path=(*_JOBS, job))
+        call = calls.Call(method="DELETE", path=(*_JOBS, job))
         found = connection.run(lambda c: c.call(call, jobs.JobStatus))
         output.emit(found, job_text.line(found), as_json=as_json)
         return
     query = {"account": account}
     if failure_domain:
         query["failure_domain"] = failure_domain
-    call = transport_lib.Call(method="DELETE", path=_JOBS, query=query)
+    call = calls.Call(method="DELETE", path=_JOBS, query=query)
     listed = connection.run(lambda c: c.call(call, bodies.JobsBody))
     output.emit_lines(listed, job_text.table(listed), as_json=as_json)
 
@@ -203,7 +211,7 @@
         idempotent=not once,
         idempotency_key=key,
     )
-    call = transport_lib.Call(
+    call = calls.Call(
         method="POST",
         path=("v1", "requests"),
         body=msgspec.json.encode(body),
@@ -225,8 +233,8 @@
     if not failure_domain:
         in_force = await client.configuration()
         domains = [d.name for d in in_force.content.failure_domains]
-    calls = [
-        transport_lib.Call(
+    listings = [
+        calls.Call(
             method="GET",
             path=_JOBS,
             query={
@@ -237,7 +245,7 @@
         )
         for domain in domains
     ]
-    parts = [await client.call(call, bodies.JobsBody) for call in calls]
+    parts = [await client.call(call, bodies.JobsBody) for call in listings]
     listed = itertools.chain.from_iterable(part.jobs for part in parts)
     return bodies.JobsBody(
         jobs=tuple(itertools.islice(listed, limit)),
@@ -245,8 +253,8 @@
     )
 
 
-def _get(job: str, wait_ms: int = 0) -> transport_lib.Call:
-    return transport_lib.Call(
+def _get(job: str, wait_ms: int = 0) -> calls.Call:
+    return calls.Call(
         method="GET",
         path=(*_JOBS, job),
         query={"wait_ms": str(wait_ms)},
--- a/citronmount/cli/tests/test_client.py
+++ b/citronmount/cli/tests/test_client.py
@@ -1,50 +1,24 @@
 import unittest
 
-import msgspec
-
+from citronmount.cli import calls
 from citronmount.cli import client as client_lib
-from citronmount.cli import transport
+from citronmount.cli.tests import fakes
 from citronmount.core import codes
 from citronmount.service import bodies
 
 _CODES = codes.ResultCode
-_GOOD = bodies.refusal(_CODES.OK, "alive")
-
-
-class _Servers:
-    """Answers calls from a script, one entry a server."""
-
-    def __init__(self, **script):
-        self.script = script
-        self.asked = []
-
-    async def send(self, server, call):
-        self.asked.append(server)
-        answer = self.script[server]
-        if isinstance(answer, Exception):
-            raise answer
-        body = msgspec.json.encode(answer)
-        return transport.Reply(server=server, status=200, body=body)
-
-
-def _run(coroutine):
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise AssertionError("the client waited for something")
 
 
 def _lost(sent):
-    return transport.NoAnswerError("lost", sent=sent)
+    return calls.NoAnswerError("lost", sent=sent)
 
 
 class ClientTest(unittest.TestCase):
     def call(self, *, idempotent=True, kind=bodies.JobsBody, **script):
-        self.servers = _Servers(**script)
+        self.servers = fakes.Servers(**script)
         client = client_lib.Client(servers=script, transport=self.servers)
-        call = transport.Call(method="GET", path=("v1",), idempotent=idempotent)
-        return _run(client.call(call, kind))
+        call = calls.Call(method="GET", path=("v1",), idempotent=idempotent)
+        return fakes.run(client.call(call, kind))
 
     def test_next_server_is_asked_when_nothing_took_effect(self):
         good = bodies.JobsBody(jobs=(), total=0)
@@ -65,6 +39,32 @@
             self.call(idempotent=False, a=_lost(sent=True), b=good)
         self.assertEqual(self.servers.asked, ["a"])
 
+    def call_patiently(self, answers, patience_ms, *, idempotent=True):
+        self.servers = fakes.Servers(a=answers)
+        client = client_lib.Client(servers="a", transport=self.servers)
+        call = calls.Call(method="GET", path=("v1",), idempotent=idempotent)
+        return fakes.run(
+            client.call_patiently(call, bodies.JobsBody, patience_ms)
+        )
+
+    def test_patience_waits_as_told_and_ends(self):
+        good = bodies.JobsBody(jobs=(), total=0)
+        busy = bodies.refusal(_CODES.QUEUE_FULL, retry_after_ms=300)
+        self.assertEqual(
+            self.call_patiently([busy, _lost(sent=True), good], 9_000), good
+        )
+        self.assertEqual(self.servers.pauses_ms, [300, 1_000])
+        with self.assertRaises(client_lib.RefusedError):
+            self.call_patiently([busy] * 9, 700)
+        self.assertEqual(self.servers.pauses_ms, [300, 300, 100])
+
+    def test_patience_repeats_nothing_that_may_have_taken_effect(self):
+        final = bodies.refusal(_CODES.UNKNOWN_ACCOUNT)
+        with self.assertRaises(client_lib.RefusedError):
+            self.call_patiently([final], 9_000)
+        with self.assertRaises(ExceptionGroup):
+            self.call_patiently([_lost(sent=True)], 9_000, idempotent=False)
+
     def test_other_refusals_are_final(self):
         refusal = bodies.refusal(_CODES.UNKNOWN_ACCOUNT)
         with self.assertRaises(client_lib.RefusedError) as caught:
