Let long jobs wait rather than break up another worker

Cause: long single jobs, and those evicted in a burst, started in whatever gap was free and kept its worker broken up for hours; the mix of gangs was not learnt before 64 submissions.

Change: waiting counts the workers needed once short jobs have ended and applies to any job expected to run for half an hour; an evicted job may wait again; the narrowest place is tried before waiting.

--- a/citronmount/core/domain.py
+++ b/citronmount/core/domain.py
@@ -288,6 +288,7 @@
         """Queues an entry."""
         account = entry.spec.account
         entry.queued_ms = now_ms
+        entry.patient_until_ms = None
         if not self.queue.size(account):
             self.ledger.wake(account, self.queue.accounts(), now_ms)
         self.queue.add(entry, press_at_ms=press_at_ms)
@@ -326,6 +327,22 @@
         ends = self._timeline(now_ms, worker)
         return ends[-1][0] if ends else now_ms
 
+    def room_at(
+        self, worker: ids.WorkerId, now_ms: int, later_ms: int
+    ) -> jobs.Resources:
+        """Returns the room of a worker once some of its jobs have ended.
+
+        Args:
+            worker: The worker.
+            now_ms: Monotonic time.
+            later_ms: Jobs expected to end before this time count as ended.
+        """
+        room = self.pool.free.room(worker)
+        for end_ms, freed in self._timeline(now_ms, worker):
+            if end_ms < later_ms:
+                room = resources.plus(room, freed)
+        return room
+
     def _timeline(
         self, now_ms: int, worker: ids.WorkerId
     ) -> list[tuple[int, jobs.Resources]]:
--- a/citronmount/core/fragmentation.py
+++ b/citronmount/core/fragmentation.py
@@ -32,6 +32,7 @@
         self._learnt: dict[shapes.Shape, float] = {}
         self._total_h = 0.0
         self._units: list[tuple[jobs.Resources, float]] = []
+        self._noted = 0
         self._since_refresh = 0
         self._gradients: dict[tuple[jobs.Resources, jobs.Resources], float] = {}
 
@@ -59,8 +60,9 @@
         self._total_h += weight_h
         if self._total_h > _MEMORY_H:
             self._decay()
+        self._noted += 1
         self._since_refresh += 1
-        if self._since_refresh >= _REFRESH_SUBMISSIONS:
+        if self._since_refresh >= min(self._noted / 2, _REFRESH_SUBMISSIONS):
             self._refresh()
 
     def on_worker(self, room: jobs.Resources, taken: jobs.Resources) -> float:
--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -78,14 +78,19 @@
         self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
     ) -> Sequence[decisions.PlaceJob]:
         domain = self._domain
-        if domain.policy.patient and patience.waits(
-            domain, entry, groups, self._now_ms
-        ):
-            return ()
+        if domain.policy.patient and self._waits(entry, groups):
+            groups = self._search(entry, self._may_delay(entry), narrow=True)
+            if groups is None or self._waits(entry, groups):
+                return ()
         domain.place(entry, groups, self._now_ms)
         placed = jobs.Placement(groups=groups)
         return (decisions.PlaceJob(job=entry.spec.job, placement=placed),)
 
+    def _waits(
+        self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
+    ) -> bool:
+        return patience.waits(self._domain, entry, groups, self._now_ms)
+
     def _find(self, entry: queueing.Entry) -> tuple[jobs.TaskGroup, ...] | None:
         limited = self._may_delay(entry)
         if {(entry.shape, False), (entry.shape, limited)} & self._failed:
@@ -102,15 +107,18 @@
         return self._now_ms + run_ms > self._reservation.start_ms
 
     def _search(
-        self, entry: queueing.Entry, limited: bool
+        self, entry: queueing.Entry, limited: bool, *, narrow: bool = False
     ) -> tuple[jobs.TaskGroup, ...] | None:
         domain = self._domain
+        key = domain.key(entry, self._now_ms)
+        if narrow:
+            key = placement.fewest_workers(key)
         limit = self._limit if limited else None
         for avoid in entry.avoidances(self._now_ms):
             groups = placement.find(
                 domain.pool.free,
                 entry.shape,
-                key=domain.key(entry, self._now_ms),
+                key=key,
                 limit=limit,
                 avoid=avoid,
             )
--- a/citronmount/core/patience.py
+++ b/citronmount/core/patience.py
@@ -1,14 +1,16 @@
-"""Lets a gang wait a little rather than scatter over many workers.
+"""Lets a long job wait a little rather than break up one more worker.
 
-A long gang that starts in the gaps of a burst of short jobs keeps each of its
-workers broken up long after the burst. Waiting for a bounded share of the
-run time, as in delay scheduling (Zaharia et al., EuroSys 2010), mostly finds
-room on fewer workers.
+A long job that starts in the gaps of a burst of short ones keeps its workers
+broken up long after the burst. It waits for a bounded share of its run time,
+as in delay scheduling (Zaharia et al., EuroSys 2010), if fewer workers would
+do once the short jobs have ended.
 """
 
 import heapq
+import itertools
 
 from citronmount.core import domain as domain_lib
+from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import queueing
 from citronmount.core import resources
@@ -17,7 +19,9 @@
 
 RUN_TIME_SHARE = 0.1
 MAX_WAIT_MS = 900_000
+MIN_RUN_MS = 1_800_000
 _OUTLASTING_SHARE = 0.5
+_WORKERS_SEEN = 64
 
 
 def waits(
@@ -34,9 +38,9 @@
         groups: Where it could start.
         now_ms: Monotonic time.
     """
-    if entry.shape.tasks == 1 or entry.lane < queueing.Lane.NEW:
-        return False
     run_ms = domain.estimator.run_ms(entry.spec, entry.progress)
+    if entry.lane < queueing.Lane.NEW or run_ms < MIN_RUN_MS:
+        return False
     if not _scatters(domain, entry, groups, now_ms, run_ms):
         return False
     if entry.patient_until_ms is None:
@@ -58,6 +62,27 @@
     outlasted = sum(
         domain.busy_until(group.worker, now_ms) < late_ms for group in groups
     )
+    if not outlasted:
+        return False
+    joined = sum(
+        _room_beside_long_jobs(domain, entry, worker, now_ms, late_ms)
+        for worker in itertools.islice(domain.pool.free, _WORKERS_SEEN)
+    )
     capacity = domain.pool.capacity(groups[0].worker)
     each = max(resources.count(capacity, entry.shape.per_task), 1)
-    return outlasted > -(-entry.shape.tasks // each)
+    alone = max(entry.shape.tasks - joined, 0)
+    return outlasted > -(-alone // each)
+
+
+def _room_beside_long_jobs(
+    domain: domain_lib.Domain,
+    entry: queueing.Entry,
+    worker: ids.WorkerId,
+    now_ms: int,
+    late_ms: int,
+) -> int:
+    """Returns how many tasks could join jobs that run for long anyway."""
+    if domain.busy_until(worker, now_ms) < late_ms:
+        return 0
+    room = domain.room_at(worker, now_ms, late_ms)
+    return resources.count(room, entry.shape.per_task)
--- a/citronmount/core/placement.py
+++ b/citronmount/core/placement.py
@@ -11,7 +11,14 @@
 from citronmount.core import shapes
 from citronmount.core import states
 
-__all__ = ["Key", "Limit", "best_fit", "find", "first_fit"]
+__all__ = [
+    "Key",
+    "Limit",
+    "best_fit",
+    "fewest_workers",
+    "find",
+    "first_fit",
+]
 
 Key = Callable[[pool.RoomIndex, ids.WorkerId, jobs.Resources, int], tuple]
 Limit = Callable[[ids.WorkerId], jobs.Resources]
@@ -42,6 +49,20 @@
     return (left, index.rack_total(index.rack(worker)), worker)
 
 
+def fewest_workers(key: Key) -> Key:
+    """Ranks workers by how much of the gang they hold, then by a key."""
+
+    def narrow(
+        index: pool.RoomIndex,
+        worker: ids.WorkerId,
+        per_task: jobs.Resources,
+        tasks: int,
+    ) -> tuple:
+        return (-tasks, *key(index, worker, per_task, tasks))
+
+    return narrow
+
+
 def find(
     index: pool.RoomIndex,
     shape: shapes.Shape,
