Keep every claim of a key; void ends told by fenced owners

Cause, by trace: the book kept only the first claim of a key that it heard of, so freeing the own one left the key free although another VM's claim, read from the log meanwhile, stood, and the request ran twice; an owner fenced off could append CANCELLED_NOT_RUN for a job that its successor had started; reports that came while the owner itself was rebuilding were dropped. Change: a key holds all claims that were not freed, and a vote needs that no other stands; one reader folds the job stream, in order, for joining, taking over, following and the log's vote; intents and ends carry the token, and a higher intent voids an end; keepers wait until the owner can take reports. Reading the stream once also ends the repeated reads that each claim caused.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -18,6 +18,7 @@
 from citronmount.agent import ownership as ownership_lib
 from citronmount.agent import request_desk
 from citronmount.agent import settings as settings_lib
+from citronmount.agent import stream_reader
 from citronmount.config import configuration
 from citronmount.core import codes
 from citronmount.core import ids
@@ -63,8 +64,13 @@
         )
         self.book = job_book.JobBook(failure_domain=settings.failure_domain)
         self.outbox = outbox_lib.Outbox(ctx=self._ctx, view=self.view)
+        self.reader = stream_reader.StreamReader(ctx=self._ctx, book=self.book)
         self.claims = claims_lib.Claims(
-            ctx=self._ctx, view=self.view, book=self.book, outbox=self.outbox
+            ctx=self._ctx,
+            view=self.view,
+            book=self.book,
+            outbox=self.outbox,
+            reader=self.reader,
         )
         self.configuration = configuration_lib.ConfigurationKeeper(
             ctx=self._ctx,
@@ -77,6 +83,7 @@
             view=self.view,
             book=self.book,
             outbox=self.outbox,
+            reader=self.reader,
             claims=self.claims,
             configuration=self.configuration,
             workers=lambda: self._workers,
@@ -122,7 +129,7 @@
         self.joining = joining_lib.Joining(
             ctx=self._ctx,
             view=self.view,
-            book=self.book,
+            reader=self.reader,
             configuration=self.configuration,
             ownership=self.ownership,
             listen_ms=self.settings.heartbeat_ms * 2,
@@ -286,7 +293,9 @@
             self.keeping.owner_heard()
             self.keeping.lapse = frozenset(domain.lapsing())
         owner = self.view.owner(self.settings.failure_domain, self._ctx.now_ms)
-        self.keeping.tick(self.ownership.token, owner)
+        rebuilding = owner == self.settings.vm and domain is None
+        reachable = None if rebuilding else owner
+        self.keeping.tick(self.ownership.token, reachable)
 
     def _call_arrived(self, event: events.CallArrived) -> None:
         ticket = event.ticket
--- a/citronmount/agent/claims.py
+++ b/citronmount/agent/claims.py
@@ -6,12 +6,12 @@
 
 from citronmount.agent import context
 from citronmount.agent import outbox as outbox_lib
+from citronmount.agent import stream_reader
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
 from citronmount.state import job_book
 from citronmount.state import records
 
@@ -48,6 +48,7 @@
     undecided: set[str]
     grants: set[str]
     durable: bool = False
+    in_log: list[records.KeyClaimed] = msgspec.field(default_factory=list)
     holder: records.KeyClaimed | None = None
     result: records.KeyResult | None = None
     closed: bool = False
@@ -69,6 +70,7 @@
         view: view_lib.MembershipView,
         book: job_book.JobBook,
         outbox: outbox_lib.Outbox,
+        reader: stream_reader.StreamReader,
     ) -> None:
         """Initializes without open claims.
 
@@ -77,11 +79,14 @@
             view: Who votes.
             book: The claims that the own vote went to.
             outbox: Writes claims durably.
+            reader: Shows the order of claims in the log.
         """
         self._ctx = ctx
         self._view = view
         self._book = book
         self._outbox = outbox
+        self._reader = reader
+        reader.listeners.append(self._note_logged)
         self._stream = records.job_stream(ctx.settings.failure_domain)
         self._open: dict[ids.RecordId, _Election] = {}
 
@@ -145,10 +150,16 @@
         Returns:
             The vote, with an empty call id.
         """
-        if self._view.ready:
+        others = (
+            held
+            for held in self._book.claims_of(claim.key)
+            if held.record != claim.record
+        )
+        holder = next(others, None)
+        freed = self._book.is_freed(claim.record)
+        if holder is None and self._view.ready and not freed:
             self._book.fold(claim)
-        holder = self._book.claims.get(claim.key)
-        granted = holder is not None and holder.record == claim.record
+        granted = holder is None and self._view.ready and not freed
         return peer_messages.ClaimAnswer(
             call=ids.CallId(""),
             granted=granted,
@@ -220,18 +231,45 @@
     def _read_log_vote(self, election: _Election) -> None:
         """Counts the log's vote if the claim is the key's first."""
 
-        def was_read(page: messages.LogPage | None) -> None:
-            if page is None or election.closed:
+        def was_read(complete: bool) -> None:
+            own = election.claim.record
+            logged = [claim.record for claim in election.in_log]
+            if election.closed or not complete or own not in logged:
                 return
-            first = _first_claim(page, election.claim.key)
             election.undecided.discard(_LOG_VOTER)
-            if first is not None and first.record == election.claim.record:
+            first = election.in_log[0]
+            if first.record == own:
                 election.grants.add(_LOG_VOTER)
-            elif first is not None:
+            else:
                 election.holder = first
             self._check(election)
 
-        self._ctx.read_log(self._stream, self._book.next_offset, was_read)
+        self._reader.read_to_end(was_read)
+
+    def _note_logged(self, record: records.Record) -> None:
+        """Follows the standing claims of open keys in the order of the log."""
+        match record:
+            case records.KeyClaimed():
+                if self._book.is_freed(record.record):
+                    return
+                for election in self._of_key(record.key):
+                    election.in_log.append(record)
+            case records.KeyResult():
+                if codes.info(record.result.code).proves_not_run:
+                    self._note_freed(record.key, record.claim)
+
+    def _note_freed(self, key: str, claim: ids.RecordId) -> None:
+        for election in self._of_key(key):
+            election.in_log = [
+                held for held in election.in_log if held.record != claim
+            ]
+
+    def _of_key(self, key: str) -> list[_Election]:
+        return [
+            election
+            for election in self._open.values()
+            if election.claim.key == key
+        ]
 
     def _check(self, election: _Election) -> None:
         if election.closed:
@@ -274,22 +312,3 @@
         for voter in self._view.voters():
             if voter != self._ctx.settings.vm:
                 self._ctx.send(voter, message)
-
-
-def _first_claim(page: messages.LogPage, key: str) -> records.KeyClaimed | None:
-    """Returns the claim of a key that the log has first and not freed."""
-    standing: records.KeyClaimed | None = None
-    freed: set[ids.RecordId] = set()
-    for entry in page.records:
-        record = records.decode(entry.data)
-        match record:
-            case records.KeyClaimed() if record.key == key:
-                if standing is None and record.record not in freed:
-                    standing = record
-            case records.KeyResult() if record.key == key:
-                if codes.info(record.result.code).proves_not_run:
-                    freed.add(record.claim)
-                    if standing is not None:
-                        kept = standing.record != record.claim
-                        standing = standing if kept else None
-    return standing
--- a/citronmount/agent/joining.py
+++ b/citronmount/agent/joining.py
@@ -3,11 +3,10 @@
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
 from citronmount.agent import ownership as ownership_lib
+from citronmount.agent import stream_reader
 from citronmount.core import ids
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
-from citronmount.state import job_book
 from citronmount.state import records
 
 __all__ = ["Joining"]
@@ -29,7 +28,7 @@
         *,
         ctx: context.Context,
         view: view_lib.MembershipView,
-        book: job_book.JobBook,
+        reader: stream_reader.StreamReader,
         configuration: configuration_lib.ConfigurationKeeper,
         ownership: ownership_lib.Ownership,
         listen_ms: int,
@@ -39,14 +38,14 @@
         Args:
             ctx: The shared context.
             view: Which peers live.
-            book: What is brought up to date.
+            reader: Brings the job book up to date.
             configuration: The configuration in force.
             ownership: Merges the answers of peers.
             listen_ms: How long to wait for heartbeats of peers first.
         """
         self._ctx = ctx
         self._view = view
-        self._book = book
+        self._reader = reader
         self._configuration = configuration
         self._ownership = ownership
         self._listen_until_ms: int | None = None
@@ -77,19 +76,12 @@
             return
         self._reading = True
         self._retry_ms = self._ctx.now_ms + RETRY_MS
-        stream = records.job_stream(self._ctx.settings.failure_domain)
-        self._ctx.read_log(stream, self._book.next_offset, self._was_read)
+        self._reader.read_to_end(self._was_read)
 
-    def _was_read(self, page: messages.LogPage | None) -> None:
+    def _was_read(self, complete: bool) -> None:
         self._reading = False
-        self._log_failed = page is None
-        if page is None:
-            return
-        self._book.fold_page(page)
-        if self._book.next_offset < page.end and page.records:
-            self._read()
-            return
-        self._log_read = True
+        self._log_failed = not complete
+        self._log_read = complete
         self._check()
 
     def _ask(self, peer: ids.VmId) -> None:
--- a/citronmount/agent/keeping.py
+++ b/citronmount/agent/keeping.py
@@ -99,7 +99,8 @@
 
         Args:
             token: The highest fencing token known.
-            owner: The owner of the failure domain, if any is known.
+            owner: The owner of the failure domain; None while there is none
+                that could take reports.
         """
         silent_ms = self._ctx.now_ms - self._owner_heard_ms
         if silent_ms <= AUTHORITY_MS and token > 0:
--- a/citronmount/agent/outbox.py
+++ b/citronmount/agent/outbox.py
@@ -66,6 +66,13 @@
             handler(outcome)
 
 
+class _Held(msgspec.Struct, frozen=True, kw_only=True):
+    """A record that is kept for a peer."""
+
+    record: records.Record
+    since_ms: int
+
+
 class Outbox:
     """Writes records durably and in order of each stream.
 
@@ -91,10 +98,7 @@
         ] = {}
         self._in_flight: set[ids.StreamName] = set()
         self._retry_ms: dict[ids.StreamName, int] = {}
-        self._held: dict[
-            ids.StreamName, dict[ids.RecordId, records.Record]
-        ] = {}
-        self._held_since_ms: dict[ids.RecordId, int] = {}
+        self._held: dict[ids.StreamName, dict[ids.RecordId, _Held]] = {}
         self._muted: dict[ids.VmId, int] = {}
         self.log_up = True
 
@@ -139,8 +143,8 @@
         """
         held = self._held.setdefault(stream, {})
         for record in entries:
-            held[record.record] = record
-            self._held_since_ms.setdefault(record.record, self._ctx.now_ms)
+            since = _Held(record=record, since_ms=self._ctx.now_ms)
+            held.setdefault(record.record, since)
 
     def unappended(self, stream: ids.StreamName) -> tuple[records.Record, ...]:
         """Returns the records that may not be in the log.
@@ -152,7 +156,7 @@
             Own writes without an answer and those held for peers.
         """
         own = (write.record for write in self._writes.get(stream, {}).values())
-        held = self._held.get(stream, {}).values()
+        held = (kept.record for kept in self._held.get(stream, {}).values())
         return tuple(itertools.chain(own, held))
 
     def streams(self) -> list[ids.StreamName]:
@@ -272,14 +276,9 @@
         """Appends what is held for peers once the log answers again."""
         if not self.log_up:
             return
-        limit = self._ctx.now_ms - HELD_APPEND_MS
+        limit_ms = self._ctx.now_ms - HELD_APPEND_MS
         for stream, held in self._held.items():
-            due = [
-                record
-                for record in held.values()
-                if self._held_since_ms[record.record] <= limit
-            ]
-            for record in due:
-                del held[record.record]
-                del self._held_since_ms[record.record]
-                self.write(stream, record)
+            due = [kept for kept in held.values() if kept.since_ms <= limit_ms]
+            for kept in due:
+                del held[kept.record.record]
+                self.write(stream, kept.record)
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -818,6 +818,8 @@
         intent = records.AttemptIntended(
             record=ids.RecordId(f"intent:{attempt.attempt}"),
             job=attempt.spec.job,
+            spec=attempt.spec,
+            token=self.token,
             attempt=attempt.attempt,
             number=attempt.number,
             placement=attempt.placement,
@@ -910,8 +912,7 @@
         entry.state = states.JobState.QUEUED
         if refused:
             self._back_off(entry)
-        claim = self._book.claims.get(f"job/{job}")
-        if claim is not None:
+        for claim in self._book.claims_of(f"job/{job}"):
             self._free_claim(claim)
 
     def _back_off(self, entry: job_table.JobEntry) -> None:
@@ -931,6 +932,7 @@
             record=ids.RecordId(f"end:{job}"),
             job=job,
             account=entry.spec.account,
+            token=self.token,
             result=result,
             attempts=entry.attempts,
             body_digest=job_table.body_digest(entry.spec),
--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -9,6 +9,7 @@
 from citronmount.agent import fencing
 from citronmount.agent import outbox as outbox_lib
 from citronmount.agent import owned_domain
+from citronmount.agent import stream_reader
 from citronmount.core import ids
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
@@ -54,6 +55,7 @@
         view: view_lib.MembershipView,
         book: job_book.JobBook,
         outbox: outbox_lib.Outbox,
+        reader: stream_reader.StreamReader,
         claims: claims_lib.Claims,
         configuration: configuration_lib.ConfigurationKeeper,
         workers: Callable[[], tuple[messages.ListedTarget, ...]],
@@ -65,6 +67,7 @@
             view: Who should own the failure domain.
             book: What must not be lost.
             outbox: Writes durably.
+            reader: Reads the job stream.
             claims: Claims keys.
             configuration: The configuration in force.
             workers: Returns the workers of the failure domain.
@@ -76,6 +79,7 @@
         self._view = view
         self._book = book
         self._outbox = outbox
+        self._reader = reader
         self._claims = claims
         self._configuration = configuration
         self._workers = workers
@@ -268,22 +272,16 @@
         self.learn_token(answer.token)
 
     def _read_log(self, round_number: int) -> None:
-        stream = records.job_stream(self._ctx.settings.failure_domain)
-
-        def was_read(page: messages.LogPage | None) -> None:
+        def was_read(complete: bool) -> None:
             if round_number != self._round:
                 return
-            if page is None:
+            if not complete:
                 self._log_failed(round_number)
                 return
-            self._book.fold_page(page)
-            if self._book.next_offset < page.end and page.records:
-                self._read_log(round_number)
-                return
             self._awaited.discard("log")
             self._check_read()
 
-        self._ctx.read_log(stream, self._book.next_offset, was_read)
+        self._reader.read_to_end(was_read)
 
     def _log_failed(self, round_number: int) -> None:
         """Goes on without the log once peers must have what it lacks."""
@@ -339,18 +337,13 @@
     def _follow(self) -> None:
         """Reads what an earlier owner may still have appended."""
         self._follow_ms = self._ctx.now_ms + FOLLOW_PERIOD_MS
-        stream = records.job_stream(self._ctx.settings.failure_domain)
 
-        def was_read(page: messages.LogPage | None) -> None:
-            if page is None:
-                return
-            self._book.fold_page(page)
-            if self.domain is not None:
+        def was_read(complete: bool) -> None:
+            if complete and self.domain is not None:
                 self.domain.restore_missing()
-            if self._book.next_offset >= page.end:
                 self._maybe_snapshot()
 
-        self._ctx.read_log(stream, self._book.next_offset, was_read)
+        self._reader.read_to_end(was_read)
 
     def _snapshot_period_ms(self) -> int:
         return self._ctx.settings.retention_ms // SNAPSHOTS_PER_RETENTION
--- a/citronmount/state/job_book.py
+++ b/citronmount/state/job_book.py
@@ -17,10 +17,11 @@
 class JobBook:
     """Accepted jobs, intents, results and key claims of a failure domain.
 
-    Folding a record twice has no further effect, and a final result wins
-    over everything, so records may come from the log, from peers and from the
-    process itself in any order. Only the first claim of a key counts until
-    its result frees the key.
+    Folding a record twice has no further effect. A final result wins over
+    everything but an intent with a higher fencing token: its writer had been
+    fenced off and never told it. So records may come from the log, from peers
+    and from the process itself in any order. Every claim of a key is kept
+    until its own result frees it.
     """
 
     def __init__(self, *, failure_domain: ids.FailureDomainId) -> None:
@@ -41,9 +42,9 @@
         self.ended: collections.OrderedDict[ids.JobId, records.JobEnded] = (
             collections.OrderedDict()
         )
-        self.claims: collections.OrderedDict[str, records.KeyClaimed] = (
-            collections.OrderedDict()
-        )
+        self._claims: collections.OrderedDict[
+            str, tuple[records.KeyClaimed, ...]
+        ] = collections.OrderedDict()
         self.key_results: collections.OrderedDict[str, records.KeyResult] = (
             collections.OrderedDict()
         )
@@ -51,12 +52,16 @@
             collections.OrderedDict()
         )
 
-    def fold_page(self, page: messages.LogPage) -> None:
+    def fold_page(self, page: messages.LogPage) -> list[records.Record]:
         """Folds one page of the job stream.
 
         Args:
             page: The page, read from `next_offset` on.
+
+        Returns:
+            The records that were not folded before, in order.
         """
+        found = []
         for entry in page.records:
             if entry.offset < self.next_offset:
                 continue
@@ -65,8 +70,10 @@
                 self.last_snapshot = entry.offset
             if record is not None:
                 self.fold(record)
+                found.append(record)
             self.next_offset = ids.Offset(entry.offset + 1)
         self.next_offset = max(self.next_offset, page.oldest)
+        return found
 
     def fold(self, record: records.Record) -> None:
         """Folds one record.
@@ -148,11 +155,13 @@
         Returns:
             The snapshot.
         """
-        recent = {
-            key: claim
-            for key, claim in self.claims.items()
+        recent = [
+            claim
+            for claims in self._claims.values()
+            for claim in claims
             if claim.claimed_ms >= claims_since_ms
-        }
+        ]
+        keys = {claim.key for claim in recent}
         return records.JobSnapshot(
             record=record,
             as_of=ids.Offset(self.next_offset - 1),
@@ -161,11 +170,11 @@
             cancelled=tuple(sorted(self.cancelled)),
             moved=tuple(self.moved.values()),
             ended=tuple(self.ended.values()),
-            claims=tuple(recent.values()),
+            claims=tuple(recent),
             key_results=tuple(
                 result
                 for key, result in self.key_results.items()
-                if key in recent
+                if key in keys
             ),
         )
 
@@ -176,10 +185,14 @@
             self.accepted.setdefault(spec.job, spec)
 
     def _intend(self, intent: records.AttemptIntended) -> None:
-        if intent.job in self.ended:
+        ended = self.ended.get(intent.job)
+        if ended is not None and ended.token >= intent.token:
             return
+        if ended is not None:
+            del self.ended[intent.job]
+            self.accepted[intent.job] = intent.spec
         known = self.intents.get(intent.job)
-        if known is None or known.number < intent.number:
+        if known is None or _age(known) < _age(intent):
             self.intents[intent.job] = intent
 
     def _cancel(self, job: ids.JobId) -> None:
@@ -199,6 +212,9 @@
             self.moved.popitem(last=False)
 
     def _end(self, ended: records.JobEnded) -> None:
+        intent = self.intents.get(ended.job)
+        if intent is not None and intent.token > ended.token:
+            return
         self.accepted.pop(ended.job, None)
         self.intents.pop(ended.job, None)
         self.cancelled.discard(ended.job)
@@ -208,11 +224,13 @@
             self.ended.popitem(last=False)
 
     def _claim(self, claim: records.KeyClaimed) -> None:
-        if claim.record in self._freed:
+        standing = self._claims.get(claim.key, ())
+        known = any(held.record == claim.record for held in standing)
+        if known or claim.record in self._freed:
             return
-        self.claims.setdefault(claim.key, claim)
-        while len(self.claims) > REMEMBERED_KEYS:
-            key, _ = self.claims.popitem(last=False)
+        self._claims[claim.key] = (*standing, claim)
+        while len(self._claims) > REMEMBERED_KEYS:
+            key, _ = self._claims.popitem(last=False)
             self.key_results.pop(key, None)
 
     def _key_result(self, result: records.KeyResult) -> None:
@@ -231,10 +249,37 @@
         self._freed[claim] = None
         while len(self._freed) > REMEMBERED_KEYS:
             self._freed.popitem(last=False)
-        held = self.claims.get(key)
-        if held is not None and held.record == claim:
-            del self.claims[key]
+        standing = tuple(
+            held for held in self.claims_of(key) if held.record != claim
+        )
+        if standing:
+            self._claims[key] = standing
+        else:
+            self._claims.pop(key, None)
+
+    def claims_of(self, key: str) -> tuple[records.KeyClaimed, ...]:
+        """Returns the claims of a key that were not freed.
+
+        Args:
+            key: The key.
+
+        Returns:
+            At most one of them was ever granted.
+        """
+        return self._claims.get(key, ())
+
+    def is_freed(self, claim: ids.RecordId) -> bool:
+        """Returns whether a claim was given back.
+
+        Args:
+            claim: The record id of the claim.
+        """
+        return claim in self._freed
 
 
 def _rank(moved: records.JobMoved) -> tuple[int, bool]:
     return moved.number, moved.confirmed
+
+
+def _age(intent: records.AttemptIntended) -> tuple[int, int]:
+    return intent.token, intent.number
--- a/citronmount/state/records.py
+++ b/citronmount/state/records.py
@@ -95,6 +95,8 @@
     Attributes:
         record: The id.
         job: The job.
+        spec: The job.
+        token: The fencing token of the scheduler.
         attempt: The attempt.
         number: The number of the attempt.
         placement: Where the gang will run.
@@ -102,6 +104,8 @@
 
     record: ids.RecordId
     job: ids.JobId
+    spec: jobs.JobSpec
+    token: ids.FenceToken
     attempt: ids.AttemptId
     number: int
     placement: jobs.Placement
@@ -114,6 +118,7 @@
         record: The id.
         job: The job.
         account: Its client account.
+        token: The fencing token of the scheduler.
         result: The result.
         attempts: How many attempts were started.
         body_digest: Digest of the job's body, to refuse another body.
@@ -122,6 +127,7 @@
     record: ids.RecordId
     job: ids.JobId
     account: ids.AccountId
+    token: ids.FenceToken
     result: jobs.JobResult
     attempts: int
     body_digest: str = ""
