--- a/citronmount/bench/faults/callers.py
+++ b/citronmount/bench/faults/callers.py
@@ -298,6 +298,7 @@
         idempotent: bool,
         service_ms: int,
         twice: bool = False,
+        vm: ids.VmId | None = None,
     ) -> RequestCase:
         """Sends a short request.
 
@@ -307,6 +308,7 @@
             service_ms: How long a runner works on it.
             twice: Whether an impatient caller sends it through a second VM
                 without waiting for the first answer.
+            vm: The first VM to call, or None for any.
 
         Returns:
             What its caller sees.
@@ -323,7 +325,7 @@
             idempotent=idempotent,
             idempotency_key="" if idempotent else name,
         )
-        self._request(case, template, None)
+        self._request(case, template, None, vm)
         if twice:
             case.open += 1
             self._later(
@@ -461,6 +463,7 @@
         case: RequestCase,
         template: jobs.RequestSpec,
         avoid: ids.VmId | None,
+        vm: ids.VmId | None = None,
     ) -> None:
         number = len(case.specs) + 1
         spec = msgspec.structs.replace(
@@ -478,7 +481,9 @@
                     _RETRY_MS, self._request_again, case, template, told.vm
                 )
 
-        self._call(peer_messages.RunRequest(spec=spec), told, avoid=avoid)
+        self._call(
+            peer_messages.RunRequest(spec=spec), told, vm=vm, avoid=avoid
+        )
 
     def _request_again(
         self,
--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -31,6 +31,7 @@
 _CHECK_EVERY_MS = 500
 _REQUEST_EVERY_MS = 250
 _REQUESTS = 40
+_BEFORE_DRAIN_MS = 50
 _TRIGGERED_FAMILIES = frozenset({"takeover", "drain", "relay"})
 _FREQUENT_STEPS = frozenset(
     {
@@ -383,6 +384,7 @@
         if "takeover" in self._families:
             self.after(wait_ms, self._kill_owner)
         if "drain" in self._families:
+            self.after(wait_ms - _BEFORE_DRAIN_MS, self._occupy_owner)
             self.after(wait_ms, self._drain_owner)
 
     def _cut_from_platform(self) -> None:
@@ -423,6 +425,16 @@
         self.harness.kill(owner)
         self.heal_after(9_000, self.harness.start, owner)
 
+    def _occupy_owner(self) -> None:
+        """Has requests under way at the owner when it is asked to stop."""
+        for idempotent in (True, False):
+            self.callers.request(
+                harness_site.PAYING,
+                idempotent=idempotent,
+                service_ms=400,
+                vm=self._owner(),
+            )
+
     def _drain_owner(self) -> None:
         owner = self._owner()
         self.after(200, self._submit_to_focus)
