--- a/citronmount/bench/faults/__main__.py
+++ b/citronmount/bench/faults/__main__.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+from citronmount.bench import harness_traffic
+from citronmount.bench.faults import agents
+from citronmount.bench.faults import availability
 from citronmount.bench.faults import cell as cell_lib
 from citronmount.bench.faults import matrix
 from citronmount.bench.faults import registry
@@ -13,6 +16,13 @@
 
 __all__ = ["main"]
 
+_TRAFFIC_SIZES = (
+    (3, 2, 8),
+    (3, 8, 8),
+    (5, 8, 8),
+    (5, 8, 16),
+    (5, 8, 52),
+)
 _TIMELINE_COLUMNS = (
     "job",
     "attempt",
@@ -35,6 +45,12 @@
         0 if every cell held, else 1.
     """
     args = _parser().parse_args(argv)
+    if args.availability:
+        _print_json(availability.measure())
+        return 0
+    if args.traffic:
+        _print_json(_traffic())
+        return 0
     if args.fault and len(args.fault) == len(args.step) and not args.json:
         return _run_one(args)
     results = []
@@ -45,7 +61,7 @@
                 _print_result(result)
     summary = matrix.summarize(results)
     if args.json:
-        print(msgspec.json.format(msgspec.json.encode(summary)).decode())
+        _print_json(summary)
     else:
         print(
             f"{summary.run} cells run, {summary.held} held,"
@@ -55,6 +71,38 @@
     return 0 if summary.held == summary.run else 1
 
 
+def _print_json(value: object) -> None:
+    print(msgspec.json.format(msgspec.json.encode(value)).decode())
+
+
+def _traffic() -> dict[str, object]:
+    """Measures the traffic of a VM at growing sizes, and its slopes."""
+    rows = [
+        harness_traffic.measure_traffic(
+            lambda vm, incarnation_ms: agents.make_agent(
+                vm, incarnation_ms, registry.DAY_MS
+            ),
+            failure_domains=failure_domains,
+            vms_each=vms_each,
+            workers_each=workers_each,
+        )
+        for failure_domains, vms_each, workers_each in _TRAFFIC_SIZES
+    ]
+    by_vms, by_workers = rows[:3], rows[2:]
+    return {
+        "rows": rows,
+        "bytes_per_s_per_vm": harness_traffic.slope(
+            [(row.vms, row.mean_bytes_per_s) for row in by_vms]
+        ),
+        "messages_per_s_per_vm": harness_traffic.slope(
+            [(row.vms, row.mean_messages_per_s) for row in by_vms]
+        ),
+        "bytes_per_s_per_worker": harness_traffic.slope(
+            [(row.workers, row.mean_bytes_per_s) for row in by_workers]
+        ),
+    }
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="citronmount.bench.faults")
     parser.add_argument(
@@ -65,6 +113,8 @@
     )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--pairs", action="store_true")
+    parser.add_argument("--availability", action="store_true")
+    parser.add_argument("--traffic", action="store_true")
     parser.add_argument("--json", action="store_true")
     parser.add_argument(
         "--part", default="0/1", help="run every n-th cell, such as 0/4"
--- a/citronmount/bench/faults/tests/test_matrix.py
+++ b/citronmount/bench/faults/tests/test_matrix.py
@@ -2,6 +2,7 @@
 import unittest
 
 from citronmount.bench.faults import __main__ as command
+from citronmount.bench.faults import availability
 from citronmount.bench.faults import cell as cell_lib
 from citronmount.bench.faults import matrix
 from citronmount.bench.faults import promises
@@ -76,6 +77,13 @@
         arguments = ["--fault", "log-slow", "--step", "job.accept", "--json"]
         self.assertIn(command.main(arguments), (0, 1))
 
+    def test_idempotent_requests_outlive_any_vm(self):
+        rows = availability.measure(requests=400, gap_ms=50, seeds=(1,))
+        idempotent, once = rows
+        self.assertEqual({"done": 1_200}, idempotent.last)
+        self.assertEqual(1_200, once.requests)
+        self.assertEqual(0, idempotent.violations)
+
     def test_owner_that_dies_is_replaced_in_time(self):
         for seed in range(3):
             strikes = (("misdeclared-sizes", "takeover.suspect"),)
