Warn of sheet content that is valid but hardly meant

A sheet with every failure domain out of service, or a trial account without allowance, was published without a word. Warnings go to standard error and change no exit code.

--- a/citronmount/cli/sheet_commands.py
+++ b/citronmount/cli/sheet_commands.py
@@ -14,6 +14,7 @@
 from citronmount.config import sheet_diff
 from citronmount.config import sheet_faults
 from citronmount.config import sheet_fit
+from citronmount.config import sheet_warnings
 from citronmount.service import bodies
 
 __all__ = ["sheet"]
@@ -35,6 +36,7 @@
     valid: bool
     faults: tuple[FaultBody, ...]
     further_faults: int
+    warnings: tuple[str, ...]
 
 
 class DiffBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -186,8 +188,10 @@
 
 
 def _refuse_faults(found: sheet_lib.Sheet, as_json: bool) -> None:
-    """Prints the faults and exits if there are any."""
+    """Prints the faults and exits if there are any; warns of the rest."""
     if found.configuration is not None:
+        for warning in sheet_warnings.warnings(found.configuration):
+            click.echo(f"{found.file}: warning: {warning}", err=True)
         return
     output.emit_lines(_check_body(found), found.faults, as_json=as_json)
     if found.further_faults:
@@ -196,11 +200,13 @@
 
 
 def _check_body(found: sheet_lib.Sheet) -> CheckBody:
+    content = found.configuration
     return CheckBody(
         file=found.file,
-        valid=found.configuration is not None,
+        valid=content is not None,
         faults=tuple(map(_fault_body, found.faults)),
         further_faults=found.further_faults,
+        warnings=sheet_warnings.warnings(content) if content else (),
     )
 
 
--- /dev/null
+++ b/citronmount/config/tests/test_sheet_warnings.py
@@ -0,0 +1,39 @@
+import pathlib
+import unittest
+
+from citronmount.config import sheet
+from citronmount.config import sheet_warnings
+
+_TEXT = pathlib.Path("examples/hanbit/sheet.csv").read_text(encoding="utf-8")
+
+
+class SheetWarningsTest(unittest.TestCase):
+    def warnings(self, *replacements):
+        text = _TEXT
+        for before, after in replacements:
+            self.assertIn(before, text)
+            text = text.replace(before, after)
+        content = sheet.parse(text.encode()).configuration
+        return sheet_warnings.warnings(content)
+
+    def test_examples_have_none(self):
+        self.assertEqual(self.warnings(), ())
+
+    def test_each_warning_names_whom_it_concerns(self):
+        cases = (
+            ((",,in,", ",,out,"), (), "no failure domain"),
+            (("nuri-trial,,,,,,16", "nuri-trial,,,,,,0"), (), "nuri-trial: "),
+            (
+                ("hana-mart,,,,1", "hana-mart,,,kr-b,1"),
+                ("kr-b,,in", "kr-b,,out"),
+                "hana-mart: ",
+            ),
+        )
+        for *replacements, expected in cases:
+            with self.subTest(expected=expected):
+                (found,) = self.warnings(*filter(None, replacements))
+                self.assertTrue(found.startswith(expected), found)
+
+
+if __name__ == "__main__":
+    unittest.main()
