--- a/citronmount/cli/tests/test_transport.py
+++ b/citronmount/cli/tests/test_transport.py
@@ -125,6 +125,7 @@
                 with self.assertRaises(calls.NoAnswerError) as caught:
                     self.send(factory, call=call)
                 self.assertTrue(caught.exception.sent)
+                self.assertNotIn("Failure", str(caught.exception))
 
     def test_refused_connection_proves_that_nothing_was_sent(self):
         async def main(reactor):
--- a/citronmount/cli/transport.py
+++ b/citronmount/cli/transport.py
@@ -146,7 +146,7 @@
             message = f"{server}: no answer within {timeout_s} s"
             raise calls.NoAnswerError(message, sent=True) from reason
         except _BROKEN as reason:
-            message = f"{server}: the connection broke: {reason}"
+            message = f"{server}: the connection broke: {_cause(reason)}"
             raise calls.NoAnswerError(message, sent=True) from reason
 
     async def sleep(self, pause_ms: int) -> None:
@@ -174,6 +174,12 @@
         return calls.Reply(server=server, status=response.code, body=body)
 
 
+def _cause(reason: Exception) -> str:
+    """Returns the first cause of a broken connection, for a person."""
+    causes = getattr(reason, "reasons", None)
+    return causes[0].getErrorMessage() if causes else str(reason)
+
+
 def _timed_out(result: object, timeout_s: float) -> typing.NoReturn:
     """Marks an exchange that was cancelled, unless it never connected."""
     if isinstance(result, failure.Failure) and result.check(*_NOT_SENT):
