--- a/citronmount/cli/bench_plot.py
+++ b/citronmount/cli/bench_plot.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import importlib
 import itertools
+import math
 import os
 import typing
 
@@ -12,8 +13,11 @@
 
 __all__ = ["panels", "write"]
 
-PANEL_WIDTH_IN = 3.2
-PANEL_HEIGHT_IN = 3.0
+COLUMNS = 2
+PANEL_WIDTH_IN = 5.0
+PANEL_HEIGHT_IN = 2.4
+TIME_UNIT = "(s)"
+LOG_SPREAD = 20
 
 Panels = dict[str, dict[str, float]]
 
@@ -36,7 +40,7 @@
         )
     )
     found = {
-        f"{work}: completion {name} (s)": _values(
+        f"{work}: completion {name} {TIME_UNIT}": _values(
             report, lambda m, w=work, n=name: _percentile(m, w, n)
         )
         for work in works
@@ -66,14 +70,16 @@
             code=codes.ResultCode.INVALID_REQUEST,
         ) from error
     drawn = panels(report)
-    size = (PANEL_WIDTH_IN * len(drawn), PANEL_HEIGHT_IN)
+    rows = max(1, math.ceil(len(drawn) / COLUMNS))
+    size = (PANEL_WIDTH_IN * COLUMNS, PANEL_HEIGHT_IN * rows)
     figure = figure_lib.Figure(figsize=size, layout="constrained")
     figure.suptitle(f"{report.bench}, seed {report.seed}")
-    axes = figure.subplots(1, len(drawn), squeeze=False)[0]
-    for axis, (title, values) in zip(axes, drawn.items(), strict=True):
-        axis.bar(list(values), list(values.values()))
-        axis.set_title(title, fontsize="small")
-        axis.tick_params(axis="x", labelrotation=30, labelsize="small")
+    axes = figure.subplots(rows, COLUMNS, squeeze=False).flat
+    for axis, panel in itertools.zip_longest(axes, drawn.items()):
+        if panel is None:
+            axis.set_visible(False)
+        else:
+            _draw(axis, *panel)
     try:
         figure.savefig(path)
     except (OSError, ValueError) as error:
@@ -82,6 +88,16 @@
         ) from error
 
 
+def _draw(axis: typing.Any, title: str, values: dict[str, float]) -> None:
+    """Draws one panel, widely spread times on a logarithmic scale."""
+    axis.barh(list(values), list(values.values()))
+    axis.invert_yaxis()
+    axis.set_title(title, fontsize="medium")
+    low, high = min(values.values()), max(values.values())
+    if title.endswith(TIME_UNIT) and 0 < low * LOG_SPREAD < high:
+        axis.set_xscale("log")
+
+
 def _values(
     report: report_lib.BenchReport,
     measure: Callable[[report_lib.PolicyMetrics], float | None],
