--- a/citronmount/config/sheet_rows.py
+++ b/citronmount/config/sheet_rows.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import csv
 import io
+import re
 from typing import BinaryIO
 
 from citronmount.config import sheet_faults
@@ -30,7 +31,7 @@
 _MAX_ROWS = 1_048_576
 _SHOWN_CHARACTERS = 40
 _UTF_16_MARKS = (b"\xff\xfe", b"\xfe\xff")
-_FORMULA_CHARACTERS = frozenset("=+@#")
+_FORMULA = re.compile("[=+@#]")
 _FORMULA_STARTS = ("=", "+", "@")
 _FORMULA_ERRORS = (
     "#REF!",
@@ -42,6 +43,8 @@
     "#NULL!",
 )
 
+_PLAIN = re.compile("[!-~]+")
+
 Row = tuple[int, list[str]]
 
 
@@ -134,7 +137,8 @@
             message = f"line {lines.number} makes the row too long"
             faults.add(number, codes.ResultCode.SHEET_TOO_LARGE, message)
             return
-        yield number, [cell.strip() for cell in cells]
+        plain = _PLAIN.fullmatch("".join(cells)) is not None
+        yield number, cells if plain else [cell.strip() for cell in cells]
     faults.add(
         _MAX_ROWS,
         codes.ResultCode.SHEET_TOO_LARGE,
@@ -176,7 +180,7 @@
         message = "a cell is not valid UTF-8"
         faults.add(number, codes.ResultCode.SHEET_ENCODING, message)
         return False
-    if _FORMULA_CHARACTERS.isdisjoint(joined):
+    if _FORMULA.search(joined) is None:
         return True
     formulas = [
         (column, cell)
