--- a/citronmount/peers/transport.py
+++ b/citronmount/peers/transport.py
@@ -220,10 +220,9 @@
         return None
     length = frames[0][0]
     name, body = frames[0][1 : length + 1], frames[0][length + 1 :]
-    message = messages.decode(body)
-    if message is None or not name:
-        return None
     try:
-        return ids.VmId(name.decode("utf-8")), message
-    except UnicodeDecodeError:
+        message = messages.decode(body)
+        sender = ids.VmId(name.decode("utf-8"))
+    except (RecursionError, UnicodeDecodeError):
         return None
+    return (sender, message) if message is not None and name else None
