--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -40,7 +40,9 @@
         failures: Attempts that ran and failed.
         setbacks: Attempts that failed, those that never started included.
         retry_ms: When it may be tried again at workers at which it failed.
+        queued_ms: When it came into the queue last.
         ran: Whether a task of it ever started.
+        reclaim_ms: When it may take room back from trials.
         tried: Whether it was placed before.
         counted_as_trial: Whether it counts against an allowance at present.
     """
@@ -53,7 +55,9 @@
         "lane",
         "patient_until_ms",
         "progress",
+        "queued_ms",
         "ran",
+        "reclaim_ms",
         "retry_ms",
         "sequence",
         "setbacks",
@@ -75,6 +79,8 @@
         self.failures = 0
         self.setbacks = 0
         self.retry_ms = 0
+        self.queued_ms = 0
+        self.reclaim_ms = 0
         self.ran = progress > 0
         self.tried = self.ran
         self.counted_as_trial = False
