--- /dev/null
+++ b/citronmount/telemetry/tests/test_metrics.py
@@ -0,0 +1,40 @@
+"""Tests of histograms, counters and gauges."""
+
+import unittest
+
+from hdrh import histogram
+
+from citronmount.telemetry import metrics as metrics_lib
+
+
+class MetricsTest(unittest.TestCase):
+    """Histograms, counters and gauges."""
+
+    def test_snapshot(self) -> None:
+        metrics = metrics_lib.Metrics()
+        for value_ms in range(1, 101):
+            metrics.record("job.paying", "queued", value_ms)
+        metrics.count("calls", 2)
+        metrics.gauge("open", lambda: 7)
+        found = metrics.snapshot()
+        summary = found.histograms[0]
+        self.assertEqual(100, summary.count)
+        self.assertAlmostEqual(50.5, summary.mean_ms)
+        self.assertAlmostEqual(50, summary.percentiles_ms["50"], delta=1)
+        self.assertAlmostEqual(99, summary.percentiles_ms["99"], delta=1)
+        self.assertEqual({"calls": 2}, found.counters)
+        self.assertEqual({"open": 7}, found.gauges)
+
+    def test_exported_histograms_can_be_merged(self) -> None:
+        metrics = metrics_lib.Metrics()
+        metrics.record("a", "b", 3)
+        encoded = metrics.snapshot().histograms[0].encoded
+        merged = histogram.HdrHistogram.decode(encoded)
+        merged.add(histogram.HdrHistogram.decode(encoded))
+        self.assertEqual(2, merged.get_total_count())
+
+    def test_values_out_of_range_are_clamped(self) -> None:
+        metrics = metrics_lib.Metrics()
+        metrics.record("a", "b", -1)
+        metrics.record("a", "b", 1e12)
+        self.assertEqual(2, metrics.snapshot().histograms[0].count)
--- /dev/null
+++ b/citronmount/telemetry/tests/test_stages.py
@@ -0,0 +1,69 @@
+"""Tests of the stages of jobs and short requests."""
+
+import unittest
+
+from citronmount.telemetry import events
+from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import stages
+
+_KIND = events.EventKind
+
+
+def _event(
+    kind: events.EventKind, at_ms: int, **fields: object
+) -> events.TimelineEvent:
+    return events.TimelineEvent(
+        physical_ms=at_ms, logical=0, process="v1", kind=kind, **fields
+    )
+
+
+class StageTimerTest(unittest.TestCase):
+    """From events to durations."""
+
+    def setUp(self) -> None:
+        self.metrics = metrics_lib.Metrics()
+        self.timer = stages.StageTimer(
+            metrics=self.metrics, class_of=lambda account: "trial"
+        )
+
+    def _observe(self, *found: events.TimelineEvent) -> dict[str, float]:
+        for event in found:
+            self.timer.observe(event)
+        return {
+            f"{summary.work_class}/{summary.stage}": summary.max_ms
+            for summary in self.metrics.snapshot().histograms
+        }
+
+    def test_life_of_an_evicted_job(self) -> None:
+        found = self._observe(
+            _event(_KIND.JOB_ACCEPTED, 0, job="j"),
+            _event(_KIND.JOB_PLACED, 10, job="j"),
+            _event(_KIND.JOB_STARTED, 15, job="j"),
+            _event(_KIND.JOB_EVICTING, 20, job="j"),
+            _event(_KIND.JOB_PLACED, 60, job="j"),
+            _event(_KIND.JOB_STARTED, 62, job="j"),
+            _event(_KIND.JOB_ENDED, 92, job="j"),
+        )
+        expected = {
+            "job.trial/queued": 10,
+            "job.trial/starting": 5,
+            "job.trial/reclaim": 40,
+            "job.trial/running": 30,
+            "job.trial/total": 92,
+        }
+        self.assertEqual(expected, {k: round(v) for k, v in found.items()})
+
+    def test_request_counts_from_its_first_attempt(self) -> None:
+        found = self._observe(
+            _event(_KIND.REQUEST_SENT, 0, request="q~v-1"),
+            _event(_KIND.REQUEST_SENT, 5, request="q~v-2"),
+            _event(_KIND.REQUEST_ANSWERED, 9, request="q"),
+        )
+        self.assertEqual(9, round(found["request.trial/served"]))
+
+    def test_stages_that_began_elsewhere_are_left_out(self) -> None:
+        found = self._observe(
+            _event(_KIND.JOB_STARTED, 5, job="j"),
+            _event(_KIND.JOB_ENDED, 9, job="j"),
+        )
+        self.assertEqual(["job.trial/running"], list(found))
