Refuse sheets that would hold the loop up

Cause: a sheet of 8 MB took 3.0 to 3.5 s to read on the loop, longer than the 2 s pause after which an owner steps down. Change: the API refuses sheets of more than 1 MiB with TOO_LARGE.

--- a/citronmount/service/api.py
+++ b/citronmount/service/api.py
@@ -32,6 +32,7 @@
 
 MAX_WAIT_MS = 60_000
 MAX_LIMIT = 10_000
+MAX_SHEET_BYTES = 1 << 20
 DEFAULT_JOBS_LIMIT = 100
 DEFAULT_EVENTS_LIMIT = 1_000
 DEFAULT_RETRY_AFTER_MS = 1_000
@@ -190,7 +191,7 @@
         """Publishes the sheet of the body."""
         base_version = _required_number(request, "base_version")
         author = _text(request, "author")
-        found = sheet.parse(request.content.read())
+        found = sheet.parse(_sheet_data(request))
         if found.configuration is None or found.faults:
             return self._refuse_sheet(request, found)
         change = records.ConfigurationChange(
@@ -345,6 +346,15 @@
         ) from error
 
 
+def _sheet_data(request: http.Request) -> bytes:
+    """Returns the sheet unless reading it would hold the loop up."""
+    data = request.content.read(MAX_SHEET_BYTES + 1)
+    if len(data) > MAX_SHEET_BYTES:
+        detail = f"a sheet takes at most {MAX_SHEET_BYTES} bytes"
+        raise _RefusedError(codes.ResultCode.TOO_LARGE, detail)
+    return data
+
+
 def _text(request: http.Request, name: str) -> str:
     values = request.args.get(name.encode("ascii"), [b""])
     try:
--- a/citronmount/service/tests/test_api.py
+++ b/citronmount/service/tests/test_api.py
@@ -207,6 +207,12 @@
         self.assertEqual((422, 7002, 2), _publish_summary(status, body))
         self.assertEqual([], self._calls())
 
+    def test_sheet_that_takes_too_long_to_read_is_refused(self) -> None:
+        row = "client_account,a,paying,,,,,,,,\n"
+        data = _HEADER + row * (api_lib.MAX_SHEET_BYTES // len(row) + 1)
+        status, body = self._publish("base_version=3", data)
+        self.assertEqual((413, 2006), (status, body["code"]))
+
     def test_publish_needs_a_base_version(self) -> None:
         status, body = self._publish("author=me")
         self.assertEqual((400, 2002), (status, body["code"]))
