Split the owned failure domain; try another home VM after silence

Change: intake, ends, moves, runs, reports and rebuilding are modules of their own round one core; requests go on to the next home VM after a second of silence, under the same claim; digests are compared; submissions carry the number of their move; peer messages are arrays; unknown failure domains and the time before the first owners are answered properly.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -386,7 +386,7 @@
             for record in message.records:
                 self.book.fold(record)
             if self.ownership.domain is not None:
-                self.ownership.domain.restore_missing()
+                self.ownership.domain.rebuilding.restore_missing()
         self._ctx.send(sender, peer_messages.Acknowledge(call=message.call))
 
     def _keeper_report(
@@ -397,17 +397,17 @@
             return
         self._ctx.send(sender, peer_messages.Acknowledge(call=message.call))
         for report in message.reports:
-            domain.worker_report(report)
+            domain.reports.worker_report(report)
         for worker in message.lost:
-            domain.worker_lost(worker)
+            domain.reports.worker_lost(worker)
 
     def _worker_report(self, report: messages.Report) -> None:
         if self.ownership.domain is not None:
-            self.ownership.domain.worker_report(report)
+            self.ownership.domain.reports.worker_report(report)
 
     def _worker_lost(self, worker: ids.WorkerId) -> None:
         if self.ownership.domain is not None:
-            self.ownership.domain.worker_lost(worker)
+            self.ownership.domain.reports.worker_lost(worker)
 
     def _state_answer(
         self, request: peer_messages.StateRequest
--- a/citronmount/agent/call_desk.py
+++ b/citronmount/agent/call_desk.py
@@ -13,6 +13,7 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import shares
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
 
@@ -24,6 +25,7 @@
 MAX_TASKS = 128
 MAX_WAIT_MS = 60_000
 REMEMBERED_CALLS = 50_000
+MAX_HOPS = 4
 
 Respond = Callable[[peer_messages.Answer], None]
 DomainCall = (
@@ -97,8 +99,8 @@
             respond: Told the answer, once.
         """
         match body:
-            case peer_messages.RunRequest(spec=spec):
-                self._run_request(spec, respond, claimed=False)
+            case peer_messages.RunRequest():
+                self._run_request(body, respond)
             case peer_messages.SubmitJob(spec=spec):
                 self._submit(spec, respond)
             case (
@@ -133,7 +135,7 @@
 
         body = message.body
         if isinstance(body, peer_messages.RunRequest):
-            self._run_request(body.spec, respond, claimed=body.claimed)
+            self._run_request(body, respond)
         elif isinstance(body, DomainCall):
             self._serve(body, respond)
         else:
@@ -151,15 +153,20 @@
                 self._give_up(call)
 
     def _run_request(
-        self, spec: jobs.RequestSpec, respond: Respond, *, claimed: bool
+        self, body: peer_messages.RunRequest, respond: Respond
     ) -> None:
         def answered(result: jobs.RequestResult) -> None:
             respond(peer_messages.RequestAnswer(result=result))
 
-        if spec.timeout_ms <= 0:
+        if body.spec.timeout_ms <= 0:
             respond(_failure(codes.ResultCode.DEADLINE_PASSED))
             return
-        self._requests.arrive(spec, answered, claimed=claimed)
+        self._requests.arrive(
+            body.spec,
+            answered,
+            claimed=body.claimed,
+            offered=body.offered,
+        )
 
     def _submit(self, spec: jobs.JobSpec, respond: Respond) -> None:
         code, detail = self._fault(spec)
@@ -175,10 +182,21 @@
             self.rooms(),
             self._ctx.settings.failure_domain,
         )
-        if not homes_left:
+        if homes_left:
+            self._submit_eagerly(spec, homes_left, homes_left[0], respond)
+        else:
+            self._submit_patiently(spec, respond)
+
+    def _submit_patiently(self, spec: jobs.JobSpec, respond: Respond) -> None:
+        """Submits a job while no owner of a failure domain is known yet."""
+        own = self._ctx.settings.failure_domain
+        allowed = shares.homes(self._configuration.fold.current, spec)
+        if not allowed:
             respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
             return
-        self._submit_eagerly(spec, homes_left, homes_left[0], respond)
+        home = own if own in allowed else allowed[0]
+        job = ids.job_id(home, self._ctx.unique())
+        self._submit_to(home, spec, job, respond)
 
     def _submit_keyed(self, spec: jobs.JobSpec, respond: Respond) -> None:
         current = self._configuration.fold.current
@@ -313,6 +331,9 @@
             body: The call.
             respond: Told the answer, once.
         """
+        if not self._is_configured(failure_domain):
+            respond(_failure(codes.ResultCode.UNKNOWN_JOB, failure_domain))
+            return
         timeout_ms = self._ctx.settings.call_timeout_ms
         if isinstance(body, peer_messages.GetJob):
             wait_ms = min(body.wait_ms, MAX_WAIT_MS)
@@ -327,6 +348,14 @@
             )
         )
 
+    def _is_configured(self, failure_domain: ids.FailureDomainId) -> bool:
+        """Returns whether a failure domain exists, as far as is known."""
+        names = {
+            domain.name
+            for domain in self._configuration.fold.current.failure_domains
+        }
+        return not names or failure_domain in names
+
     def _advance(self, call: _Routed) -> None:
         """Serves a call here, sends it on, or lets it wait."""
         own = call.failure_domain == self._ctx.settings.failure_domain
@@ -385,21 +414,34 @@
             respond(_failure(codes.ResultCode.REBUILDING))
             return
         if isinstance(body, peer_messages.GetJob | peer_messages.CancelJob):
-            moved_to = domain.moved_to(body.job)
+            moved_to = domain.moves.moved_to(body.job)
             if moved_to is not None:
-                self.route(moved_to, body, respond)
+                self._follow(moved_to, body, respond)
                 return
         match body:
-            case peer_messages.SubmitJob(spec=spec, eager=eager):
-                domain.submit(spec, respond, eager=eager)
+            case peer_messages.SubmitJob(spec=spec, eager=eager, move=move):
+                domain.intake.submit(spec, respond, eager=eager, move=move)
             case peer_messages.GetJob(job=job, wait_ms=wait_ms):
-                domain.status(job, wait_ms, respond)
+                domain.intake.status(job, wait_ms, respond)
             case peer_messages.CancelJob(job=job):
-                domain.cancel(job, respond)
+                domain.intake.cancel(job, respond)
             case peer_messages.CancelJobs(account=account):
-                respond(domain.cancel_account(account))
+                respond(domain.intake.cancel_account(account))
             case peer_messages.ListJobs(account=account, limit=limit):
-                respond(domain.statuses(account, limit))
+                respond(domain.intake.statuses(account, limit))
+
+    def _follow(
+        self,
+        moved_to: ids.FailureDomainId,
+        body: peer_messages.GetJob | peer_messages.CancelJob,
+        respond: Respond,
+    ) -> None:
+        """Sends a call after a job that was moved."""
+        if body.hops >= MAX_HOPS:
+            respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
+            return
+        further = msgspec.structs.replace(body, hops=body.hops + 1)
+        self.route(moved_to, further, respond)
 
     def _fan_out(
         self,
--- /dev/null
+++ b/citronmount/agent/job_ends.py
@@ -0,0 +1,145 @@
+"""Ends the jobs of an owned failure domain, truthfully."""
+
+from citronmount.agent import domain_core
+from citronmount.agent import job_table
+from citronmount.core import codes
+from citronmount.core import decisions
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.state import records
+from citronmount.telemetry import events as timeline
+
+__all__ = ["JobEnds", "cancel_result"]
+
+
+class JobEnds:
+    """Records final results and tells them once that is safe."""
+
+    def __init__(
+        self,
+        *,
+        core: domain_core.DomainCore,
+    ) -> None:
+        """Initializes the part.
+
+        Args:
+            core: What the parts of the failure domain share.
+        """
+        self._core = core
+
+    def finish(self, job: ids.JobId, result: jobs.JobResult) -> None:
+        """Records a final result and tells it once it is safe to do so.
+
+        Args:
+            job: An open job without an attempt.
+            result: Its final result.
+        """
+        entry = self._core.table.entries[job]
+        if entry.ending:
+            return
+        entry.ending = True
+        entry.state = states.JobState.STOPPING
+        ended = records.JobEnded(
+            record=ids.RecordId(f"end:{job}"),
+            job=job,
+            account=entry.spec.account,
+            token=self._core.token,
+            result=result,
+            attempts=entry.attempts,
+            body_digest=job_table.body_digest(entry.spec),
+            durability=entry.durability or states.Durability.LOG,
+        )
+        self._core.outbox.write(
+            self._core.stream,
+            ended,
+            lambda outcome: self._end_written(ended),
+            limit_ms=None,
+        )
+
+    def _end_written(self, ended: records.JobEnded) -> None:
+        if ended.result.code is codes.ResultCode.DONE:
+            self._tell_end(ended)
+        else:
+            self._core.token_check.confirm(lambda: self._tell_end(ended))
+
+    def _tell_end(self, ended: records.JobEnded) -> None:
+        if ended.job not in self._core.table.entries:
+            return
+        self._core.book.fold(ended)
+        ended = self._core.book.ended[ended.job]
+        self._core.ctx.trace(
+            timeline.EventKind.JOB_ENDED,
+            job=ended.job,
+            account=ended.account,
+            code=int(ended.result.code),
+        )
+        self._core.table.end(ended)
+
+    def drop_ended(self) -> None:
+        """Gives up open jobs whose final result the book already has."""
+        over = [
+            job
+            for job, entry in self._core.table.entries.items()
+            if job in self._core.book.ended and not entry.ending
+        ]
+        for job in over:
+            entry = self._core.table.entries[job]
+            entry.cancelled = True
+            attempt = self._core.attempt_of(job)
+            if attempt is not None:
+                attempt.stop(decisions.AttemptEnd.CANCELLED)
+                continue
+            self._core.scheduler.cancel(job)
+            self._core.held_until_ms.pop(job, None)
+            self._core.table.end(self._core.book.ended[job])
+
+    def cancel(self, entry: job_table.JobEntry) -> None:
+        """Cancels a job, at once or as soon as it is accepted.
+
+        Args:
+            entry: The job.
+        """
+        if entry.cancelled or entry.ending:
+            return
+        entry.cancelled = True
+        if entry.durability is not None:
+            self.carry_out_cancel(entry)
+
+    def carry_out_cancel(self, entry: job_table.JobEntry) -> None:
+        """Ends a cancelled job or stops its attempt.
+
+        Args:
+            entry: A job whose acceptance is recorded.
+        """
+        job = entry.spec.job
+        attempt = self._core.attempt_of(job)
+        if attempt is None:
+            self._core.scheduler.cancel(job)
+            self._core.held_until_ms.pop(job, None)
+            self.finish(job, cancel_result(entry))
+            return
+        record = records.JobCancelled(
+            record=ids.RecordId(f"cancel:{job}"), job=job
+        )
+        self._core.book.fold(record)
+        self._core.outbox.write(self._core.stream, record)
+        entry.state = states.JobState.STOPPING
+        attempt.stop(decisions.AttemptEnd.CANCELLED)
+
+
+def cancel_result(entry: job_table.JobEntry) -> jobs.JobResult:
+    """Returns the final result of a cancelled job.
+
+    Args:
+        entry: The job.
+
+    Returns:
+        Not run only if no attempt can have run.
+    """
+    code = (
+        codes.ResultCode.CANCELLED_AFTER_START
+        if entry.ever_ran
+        else codes.ResultCode.CANCELLED_NOT_RUN
+    )
+    return jobs.JobResult(code=code)
--- /dev/null
+++ b/citronmount/agent/job_moves.py
@@ -0,0 +1,192 @@
+"""Hands queued jobs to other failure domains and takes them back."""
+
+from collections.abc import Callable
+
+from citronmount.agent import domain_core
+from citronmount.agent import job_ends
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.state import records
+
+__all__ = ["JobMoves"]
+
+
+class JobMoves:
+    """The durable side of moving jobs; the mover decides which."""
+
+    def __init__(
+        self,
+        *,
+        core: domain_core.DomainCore,
+        ends: job_ends.JobEnds,
+    ) -> None:
+        """Initializes the part.
+
+        Args:
+            core: What the parts of the failure domain share.
+            ends: Ends jobs.
+        """
+        self._core = core
+        self._ends = ends
+
+    def moved_to(self, job: ids.JobId) -> ids.FailureDomainId | None:
+        """Returns which failure domain schedules a job that was moved.
+
+        Args:
+            job: A job that has its home here.
+
+        Returns:
+            The failure domain, or None if the job was not moved.
+        """
+        moved = self._core.book.moved_away(job)
+        if moved is None or job in self._core.table.entries:
+            return None
+        return moved.to
+
+    def queued_specs(self) -> list[jobs.JobSpec]:
+        """Returns the queued jobs that never ran, first in line first."""
+        entries = (
+            self._core.table.entries.get(job)
+            for job in self._core.scheduler.queued()
+        )
+        return [
+            entry.spec
+            for entry in entries
+            if entry is not None
+            and entry.spec.idempotent
+            and not entry.ever_ran
+            and not entry.cancelled
+            and not entry.ending
+        ]
+
+    def unconfirmed_moves(
+        self,
+    ) -> list[tuple[jobs.JobSpec, records.JobMoved]]:
+        """Returns the moves whose receiver has not answered yet."""
+        return [
+            (self._core.table.entries[job].spec, moved)
+            for job, moved in self._core.book.moved.items()
+            if not moved.confirmed
+            and moved.to != self._core.failure_domain
+            and job in self._core.table.entries
+            and self._core.table.entries[job].ending
+        ]
+
+    def move_out(
+        self,
+        job: ids.JobId,
+        to: ids.FailureDomainId,
+        on_released: Callable[[jobs.JobSpec, records.JobMoved], None],
+    ) -> None:
+        """Takes a job out of the queue to hand it to another scheduler.
+
+        Args:
+            job: A queued job.
+            to: The failure domain that is to schedule it.
+            on_released: Told once the move is durable and no later owner of
+                this failure domain can start the job.
+        """
+        entry = self._core.table.entries[job]
+        if not self._core.scheduler.cancel(job):
+            return
+        entry.state = states.JobState.STOPPING
+        entry.ending = True
+        moved = records.JobMoved(
+            record=ids.RecordId(self._core.ctx.unique()),
+            job=job,
+            number=self._core.book.next_move(job),
+            to=to,
+        )
+
+        def released() -> None:
+            self._core.book.fold(moved)
+            on_released(entry.spec, moved)
+
+        self._core.outbox.write(
+            self._core.stream,
+            moved,
+            lambda outcome: self._core.token_check.confirm(released),
+            limit_ms=None,
+        )
+
+    def moved(
+        self, job: ids.JobId, to: ids.FailureDomainId, *, accepted: bool
+    ) -> None:
+        """Notes what became of a job that was to be moved.
+
+        Args:
+            job: The job.
+            to: The failure domain that was asked.
+            accepted: Whether it schedules the job now; if not, it is proved
+                that it never will, and the job is queued here again.
+        """
+        entry = self._core.table.entries.get(job)
+        if entry is None:
+            return
+        if accepted:
+            self._confirm_move(job, to)
+        else:
+            self.move_home(job)
+        if accepted:
+            self._core.table.forward(job)
+            return
+        entry.ending = False
+        entry.state = states.JobState.QUEUED
+        self._core.scheduler.restore(
+            entry.spec, self._core.ctx.now_ms, progress=entry.progress
+        )
+        if entry.cancelled:
+            self._ends.carry_out_cancel(entry)
+
+    def take_back(self) -> None:
+        """Voids moves that a fenced owner has recorded but not made."""
+        void = [
+            moved.job
+            for moved in self._core.book.moved.values()
+            if moved.to != self._core.failure_domain
+            and moved.job in self._core.table.entries
+            and not self._core.table.entries[moved.job].ending
+        ]
+        for job in void:
+            self.move_home(job)
+
+    def _confirm_move(self, job: ids.JobId, to: ids.FailureDomainId) -> None:
+        """Records that another failure domain schedules a job now."""
+        self._core.record(
+            records.JobMoved(
+                record=ids.RecordId(self._core.ctx.unique()),
+                job=job,
+                number=self._core.book.next_move(job) - 1,
+                to=to,
+                confirmed=True,
+            )
+        )
+
+    def move_here(self, job: ids.JobId, number: int) -> None:
+        """Records that a move has brought a job here.
+
+        Args:
+            job: The job.
+            number: The number of the move.
+        """
+        self._core.record(
+            records.JobMoved(
+                record=ids.RecordId(self._core.ctx.unique()),
+                job=job,
+                number=number,
+                to=self._core.failure_domain,
+                confirmed=True,
+            )
+        )
+
+    def move_home(self, job: ids.JobId) -> None:
+        """Records that this failure domain schedules a job again."""
+        self._core.record(
+            records.JobMoved(
+                record=ids.RecordId(self._core.ctx.unique()),
+                job=job,
+                number=self._core.book.next_move(job),
+                to=self._core.failure_domain,
+            )
+        )
--- /dev/null
+++ b/citronmount/agent/job_runs.py
@@ -0,0 +1,323 @@
+"""Runs the attempts that the scheduler of a failure domain decides."""
+
+from citronmount.agent import attempts as attempts_lib
+from citronmount.agent import claims as claims_lib
+from citronmount.agent import domain_core
+from citronmount.agent import job_ends
+from citronmount.agent import job_table
+from citronmount.agent import outbox as outbox_lib
+from citronmount.core import codes
+from citronmount.core import decisions
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import states
+from citronmount.leases import gang as gang_lib
+from citronmount.platform import messages
+from citronmount.state import records
+from citronmount.telemetry import events as timeline
+
+__all__ = ["JobRuns"]
+
+BACKOFF_MS = 250
+BACKOFF_MAX_MS = 8_000
+
+
+class JobRuns:
+    """Places, evicts and follows attempts, and queues jobs again."""
+
+    def __init__(
+        self,
+        *,
+        core: domain_core.DomainCore,
+        ends: job_ends.JobEnds,
+    ) -> None:
+        """Initializes the part.
+
+        Args:
+            core: What the parts of the failure domain share.
+            ends: Ends jobs.
+        """
+        self._core = core
+        self._ends = ends
+
+    def carry_out(self, decision: decisions.Decision) -> None:
+        """Carries out one decision.
+
+        Args:
+            decision: What the scheduler has decided.
+        """
+        match decision:
+            case decisions.PlaceJob():
+                self._place(decision)
+            case decisions.EvictJob():
+                self._evict(decision)
+            case decisions.EndJob():
+                self._ends.finish(decision.job, decision.result)
+
+    def _place(self, decision: decisions.PlaceJob) -> None:
+        entry = self._core.table.entries[decision.job]
+        entry.attempts += 1
+        number = entry.attempts
+        attempt = self.new_attempt(
+            entry,
+            ids.attempt_id(decision.job, number, self._core.token),
+            number,
+            decision.placement,
+        )
+        entry.state = states.JobState.STARTING
+        entry.workers = attempt.workers
+        self._core.ctx.trace(
+            timeline.EventKind.JOB_PLACED,
+            job=decision.job,
+            attempt=attempt.attempt,
+            account=entry.spec.account,
+            count=len(attempt.workers),
+            detail=",".join(attempt.workers),
+        )
+        if entry.spec.idempotent:
+            attempt.begin()
+            self._write_intent(attempt)
+        else:
+            self._claim_attempt(entry, attempt)
+
+    def _evict(self, decision: decisions.EvictJob) -> None:
+        attempt = self._core.attempt_of(decision.job)
+        if attempt is None:
+            return
+        if attempt.phase is gang_lib.GangPhase.STOPPING:
+            return
+        limit_ms = self._core.ctx.settings.reclaim_grace_ms
+        grace_ms = min(decision.grace_ms, limit_ms)
+        self._core.ctx.trace(
+            timeline.EventKind.JOB_EVICTING,
+            job=decision.job,
+            attempt=attempt.attempt,
+            detail=decision.beneficiary,
+        )
+        self._core.table.entries[decision.job].state = states.JobState.STOPPING
+        attempt.stop(decisions.AttemptEnd.EVICTED, grace_ms=grace_ms)
+
+    def conclude(
+        self, entry: job_table.JobEntry, intent: records.AttemptIntended
+    ) -> None:
+        """Finds out whether an attempt of an earlier owner ever ran.
+
+        Args:
+            entry: The job, which is not idempotent.
+            intent: What the earlier owner recorded.
+        """
+        attempt = self.new_attempt(
+            entry, intent.attempt, intent.number, intent.placement
+        )
+        self._core.scheduler.adopt(
+            entry.spec, intent.placement, self._core.ctx.now_ms
+        )
+        entry.state = states.JobState.STOPPING
+        attempt.conclude()
+
+    def new_attempt(
+        self,
+        entry: job_table.JobEntry,
+        attempt_id: ids.AttemptId,
+        number: int,
+        placement: jobs.Placement,
+    ) -> attempts_lib.Attempt:
+        """Makes an attempt that has not begun and enters it.
+
+        Args:
+            entry: The job.
+            attempt_id: The id of the attempt.
+            number: Counts the attempts of the job.
+            placement: Where it runs.
+
+        Returns:
+            The attempt.
+        """
+        attempt = attempts_lib.Attempt(
+            ctx=self._core.ctx,
+            attempt=attempt_id,
+            number=number,
+            token=self._core.token,
+            spec=entry.spec,
+            placement=placement,
+            targets=self._targets_of(placement),
+            handlers=attempts_lib.AttemptHandlers(
+                on_started=self._attempt_started,
+                on_ended=self._attempt_ended,
+                on_answer=self._core.on_worker_answer,
+            ),
+        )
+        self._core.attempts[attempt_id] = attempt
+        self._core.by_job[entry.spec.job] = attempt_id
+        return attempt
+
+    def _targets_of(
+        self, placement: jobs.Placement
+    ) -> dict[ids.WorkerId, messages.ListedTarget]:
+        """Returns the placement's targets; unlisted ones never answer."""
+        return {
+            group.worker: self._core.targets.get(group.worker)
+            or messages.ListedTarget(
+                name=group.worker,
+                address="",
+                failure_domain=self._core.failure_domain,
+            )
+            for group in placement.groups
+        }
+
+    def _claim_attempt(
+        self, entry: job_table.JobEntry, attempt: attempts_lib.Attempt
+    ) -> None:
+        """Starts a job that is not idempotent only under a durable claim."""
+        job = entry.spec.job
+
+        def claimed(outcome: claims_lib.ClaimOutcome) -> None:
+            if attempt.attempt not in self._core.attempts:
+                return
+            if outcome.granted:
+                attempt.begin()
+                self._write_intent(attempt)
+                return
+            if outcome.holder is not None and self._all_fenced():
+                self._free_claim(outcome.holder)
+            attempt.stop(decisions.AttemptEnd.REFUSED)
+
+        self._core.claims.claim(f"job/{job}", "", claimed)
+
+    def _all_fenced(self) -> bool:
+        """Returns whether no worker takes calls of an earlier owner."""
+        return all(worker in self._core.fenced for worker in self._core.targets)
+
+    def _free_claim(self, claim: records.KeyClaimed) -> None:
+        """Frees the claim of an attempt that never ran and never will."""
+        not_run = jobs.RequestResult(
+            request=ids.RequestId(""), code=codes.ResultCode.TARGET_REFUSED
+        )
+        self._core.claims.finish(claim, not_run)
+
+    def _write_intent(self, attempt: attempts_lib.Attempt) -> None:
+        intent = records.AttemptIntended(
+            record=ids.RecordId(f"intent:{attempt.attempt}"),
+            job=attempt.spec.job,
+            spec=attempt.spec,
+            token=self._core.token,
+            attempt=attempt.attempt,
+            number=attempt.number,
+            placement=attempt.placement,
+        )
+
+        def written(outcome: outbox_lib.WriteOutcome) -> None:
+            if attempt.phase is not gang_lib.GangPhase.RESERVING:
+                return
+            if outcome.durability is None:
+                attempt.stop(decisions.AttemptEnd.REFUSED)
+                return
+            self._core.book.fold(intent)
+            attempt.permit()
+
+        self._core.outbox.write(self._core.stream, intent, written)
+
+    def _attempt_started(self, attempt: attempts_lib.Attempt) -> None:
+        entry = self._core.table.entries[attempt.spec.job]
+        entry.state = states.JobState.RUNNING
+        entry.ever_ran = True
+        entry.refusals = 0
+        self._core.scheduler.started(attempt.spec.job, self._core.ctx.now_ms)
+        self._core.ctx.trace(
+            timeline.EventKind.JOB_STARTED,
+            job=attempt.spec.job,
+            attempt=attempt.attempt,
+            account=attempt.spec.account,
+            count=len(attempt.workers),
+        )
+
+    def _attempt_ended(
+        self,
+        attempt: attempts_lib.Attempt,
+        result: attempts_lib.AttemptResult,
+    ) -> None:
+        job = attempt.spec.job
+        entry = self._core.table.entries[job]
+        del self._core.attempts[attempt.attempt]
+        del self._core.by_job[job]
+        entry.workers = ()
+        entry.ever_ran = entry.ever_ran or result.ran is not False
+        entry.progress = max(entry.progress, result.progress)
+        for worker in attempt.workers:
+            self._core.forget.setdefault(worker, set()).add(attempt.attempt)
+        final = _final_result(entry, result)
+        refused = result.how is decisions.AttemptEnd.REFUSED
+        verdict = self._core.scheduler.ended(
+            job,
+            result.how,
+            self._core.ctx.now_ms,
+            culprits=result.culprits,
+            requeue=final is None and not refused,
+            progress=entry.progress,
+        )
+        final = final or _truthful_verdict(entry, verdict)
+        self._core.decision_due = True
+        if final is not None:
+            self._ends.finish(job, final)
+            return
+        entry.state = states.JobState.QUEUED
+        if refused:
+            self._back_off(entry)
+        for claim in self._core.book.claims_of(f"job/{job}"):
+            self._free_claim(claim)
+
+    def _back_off(self, entry: job_table.JobEntry) -> None:
+        """Keeps a job that was refused out of the queue for a while."""
+        hold_ms = min(BACKOFF_MS << entry.refusals, BACKOFF_MAX_MS)
+        entry.refusals += 1
+        self._core.held_until_ms[entry.spec.job] = (
+            self._core.ctx.now_ms + hold_ms
+        )
+
+    def release_held(self) -> None:
+        """Queues held jobs once no silent worker can run them any more."""
+        due = [
+            job
+            for job, until_ms in self._core.held_until_ms.items()
+            if until_ms <= self._core.ctx.now_ms
+        ]
+        for job in due:
+            del self._core.held_until_ms[job]
+            entry = self._core.table.entries[job]
+            self._core.scheduler.restore(
+                entry.spec, self._core.ctx.now_ms, progress=entry.progress
+            )
+
+
+def _final_result(
+    entry: job_table.JobEntry, result: attempts_lib.AttemptResult
+) -> jobs.JobResult | None:
+    """Returns the job's final result, or None if it may run again."""
+    match result.how:
+        case decisions.AttemptEnd.DONE:
+            return jobs.JobResult(
+                code=codes.ResultCode.DONE, exit_code=result.exit_code
+            )
+        case decisions.AttemptEnd.FAILED_BY_JOB if not entry.spec.idempotent:
+            return jobs.JobResult(
+                code=codes.ResultCode.FAILED_BY_JOB,
+                exit_code=result.exit_code,
+            )
+    if entry.cancelled:
+        return job_ends.cancel_result(entry)
+    if entry.spec.idempotent or result.ran is False:
+        return None
+    if result.ran is None:
+        return jobs.JobResult(code=codes.ResultCode.OUTCOME_UNKNOWN)
+    return jobs.JobResult(code=codes.ResultCode.INTERRUPTED)
+
+
+def _truthful_verdict(
+    entry: job_table.JobEntry, verdict: jobs.JobResult | None
+) -> jobs.JobResult | None:
+    """Returns the scheduler's verdict, or that no worker would start it."""
+    if verdict is None or entry.ever_ran:
+        return verdict
+    return jobs.JobResult(
+        code=codes.ResultCode.TARGET_REFUSED, detail=verdict.detail
+    )
--- a/citronmount/agent/job_table.py
+++ b/citronmount/agent/job_table.py
@@ -189,5 +189,6 @@
         account=ended.account,
         state=final_state(ended.result.code),
         attempts=ended.attempts,
+        durability=ended.durability,
         result=ended.result,
     )
--- a/citronmount/agent/mover.py
+++ b/citronmount/agent/mover.py
@@ -14,6 +14,7 @@
 from citronmount.core import shares
 from citronmount.core import states
 from citronmount.peers import messages as peer_messages
+from citronmount.state import records
 
 __all__ = ["Mover"]
 
@@ -29,6 +30,7 @@
 
     spec: jobs.JobSpec
     to: ids.FailureDomainId
+    number: int
     eager: bool = False
     in_flight: bool = False
     retry_ms: int = 0
@@ -101,9 +103,11 @@
     def _resume(self) -> None:
         """Takes up moves that an earlier owner has recorded."""
         domain = self._ownership.domain
-        for spec, to in domain.unconfirmed_moves():
+        for spec, moved in domain.moves.unconfirmed_moves():
             if spec.job not in self._moves:
-                self._moves[spec.job] = _Move(spec=spec, to=to)
+                self._moves[spec.job] = _Move(
+                    spec=spec, to=moved.to, number=moved.number
+                )
 
     def _start(self) -> None:
         rooms = self._room()
@@ -112,7 +116,7 @@
         leaving = not self._ownership.domain.in_service()
         due = [
             spec
-            for spec in self._ownership.domain.queued_specs()
+            for spec in self._ownership.domain.moves.queued_specs()
             if self._is_due(spec, leaving=leaving)
         ]
         for spec in due[:MOVES_PER_PERIOD]:
@@ -183,13 +187,20 @@
     ) -> None:
         token = self._token
 
-        def released(released_spec: jobs.JobSpec) -> None:
+        def released(
+            released_spec: jobs.JobSpec, moved: records.JobMoved
+        ) -> None:
             if token == self._token and self._ownership.domain is not None:
-                move = _Move(spec=released_spec, to=to, eager=eager)
+                move = _Move(
+                    spec=released_spec,
+                    to=to,
+                    number=moved.number,
+                    eager=eager,
+                )
                 self._moves[spec.job] = move
                 self._send(move)
 
-        self._ownership.domain.move_out(spec.job, to, released)
+        self._ownership.domain.moves.move_out(spec.job, to, released)
 
     def _send(self, move: _Move) -> None:
         if move.in_flight or move.retry_ms > self._ctx.now_ms:
@@ -205,12 +216,14 @@
                 return
             if isinstance(answer, peer_messages.JobAnswer):
                 self._moves.pop(move.spec.job, None)
-                domain.moved(move.spec.job, move.to, accepted=True)
+                domain.moves.moved(move.spec.job, move.to, accepted=True)
             elif _never_accepted(answer):
                 self._moves.pop(move.spec.job, None)
-                domain.moved(move.spec.job, move.to, accepted=False)
+                domain.moves.moved(move.spec.job, move.to, accepted=False)
 
-        body = peer_messages.SubmitJob(spec=move.spec, eager=move.eager)
+        body = peer_messages.SubmitJob(
+            spec=move.spec, eager=move.eager, move=move.number
+        )
         self._calls.route(move.to, body, answered)
 
 
--- a/citronmount/agent/outbox.py
+++ b/citronmount/agent/outbox.py
@@ -99,7 +99,6 @@
         self._in_flight: set[ids.StreamName] = set()
         self._retry_ms: dict[ids.StreamName, int] = {}
         self._held: dict[ids.StreamName, dict[ids.RecordId, _Held]] = {}
-        self._muted: dict[ids.VmId, int] = {}
         self.log_up = True
 
     def write(
@@ -246,7 +245,7 @@
         return [
             peer
             for peer in self._view.live_peers(self._ctx.now_ms)
-            if self._view.heard_ms(peer) > self._muted.get(peer, -1)
+            if self._view.answers(peer)
         ]
 
     def _replicate(self, write: _Write, peer: ids.VmId, needed: int) -> None:
@@ -254,7 +253,7 @@
 
         def acknowledged(answer: peer_messages.Acknowledge | None) -> None:
             if answer is None:
-                self._muted[peer] = self._ctx.now_ms
+                self._view.note_silence(peer, self._ctx.now_ms)
                 write.asked_peers = False
                 return
             write.acks.add(peer)
--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -324,7 +324,7 @@
             for target in targets
             if target.name not in self._reports
         )
-        domain.rebuild(tuple(self._reports.values()), silent)
+        domain.rebuilding.rebuild(tuple(self._reports.values()), silent)
         self._reports = {}
         self._ctx.trace(
             timeline.EventKind.REBUILD_DONE,
@@ -340,7 +340,7 @@
 
         def was_read(complete: bool) -> None:
             if complete and self.domain is not None:
-                self.domain.restore_missing()
+                self.domain.rebuilding.restore_missing()
                 self._maybe_snapshot()
 
         self._reader.read_to_end(was_read)
--- a/citronmount/agent/request_desk.py
+++ b/citronmount/agent/request_desk.py
@@ -11,6 +11,7 @@
 from citronmount.agent import effects
 from citronmount.agent import events
 from citronmount.agent import homes
+from citronmount.agent import request_forwarding
 from citronmount.config import configuration
 from citronmount.core import codes
 from citronmount.core import ids
@@ -26,7 +27,7 @@
 
 __all__ = ["RequestDesk"]
 
-RETRY_AFTER_MS = 1_000
+ELSEWHERE_TRIES = 4
 
 Respond = Callable[[jobs.RequestResult], None]
 
@@ -72,7 +73,10 @@
         self._runners: dict[ids.RunnerId, messages.ListedTarget] = {}
         self._open: dict[ids.RequestId, _Open] = {}
         self._by_key: dict[str, ids.RequestId] = {}
-        self._claiming: dict[str, list[tuple[ids.RequestId, Respond]]] = {}
+        self._claiming: dict[str, list[tuple[jobs.RequestSpec, Respond]]] = {}
+        self._forwarding = request_forwarding.RequestForwarding(
+            ctx=ctx, view=view
+        )
 
     def set_runners(self, runners: tuple[messages.ListedTarget, ...]) -> None:
         """Takes over the platform's list of runners.
@@ -106,23 +110,25 @@
         respond: Respond,
         *,
         claimed: bool = False,
+        offered: bool = False,
     ) -> None:
         """Takes a request.
 
         Args:
             spec: The request, with the caller's id.
             respond: Told the one final answer.
-            claimed: Whether a peer has claimed the key or offers it.
+            claimed: Whether a peer has claimed the key, if there is one.
+            offered: Whether a peer only offers it, to be run at once or not.
         """
         refusal = self._refusal(spec)
         if refusal is not None:
-            respond(_refuse(spec.request, refusal))
+            respond(request_forwarding.refuse(spec.request, refusal))
             return
         keyed = not spec.idempotent and bool(spec.idempotency_key)
         if keyed and not claimed:
             self._arrive_keyed(spec, respond)
         elif self._can_run_here() or claimed:
-            self._run(spec, respond, claim=None, offered=claimed)
+            self._run(spec, respond, claim=None, offered=offered)
         else:
             self._run_elsewhere(spec, respond)
 
@@ -164,16 +170,25 @@
             if home is None
             else self._view.candidates(home, self._ctx.now_ms)
         )
-        target = rendezvous.choose(spec.idempotency_key, vms)
-        if target is None:
+        if not vms:
             code = codes.ResultCode.HOME_UNREACHABLE
-            respond(_refuse(spec.request, code))
+            respond(request_forwarding.refuse(spec.request, code))
             return
-        self._forward(ids.VmId(target), spec, respond, claimed=False)
+        ranked = rendezvous.rank(spec.idempotency_key, vms)
+        self._forwarding.send(
+            peer_messages.RunRequest(spec=spec),
+            [ids.VmId(vm) for vm in ranked],
+            _with_id(spec.request, respond),
+            repeatable=True,
+        )
 
     def _claim(self, spec: jobs.RequestSpec, respond: Respond) -> None:
         if not self._view.ready:
-            respond(_refuse(spec.request, codes.ResultCode.REBUILDING))
+            respond(
+                request_forwarding.refuse(
+                    spec.request, codes.ResultCode.REBUILDING
+                )
+            )
             return
         key = _claim_key(spec)
         running = self._by_key.get(key)
@@ -182,15 +197,29 @@
             return
         waiting = self._claiming.get(key)
         if waiting is not None:
-            waiting.append((spec.request, respond))
+            self._wait(waiting, spec, respond)
             return
-        self._claiming[key] = [(spec.request, respond)]
+        self._claiming[key] = [(spec, respond)]
         self._claims.claim(
             key,
             _digest(spec),
             lambda outcome: self._claimed(spec, outcome),
         )
 
+    def _wait(
+        self,
+        waiting: list[tuple[jobs.RequestSpec, Respond]],
+        spec: jobs.RequestSpec,
+        respond: Respond,
+    ) -> None:
+        """Lets a second call of a key wait for the claim of the first."""
+        first, _ = waiting[0]
+        if _digest(first) != _digest(spec):
+            code = codes.ResultCode.KEY_REUSED
+            respond(request_forwarding.refuse(spec.request, code))
+            return
+        waiting.append((spec, respond))
+
     def _join(
         self,
         running: ids.RequestId,
@@ -201,7 +230,7 @@
         opened = self._open[running]
         if _digest(opened.spec) != _digest(spec):
             code = codes.ResultCode.KEY_REUSED
-            respond(_refuse(spec.request, code))
+            respond(request_forwarding.refuse(spec.request, code))
             return
         opened.responders.append(_with_id(spec.request, respond))
 
@@ -210,7 +239,7 @@
     ) -> None:
         waiting = self._claiming.pop(_claim_key(spec))
         responders = [
-            _with_id(request, respond) for request, respond in waiting
+            _with_id(each.request, respond) for each, respond in waiting
         ]
 
         def respond_all(result: jobs.RequestResult) -> None:
@@ -252,20 +281,28 @@
     ) -> None:
         """Answers a call whose key another call has claimed."""
         holder = outcome.holder
-        if outcome.result is not None:
+        if holder is not None and holder.body_digest != _digest(spec):
+            code = codes.ResultCode.KEY_REUSED
+            respond(request_forwarding.refuse(spec.request, code))
+        elif outcome.result is not None:
             respond(outcome.result.result)
-            return
-        if holder is None:
-            respond(_refuse(spec.request, codes.ResultCode.NOT_DURABLE))
-            return
-        if holder.body_digest != _digest(spec):
-            respond(_refuse(spec.request, codes.ResultCode.KEY_REUSED))
-            return
-        own = holder.vm == self._ctx.settings.vm
-        if own or not self._view.alive(holder.vm, self._ctx.now_ms):
-            respond(_unknown(spec.request))
-            return
-        self._forward(holder.vm, spec, respond, claimed=False)
+        elif holder is None:
+            code = codes.ResultCode.NOT_DURABLE
+            respond(request_forwarding.refuse(spec.request, code))
+        elif self._may_know(holder.vm):
+            self._forwarding.send(
+                peer_messages.RunRequest(spec=spec),
+                [holder.vm],
+                respond,
+                repeatable=False,
+            )
+        else:
+            respond(request_forwarding.unknown(spec.request))
+
+    def _may_know(self, vm: ids.VmId) -> bool:
+        """Returns whether another VM can tell what became of its claim."""
+        own = vm == self._ctx.settings.vm
+        return not own and self._view.alive(vm, self._ctx.now_ms)
 
     def _run_elsewhere(self, spec: jobs.RequestSpec, respond: Respond) -> None:
         """Lets a VM of another failure domain in service run a request."""
@@ -277,12 +314,17 @@
             and homes.in_service(current, domain.name)
             for vm in self._view.candidates(domain.name, self._ctx.now_ms)
         ]
-        target = rendezvous.choose(spec.request, vms)
-        if target is None:
+        if not vms:
             code = codes.ResultCode.FAILURE_DOMAIN_OUT
-            respond(_refuse(spec.request, code))
+            respond(request_forwarding.refuse(spec.request, code))
             return
-        self._forward(ids.VmId(target), spec, respond, claimed=True)
+        ranked = rendezvous.rank(spec.request, vms)
+        self._forwarding.send(
+            peer_messages.RunRequest(spec=spec, claimed=True),
+            [ids.VmId(vm) for vm in ranked[:ELSEWHERE_TRIES]],
+            _with_id(spec.request, respond),
+            repeatable=spec.idempotent,
+        )
 
     def _run(
         self,
@@ -352,27 +394,22 @@
     def _offer(self, decision: request_decisions.Offer) -> None:
         opened = self._open[decision.request]
 
-        def answered(answer: peer_messages.Answer | None) -> None:
-            result = None
-            if isinstance(answer, peer_messages.RequestAnswer):
-                result = answer.result
+        body = peer_messages.RunRequest(
+            spec=msgspec.structs.replace(
+                opened.spec,
+                request=decision.request,
+                timeout_ms=decision.timeout_ms,
+            ),
+            claimed=True,
+            offered=True,
+        )
+
+        def answered(result: jobs.RequestResult | None) -> None:
             self.router.peer_answered(
                 decision.request, result, self._ctx.now_ms
             )
 
-        self._call(
-            decision.vm,
-            peer_messages.RunRequest(
-                spec=msgspec.structs.replace(
-                    opened.spec,
-                    request=decision.request,
-                    timeout_ms=decision.timeout_ms,
-                ),
-                claimed=True,
-            ),
-            decision.timeout_ms,
-            answered,
-        )
+        self._forwarding.call(decision.vm, body, decision.timeout_ms, answered)
 
     def _finish(self, result: jobs.RequestResult) -> None:
         opened = self._open.pop(result.request, None)
@@ -392,43 +429,6 @@
         for respond in opened.responders:
             respond(_for_caller(result, opened.caller_id))
 
-    def _forward(
-        self,
-        to: ids.VmId,
-        spec: jobs.RequestSpec,
-        respond: Respond,
-        *,
-        claimed: bool,
-    ) -> None:
-        def answered(answer: peer_messages.Answer | None) -> None:
-            if isinstance(answer, peer_messages.RequestAnswer):
-                respond(_for_caller(answer.result, spec.request))
-            elif isinstance(answer, peer_messages.Failure):
-                code = answer.result.code
-                respond(_refuse(spec.request, code))
-            else:
-                respond(_unknown(spec.request))
-
-        body = peer_messages.RunRequest(spec=spec, claimed=claimed)
-        self._call(to, body, spec.timeout_ms, answered)
-
-    def _call(
-        self,
-        to: ids.VmId,
-        body: peer_messages.RunRequest,
-        timeout_ms: int,
-        on_answer: Callable[[peer_messages.Answer | None], None],
-    ) -> None:
-        call = self._ctx.new_call()
-
-        def answered(message: peer_messages.ForwardAnswer | None) -> None:
-            on_answer(None if message is None else message.body)
-
-        forward = peer_messages.Forward(
-            call=call, body=body, timeout_ms=timeout_ms
-        )
-        self._ctx.call_peer(to, call, forward, answered, timeout_ms=timeout_ms)
-
 
 def _claim_key(spec: jobs.RequestSpec) -> str:
     return f"request/{spec.account}/{spec.idempotency_key}"
@@ -447,20 +447,3 @@
 
 def _with_id(request: ids.RequestId, respond: Respond) -> Respond:
     return lambda result: respond(_for_caller(result, request))
-
-
-def _refuse(
-    request: ids.RequestId, code: codes.ResultCode
-) -> jobs.RequestResult:
-    retry = codes.info(code).retry
-    return jobs.RequestResult(
-        request=request,
-        code=code,
-        retry_after_ms=RETRY_AFTER_MS if retry else None,
-    )
-
-
-def _unknown(request: ids.RequestId) -> jobs.RequestResult:
-    return jobs.RequestResult(
-        request=request, code=codes.ResultCode.OUTCOME_UNKNOWN
-    )
--- a/citronmount/membership/view.py
+++ b/citronmount/membership/view.py
@@ -59,6 +59,7 @@
         self.ready = False
         self.draining = False
         self.peers: dict[ids.VmId, Peer] = {}
+        self._silent_ms: dict[ids.VmId, int] = {}
         self._suspicion_ms = suspicion_ms
         self._remote_suspicion_ms = remote_suspicion_ms
 
@@ -161,6 +162,23 @@
         peer = self.peers.get(vm)
         return 0 if peer is None else peer.heard_ms or 0
 
+    def note_silence(self, vm: ids.VmId, now_ms: int) -> None:
+        """Notes that a VM has left a call unanswered.
+
+        Args:
+            vm: The VM.
+            now_ms: Monotonic time.
+        """
+        self._silent_ms[vm] = now_ms
+
+    def answers(self, vm: ids.VmId) -> bool:
+        """Returns whether a VM was heard since it last left a call unanswered.
+
+        Args:
+            vm: The VM.
+        """
+        return self.heard_ms(vm) > self._silent_ms.get(vm, -1)
+
     def candidates(
         self, failure_domain: ids.FailureDomainId, now_ms: int
     ) -> list[ids.VmId]:
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -49,10 +49,13 @@
             that the caller reached.
         eager: Whether to refuse the job, unrecorded, if it could not start
             at once here.
+        move: The number of the move that brings the job from another failure
+            domain; 0 for a caller's submission.
     """
 
     spec: jobs.JobSpec
     eager: bool = False
+    move: int = 0
 
 
 class GetJob(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -61,10 +64,12 @@
     Attributes:
         job: The job.
         wait_ms: How long to wait for a final result.
+        hops: How many pointers of moved jobs were followed.
     """
 
     job: ids.JobId
     wait_ms: int = 0
+    hops: int = 0
 
 
 class CancelJob(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -72,9 +77,11 @@
 
     Attributes:
         job: The job.
+        hops: How many pointers of moved jobs were followed.
     """
 
     job: ids.JobId
+    hops: int = 0
 
 
 class CancelJobs(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -110,10 +117,12 @@
         spec: The request.
         claimed: Whether its home failure domain has claimed the key, so that
             the receiver only has to run it.
+        offered: Whether the receiver must run it at once or refuse it.
     """
 
     spec: jobs.RequestSpec
     claimed: bool = False
+    offered: bool = False
 
 
 class PublishConfiguration(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -232,7 +241,7 @@
 )
 
 
-class DomainSummary(msgspec.Struct, frozen=True, kw_only=True):
+class DomainSummary(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What an owner tells others of its failure domain.
 
     Attributes:
@@ -250,7 +259,9 @@
     largest_gang: int = 0
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Heartbeat(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """A VM tells that it lives.
 
     Attributes:
@@ -284,7 +295,9 @@
     logical: int = 0
 
 
-class Forward(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Forward(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Passes a caller's call to the VM that can serve it.
 
     Attributes:
@@ -300,7 +313,9 @@
     hops: int = 0
 
 
-class ForwardAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class ForwardAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """The answer to a forwarded call.
 
     Attributes:
@@ -312,7 +327,9 @@
     body: Answer
 
 
-class Replicate(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Replicate(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Asks a peer to keep records in memory.
 
     Attributes:
@@ -326,7 +343,9 @@
     records: tuple[records.Record, ...]
 
 
-class Acknowledge(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Acknowledge(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Confirms a message that the sender repeats until then.
 
     Attributes:
@@ -336,7 +355,9 @@
     call: ids.CallId
 
 
-class ClaimKey(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class ClaimKey(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Asks the VMs of the home failure domain for a key.
 
     Attributes:
@@ -348,7 +369,9 @@
     claim: records.KeyClaimed
 
 
-class ClaimAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class ClaimAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """A vote on a claim.
 
     Attributes:
@@ -364,7 +387,9 @@
     result: records.KeyResult | None = None
 
 
-class ReleaseKey(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class ReleaseKey(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Gives up a claim that was never used.
 
     Attributes:
@@ -378,7 +403,9 @@
     record: ids.RecordId
 
 
-class ConfigurationRelay(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class ConfigurationRelay(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Passes the folded configuration to a peer that is behind.
 
     Attributes:
@@ -388,7 +415,9 @@
     snapshot: records.ConfigurationSnapshot
 
 
-class KeeperReport(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class KeeperReport(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """A lease keeper passes changed worker reports to the owner.
 
     Attributes:
@@ -402,7 +431,9 @@
     lost: tuple[ids.WorkerId, ...] = ()
 
 
-class LapseAttempts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class LapseAttempts(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """The owner tells keepers which attempts to let lapse.
 
     Attributes:
@@ -414,7 +445,9 @@
     attempts: tuple[ids.AttemptId, ...]
 
 
-class StateRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class StateRequest(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """A rebuilding VM asks a peer for what it knows.
 
     Attributes:
@@ -426,7 +459,9 @@
     stream: ids.StreamName
 
 
-class StateAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class StateAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """What a peer knows of a stream.
 
     Attributes:
@@ -446,7 +481,9 @@
     ready: bool = True
 
 
-class Handover(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Handover(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """A draining owner passes its state to the next owner.
 
     Attributes:
--- a/citronmount/state/records.py
+++ b/citronmount/state/records.py
@@ -5,6 +5,7 @@
 from citronmount.config import configuration
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import states
 
 __all__ = [
     "CONFIG_STREAM",
@@ -122,6 +123,7 @@
         result: The result.
         attempts: How many attempts were started.
         body_digest: Digest of the job's body, to refuse another body.
+        durability: Where its acceptance was recorded.
     """
 
     record: ids.RecordId
@@ -131,6 +133,7 @@
     result: jobs.JobResult
     attempts: int
     body_digest: str = ""
+    durability: states.Durability = states.Durability.LOG
 
 
 class JobCancelled(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -265,5 +268,5 @@
     """
     try:
         return _DECODER.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
