Add the bench of workloads, policies compared and bars

Cause: no figure told whether the decisions meet the stated targets. Change: seven workloads replayed on the decision core by virtual events, with the agents' rules for homes and moves; one JSON object of metrics and bars for each seed, the same bytes each time; private pools, an ideal queue and a fluid bound as references; costs as ratios and plots apart from the reports.

--- /dev/null
+++ b/citronmount/bench/burst.py
@@ -0,0 +1,106 @@
+"""The bench of bursts of small and of large jobs and a cancellation wave."""
+
+import msgspec
+
+from citronmount.bench import metrics
+from citronmount.bench import mixed
+from citronmount.bench import private_pool
+from citronmount.bench import registry
+from citronmount.bench import replay
+from citronmount.bench import report
+from citronmount.bench import sites
+from citronmount.bench import workload
+from citronmount.core import jobs
+from citronmount.core import states
+
+__all__ = ["run"]
+
+HOURS = 6.0
+JOBS_PER_HOUR = 60.0
+SMALL_JOBS = 3_000
+SMALL_AT_MS = 1 * workload.HOUR_MS
+CANCELLED_SHARE = 0.6
+CANCEL_AT_MS = SMALL_AT_MS + 5 * workload.MINUTE_MS
+LARGE_JOBS = 30
+LARGE_AT_MS = 2 * workload.HOUR_MS
+QUIET_MEMBERS = ("chorok", "dalbit")
+
+
+def _small(seed: int, count: int) -> list[workload.TracedJob]:
+    rng = workload.stream("small burst", seed)
+    burst = [
+        workload.traced(
+            account="ara",
+            kind="burst_small",
+            arrival_ms=SMALL_AT_MS + rng.randrange(workload.MINUTE_MS),
+            true_run_s=workload.skewed(rng, 60.0, 0.7, 1_200.0),
+            tasks=1,
+            per_task=jobs.Resources(accelerators=1, cores=8, memory_gb=16),
+            adjacency=states.Adjacency.WORKER,
+        )
+        for _ in range(count)
+    ]
+    return [
+        msgspec.structs.replace(job, cancel_ms=CANCEL_AT_MS)
+        if rng.random() < CANCELLED_SHARE
+        else job
+        for job in burst
+    ]
+
+
+def _large(seed: int, count: int) -> list[workload.TracedJob]:
+    rng = workload.stream("large burst", seed)
+    return [
+        workload.traced(
+            account="bora",
+            kind="burst_large",
+            arrival_ms=LARGE_AT_MS + rng.randrange(workload.MINUTE_MS),
+            true_run_s=workload.skewed(rng, 1_200.0, 0.4, 3_600.0),
+            tasks=4,
+            per_task=sites.HANBIT_WORKER,
+            adjacency=states.Adjacency.RACK,
+            checkpoint_ms=4_000,
+        )
+        for _ in range(count)
+    ]
+
+
+@registry.bench("burst")
+def run(
+    seed: int, policies: tuple[str, ...], scale: float = 1.0
+) -> report.BenchReport:
+    """Lets two members burst while two others work on.
+
+    Args:
+        seed: Seed of the workload.
+        policies: The policies to compare.
+        scale: Share of the bursts to keep.
+
+    Returns:
+        The report; the bars hold the waits of the members that do not burst
+        against their private pools.
+    """
+    site = sites.hanbit()
+    trace = mixed.by_arrival(
+        mixed.steady("burst", seed, hours=HOURS, jobs_per_hour=JOBS_PER_HOUR),
+        _small(seed, round(SMALL_JOBS * scale)),
+        _large(seed, round(LARGE_JOBS * scale)),
+    )
+    horizon_ms = round((HOURS + 2) * workload.HOUR_MS)
+    replays = {
+        policy: replay.replay(
+            site=site, trace=trace, policy=policy, horizon_ms=horizon_ms
+        )
+        for policy in policies
+    }
+    bars = []
+    if "citron" in replays:
+        bars = private_pool.wait_bars(
+            site, trace, replays["citron"], QUIET_MEMBERS
+        )
+    return report.BenchReport(
+        bench="burst",
+        seed=seed,
+        metrics={p: metrics.policy_metrics(r) for p, r in replays.items()},
+        bars=tuple(bars),
+    )
--- /dev/null
+++ b/citronmount/bench/domain_out.py
@@ -0,0 +1,77 @@
+"""The bench of a failure domain that leaves and returns under full load."""
+
+from citronmount.bench import metrics
+from citronmount.bench import mixed
+from citronmount.bench import registry
+from citronmount.bench import replay
+from citronmount.bench import report
+from citronmount.bench import sites
+from citronmount.bench import workload
+from citronmount.core import ids
+from citronmount.core import states
+
+__all__ = ["run"]
+
+OUT = ids.FailureDomainId("kr-central-b")
+JOBS_PER_HOUR = 160.0
+POWER_DOWN_AFTER_MS = 10 * workload.MINUTE_MS
+WORK_DONE_BOUND = 0.95
+
+
+@registry.bench("domain-out")
+def run(
+    seed: int, policies: tuple[str, ...], hours: float = 12.0
+) -> report.BenchReport:
+    """Takes one of three failure domains out for a third of the time.
+
+    Args:
+        seed: Seed of the workload.
+        policies: The policies to compare.
+        hours: Length of the replay.
+
+    Returns:
+        The report, with the bars of work done and late starts.
+    """
+    site = sites.hanbit()
+    horizon_ms = round(hours * workload.HOUR_MS)
+    out_ms = horizon_ms // 3
+    out = sites.set_domain_state(
+        site.configuration, OUT, states.FailureDomainState.OUT
+    )
+    back = sites.set_domain_state(out, OUT, states.FailureDomainState.IN)
+    changes = (
+        (out_ms, replay.Configure(configuration=out)),
+        (out_ms + POWER_DOWN_AFTER_MS, replay.PowerDown(domain=OUT)),
+        (2 * out_ms, replay.Configure(configuration=back)),
+    )
+    trace = mixed.by_arrival(
+        mixed.steady(
+            "domain out", seed, hours=hours, jobs_per_hour=JOBS_PER_HOUR
+        )
+    )
+    replays = {
+        policy: replay.replay(
+            site=site,
+            trace=trace,
+            policy=policy,
+            horizon_ms=horizon_ms,
+            changes=changes,
+        )
+        for policy in policies
+    }
+    bars = []
+    if "citron" in replays:
+        ours = replays["citron"]
+        ratio = metrics.work_done_ratio(ours)
+        bars = [
+            report.at_least(
+                "work_done_ratio", "citron", ratio, WORK_DONE_BOUND
+            ),
+            report.at_most("late_starts", "citron", ours.late_starts, 0),
+        ]
+    return report.BenchReport(
+        bench="domain-out",
+        seed=seed,
+        metrics={p: metrics.policy_metrics(r) for p, r in replays.items()},
+        bars=tuple(bars),
+    )
--- /dev/null
+++ b/citronmount/bench/failing_workers.py
@@ -0,0 +1,97 @@
+"""The bench of workers that fail everything and jobs that fail everywhere."""
+
+import msgspec
+
+from citronmount.bench import metrics
+from citronmount.bench import mixed
+from citronmount.bench import registry
+from citronmount.bench import replay
+from citronmount.bench import report
+from citronmount.bench import sites
+from citronmount.bench import workload
+from citronmount.core import ids
+
+__all__ = ["run"]
+
+JOBS_PER_HOUR = 60.0
+BROKEN = tuple(
+    ids.WorkerId(name)
+    for name in (
+        "kr-central-a-w0003",
+        "kr-central-b-w0000",
+        "kr-central-c-w0005",
+    )
+)
+BROKEN_FROM_MS = 1 * workload.HOUR_MS
+BROKEN_TO_MS = 4 * workload.HOUR_MS
+FAILING_JOBS_SHARE = 0.02
+
+
+def _some_fail(
+    trace: tuple[workload.TracedJob, ...], seed: int
+) -> tuple[workload.TracedJob, ...]:
+    rng = workload.stream("failing jobs", seed)
+    return tuple(
+        msgspec.structs.replace(job, fails=rng.random() < FAILING_JOBS_SHARE)
+        for job in trace
+    )
+
+
+@registry.bench("failing-workers")
+def run(
+    seed: int, policies: tuple[str, ...], hours: float = 6.0
+) -> report.BenchReport:
+    """Breaks one worker of each failure domain for three hours.
+
+    Args:
+        seed: Seed of the workload.
+        policies: The policies to compare.
+        hours: How long jobs arrive.
+
+    Returns:
+        The report; the bar asks that no healthy job is given up.
+    """
+    trace = _some_fail(
+        mixed.by_arrival(
+            mixed.steady(
+                "failing", seed, hours=hours, jobs_per_hour=JOBS_PER_HOUR
+            )
+        ),
+        seed,
+    )
+    changes = tuple(
+        (at_ms, change(worker=worker))
+        for at_ms, change in (
+            (BROKEN_FROM_MS, replay.BreakWorker),
+            (BROKEN_TO_MS, replay.HealWorker),
+        )
+        for worker in BROKEN
+    )
+    replays = {
+        policy: replay.replay(
+            site=sites.hanbit(),
+            trace=trace,
+            policy=policy,
+            horizon_ms=round((hours + 4) * workload.HOUR_MS),
+            changes=changes,
+        )
+        for policy in policies
+    }
+    return report.BenchReport(
+        bench="failing-workers",
+        seed=seed,
+        metrics={p: metrics.policy_metrics(r) for p, r in replays.items()},
+        bars=tuple(
+            report.at_most("healthy_jobs_failed", p, _wronged(r), 0)
+            for p, r in replays.items()
+            if p == "citron"
+        ),
+    )
+
+
+def _wronged(run_replay: replay.Replay) -> int:
+    """Returns how many jobs that could run ended without being done."""
+    return sum(
+        job.code is not None and not job.job.fails and job.progress < 1.0
+        for job in run_replay.jobs
+    )
--- /dev/null
+++ b/citronmount/bench/plot.py
@@ -0,0 +1,107 @@
+"""Plots the metrics of a report; needs the optional extra `plots`."""
+
+import itertools
+import pathlib
+
+import msgspec
+
+from citronmount.bench import report as report_lib
+from citronmount.core import codes
+from citronmount.core import errors
+
+__all__ = ["plot"]
+
+FIGURE_INCHES = (11.0, 4.5)
+DOTS_PER_INCH = 120
+
+
+def plot(source: pathlib.Path, target: pathlib.Path) -> None:
+    """Draws waits, completion times and ratios of each policy.
+
+    Args:
+        source: A report as printed with ``--json``.
+        target: The PNG file to write.
+
+    Raises:
+        InvalidInputError: If the file is no report or matplotlib is absent.
+    """
+    try:
+        result = msgspec.json.decode(
+            source.read_bytes(), type=report_lib.BenchReport
+        )
+    except (OSError, msgspec.DecodeError) as error:
+        raise _invalid(f"{source}: {error}") from error
+    try:
+        import matplotlib.figure
+    except ImportError as error:
+        raise _invalid("install the extra: citronmount[plots]") from error
+    figure = matplotlib.figure.Figure(
+        figsize=FIGURE_INCHES, layout="constrained"
+    )
+    waits, completions, ratios = figure.subplots(1, 3)
+    figure.suptitle(f"{result.bench}, seed {result.seed}")
+    _bars(waits, "p99 wait, s", _p99(result, "wait_s"), logarithmic=True)
+    _bars(
+        completions,
+        "p99 completion, s",
+        _p99(result, "completion_time_s"),
+        logarithmic=True,
+    )
+    _bars(ratios, "ratios", _ratios(result), logarithmic=False)
+    figure.savefig(target, dpi=DOTS_PER_INCH, format="png")
+
+
+def _invalid(message: str) -> errors.InvalidInputError:
+    return errors.InvalidInputError(
+        message, code=codes.ResultCode.INVALID_REQUEST
+    )
+
+
+def _p99(
+    result: report_lib.BenchReport, field: str
+) -> dict[str, dict[str, float]]:
+    return {
+        policy: {
+            kind: summary.p99
+            for kind, summary in sorted(getattr(metrics, field).items())
+        }
+        for policy, metrics in sorted(result.metrics.items())
+    }
+
+
+def _ratios(result: report_lib.BenchReport) -> dict[str, dict[str, float]]:
+    return {
+        policy: {
+            name: value
+            for name, value in (
+                ("fragmentation", metrics.fragmentation),
+                ("work done", metrics.work_done_ratio),
+            )
+            if value is not None
+        }
+        for policy, metrics in sorted(result.metrics.items())
+    }
+
+
+def _bars(
+    axes: object,
+    title: str,
+    values: dict[str, dict[str, float]],
+    *,
+    logarithmic: bool,
+) -> None:
+    groups = sorted(set(itertools.chain.from_iterable(values.values())))
+    width = 0.8 / max(1, len(values))
+    for number, (policy, heights) in enumerate(values.items()):
+        places = [place + number * width for place in range(len(groups))]
+        axes.bar(
+            places,
+            [heights.get(group, 0.0) for group in groups],
+            width,
+            label=policy,
+        )
+    axes.set_xticks(range(len(groups)), groups, rotation=60, fontsize=7)
+    axes.set_title(title, fontsize=9)
+    axes.legend(fontsize=6)
+    if logarithmic:
+        axes.set_yscale("log")
--- a/citronmount/bench/report.py
+++ b/citronmount/bench/report.py
@@ -11,6 +11,7 @@
     "Percentiles",
     "PolicyMetrics",
     "at_least",
+    "as_text",
     "at_most",
     "encode",
     "percentile",
@@ -49,7 +50,7 @@
             that has not ended counts with its time up to the horizon.
         wait_s: From arrival to the first start, by class of work.
         fragmentation: Share of the free accelerators that the shapes of the
-            workload could not use, weighted by their demand; None if no
+            queued jobs could not use, weighted by their demand; None if no
             accelerators are at stake.
         work_done_ratio: Useful accelerator time over the most that the
             capacity in service allowed; None if no accelerators are at stake.
@@ -205,3 +206,31 @@
         JSON bytes with sorted keys.
     """
     return msgspec.json.encode(report, order="sorted")
+
+
+def as_text(report: BenchReport) -> str:
+    """Formats a report for a person.
+
+    Args:
+        report: A report.
+
+    Returns:
+        Lines with the waits of each policy and the bars.
+    """
+    lines = [f"{report.bench}, seed {report.seed}"]
+    for policy, metrics in sorted(report.metrics.items()):
+        lines.append(
+            f"{policy}: fragmentation {metrics.fragmentation}, "
+            f"work done {metrics.work_done_ratio}"
+        )
+        lines.extend(
+            f"  {kind}: wait p50 {wait.p50} s, p99 {wait.p99} s; "
+            f"completion p99 {metrics.completion_time_s[kind].p99} s"
+            for kind, wait in sorted(metrics.wait_s.items())
+        )
+    lines.extend(
+        f"{'met' if bar.met else 'MISSED'}: {bar.name} {bar.measured} "
+        f"against {bar.bound}"
+        for bar in report.bars
+    )
+    return "\n".join(lines)
--- /dev/null
+++ b/citronmount/bench/request_replay.py
@@ -0,0 +1,367 @@
+"""Replays short requests on one `RequestRouter` a VM, by virtual events."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+
+import msgspec
+
+from citronmount.bench import request_workload
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import request_decisions
+from citronmount.core import short_requests
+from citronmount.platform import messages
+
+__all__ = ["Answered", "RouterReplay", "random_runner", "single_queue"]
+
+LINK_MS = 1
+HEARTBEAT_MS = 1_000
+TIMEOUT_MS = 5_000
+
+
+class Answered(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller saw of one request.
+
+    Attributes:
+        request: The request.
+        result: Its final answer, or None if there was none.
+        took_ms: From the caller and back to it.
+        waited_ms: From the VM to the first dispatch.
+    """
+
+    request: request_workload.TracedRequest
+    result: jobs.RequestResult | None
+    took_ms: int
+    waited_ms: int
+
+
+def single_queue(
+    site: request_workload.RequestSite,
+    trace: tuple[request_workload.TracedRequest, ...],
+) -> list[Answered]:
+    """Serves requests from one ideal queue for each failure domain.
+
+    Every free slot is known at once and no slot idles while a request waits,
+    which no system of several VMs with links between them can do.
+
+    Args:
+        site: The runners.
+        trace: The requests by arrival.
+
+    Returns:
+        The answers.
+    """
+    free_at = {
+        domain: [0] * sum(runner.slots for runner in runners)
+        for domain, runners in site.runners.items()
+    }
+    answers = []
+    for request in trace:
+        slots = free_at[request.domain]
+        start_ms = max(request.arrival_ms, slots[0])
+        heapq.heapreplace(slots, start_ms + request.service_ms)
+        answers.append(_served(request, start_ms, request.service_ms))
+    return answers
+
+
+def random_runner(
+    site: request_workload.RequestSite,
+    trace: tuple[request_workload.TracedRequest, ...],
+    slow: dict[str, float],
+) -> list[Answered]:
+    """Sends each request at once to a random runner, which queues in order.
+
+    Args:
+        site: The runners.
+        trace: The requests by arrival.
+        slow: Runners that take longer, by factor.
+
+    Returns:
+        The answers.
+    """
+    free_at = {
+        runner.name: [0] * runner.slots
+        for runners in site.runners.values()
+        for runner in runners
+    }
+    answers = []
+    for number, request in enumerate(trace):
+        runners = site.runners[request.domain]
+        runner = runners[hash_of(number) % len(runners)].name
+        start_ms = max(request.arrival_ms, free_at[runner][0])
+        service_ms = _slowed(request, runner, slow)
+        heapq.heapreplace(free_at[runner], start_ms + service_ms)
+        answers.append(_served(request, start_ms, service_ms))
+    return answers
+
+
+def hash_of(number: int) -> int:
+    """Returns a number that looks random, by Knuth's multiplicative hash.
+
+    Args:
+        number: A counter.
+
+    Returns:
+        Sixteen bits.
+    """
+    return (number * 2_654_435_761 % (1 << 32)) >> 16
+
+
+def _served(
+    request: request_workload.TracedRequest, start_ms: int, service_ms: int
+) -> Answered:
+    result = jobs.RequestResult(
+        request=request.request, code=codes.ResultCode.DONE
+    )
+    waited_ms = start_ms - request.arrival_ms
+    return Answered(
+        request=request,
+        result=result,
+        took_ms=waited_ms + service_ms + 4 * LINK_MS,
+        waited_ms=waited_ms,
+    )
+
+
+def _slowed(
+    request: request_workload.TracedRequest,
+    runner: str,
+    slow: dict[str, float],
+) -> int:
+    return max(1, round(request.service_ms * slow.get(runner, 1.0)))
+
+
+class RouterReplay:
+    """Routers, runners and the links between them."""
+
+    def __init__(
+        self,
+        *,
+        site: request_workload.RequestSite,
+        trace: tuple[request_workload.TracedRequest, ...],
+        offers: bool = True,
+        hedge_share: float = short_requests.HEDGE_SHARE,
+        slow: dict[str, float] | None = None,
+    ) -> None:
+        """Initializes a replay at time 0.
+
+        Args:
+            site: The runners and VMs.
+            trace: The requests by arrival.
+            offers: Whether VMs tell each other of free slots.
+            hedge_share: Hedges allowed for each request.
+            slow: Runners that take longer, by factor.
+        """
+        self.sends = 0
+        self.hedges = 0
+        self.offers = 0
+        self.offers_refused = 0
+        self.busy_answers = 0
+        self._site = site
+        self._slow = slow or {}
+        self._trace = {request.request: request for request in trace}
+        self._first_send_ms: dict[ids.RequestId, int] = {}
+        self._answers: dict[ids.RequestId, Answered] = {}
+        self._offered_by: dict[ids.RequestId, ids.VmId] = {}
+        self._used: dict[ids.RunnerId, int] = {}
+        self._slots: dict[ids.RunnerId, int] = {}
+        self._routers: dict[ids.VmId, short_requests.RequestRouter] = {}
+        self._heap: list[tuple[int, int, Callable[[int], None]]] = []
+        self._sequence = itertools.count()
+        self._wakes: dict[ids.VmId, int] = {}
+        self._offering = offers
+        for domain in site.runners:
+            self._add_domain(domain, hedge_share)
+        for request in trace:
+            self._at(request.arrival_ms, self._arrive(request))
+        if offers:
+            self._at(0, self._heartbeats)
+        self._end_ms = trace[-1].arrival_ms if trace else 0
+
+    def run(self) -> list[Answered]:
+        """Handles every event.
+
+        Returns:
+            The answers, in the order of the requests.
+        """
+        while self._heap:
+            now_ms, _, action = heapq.heappop(self._heap)
+            action(now_ms)
+        return [
+            self._answers.get(name)
+            or Answered(
+                request=request,
+                result=None,
+                took_ms=TIMEOUT_MS,
+                waited_ms=TIMEOUT_MS,
+            )
+            for name, request in self._trace.items()
+        ]
+
+    def _add_domain(self, domain: str, hedge_share: float) -> None:
+        vms = self._site.vms[domain]
+        for index, vm in enumerate(vms):
+            router = short_requests.RequestRouter(
+                vm=vm, hedge_share=hedge_share
+            )
+            router.set_runners(self._site.runners[domain])
+            router.set_share(index, len(vms))
+            self._routers[vm] = router
+        for runner in self._site.runners[domain]:
+            self._slots[ids.RunnerId(runner.name)] = runner.slots
+            self._used[ids.RunnerId(runner.name)] = 0
+
+    def _at(self, at_ms: int, action: Callable[[int], None]) -> None:
+        heapq.heappush(self._heap, (at_ms, next(self._sequence), action))
+
+    def _heartbeats(self, now_ms: int) -> None:
+        for vms in self._site.vms.values():
+            for vm, peer in itertools.permutations(vms, 2):
+                self._tell(vm, peer, now_ms)
+        if now_ms < self._end_ms:
+            self._at(now_ms + HEARTBEAT_MS, self._heartbeats)
+
+    def _tell(self, vm: ids.VmId, peer: ids.VmId, now_ms: int) -> None:
+        free = self._routers[vm].free_slots()
+        self._at(
+            now_ms + LINK_MS,
+            lambda _: self._routers[peer].peer_free_slots(vm, free),
+        )
+
+    def _arrive(
+        self, request: request_workload.TracedRequest
+    ) -> Callable[[int], None]:
+        def action(now_ms: int) -> None:
+            spec = _spec(request)
+            refusal = self._routers[request.vm].submit(spec, now_ms)
+            if refusal is not None:
+                self._reply(request, refusal, now_ms)
+            self._decide(request.vm, now_ms)
+
+        return action
+
+    def _decide(self, vm: ids.VmId, now_ms: int) -> None:
+        router = self._routers[vm]
+        for decision in router.decide(now_ms):
+            if isinstance(decision, request_decisions.Send):
+                self._send(vm, decision, now_ms)
+            elif isinstance(decision, request_decisions.Offer):
+                self._offer(vm, decision, now_ms)
+            else:
+                self._finish(vm, decision.result, now_ms)
+        wake_ms = router.next_wake_ms()
+        if wake_ms is not None and wake_ms != self._wakes.get(vm):
+            self._wakes[vm] = wake_ms
+            self._at(max(wake_ms, now_ms + 1), self._wake(vm))
+
+    def _wake(self, vm: ids.VmId) -> Callable[[int], None]:
+        return lambda now_ms: self._decide(vm, now_ms)
+
+    def _send(
+        self, vm: ids.VmId, send: request_decisions.Send, now_ms: int
+    ) -> None:
+        self.sends += 1
+        self.hedges += send.hedge
+        self._first_send_ms.setdefault(send.request, now_ms)
+
+        def reach(at_ms: int) -> None:
+            if self._used[send.runner] >= self._slots[send.runner]:
+                self.busy_answers += 1
+                outcome = messages.RunnerOutcome.BUSY
+                self._answer(vm, send, outcome, at_ms)
+                return
+            self._used[send.runner] += 1
+            request = self._trace[send.request]
+            took_ms = _slowed(request, send.runner, self._slow)
+            self._at(at_ms + took_ms, done)
+
+        def done(at_ms: int) -> None:
+            self._used[send.runner] -= 1
+            self._answer(vm, send, messages.RunnerOutcome.DONE, at_ms)
+
+        self._at(now_ms + LINK_MS, reach)
+
+    def _answer(
+        self,
+        vm: ids.VmId,
+        send: request_decisions.Send,
+        outcome: messages.RunnerOutcome,
+        now_ms: int,
+    ) -> None:
+        answer = messages.RunnerAnswer(request=send.request, outcome=outcome)
+
+        def receive(at_ms: int) -> None:
+            self._routers[vm].answered(
+                send.request,
+                send.runner,
+                answer,
+                True,
+                at_ms,
+                attempt=send.attempt,
+            )
+            self._decide(vm, at_ms)
+
+        self._at(now_ms + LINK_MS, receive)
+
+    def _offer(
+        self, vm: ids.VmId, offer: request_decisions.Offer, now_ms: int
+    ) -> None:
+        self.offers += 1
+
+        def reach(at_ms: int) -> None:
+            spec = msgspec.structs.replace(
+                _spec(self._trace[offer.request]), timeout_ms=offer.timeout_ms
+            )
+            peer = self._routers[offer.vm]
+            refusal = peer.submit(spec, at_ms, offered=True)
+            if refusal is not None:
+                self.offers_refused += 1
+                self._peer_answer(vm, refusal, at_ms)
+                return
+            self._offered_by[offer.request] = vm
+            self._decide(offer.vm, at_ms)
+
+        self._at(now_ms + LINK_MS, reach)
+
+    def _peer_answer(
+        self, vm: ids.VmId, result: jobs.RequestResult, now_ms: int
+    ) -> None:
+        def receive(at_ms: int) -> None:
+            router = self._routers[vm]
+            router.peer_answered(result.request, result, at_ms)
+            self._decide(vm, at_ms)
+
+        self._at(now_ms + LINK_MS, receive)
+
+    def _finish(
+        self, vm: ids.VmId, result: jobs.RequestResult, now_ms: int
+    ) -> None:
+        origin = self._offered_by.pop(result.request, None)
+        if origin is not None and origin != vm:
+            self._peer_answer(origin, result, now_ms)
+            return
+        self._reply(self._trace[result.request], result, now_ms)
+
+    def _reply(
+        self,
+        request: request_workload.TracedRequest,
+        result: jobs.RequestResult,
+        now_ms: int,
+    ) -> None:
+        sent_ms = self._first_send_ms.get(request.request, now_ms)
+        self._answers[request.request] = Answered(
+            request=request,
+            result=result,
+            took_ms=now_ms - request.arrival_ms + 2 * LINK_MS,
+            waited_ms=sent_ms - request.arrival_ms,
+        )
+
+
+def _spec(request: request_workload.TracedRequest) -> jobs.RequestSpec:
+    return jobs.RequestSpec(
+        request=request.request,
+        account=request.account,
+        timeout_ms=TIMEOUT_MS,
+        idempotent=request.idempotent,
+    )
--- /dev/null
+++ b/citronmount/bench/request_workload.py
@@ -0,0 +1,141 @@
+"""Short requests of a site, with the times that they really take."""
+
+import random
+
+import msgspec
+
+from citronmount.bench import workload
+from citronmount.core import ids
+from citronmount.platform import messages
+
+__all__ = ["RequestSite", "TracedRequest", "perchero_site", "requests"]
+
+SLOTS = 8
+CONNECTIONS = 60
+RUNNERS = {"gt-central-a": 9, "gt-central-b": 8, "gt-central-c": 8}
+VMS = {"gt-central-a": 3, "gt-central-b": 3, "gt-central-c": 2}
+ACCOUNTS = ("feria", "marimba", "teatro", "templo")
+_KINDS = (
+    ("door", 0.6, 30.0, 0.4),
+    ("coordinator", 0.3, 60.0, 0.5),
+    ("reconciliation", 0.1, 150.0, 0.6),
+)
+IDEMPOTENT_SHARE = 0.5
+MEAN_SAMPLES = 20_000
+
+
+class TracedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """One short request.
+
+    Attributes:
+        request: Its id.
+        account: Its client account.
+        kind: The class of work in reports.
+        domain: The failure domain that the balancer chose.
+        vm: The VM that the balancer chose.
+        arrival_ms: When it reaches the VM.
+        service_ms: How long a runner takes for it.
+        idempotent: Whether it may be sent twice.
+    """
+
+    request: ids.RequestId
+    account: ids.AccountId
+    kind: str
+    domain: str
+    vm: ids.VmId
+    arrival_ms: int
+    service_ms: int
+    idempotent: bool
+
+
+class RequestSite(msgspec.Struct, frozen=True, kw_only=True):
+    """The runners and VMs of a site, by failure domain.
+
+    Attributes:
+        runners: The runners.
+        vms: The VMs.
+    """
+
+    runners: dict[str, tuple[messages.ListedTarget, ...]]
+    vms: dict[str, tuple[ids.VmId, ...]]
+
+    @property
+    def slots(self) -> int:
+        """Slots of all runners."""
+        return sum(r.slots for group in self.runners.values() for r in group)
+
+
+def perchero_site() -> RequestSite:
+    """Returns the runners and VMs of Perchero Abierto."""
+    return RequestSite(
+        runners={
+            domain: tuple(
+                messages.ListedTarget(
+                    name=f"{domain}-r{number:02d}",
+                    address="127.0.0.1:1",
+                    failure_domain=ids.FailureDomainId(domain),
+                    slots=SLOTS,
+                    connections=CONNECTIONS,
+                )
+                for number in range(count)
+            )
+            for domain, count in RUNNERS.items()
+        },
+        vms={
+            domain: tuple(
+                ids.VmId(f"{domain}-vm{number}") for number in range(count)
+            )
+            for domain, count in VMS.items()
+        },
+    )
+
+
+def requests(
+    site: RequestSite, seed: int, *, load: float, seconds: float
+) -> tuple[TracedRequest, ...]:
+    """Returns requests at a share of what all slots can serve.
+
+    The balancer spreads them over failure domains by their slots and evenly
+    over the VMs of each.
+
+    Args:
+        site: The site.
+        seed: Seed of the bench.
+        load: Offered work over slots.
+        seconds: How long requests arrive.
+
+    Returns:
+        The requests by arrival.
+    """
+    rng = workload.stream("requests", seed)
+    mean_ms = sum(_draw(rng)[1] for _ in range(MEAN_SAMPLES)) / MEAN_SAMPLES
+    count = load * site.slots * seconds * 1_000 / mean_ms
+    domains = list(site.runners)
+    weights = [len(site.runners[domain]) for domain in domains]
+    made = []
+    end_ms = round(seconds * 1_000)
+    for number, at_ms in enumerate(
+        workload.poisson_times(rng, 0, end_ms, count)
+    ):
+        kind, service_ms = _draw(rng)
+        domain = rng.choices(domains, weights)[0]
+        made.append(
+            TracedRequest(
+                request=ids.RequestId(f"q{number}"),
+                account=ids.AccountId(rng.choice(ACCOUNTS)),
+                kind=kind,
+                domain=domain,
+                vm=rng.choice(site.vms[domain]),
+                arrival_ms=at_ms,
+                service_ms=service_ms,
+                idempotent=rng.random() < IDEMPOTENT_SHARE,
+            )
+        )
+    return tuple(made)
+
+
+def _draw(rng: random.Random) -> tuple[str, int]:
+    kind, _, median_ms, sigma = rng.choices(
+        _KINDS, [kind[1] for kind in _KINDS]
+    )[0]
+    return kind, max(1, round(workload.skewed(rng, median_ms, sigma)))
--- /dev/null
+++ b/citronmount/bench/timings.py
@@ -0,0 +1,193 @@
+"""Costs of decisions as ratios within one run, at several sizes.
+
+Wall-clock times depend on the machine, so they are no part of the reports
+that are compared byte by byte.
+"""
+
+import gc
+import math
+import time
+import tracemalloc
+
+import msgspec
+
+from citronmount.bench import report
+from citronmount.bench import sites
+from citronmount.bench import two_year
+from citronmount.bench import workload
+from citronmount.core import decisions
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import scheduler as scheduler_lib
+from citronmount.core import states
+
+__all__ = ["CostRow", "TimingReport", "measure"]
+
+POOL_SCALES = (0.25, 0.5, 1.0, 2.0)
+GANG_SIZES = (1, 8, 32, 128)
+FILL_SHARE = 0.7
+DECISIONS = 60
+DAY_S = 86_400.0
+MEGABYTE = 1 << 20
+_TASK = jobs.Resources(accelerators=1, cores=2, memory_gb=8)
+
+
+class CostRow(msgspec.Struct, frozen=True, kw_only=True):
+    """The cost of one decision at one size.
+
+    Attributes:
+        size: Workers of the failure domain, or tasks of the gang.
+        cost_ratio: Processor time of a decision over that of the first row.
+    """
+
+    size: int
+    cost_ratio: float
+
+
+class TimingReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Costs of the decision core at the two-year size.
+
+    Attributes:
+        by_pool: Decisions on single tasks, by workers.
+        by_gang: Decisions on gangs, by tasks.
+        pool_log_ratio: Cost growth over the growth of the logarithm of the
+            pool size; at most 1 if the cost grows no faster.
+        gang_linear_ratio: Cost growth over the growth of the gang size.
+        day_core_share: Processor time of all five schedulers for a day's
+            jobs, replay included, over a day of one core.
+        state_mb: Memory of one failure domain's scheduler after that day.
+    """
+
+    by_pool: tuple[CostRow, ...]
+    by_gang: tuple[CostRow, ...]
+    pool_log_ratio: float
+    gang_linear_ratio: float
+    day_core_share: float
+    state_mb: float
+
+
+def measure(seed: int) -> TimingReport:
+    """Measures the slopes, a day's decisions and the state.
+
+    Args:
+        seed: Seed of the workloads.
+
+    Returns:
+        The report.
+    """
+    by_pool = _rows(
+        [(_workers(scale), _cost_s(seed, scale, 1)) for scale in POOL_SCALES]
+    )
+    by_gang = _rows([(size, _cost_s(seed, 1.0, size)) for size in GANG_SIZES])
+    log_growth = math.log(by_pool[-1].size) / math.log(by_pool[0].size)
+    gang_growth = by_gang[-1].size / by_gang[0].size
+    return TimingReport(
+        by_pool=by_pool,
+        by_gang=by_gang,
+        pool_log_ratio=report.rounded(by_pool[-1].cost_ratio / log_growth),
+        gang_linear_ratio=report.rounded(by_gang[-1].cost_ratio / gang_growth),
+        day_core_share=report.rounded(_day_core_share(seed)),
+        state_mb=report.rounded(_state_mb(seed)),
+    )
+
+
+def _rows(costs: list[tuple[int, float]]) -> tuple[CostRow, ...]:
+    first_s = costs[0][1]
+    return tuple(
+        CostRow(size=size, cost_ratio=report.rounded(cost_s / first_s))
+        for size, cost_s in costs
+    )
+
+
+def _workers(scale: float) -> int:
+    return len(_domain_workers(sites.two_year(scale)))
+
+
+def _domain_workers(site: sites.Site) -> tuple:
+    domain = site.domains[0]
+    return tuple(w for w in site.workers if w.failure_domain == domain)
+
+
+def _filled(
+    seed: int, scale: float
+) -> tuple[scheduler_lib.DomainScheduler, sites.Site, int]:
+    """Returns a scheduler whose pool is mostly taken, and the time."""
+    site = sites.two_year(scale)
+    scheduler = scheduler_lib.DomainScheduler(failure_domain=site.domains[0])
+    scheduler.set_configuration(site.configuration)
+    scheduler.set_workers(_domain_workers(site))
+    total = scheduler.free_accelerators()
+    now_ms = 0
+    for number, job in enumerate(two_year.trace(seed, 48.0, scale)):
+        if scheduler.free_accelerators() < (1 - FILL_SHARE) * total:
+            break
+        spec = msgspec.structs.replace(
+            job.spec,
+            job=ids.job_id(site.domains[0], f"fill{number}"),
+            submitted_ms=now_ms,
+        )
+        scheduler.submit(spec, now_ms)
+        _start_all(scheduler, now_ms)
+        now_ms += 100
+    return scheduler, site, now_ms
+
+
+def _start_all(
+    scheduler: scheduler_lib.DomainScheduler, now_ms: int
+) -> list[ids.JobId]:
+    placed = [
+        decision.job
+        for decision in scheduler.decide(now_ms)
+        if isinstance(decision, decisions.PlaceJob)
+    ]
+    for job in placed:
+        scheduler.started(job, now_ms)
+    return placed
+
+
+def _cost_s(seed: int, scale: float, tasks: int) -> float:
+    """Returns the processor time to submit, place and end one gang."""
+    scheduler, site, now_ms = _filled(seed, scale)
+    for job in scheduler.queued():
+        scheduler.cancel(job)
+    account = next(
+        account.name
+        for account in site.configuration.accounts
+        if account.account_class is states.AccountClass.PAYING
+    )
+    costs_s = []
+    for number in range(DECISIONS):
+        spec = jobs.JobSpec(
+            job=ids.job_id(site.domains[0], f"probe{number}"),
+            account=account,
+            tasks=tasks,
+            per_task=_TASK,
+            submitted_ms=now_ms,
+        )
+        now_ms += 1_000
+        began_s = time.process_time()
+        scheduler.submit(spec, now_ms)
+        placed = _start_all(scheduler, now_ms)
+        for job in placed:
+            scheduler.ended(job, decisions.AttemptEnd.DONE, now_ms)
+        scheduler.cancel(spec.job)
+        costs_s.append(time.process_time() - began_s)
+    return sorted(costs_s)[len(costs_s) // 2]
+
+
+def _day_core_share(seed: int) -> float:
+    began_s = time.process_time()
+    two_year.run(seed, ("citron",))
+    return (time.process_time() - began_s) / DAY_S
+
+
+def _state_mb(seed: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    scheduler, _, now_ms = _filled(seed, 1.0)
+    later_ms = now_ms + workload.HOUR_MS
+    scheduler.decide(later_ms)
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / MEGABYTE
