--- a/citronmount/bench/replay.py
+++ b/citronmount/bench/replay.py
@@ -245,6 +245,8 @@
         self._sequence = itertools.count()
         self._entries = itertools.count()
         self._tried_ms: dict[int, int] = {}
+        self._versions: collections.Counter[str] = collections.Counter()
+        self._refused_at: dict[tuple, int] = {}
         self._holding = collections.defaultdict(set)
         for row in site.configuration.guarantees:
             self._holding[row.account].add(row.failure_domain)
@@ -340,10 +342,22 @@
             names[next(self._entries) % len(names)],
         )
         for name in ranked:
-            if self._schedulers[name].would_start(job.spec, now_ms):
+            if self._would_start(name, job.spec, now_ms):
                 return name
         return ranked[0] if ranked else None
 
+    def _would_start(
+        self, name: ids.FailureDomainId, spec: jobs.JobSpec, now_ms: int
+    ) -> bool:
+        """Asks a scheduler, unless nothing changed there since its last no."""
+        key = (name, spec.account, pool_usage.shape_of(spec), spec.urgent)
+        if self._refused_at.get(key) == self._versions[name]:
+            return False
+        able = self._schedulers[name].would_start(spec, now_ms)
+        if not able:
+            self._refused_at[key] = self._versions[name]
+        return able
+
     def _rooms(self) -> dict[ids.FailureDomainId, homes.DomainRoom]:
         return {
             name: homes.DomainRoom(
@@ -393,7 +407,7 @@
                     name in holding
                     or rooms[name].accelerators >= job.spec.accelerators
                 )
-                and self._schedulers[name].would_start(job.spec, now_ms)
+                and self._would_start(name, job.spec, now_ms)
             ),
             None,
         )
@@ -416,6 +430,7 @@
 
     def _enqueue(self, number: int, now_ms: int) -> None:
         job = self.jobs[number]
+        self._versions[job.domain] += 1
         self._queued[job.domain].add(number)
         served = self.served[job.domain]
         served.advance(now_ms)
@@ -423,6 +438,7 @@
 
     def _dequeue(self, number: int, now_ms: int) -> None:
         job = self.jobs[number]
+        self._versions[job.domain] += 1
         self._queued[job.domain].remove(number)
         served = self.served[job.domain]
         served.advance(now_ms)
@@ -564,6 +580,7 @@
         served.advance(now_ms)
         served.hold(job.spec.account, -job.spec.accelerators)
         self.usage.take(job.spec, job.placement, -1)
+        self._versions[job.domain] += 1
         job.placement = None
         job.started_ms = None
         job.evicting = False
@@ -598,6 +615,7 @@
         self, event: Configure, now_ms: int
     ) -> set[ids.FailureDomainId]:
         self.configuration = event.configuration
+        self._refused_at.clear()
         for domain, scheduler in self._schedulers.items():
             scheduler.set_configuration(event.configuration)
             self._set_capacity(domain, now_ms)
