--- a/citronmount/cli/tests/test_live.py
+++ b/citronmount/cli/tests/test_live.py
@@ -33,7 +33,7 @@
         pool = pool_file.load("examples/hanbit/pool.toml")
         cluster = self.enterContext(loopback_cluster.open_cluster(pool, 1))
         self.servers = [vm.caller_address for vm in cluster.vms]
-        self.wait_for(lambda member: member["ready"])
+        self.wait_for(lambda member: member["alive"] and member["ready"])
 
     def wait_for(self, wanted):
         deadline_s = time.monotonic() + _TIMEOUT_S
