--- a/citronmount/bench/capacity_page.py
+++ b/citronmount/bench/capacity_page.py
@@ -181,7 +181,14 @@
         f"the budget of {limit}.\n"
         for name, need, limit in rows
     )
-    return "\n" + "".join(lines)
+    on_the_wire = plan.bytes_per_s + plan.packet_bytes_per_s
+    kept = on_the_wire <= budget.bytes_per_s
+    last = (
+        f"- {on_the_wire:,.0f} bytes/s with the headers of TCP and IP, at "
+        f"most: {'within' if kept else '**misses**'} the budget if these "
+        "count.\n"
+    )
+    return "\n" + "".join(lines) + last
 
 
 def _traffic_table(found: capacity_plan.Measured) -> str:
