Check short requests of failure domains that are out, refuse connections

Starts at runners of a failure domain out of service now count like starts at workers. A dead target either refuses connections or stays silent.

--- a/citronmount/bench/faults/evidence.py
+++ b/citronmount/bench/faults/evidence.py
@@ -68,7 +68,8 @@
     Attributes:
         harness: The site.
         attempts: Every attempt that was reserved anywhere.
-        starters: The VM that sent the start of an attempt to a worker.
+        starters: The VM that sent the start of an attempt to a worker, or a
+            request to a runner.
         late_work: New work for leaving targets, with its warning.
         replies: How often each ticket was answered.
         relayed: Configurations passed among VMs, by version.
@@ -110,6 +111,8 @@
             case effects.CallWorker():
                 self._note_acts(process, item)
             case effects.CallRunner():
+                key = (str(item.spec.request), str(item.runner))
+                self.starters[key] = process.vm.vm
                 self._note_new_work(process, item.runner)
             case events.PeerArrived(
                 message=peer_messages.ConfigurationRelay(snapshot=snapshot)
--- a/citronmount/bench/faults/fault_kinds.py
+++ b/citronmount/bench/faults/fault_kinds.py
@@ -105,9 +105,9 @@
 @registry.fault("target-dies")
 def _target_dies(cell: Any, hit: Any) -> None:
     name = cell.target_near(hit)
-    cell.harness.crash_target(name)
+    cell.harness.crash_target(name, refuses=cell.rng.random() < 0.5)
     cell.heal_after(
-        cell.rng.randint(3_000, 15_000), cell.harness.down.discard, name
+        cell.rng.randint(3_000, 15_000), cell.harness.restore_target, name
     )
 
 
--- a/citronmount/bench/faults/promises.py
+++ b/citronmount/bench/faults/promises.py
@@ -220,6 +220,7 @@
     kinds = (
         events.EventKind.CONFIGURATION_IN_FORCE,
         events.EventKind.TASK_STARTED,
+        events.EventKind.RUNNER_STARTED,
     )
     for at_ms, event in _of_kind(evidence, *kinds):
         if event.kind is events.EventKind.CONFIGURATION_IN_FORCE:
@@ -228,7 +229,8 @@
             since.setdefault((domain, event.version), at_ms)
             continue
         domain = event.failure_domain
-        sender = evidence.starters[event.attempt, event.target]
+        work = event.attempt or event.request
+        sender = evidence.starters[work, event.target]
         known = in_force.get(str(sender), (0, 0))[0]
         late = [
             version
@@ -239,14 +241,12 @@
             and at_ms - since_ms > NOTICE_MS
         ]
         if late:
-            yield (
-                at_ms,
-                (
-                    f"{event.attempt} started at {event.target}, out in"
-                    f" version {late[0]} since {since[domain, late[0]]} ms;"
-                    f" sender {sender} had version {known}"
-                ),
+            text = (
+                f"{work} started at {event.target}, out in version {late[0]}"
+                f" since {since[domain, late[0]]} ms; sender {sender} had"
+                f" version {known}"
             )
+            yield at_ms, text
 
 
 def _vms(evidence: evidence_lib.Evidence) -> list:
--- a/citronmount/bench/harness.py
+++ b/citronmount/bench/harness.py
@@ -138,6 +138,7 @@
         processes: The system's processes by VM.
         timeline: All events with the true time in ms, in order of time.
         down: Services and targets that do not answer.
+        refusing: Those of them that refuse connections at once.
         log_delay_ms: How long the log takes for each call.
         lose_append_answers: Whether appends take effect without an answer.
         crashes: Time, VM and last lines of every exception of an agent.
@@ -177,6 +178,7 @@
         )
         self.timeline: list[tuple[int, timeline_events.TimelineEvent]] = []
         self.down: set[str] = set()
+        self.refusing: set[str] = set()
         self.log_delay_ms = _SERVICE_MS
         self.lose_append_answers = False
         self.crashes: list[tuple[int, ids.VmId, list[str]]] = []
@@ -292,16 +294,29 @@
         self.platform.set_vm(leaving, self.clock.now_ms)
         self._post(process, process.incarnation, events.DrainRequested())
 
-    def crash_target(self, name: str) -> None:
+    def crash_target(self, name: str, *, refuses: bool = False) -> None:
         """Ends a worker or runner with all that runs there.
 
         Args:
             name: The worker or runner.
+            refuses: Whether its machine lives on and refuses connections;
+                otherwise calls get no answer at all.
         """
         self.down.add(name)
+        if refuses:
+            self.refusing.add(name)
         model = self.workers.get(name) or self.runners[name]
         model.crash(self.clock.now_ms)
 
+    def restore_target(self, name: str) -> None:
+        """Lets a worker or runner answer again.
+
+        Args:
+            name: The worker or runner.
+        """
+        self.down.discard(name)
+        self.refusing.discard(name)
+
     def set_leaving(self, name: str, leaving: bool) -> None:
         """Lets a target start or stop leaving.
 
@@ -567,6 +582,8 @@
         serve: Callable[..., None],
         respond: Callable[[events.Event], None],
     ) -> None:
+        if target in self.refusing:
+            respond(_no_answer(effect, sent=False))
         if target in self.down:
             return
         for arrival in self.arrivals:
@@ -713,7 +730,7 @@
         process.traffic.add(type(event).__name__, size)
 
 
-def _no_answer(effect: effects.Effect) -> events.Event:
+def _no_answer(effect: effects.Effect, *, sent: bool = True) -> events.Event:
     match effect:
         case effects.AppendLog():
             return events.LogAppended(call=effect.call, offset=None)
@@ -727,5 +744,8 @@
             )
         case _:
             return events.RunnerAnswered(
-                call=effect.call, runner=effect.runner, answer=None
+                call=effect.call,
+                runner=effect.runner,
+                answer=None,
+                sent=sent,
             )
