--- a/citronmount/bench/metrics.py
+++ b/citronmount/bench/metrics.py
@@ -155,6 +155,9 @@
         counts={
             **replay.counts,
             "late_starts": replay.late_starts,
+            "most_moves_of_a_job": max(
+                (job.moves for job in counted), default=0
+            ),
             "unfinished": sum(job.code is None for job in counted),
         },
         ratios={name: report.rounded(value) for name, value in ratios.items()},
