Let the router stop sending when its failure domain goes out

Cause: requests queued at a VM were still sent to runners for as long as their timeout after operators had taken the failure domain out. Change: set_in_service ends the queue with FAILURE_DOMAIN_OUT, refuses new and offered requests and sends no hedges; sends in flight are finished. The agent has to call it when a configuration comes into force. Test: nothing is sent while out, the answer in flight is still handed over.

--- a/citronmount/core/short_requests.py
+++ b/citronmount/core/short_requests.py
@@ -101,6 +101,7 @@
             share=hedge_share, burst=HEDGE_BURST if hedge_share else 0.0
         )
         self._now_ms = 0
+        self._in_service = True
 
     def set_runners(self, runners: tuple[messages.ListedTarget, ...]) -> None:
         """Takes over the list of runners of the failure domain.
@@ -121,6 +122,17 @@
         """
         self._slots.set_state(runner, state)
 
+    def set_in_service(self, in_service: bool) -> None:
+        """Notes whether the failure domain is in service.
+
+        Out of service nothing is sent any more; the next `decide` ends the
+        requests that wait, and sends in flight are finished.
+
+        Args:
+            in_service: Whether requests may start.
+        """
+        self._in_service = in_service
+
     def set_share(self, index: int, count: int) -> None:
         """Notes which share of every runner this VM may use.
 
@@ -192,6 +204,8 @@
         """
         self._now_ms = now_ms
         self._expire(now_ms)
+        if not self._in_service:
+            self._end_queued()
         out: list[request_decisions.RequestDecision] = []
         out.extend(self._dispatch(now_ms))
         out.extend(self._offer(now_ms))
@@ -297,6 +311,8 @@
 
     def free_slots(self) -> int:
         """Returns how many more requests could be sent now."""
+        if not self._in_service:
+            return 0
         return self._slots.free(self._now_ms)
 
     def queued(self) -> int:
@@ -329,13 +345,19 @@
                 detail="the request id is in use",
             )
         if offered:
-            if self._slots.free(now_ms) > len(self._queue):
+            if self.free_slots() > len(self._queue):
                 return None
             return jobs.RequestResult(
                 request=spec.request,
                 code=codes.ResultCode.NO_SLOT,
                 retry_after_ms=RETRY_AFTER_MIN_MS,
             )
+        if not self._in_service:
+            return jobs.RequestResult(
+                request=spec.request,
+                code=codes.ResultCode.FAILURE_DOMAIN_OUT,
+                retry_after_ms=RETRY_AFTER_MAX_MS,
+            )
         if self._queue.waiting(spec.account) >= QUEUE_BOUND:
             return jobs.RequestResult(
                 request=spec.request,
@@ -376,6 +398,14 @@
                 self._queue.remove(request)
                 self._finish(live, self._timeout_code(live))
 
+    def _end_queued(self) -> None:
+        while (request := self._queue.pop()) is not None:
+            live = self._live[request]
+            code = codes.ResultCode.FAILURE_DOMAIN_OUT
+            if self._in_doubt(live):
+                code = self._timeout_code(live)
+            self._finish(live, code)
+
     def _drop_old_deadlines(self) -> None:
         if len(self._deadlines) <= 2 * len(self._live) + DEADLINES_KEPT:
             return
@@ -467,7 +497,9 @@
     def _try_hedge(
         self, live: _Live, now_ms: int
     ) -> request_decisions.Send | None:
-        if len(self._queue) or not self._slots.has_spare(now_ms):
+        if not self._in_service or len(self._queue):
+            return None
+        if not self._slots.has_spare(now_ms):
             return None
         runner = self._slots.choose(
             now_ms, exclude=live.runners, avoid_probe=True
--- a/citronmount/core/tests/test_short_requests.py
+++ b/citronmount/core/tests/test_short_requests.py
@@ -308,6 +308,23 @@
         sends = _sends(router.decide(1))
         self.assertEqual([s.request for s in sends], ["p", "t"])
 
+    def test_out_of_service_nothing_is_sent_and_the_queue_ends(self):
+        router = _router(runners=1)
+        send = self._send_one(router, _spec("q"))
+        router.submit(_spec("w"), 0)
+        router.set_in_service(False)
+        (result,) = _results(router.decide(1))
+        self.assertEqual(result.request, "w")
+        self.assertIs(result.code, codes.ResultCode.FAILURE_DOMAIN_OUT)
+        for offered in (True, False):
+            self.assertIsNotNone(router.submit(_spec("x"), 1, offered=offered))
+        router.answered(send.request, send.runner, _answer("q"), True, 2)
+        (result,) = _results(router.decide(2))
+        self.assertIs(result.code, codes.ResultCode.DONE)
+        self.assertEqual(router.free_slots(), 0)
+        router.set_in_service(True)
+        self._send_one(router, _spec("y"), 3)
+
     def test_queue_is_bounded_for_each_account(self):
         router = _router(runners=1, slots=0)
         results = [router.submit(_spec(f"b{i}", "b"), 0) for i in range(300)]
