--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -241,7 +241,14 @@
 )
 
 
-class DomainSummary(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+class _PeerStruct(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Base of what is sent often: encoded without the names of its fields.
+
+    New fields are added at the end, with a default.
+    """
+
+
+class DomainSummary(_PeerStruct, frozen=True, kw_only=True):
     """What an owner tells others of its failure domain.
 
     Attributes:
@@ -259,9 +266,7 @@
     largest_gang: int = 0
 
 
-class Heartbeat(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class Heartbeat(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """A VM tells that it lives.
 
     Attributes:
@@ -295,9 +300,7 @@
     logical: int = 0
 
 
-class Forward(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class Forward(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """Passes a caller's call to the VM that can serve it.
 
     Attributes:
@@ -313,9 +316,7 @@
     hops: int = 0
 
 
-class ForwardAnswer(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class ForwardAnswer(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """The answer to a forwarded call.
 
     Attributes:
@@ -327,9 +328,7 @@
     body: Answer
 
 
-class Replicate(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class Replicate(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """Asks a peer to keep records in memory.
 
     Attributes:
@@ -343,9 +342,7 @@
     records: tuple[records.Record, ...]
 
 
-class Acknowledge(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class Acknowledge(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """Confirms a message that the sender repeats until then.
 
     Attributes:
@@ -355,9 +352,7 @@
     call: ids.CallId
 
 
-class ClaimKey(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class ClaimKey(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """Asks the VMs of the home failure domain for a key.
 
     Attributes:
@@ -369,9 +364,7 @@
     claim: records.KeyClaimed
 
 
-class ClaimAnswer(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class ClaimAnswer(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """A vote on a claim.
 
     Attributes:
@@ -387,9 +380,7 @@
     result: records.KeyResult | None = None
 
 
-class ReleaseKey(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class ReleaseKey(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """Gives up a claim that was never used.
 
     Attributes:
@@ -403,9 +394,7 @@
     record: ids.RecordId
 
 
-class ConfigurationRelay(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class ConfigurationRelay(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """Passes the folded configuration to a peer that is behind.
 
     Attributes:
@@ -415,9 +404,7 @@
     snapshot: records.ConfigurationSnapshot
 
 
-class KeeperReport(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class KeeperReport(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """A lease keeper passes changed worker reports to the owner.
 
     Attributes:
@@ -431,9 +418,7 @@
     lost: tuple[ids.WorkerId, ...] = ()
 
 
-class LapseAttempts(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class LapseAttempts(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """The owner tells keepers which attempts to let lapse.
 
     Attributes:
@@ -445,9 +430,7 @@
     attempts: tuple[ids.AttemptId, ...]
 
 
-class StateRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class StateRequest(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """A rebuilding VM asks a peer for what it knows.
 
     Attributes:
@@ -459,9 +442,7 @@
     stream: ids.StreamName
 
 
-class StateAnswer(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class StateAnswer(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """What a peer knows of a stream.
 
     Attributes:
@@ -481,9 +462,7 @@
     ready: bool = True
 
 
-class Handover(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
-):
+class Handover(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """A draining owner passes its state to the next owner.
 
     Attributes:
