--- a/citronmount/bench/faults/evidence.py
+++ b/citronmount/bench/faults/evidence.py
@@ -70,6 +70,7 @@
         attempts: Every attempt that was reserved anywhere.
         starters: The VM that sent the start of an attempt to a worker, or a
             request to a runner.
+        impaired: Times from and to which the links of a VM were faulty.
         late_work: New work for leaving targets, with its warning.
         replies: How often each ticket was answered.
         relayed: Configurations passed among VMs, by version.
@@ -87,11 +88,25 @@
         self.ended_ms = 0
         self.attempts: dict[str, GangAttempt] = {}
         self.starters: dict[tuple[str, str], ids.VmId] = {}
+        self.impaired: list[tuple[ids.VmId, int, int]] = []
         self.late_work: list[NewWork] = []
         self.replies: collections.Counter = collections.Counter()
         self.relayed: list[records.ConfigurationSnapshot] = []
         self._warned: dict[tuple[ids.VmId, int, str], int] = {}
 
+    def was_impaired(self, vm: ids.VmId, from_ms: int, until_ms: int) -> bool:
+        """Returns whether the links of a VM were faulty at some time.
+
+        Args:
+            vm: The VM.
+            from_ms: Beginning of the time.
+            until_ms: End of the time.
+        """
+        return any(
+            vm == impaired and begin <= until_ms and from_ms <= end
+            for impaired, begin, end in self.impaired
+        )
+
     def watch(self, process: harness_lib.Process, item: Any) -> None:
         """Takes in an event or effect of a process.
 
--- a/citronmount/bench/faults/fault_kinds.py
+++ b/citronmount/bench/faults/fault_kinds.py
@@ -147,11 +147,10 @@
         **fields,
     )
     cell.harness.network.faults.append(link)
-    cell.heal_after(
-        cell.rng.randint(least_ms, most_ms),
-        cell.harness.network.faults.remove,
-        link,
-    )
+    duration_ms = cell.rng.randint(least_ms, most_ms)
+    now_ms = cell.harness.clock.now_ms
+    cell.evidence.impaired.append((vm, now_ms, now_ms + duration_ms))
+    cell.heal_after(duration_ms, cell.harness.network.faults.remove, link)
 
 
 @registry.fault("message-lost")
@@ -178,6 +177,30 @@
     _link_fault(cell, hit, 500, 8_000, delay_ms=(0, 120))
 
 
+@registry.fault("vms-cut-apart")
+def _cut_apart(cell: Any, hit: Any) -> None:
+    """Cuts the VMs of one failure domain off from each other.
+
+    Both still reach the workers and the platform, so that each may think that
+    it is the owner.
+    """
+    vms = set(cell.vms_in(hit.process.vm.failure_domain))
+    one_way = cell.rng.random() < 0.5
+    link = harness_network.LinkFault(
+        matches=lambda source, target: (
+            {source, target} <= vms
+            and (not one_way or source == hit.process.vm.vm)
+        ),
+        loss=1.0,
+    )
+    cell.harness.network.faults.append(link)
+    cell.heal_after(
+        cell.rng.randint(4_000, 18_000),
+        cell.harness.network.faults.remove,
+        link,
+    )
+
+
 def _cut(cell: Any, pairs: set[tuple[str, str]]) -> None:
     cell.harness.network.cuts |= pairs
 
