--- a/citronmount/bench/faults/availability.py
+++ b/citronmount/bench/faults/availability.py
@@ -10,7 +10,7 @@
 from citronmount.bench.faults import agents
 from citronmount.bench.faults import callers as callers_lib
 from citronmount.bench.faults import evidence as evidence_lib
-from citronmount.bench.faults import promises
+from citronmount.bench.faults import matrix
 from citronmount.bench.faults import registry
 from citronmount.peers import messages as peer_messages
 
@@ -65,7 +65,7 @@
     for number, vm in enumerate(vms):
         for seed in seeds:
             seen = _run(vm, 100 * seed + number, requests, gap_ms)
-            broken += len(promises.check(seen))
+            broken += len(matrix.check_promises(seen))
             for case in seen.callers.requests.values():
                 kind = next(iter(case.specs.values())).idempotent
                 first[kind][_name(case.told[0].body)] += 1
--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -13,7 +13,6 @@
 from citronmount.bench import harness_site
 from citronmount.bench.faults import callers as callers_lib
 from citronmount.bench.faults import evidence as evidence_lib
-from citronmount.bench.faults import promises
 from citronmount.bench.faults import registry
 from citronmount.bench.faults import steps
 from citronmount.config import configuration
@@ -400,7 +399,7 @@
 
     def _owner(self) -> ids.VmId:
         """Returns the VM that schedules the focus now."""
-        owners = promises.owners_at(self.harness, self.harness.clock.now_ms)
+        owners = evidence_lib.owners_at(self.harness, self.harness.clock.now_ms)
         here = [vm for vm in self.vms_in(self.focus) if vm in owners]
         return here[0] if here else self.vms_in(self.focus)[0]
 
--- a/citronmount/bench/faults/evidence.py
+++ b/citronmount/bench/faults/evidence.py
@@ -16,8 +16,22 @@
 from citronmount.peers import messages as peer_messages
 from citronmount.platform import messages
 from citronmount.state import records
+from citronmount.telemetry import events as timeline_events
 
-__all__ = ["AcceptedChange", "Evidence", "GangAttempt", "NewWork"]
+__all__ = [
+    "AcceptedChange",
+    "Evidence",
+    "GangAttempt",
+    "NewWork",
+    "owners_at",
+]
+
+
+_LEAVING_KINDS = (
+    timeline_events.EventKind.OWNERSHIP_LEFT,
+    timeline_events.EventKind.VM_STARTED,
+    timeline_events.EventKind.VM_STOPPED,
+)
 
 
 class GangAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -252,3 +266,21 @@
                     warned_ms=warned_ms,
                 )
             )
+
+
+def owners_at(harness: harness_lib.Harness, until_ms: int) -> set[str]:
+    """Returns the VMs that have rebuilt a failure domain and not left it.
+
+    Args:
+        harness: The site.
+        until_ms: True time up to which the time line is read.
+    """
+    owners: set[str] = set()
+    for at_ms, event in harness.timeline:
+        if at_ms > until_ms:
+            break
+        if event.kind is timeline_events.EventKind.REBUILD_DONE:
+            owners.add(event.process)
+        elif event.kind in _LEAVING_KINDS:
+            owners.discard(event.process)
+    return owners
--- a/citronmount/bench/faults/matrix.py
+++ b/citronmount/bench/faults/matrix.py
@@ -11,8 +11,12 @@
 from citronmount.bench import harness_site
 from citronmount.bench.faults import agents
 from citronmount.bench.faults import cell as cell_lib
+from citronmount.bench.faults import evidence as evidence_lib
 from citronmount.bench.faults import fault_kinds
 from citronmount.bench.faults import promises
+from citronmount.bench.faults import promises_of_answers
+from citronmount.bench.faults import promises_of_operation
+from citronmount.bench.faults import promises_of_work
 from citronmount.bench.faults import registry
 from citronmount.bench.faults import steps
 from citronmount.bench.faults import timeline_check
@@ -23,13 +27,20 @@
     "Summary",
     "all_pairs",
     "all_singles",
+    "check_promises",
     "run_cell",
     "run_pair",
     "summarize",
 ]
 
 _PAIR_SAMPLES = 5
-_REGISTERED = (fault_kinds, steps)
+_REGISTERED = (
+    fault_kinds,
+    steps,
+    promises_of_answers,
+    promises_of_operation,
+    promises_of_work,
+)
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
@@ -123,13 +134,27 @@
     result = CellResult(
         plan=plan,
         reached=len(cell.hits) == len(plan.strikes),
-        violations=tuple(promises.check(cell.evidence)),
+        violations=check_promises(cell.evidence),
         contradictions=tuple(timeline_check.check(timeline)),
         virtual_ms=cell.harness.clock.now_ms,
     )
     return result, cell
 
 
+def check_promises(
+    evidence: evidence_lib.Evidence,
+) -> tuple[promises.Violation, ...]:
+    """Checks every promise.
+
+    Args:
+        evidence: What was seen of a whole run.
+
+    Returns:
+        All violations.
+    """
+    return tuple(promises.check(evidence))
+
+
 def all_singles(seed: int) -> Iterator[Plan]:
     """Returns every fault at every step.
 
