Split the call desk; name failure domains that gave no answer

Change: job_submission, domain_rooms and call_answers are modules of their own; the joined answer names what is missing; an owned failure domain is handed its core instead of the same seven arguments.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -6,6 +6,7 @@
 from citronmount.agent import claims as claims_lib
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
+from citronmount.agent import domain_rooms
 from citronmount.agent import drain as drain_lib
 from citronmount.agent import effects
 from citronmount.agent import events
@@ -104,11 +105,15 @@
             configuration_keeper=self.configuration,
             claims=self.claims,
         )
+        rooms = domain_rooms.DomainRooms(
+            ctx=self._ctx, view=self.view, ownership=self.ownership
+        )
         self.calls = call_desk.CallDesk(
             ctx=self._ctx,
             view=self.view,
             configuration=self.configuration,
             ownership=self.ownership,
+            rooms=rooms,
             requests=self.requests,
         )
         self.mover = mover_lib.Mover(
@@ -116,6 +121,7 @@
             outbox=self.outbox,
             ownership=self.ownership,
             calls=self.calls,
+            rooms=rooms,
             configuration=self.configuration,
         )
         self.drain = drain_lib.Drain(
--- a/citronmount/agent/call_desk.py
+++ b/citronmount/agent/call_desk.py
@@ -5,15 +5,16 @@
 
 import msgspec
 
+from citronmount.agent import call_answers
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
-from citronmount.agent import homes
+from citronmount.agent import domain_rooms
+from citronmount.agent import job_submission
 from citronmount.agent import ownership as ownership_lib
 from citronmount.agent import request_desk
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
-from citronmount.core import shares
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
 
@@ -21,8 +22,6 @@
 
 FORWARD_TIMEOUT_MS = 1_500
 WAIT_MARGIN_MS = 1_000
-RETRY_AFTER_MS = 2_000
-MAX_TASKS = 128
 MAX_WAIT_MS = 60_000
 REMEMBERED_CALLS = 50_000
 MAX_HOPS = 4
@@ -63,6 +62,7 @@
         view: view_lib.MembershipView,
         configuration: configuration_lib.ConfigurationKeeper,
         ownership: ownership_lib.Ownership,
+        rooms: domain_rooms.DomainRooms,
         requests: request_desk.RequestDesk,
     ) -> None:
         """Initializes a desk without calls.
@@ -72,6 +72,7 @@
             view: Which VMs own what.
             configuration: The configuration in force.
             ownership: The own failure domain, if this VM owns it.
+            rooms: The room in each failure domain.
             requests: Serves short requests.
         """
         self._ctx = ctx
@@ -83,8 +84,11 @@
         self._seen: collections.OrderedDict[ids.CallId, None] = (
             collections.OrderedDict()
         )
-        self._sent: collections.deque[tuple[int, ids.FailureDomainId, int]] = (
-            collections.deque()
+        self._submission = job_submission.JobSubmission(
+            ctx=ctx,
+            configuration=configuration,
+            rooms=rooms,
+            route=self.route,
         )
 
     def busy(self) -> bool:
@@ -102,7 +106,7 @@
             case peer_messages.RunRequest():
                 self._run_request(body, respond)
             case peer_messages.SubmitJob(spec=spec):
-                self._submit(spec, respond)
+                self._submission.submit(spec, respond)
             case (
                 peer_messages.GetJob(job=job) | peer_messages.CancelJob(job=job)
             ):
@@ -139,7 +143,7 @@
         elif isinstance(body, DomainCall):
             self._serve(body, respond)
         else:
-            respond(_failure(codes.ResultCode.INVALID_REQUEST))
+            respond(call_answers.failure(codes.ResultCode.INVALID_REQUEST))
 
     def tick(self) -> None:
         """Sends on what waits and ends what has waited too long."""
@@ -159,7 +163,7 @@
             respond(peer_messages.RequestAnswer(result=result))
 
         if body.spec.timeout_ms <= 0:
-            respond(_failure(codes.ResultCode.DEADLINE_PASSED))
+            respond(call_answers.failure(codes.ResultCode.DEADLINE_PASSED))
             return
         self._requests.arrive(
             body.spec,
@@ -168,156 +172,6 @@
             offered=body.offered,
         )
 
-    def _submit(self, spec: jobs.JobSpec, respond: Respond) -> None:
-        code, detail = self._fault(spec)
-        if code is not None:
-            respond(_failure(code, detail))
-            return
-        if spec.idempotency_key:
-            self._submit_keyed(spec, respond)
-            return
-        homes_left = homes.rank_job_homes(
-            self._configuration.fold.current,
-            spec,
-            self.rooms(),
-            self._ctx.settings.failure_domain,
-        )
-        if homes_left:
-            self._submit_eagerly(spec, homes_left, homes_left[0], respond)
-        else:
-            self._submit_patiently(spec, respond)
-
-    def _submit_patiently(self, spec: jobs.JobSpec, respond: Respond) -> None:
-        """Submits a job while no owner of a failure domain is known yet."""
-        own = self._ctx.settings.failure_domain
-        allowed = shares.homes(self._configuration.fold.current, spec)
-        if not allowed:
-            respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
-            return
-        home = own if own in allowed else allowed[0]
-        job = ids.job_id(home, self._ctx.unique())
-        self._submit_to(home, spec, job, respond)
-
-    def _submit_keyed(self, spec: jobs.JobSpec, respond: Respond) -> None:
-        current = self._configuration.fold.current
-        key = spec.idempotency_key
-        home = homes.home_of_key(current, spec.account, key)
-        if home is None:
-            respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
-            return
-        job = homes.keyed_job_id(home, spec.account, key)
-        self._submit_to(home, spec, job, respond)
-
-    def _submit_eagerly(
-        self,
-        spec: jobs.JobSpec,
-        homes_left: list[ids.FailureDomainId],
-        fallback: ids.FailureDomainId,
-        respond: Respond,
-    ) -> None:
-        """Asks one failure domain after another to start the job at once.
-
-        If none can, the job is queued in the first.
-        """
-        if not homes_left:
-            job = ids.job_id(fallback, self._ctx.unique())
-            self._submit_to(fallback, spec, job, respond)
-            return
-        home, *others = homes_left
-
-        def answered(answer: peer_messages.Answer) -> None:
-            if _is_not_startable(answer):
-                self._submit_eagerly(spec, others, fallback, respond)
-            else:
-                respond(answer)
-
-        job = ids.job_id(home, self._ctx.unique())
-        self._submit_to(home, spec, job, answered, eager=True)
-
-    def _submit_to(
-        self,
-        home: ids.FailureDomainId,
-        spec: jobs.JobSpec,
-        job: ids.JobId,
-        respond: Respond,
-        *,
-        eager: bool = False,
-    ) -> None:
-        filled = msgspec.structs.replace(
-            spec, job=job, submitted_ms=self._ctx.wall_ms
-        )
-        self._note_sent(home, spec.accelerators)
-        body = peer_messages.SubmitJob(spec=filled, eager=eager)
-        self.route(home, body, respond)
-
-    def _note_sent(self, home: ids.FailureDomainId, accelerators: int) -> None:
-        self._sent.append((self._ctx.now_ms, home, accelerators))
-
-    def rooms(self) -> dict[ids.FailureDomainId, homes.DomainRoom]:
-        """Returns the room in each failure domain that has an owner.
-
-        What this VM has sent there since the last heartbeats is taken off.
-        """
-        limit_ms = self._ctx.now_ms - self._ctx.settings.remote_heartbeat_ms
-        while self._sent and self._sent[0][0] < limit_ms:
-            self._sent.popleft()
-        sent = collections.Counter()
-        for _, home, accelerators in self._sent:
-            sent[home] += accelerators
-        return {
-            name: homes.DomainRoom(
-                accelerators=summary.free_accelerators
-                - summary.queued_accelerators
-                - sent[name],
-                largest_gang=summary.largest_gang,
-            )
-            for name, summary in self.summaries().items()
-        }
-
-    def _fault(self, spec: jobs.JobSpec) -> tuple[codes.ResultCode | None, str]:
-        """Returns why a job is refused at the door, or None."""
-        if not self._configuration.usable:
-            return codes.ResultCode.NO_CONFIGURATION, ""
-        current = self._configuration.fold.current
-        if all(account.name != spec.account for account in current.accounts):
-            return codes.ResultCode.UNKNOWN_ACCOUNT, spec.account
-        if not 1 <= spec.tasks <= MAX_TASKS:
-            limits = f"tasks must be 1 to {MAX_TASKS}"
-            return codes.ResultCode.INVALID_REQUEST, limits
-        amounts = msgspec.structs.astuple(spec.per_task)
-        if min(amounts) < 0 or max(amounts) < 1:
-            return codes.ResultCode.INVALID_REQUEST, "per_task"
-        if spec.run_time_s <= 0:
-            return codes.ResultCode.INVALID_REQUEST, "run_time_s"
-        if spec.deadline_ms is not None:
-            return self._deadline_fault(spec, spec.deadline_ms)
-        return None, ""
-
-    def _deadline_fault(
-        self, spec: jobs.JobSpec, deadline_ms: int
-    ) -> tuple[codes.ResultCode | None, str]:
-        if deadline_ms <= self._ctx.wall_ms:
-            return codes.ResultCode.DEADLINE_PASSED, "deadline_ms"
-        return None, ""
-
-    def summaries(
-        self,
-    ) -> dict[ids.FailureDomainId, peer_messages.DomainSummary]:
-        """Returns what the owners of live failure domains tell."""
-        found: dict[ids.FailureDomainId, peer_messages.DomainSummary] = {}
-        for vm in self._view.live_peers(self._ctx.now_ms):
-            heartbeat = self._view.peers[vm].heartbeat
-            summary = None if heartbeat is None else heartbeat.domain
-            if summary is None:
-                continue
-            known = found.get(summary.failure_domain)
-            if known is None or known.token < summary.token:
-                found[summary.failure_domain] = summary
-        if self._ownership.domain is not None:
-            own = self._ownership.domain.summary()
-            found[own.failure_domain] = own
-        return found
-
     def route(
         self,
         failure_domain: ids.FailureDomainId,
@@ -332,7 +186,11 @@
             respond: Told the answer, once.
         """
         if not self._is_configured(failure_domain):
-            respond(_failure(codes.ResultCode.UNKNOWN_JOB, failure_domain))
+            respond(
+                call_answers.failure(
+                    codes.ResultCode.UNKNOWN_JOB, failure_domain
+                )
+            )
             return
         timeout_ms = self._ctx.settings.call_timeout_ms
         if isinstance(body, peer_messages.GetJob):
@@ -387,7 +245,7 @@
                 call.uncertain = True
                 call.body = _decisive(call.body)
                 return
-            if not _is_for_retry(message.body):
+            if not call_answers.is_for_retry(message.body):
                 self._routed.remove(call)
                 call.respond(_truthful(call, message.body))
 
@@ -399,19 +257,21 @@
         )
 
     def _give_up(self, call: _Routed) -> None:
-        if call.uncertain or call.in_flight:
-            detail = ""
-            if isinstance(call.body, peer_messages.SubmitJob):
-                detail = f"job {call.body.spec.job} may have been accepted"
-            call.respond(_failure(codes.ResultCode.TIMED_OUT, detail))
-            return
-        call.respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
+        in_doubt = call.uncertain or call.in_flight
+        if not in_doubt:
+            code = codes.ResultCode.HOME_UNREACHABLE
+            call.respond(call_answers.failure(code))
+        elif isinstance(call.body, peer_messages.SubmitJob):
+            call.respond(call_answers.may_be_accepted(call.body.spec))
+        else:
+            code = codes.ResultCode.TIMED_OUT
+            call.respond(call_answers.failure(code))
 
     def _serve(self, body: DomainCall, respond: Respond) -> None:
         """Serves a call as the owner of the failure domain."""
         domain = self._ownership.domain
         if domain is None:
-            respond(_failure(codes.ResultCode.REBUILDING))
+            respond(call_answers.failure(codes.ResultCode.REBUILDING))
             return
         if isinstance(body, peer_messages.GetJob | peer_messages.CancelJob):
             moved_to = domain.moves.moved_to(body.job)
@@ -438,7 +298,7 @@
     ) -> None:
         """Sends a call after a job that was moved."""
         if body.hops >= MAX_HOPS:
-            respond(_failure(codes.ResultCode.HOME_UNREACHABLE))
+            respond(call_answers.failure(codes.ResultCode.HOME_UNREACHABLE))
             return
         further = msgspec.structs.replace(body, hops=body.hops + 1)
         self.route(moved_to, further, respond)
@@ -462,7 +322,7 @@
         def answered(answer: peer_messages.Answer) -> None:
             answers.append(answer)
             if len(answers) == len(names):
-                respond(_joined(answers))
+                respond(call_answers.joined(answers))
 
         if not names:
             respond(peer_messages.JobsAnswer(statuses=()))
@@ -471,41 +331,6 @@
             self.route(name, part, answered)
 
 
-def _failure(code: codes.ResultCode, detail: str = "") -> peer_messages.Failure:
-    retry = codes.info(code).retry
-    return peer_messages.Failure(
-        result=jobs.JobResult(code=code, detail=detail),
-        retry_after_ms=RETRY_AFTER_MS if retry else None,
-    )
-
-
-def _is_for_retry(answer: peer_messages.Answer) -> bool:
-    """Returns whether the asked VM was not the owner after all."""
-    return (
-        isinstance(answer, peer_messages.Failure)
-        and answer.result.code is codes.ResultCode.REBUILDING
-    )
-
-
-def _decisive(body: DomainCall) -> DomainCall:
-    """Returns a call whose repetition settles whether the job is accepted."""
-    if isinstance(body, peer_messages.SubmitJob):
-        return msgspec.structs.replace(body, eager=False)
-    return body
-
-
-def _is_not_startable(answer: peer_messages.Answer) -> bool:
-    """Returns whether an eager submission was refused for lack of room."""
-    return isinstance(answer, peer_messages.Failure) and (
-        answer.result.code
-        in (
-            codes.ResultCode.TARGET_REFUSED,
-            codes.ResultCode.HOME_UNREACHABLE,
-            codes.ResultCode.QUEUE_FULL,
-        )
-    )
-
-
 def _truthful(
     call: _Routed, answer: peer_messages.Answer
 ) -> peer_messages.Answer:
@@ -515,23 +340,13 @@
     """
     submitted = isinstance(call.body, peer_messages.SubmitJob)
     refused = isinstance(answer, peer_messages.Failure)
-    if not (call.uncertain and submitted and refused):
-        return answer
-    detail = f"job {call.body.spec.job} may have been accepted"
-    return _failure(codes.ResultCode.TIMED_OUT, detail)
-
-
-def _joined(answers: list[peer_messages.Answer]) -> peer_messages.Answer:
-    lists = [
-        answer
-        for answer in answers
-        if isinstance(answer, peer_messages.JobsAnswer)
-    ]
-    if not lists:
-        return answers[0]
-    return peer_messages.JobsAnswer(
-        statuses=tuple(
-            status for answer in lists for status in answer.statuses
-        ),
-        total=sum(answer.total for answer in lists),
-    )
+    if call.uncertain and submitted and refused:
+        return call_answers.may_be_accepted(call.body.spec)
+    return answer
+
+
+def _decisive(body: DomainCall) -> DomainCall:
+    """Returns a call whose repetition settles whether the job is accepted."""
+    if isinstance(body, peer_messages.SubmitJob):
+        return msgspec.structs.replace(body, eager=False)
+    return body
--- /dev/null
+++ b/citronmount/agent/job_submission.py
@@ -0,0 +1,162 @@
+"""Brings a caller's job to the failure domain that can start it first."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from citronmount.agent import call_answers
+from citronmount.agent import configuration as configuration_lib
+from citronmount.agent import context
+from citronmount.agent import domain_rooms
+from citronmount.agent import homes
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.core import jobs
+from citronmount.core import shares
+from citronmount.peers import messages as peer_messages
+
+__all__ = ["JobSubmission"]
+
+MAX_TASKS = 128
+
+Respond = Callable[[peer_messages.Answer], None]
+Route = Callable[[ids.FailureDomainId, peer_messages.SubmitJob, Respond], None]
+
+
+class JobSubmission:
+    """Chooses the home of each job and submits it there."""
+
+    def __init__(
+        self,
+        *,
+        ctx: context.Context,
+        configuration: configuration_lib.ConfigurationKeeper,
+        rooms: domain_rooms.DomainRooms,
+        route: Route,
+    ) -> None:
+        """Initializes the part.
+
+        Args:
+            ctx: The shared context.
+            configuration: The configuration in force.
+            rooms: The room in each failure domain.
+            route: Takes a call to the owner of a failure domain.
+        """
+        self._ctx = ctx
+        self._configuration = configuration
+        self._rooms = rooms
+        self._route = route
+
+    def submit(self, spec: jobs.JobSpec, respond: Respond) -> None:
+        """Submits a job to the failure domain that can start it first.
+
+        Args:
+            spec: The job, without an id.
+            respond: Told the job's status or why it is refused, once.
+        """
+        code, detail = self._fault(spec)
+        if code is not None:
+            respond(call_answers.failure(code, detail))
+            return
+        if spec.idempotency_key:
+            self._submit_keyed(spec, respond)
+            return
+        homes_left = homes.rank_job_homes(
+            self._configuration.fold.current,
+            spec,
+            self._rooms.rooms(),
+            self._ctx.settings.failure_domain,
+        )
+        if homes_left:
+            self._submit_eagerly(spec, homes_left, homes_left[0], respond)
+        else:
+            self._submit_patiently(spec, respond)
+
+    def _submit_patiently(self, spec: jobs.JobSpec, respond: Respond) -> None:
+        """Submits a job while no owner of a failure domain is known yet."""
+        own = self._ctx.settings.failure_domain
+        allowed = shares.homes(self._configuration.fold.current, spec)
+        if not allowed:
+            respond(call_answers.failure(codes.ResultCode.HOME_UNREACHABLE))
+            return
+        home = own if own in allowed else allowed[0]
+        job = ids.job_id(home, self._ctx.unique())
+        self._submit_to(home, spec, job, respond)
+
+    def _submit_keyed(self, spec: jobs.JobSpec, respond: Respond) -> None:
+        current = self._configuration.fold.current
+        key = spec.idempotency_key
+        home = homes.home_of_key(current, spec.account, key)
+        if home is None:
+            respond(call_answers.failure(codes.ResultCode.HOME_UNREACHABLE))
+            return
+        job = homes.keyed_job_id(home, spec.account, key)
+        self._submit_to(home, spec, job, respond)
+
+    def _submit_eagerly(
+        self,
+        spec: jobs.JobSpec,
+        homes_left: list[ids.FailureDomainId],
+        fallback: ids.FailureDomainId,
+        respond: Respond,
+    ) -> None:
+        """Asks one failure domain after another to start the job at once.
+
+        If none can, the job is queued in the first.
+        """
+        if not homes_left:
+            job = ids.job_id(fallback, self._ctx.unique())
+            self._submit_to(fallback, spec, job, respond)
+            return
+        home, *others = homes_left
+
+        def answered(answer: peer_messages.Answer) -> None:
+            if call_answers.is_not_startable(answer):
+                self._submit_eagerly(spec, others, fallback, respond)
+            else:
+                respond(answer)
+
+        job = ids.job_id(home, self._ctx.unique())
+        self._submit_to(home, spec, job, answered, eager=True)
+
+    def _submit_to(
+        self,
+        home: ids.FailureDomainId,
+        spec: jobs.JobSpec,
+        job: ids.JobId,
+        respond: Respond,
+        *,
+        eager: bool = False,
+    ) -> None:
+        filled = msgspec.structs.replace(
+            spec, job=job, submitted_ms=self._ctx.wall_ms
+        )
+        self._rooms.note_sent(home, spec.accelerators)
+        body = peer_messages.SubmitJob(spec=filled, eager=eager)
+        self._route(home, body, respond)
+
+    def _fault(self, spec: jobs.JobSpec) -> tuple[codes.ResultCode | None, str]:
+        """Returns why a job is refused at the door, or None."""
+        if not self._configuration.usable:
+            return codes.ResultCode.NO_CONFIGURATION, ""
+        current = self._configuration.fold.current
+        if all(account.name != spec.account for account in current.accounts):
+            return codes.ResultCode.UNKNOWN_ACCOUNT, spec.account
+        if not 1 <= spec.tasks <= MAX_TASKS:
+            limits = f"tasks must be 1 to {MAX_TASKS}"
+            return codes.ResultCode.INVALID_REQUEST, limits
+        amounts = msgspec.structs.astuple(spec.per_task)
+        if min(amounts) < 0 or max(amounts) < 1:
+            return codes.ResultCode.INVALID_REQUEST, "per_task"
+        if spec.run_time_s <= 0:
+            return codes.ResultCode.INVALID_REQUEST, "run_time_s"
+        if spec.deadline_ms is not None:
+            return self._deadline_fault(spec, spec.deadline_ms)
+        return None, ""
+
+    def _deadline_fault(
+        self, spec: jobs.JobSpec, deadline_ms: int
+    ) -> tuple[codes.ResultCode | None, str]:
+        if deadline_ms <= self._ctx.wall_ms:
+            return codes.ResultCode.DEADLINE_PASSED, "deadline_ms"
+        return None, ""
--- a/citronmount/agent/mover.py
+++ b/citronmount/agent/mover.py
@@ -5,6 +5,7 @@
 from citronmount.agent import call_desk
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
+from citronmount.agent import domain_rooms
 from citronmount.agent import outbox as outbox_lib
 from citronmount.agent import owned_domain
 from citronmount.agent import ownership as ownership_lib
@@ -52,6 +53,7 @@
         outbox: outbox_lib.Outbox,
         ownership: ownership_lib.Ownership,
         calls: call_desk.CallDesk,
+        rooms: domain_rooms.DomainRooms,
         configuration: configuration_lib.ConfigurationKeeper,
     ) -> None:
         """Initializes without moves.
@@ -61,12 +63,14 @@
             outbox: Whether the log answers.
             ownership: The owned failure domain.
             calls: Reaches other owners.
+            rooms: The room in each failure domain.
             configuration: Which failure domains are in service.
         """
         self._ctx = ctx
         self._outbox = outbox
         self._ownership = ownership
         self._calls = calls
+        self._rooms = rooms
         self._configuration = configuration
         self._next_ms = 0
         self._token = ids.FenceToken(0)
@@ -174,7 +178,7 @@
         }
         return {
             name: room.accelerators
-            for name, room in self._calls.rooms().items()
+            for name, room in self._rooms.rooms().items()
             if name != own and name in usable
         }
 
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -1,9 +1,5 @@
 """The failure domain that a VM owns: carries out the scheduler's decisions."""
 
-from collections.abc import Callable
-
-from citronmount.agent import claims as claims_lib
-from citronmount.agent import context
 from citronmount.agent import domain_core
 from citronmount.agent import job_ends
 from citronmount.agent import job_intake
@@ -11,7 +7,6 @@
 from citronmount.agent import job_rebuilding
 from citronmount.agent import job_runs
 from citronmount.agent import job_table
-from citronmount.agent import outbox as outbox_lib
 from citronmount.agent import worker_reports
 from citronmount.config import configuration as configuration_lib
 from citronmount.core import decisions
@@ -20,7 +15,6 @@
 from citronmount.leases import gang as gang_lib
 from citronmount.peers import messages as peer_messages
 from citronmount.platform import messages
-from citronmount.state import job_book
 
 __all__ = ["OwnedDomain"]
 
@@ -41,34 +35,13 @@
     def __init__(
         self,
         *,
-        ctx: context.Context,
-        token: ids.FenceToken,
-        book: job_book.JobBook,
-        outbox: outbox_lib.Outbox,
-        claims: claims_lib.Claims,
-        policy: str,
-        on_fenced: Callable[[ids.FenceToken], None],
+        core: domain_core.DomainCore,
     ) -> None:
         """Initializes an owned failure domain without workers.
 
         Args:
-            ctx: The shared context.
-            token: The fencing token that the workers have seen.
-            book: What must not be lost.
-            outbox: Writes durably.
-            claims: Claims the attempts of jobs that are not idempotent.
-            policy: The scheduling policy.
-            on_fenced: Told when a worker has seen a higher token.
+            core: What its parts share.
         """
-        core = domain_core.DomainCore(
-            ctx=ctx,
-            token=token,
-            book=book,
-            outbox=outbox,
-            claims=claims,
-            policy=policy,
-            on_fenced=on_fenced,
-        )
         ends = job_ends.JobEnds(core=core)
         self._core = core
         self._runs = job_runs.JobRuns(core=core, ends=ends)
--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -6,6 +6,7 @@
 from citronmount.agent import claims as claims_lib
 from citronmount.agent import configuration as configuration_lib
 from citronmount.agent import context
+from citronmount.agent import domain_core
 from citronmount.agent import fencing
 from citronmount.agent import outbox as outbox_lib
 from citronmount.agent import owned_domain
@@ -303,7 +304,7 @@
             self._own()
 
     def _own(self) -> None:
-        domain = owned_domain.OwnedDomain(
+        core = domain_core.DomainCore(
             ctx=self._ctx,
             token=self.token,
             book=self._book,
@@ -312,6 +313,7 @@
             policy=self._ctx.settings.policy,
             on_fenced=self.learn_token,
         )
+        domain = owned_domain.OwnedDomain(core=core)
         self.phase = OwnershipPhase.OWNER
         self.domain = domain
         self._follow_ms = self._ctx.now_ms + FOLLOW_PERIOD_MS
