Fan calls out over failure domains in one place

Cause: agent, API and command line each asked every failure domain and joined the answers, and each hid a failure domain that did not answer. Change: only the agent does; answers name those that gave none, on the wire, in the API and in the table that the tool prints. The two API tests that held the old division now hold what passes through; the reach over all failure domains is tested at the agent.

--- a/citronmount/agent/call_answers.py
+++ b/citronmount/agent/call_answers.py
@@ -1,6 +1,7 @@
 """Answers to callers' calls and what they prove."""
 
 from citronmount.core import codes
+from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.peers import messages as peer_messages
 
@@ -70,25 +71,29 @@
     return failure(codes.ResultCode.TIMED_OUT, detail)
 
 
-def joined(answers: list[peer_messages.Answer]) -> peer_messages.Answer:
+def joined(
+    answers: dict[ids.FailureDomainId, peer_messages.Answer],
+) -> peer_messages.Answer:
     """Returns one answer for the parts of a call to all failure domains.
 
     Args:
-        answers: One answer a failure domain.
+        answers: The answer of each failure domain.
 
     Returns:
-        All jobs together, or the first failure if there is nothing else.
+        All jobs together, with the failure domains that gave none, or the
+        first failure if there is nothing else.
     """
-    lists = [
-        answer
-        for answer in answers
+    lists = {
+        name: answer
+        for name, answer in answers.items()
         if isinstance(answer, peer_messages.JobsAnswer)
-    ]
+    }
     if not lists:
-        return answers[0]
+        return next(iter(answers.values()))
     return peer_messages.JobsAnswer(
         statuses=tuple(
-            status for answer in lists for status in answer.statuses
+            status for answer in lists.values() for status in answer.statuses
         ),
-        total=sum(answer.total for answer in lists),
+        total=sum(answer.total for answer in lists.values()),
+        unanswered=tuple(name for name in answers if name not in lists),
     )
--- a/citronmount/agent/call_desk.py
+++ b/citronmount/agent/call_desk.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+import functools
 
 import msgspec
 
@@ -317,10 +318,12 @@
                 for domain in self._configuration.fold.current.failure_domains
             ]
         )
-        answers: list[peer_messages.Answer] = []
+        answers: dict[ids.FailureDomainId, peer_messages.Answer] = {}
 
-        def answered(answer: peer_messages.Answer) -> None:
-            answers.append(answer)
+        def answered(
+            name: ids.FailureDomainId, answer: peer_messages.Answer
+        ) -> None:
+            answers[name] = answer
             if len(answers) == len(names):
                 respond(call_answers.joined(answers))
 
@@ -328,7 +331,7 @@
             respond(peer_messages.JobsAnswer(statuses=()))
         for name in names:
             part = msgspec.structs.replace(body, failure_domain=name)
-            self.route(name, part, answered)
+            self.route(name, part, functools.partial(answered, name))
 
 
 def _truthful(
--- a/citronmount/agent/tests/test_agent.py
+++ b/citronmount/agent/tests/test_agent.py
@@ -230,6 +230,35 @@
         self.assertIn(f"accept:{job}", names, stream)
         self.assertIn(f"end:{job}", names)
 
+    def test_a_cancellation_reaches_every_failure_domain(self):
+        for number in range(6):
+            self.gang(number, idempotency_key=f"key-{number}")
+        self.clock.run_until_ms(9_000)
+        self.answers.clear()
+        body = peer_messages.CancelJobs(
+            account=harness_site.PAYING, failure_domain=ids.FailureDomainId("")
+        )
+        self.call(0, body)
+        self.clock.run_until_ms(20_000)
+        answer = self.answers[0]
+        self.assertEqual((answer.total, answer.unanswered), (6, ()))
+        cancelled = {
+            int(codes.ResultCode.CANCELLED_NOT_RUN),
+            int(codes.ResultCode.CANCELLED_AFTER_START),
+        }
+        self.assertLessEqual(set(self.ends().values()), cancelled)
+        self.assertEqual(len(self.ends()), 6)
+
+    def test_a_list_names_the_failure_domains_without_answer(self):
+        for vm in self.vms:
+            if vm.startswith("fd-b"):
+                self.harness.kill(vm)
+        self.clock.run_until_ms(20_000)
+        body = peer_messages.ListJobs(failure_domain=ids.FailureDomainId(""))
+        self.call(0, body)
+        self.clock.run_until_ms(30_000)
+        self.assertEqual(self.answers[0].unanswered, ("fd-b",))
+
     def test_an_unknown_home_is_told_at_once(self):
         self.call(0, peer_messages.GetJob(job=ids.JobId("nowhere/1")))
         self.clock.run_until_ms(START_MS + 50)
--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -1,6 +1,5 @@
 """The commands for jobs and short requests."""
 
-import itertools
 import uuid
 
 import click
@@ -228,29 +227,14 @@
 async def _list_jobs(
     client: client_lib.Client, account: str, failure_domain: str, limit: int
 ) -> bodies.JobsBody:
-    """Lists the jobs of one failure domain, or of all in turn."""
-    domains = [failure_domain]
-    if not failure_domain:
-        in_force = await client.configuration()
-        domains = [d.name for d in in_force.content.failure_domains]
-    listings = [
-        calls.Call(
-            method="GET",
-            path=_JOBS,
-            query={
-                "account": account,
-                "failure_domain": domain,
-                "limit": str(limit),
-            },
-        )
-        for domain in domains
-    ]
-    parts = [await client.call(call, bodies.JobsBody) for call in listings]
-    listed = itertools.chain.from_iterable(part.jobs for part in parts)
-    return bodies.JobsBody(
-        jobs=tuple(itertools.islice(listed, limit)),
-        total=sum(part.total for part in parts),
-    )
+    """Lists the jobs of one failure domain, or of all."""
+    query = {
+        "account": account,
+        "failure_domain": failure_domain,
+        "limit": str(limit),
+    }
+    call = calls.Call(method="GET", path=_JOBS, query=query)
+    return await client.call(call, bodies.JobsBody)
 
 
 def _get(job: str, wait_ms: int = 0) -> calls.Call:
--- a/citronmount/cli/job_text.py
+++ b/citronmount/cli/job_text.py
@@ -53,3 +53,5 @@
     """
     yield from map(line, listed.jobs)
     yield f"{len(listed.jobs)} of {listed.total} jobs"
+    if listed.unanswered:
+        yield f"no answer from {', '.join(listed.unanswered)}"
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -191,10 +191,12 @@
     Attributes:
         statuses: The statuses, oldest first.
         total: How many there are without the limit.
+        unanswered: Failure domains that gave no answer.
     """
 
     statuses: tuple[jobs.JobStatus, ...]
     total: int = 0
+    unanswered: tuple[ids.FailureDomainId, ...] = ()
 
 
 class RequestAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/citronmount/service/api.py
+++ b/citronmount/service/api.py
@@ -137,8 +137,8 @@
 
     @app.route("/v1/jobs", methods=["GET"])
     async def list_jobs(self, request: http.Request) -> bytes:
-        """Returns the jobs of a failure domain."""
-        domain = _text(request, "failure_domain") or self._failure_domain
+        """Returns the jobs of one failure domain or all."""
+        domain = _text(request, "failure_domain")
         call = peer_messages.ListJobs(
             failure_domain=ids.FailureDomainId(domain),
             account=ids.AccountId(_text(request, "account")),
@@ -157,12 +157,8 @@
         """Cancels every job of an account, in one failure domain or all."""
         account = ids.AccountId(_required(request, "account"))
         domain = ids.FailureDomainId(_text(request, "failure_domain"))
-        calls = [
-            peer_messages.CancelJobs(account=account, failure_domain=name)
-            for name in ([domain] if domain else self._failure_domains())
-        ]
-        answers = await defer.gatherResults(map(self._call, calls))
-        return self._answer(request, _merged(answers))
+        call = peer_messages.CancelJobs(account=account, failure_domain=domain)
+        return self._answer(request, await self._call(call))
 
     @app.route("/v1/requests", methods=["POST"])
     async def run_request(self, request: http.Request) -> bytes:
@@ -262,12 +258,6 @@
         self._metrics.count(f"calls.{type(body).__name__}")
         return self._runtime.call(body)
 
-    def _failure_domains(self) -> list[ids.FailureDomainId]:
-        content = self._brain.configuration
-        if content is None:
-            raise _RefusedError(codes.ResultCode.NO_CONFIGURATION)
-        return [domain.name for domain in content.failure_domains]
-
     def _take_token(self, account: str) -> None:
         wait_ms = self._limit.take(ids.AccountId(account), self._now_ms())
         if wait_ms:
@@ -288,8 +278,12 @@
                 )
             case peer_messages.JobAnswer(status=status):
                 return self._send(request, good, status)
-            case peer_messages.JobsAnswer(statuses=statuses, total=total):
-                body = bodies.JobsBody(jobs=statuses, total=total)
+            case peer_messages.JobsAnswer():
+                body = bodies.JobsBody(
+                    jobs=answer.statuses,
+                    total=answer.total,
+                    unanswered=answer.unanswered,
+                )
                 return self._send(request, good, body)
             case peer_messages.RequestAnswer(result=result):
                 _set_retry_after(request, result.retry_after_ms)
@@ -409,14 +403,3 @@
         version=version,
         faults=faults,
     )
-
-
-def _merged(answers: list[peer_messages.Answer]) -> peer_messages.Answer:
-    """Returns the first failure, or all job lists as one."""
-    for answer in answers:
-        if not isinstance(answer, peer_messages.JobsAnswer):
-            return answer
-    return peer_messages.JobsAnswer(
-        statuses=tuple(s for answer in answers for s in answer.statuses),
-        total=sum(answer.total for answer in answers),
-    )
--- a/citronmount/service/bodies.py
+++ b/citronmount/service/bodies.py
@@ -174,10 +174,12 @@
     Attributes:
         jobs: Their statuses, oldest first.
         total: How many there are without the limit.
+        unanswered: Failure domains that could not be asked.
     """
 
     jobs: tuple[jobs.JobStatus, ...]
     total: int
+    unanswered: tuple[ids.FailureDomainId, ...] = ()
 
 
 class ConfigurationBody(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/service/tests/test_api.py
+++ b/citronmount/service/tests/test_api.py
@@ -138,21 +138,27 @@
             self._calls(),
         )
 
-    def test_cancel_of_an_account_reaches_every_failure_domain(self) -> None:
-        self._answer(peer_messages.JobsAnswer(statuses=(_STATUS,), total=4))
+    def test_cancel_of_an_account_names_who_did_not_answer(self) -> None:
+        self._answer(
+            peer_messages.JobsAnswer(
+                statuses=(_STATUS,), total=4, unanswered=("kr-b",)
+            )
+        )
         status, body = self._send("DELETE", "/v1/jobs?account=a")
         self.assertEqual(
-            (200, 8, 2), (status, body["total"], len(body["jobs"]))
+            (200, 4, 1), (status, body["total"], len(body["jobs"]))
         )
+        self.assertEqual(["kr-b"], body["unanswered"])
+        self._send("DELETE", "/v1/jobs?account=a&failure_domain=kr-a")
         domains = [call.failure_domain for call in self._calls()]
-        self.assertEqual(["kr-a", "kr-b"], domains)
+        self.assertEqual(["", "kr-a"], domains)
 
     def test_list_jobs(self) -> None:
         self._answer(peer_messages.JobsAnswer(statuses=(_STATUS,), total=1))
         status, body = self._send("GET", "/v1/jobs?account=a&limit=5")
         self.assertEqual((200, 1), (status, body["total"]))
         call = self._calls()[0]
-        self.assertEqual(("kr-a", "a", 5), msgspec.structs.astuple(call))
+        self.assertEqual(("", "a", 5), msgspec.structs.astuple(call))
 
     def test_bad_query_is_refused(self) -> None:
         for query in ("limit=x", "limit=-1", "limit=%FF", "limit=%D9%A1"):
