Hold back only trials for a less scattered place

Each waiting job was also looked at in every pass.

Change: paying work never waits for that; a waiting trial is looked at once a second.

Conclusion: guarantees of others are left alone again.

--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -66,6 +66,8 @@
         domain = self._domain
         if domain.is_trial(entry.spec.account) and not domain.allows(entry):
             return ()
+        if patience.rests(entry, self._now_ms):
+            return ()
         groups = self._find(entry)
         if groups is not None:
             return self._place(entry, groups)
@@ -78,7 +80,8 @@
         self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
     ) -> Sequence[decisions.PlaceJob]:
         domain = self._domain
-        if domain.policy.patient and self._waits(entry, groups):
+        patient = domain.policy.patient and domain.is_trial(entry.spec.account)
+        if patient and self._waits(entry, groups):
             groups = self._search(entry, self._may_delay(entry), narrow=True)
             if groups is None or self._waits(entry, groups):
                 return ()
--- a/citronmount/core/patience.py
+++ b/citronmount/core/patience.py
@@ -1,4 +1,4 @@
-"""Lets a long job wait a little rather than break up one more worker.
+"""Lets a long trial wait a little rather than break up one more worker.
 
 A long job that starts in the gaps of a burst of short ones keeps its workers
 broken up long after the burst. It waits for a bounded share of its run time,
@@ -15,15 +15,26 @@
 from citronmount.core import queueing
 from citronmount.core import resources
 
-__all__ = ["waits"]
+__all__ = ["rests", "waits"]
 
 RUN_TIME_SHARE = 0.1
 MAX_WAIT_MS = 900_000
 MIN_RUN_MS = 1_800_000
+LOOK_AGAIN_MS = 1_000
 _OUTLASTING_SHARE = 0.5
 _WORKERS_SEEN = 64
 
 
+def rests(entry: queueing.Entry, now_ms: int) -> bool:
+    """Returns whether a waiting job was looked at a moment ago."""
+    waiting = entry.patient_until_ms is not None
+    return (
+        waiting
+        and now_ms < entry.patient_until_ms
+        and now_ms < entry.look_again_ms
+    )
+
+
 def waits(
     domain: domain_lib.Domain,
     entry: queueing.Entry,
@@ -47,6 +58,7 @@
         wait_ms = min(int(run_ms * RUN_TIME_SHARE), MAX_WAIT_MS)
         entry.patient_until_ms = now_ms + wait_ms
         heapq.heappush(domain.wake_ups, entry.patient_until_ms)
+    entry.look_again_ms = now_ms + LOOK_AGAIN_MS
     return now_ms < entry.patient_until_ms
 
 
--- a/citronmount/core/policy.py
+++ b/citronmount/core/policy.py
@@ -35,7 +35,7 @@
             them is evicted for them.
         order: The order outside guarantees.
         backfill: What may pass the first job in line.
-        patient: Whether gangs may wait a little for a less scattered place.
+        patient: Whether trials may wait a little for a less scattered place.
         key: Makes the ranking of workers for one gang.
     """
 
--- a/citronmount/core/queueing.py
+++ b/citronmount/core/queueing.py
@@ -33,6 +33,7 @@
         spec: The job.
         shape: Its gang.
         sequence: Its place in the order of submission.
+        look_again_ms: When a job that so waits is looked at again.
         patient_until_ms: Until when it waits for a less scattered place.
         progress: Saved share of its work.
         attained_ms: Accelerator milliseconds that it was served.
@@ -53,6 +54,7 @@
         "failed_on",
         "failures",
         "lane",
+        "look_again_ms",
         "patient_until_ms",
         "progress",
         "queued_ms",
@@ -86,6 +88,7 @@
         self.counted_as_trial = False
         self.lane = Lane.NEW
         self.patient_until_ms: int | None = None
+        self.look_again_ms = 0
 
     def avoidances(self, now_ms: int) -> tuple[frozenset[ids.WorkerId], ...]:
         """Returns sets of workers to avoid, to be tried in order.
--- a/citronmount/core/tests/test_placement.py
+++ b/citronmount/core/tests/test_placement.py
@@ -14,15 +14,17 @@
     made = scheduler.DomainScheduler(
         failure_domain=fixtures.ZONE, policy=policy
     )
-    made.set_configuration(fixtures.configuration(paying=["a", "b"]))
+    made.set_configuration(
+        fixtures.configuration(paying=["a"], allowances={"t": 32})
+    )
     made.set_workers(tuple(map(fixtures.worker, range(workers))))
     return made
 
 
-def place(made, name, now_ms=0, tasks=1, accelerators=1, **more):
+def place(made, name, now_ms=0, tasks=1, accelerators=1, account="a", **more):
     """Submits a job; returns the worker of each placement by job name."""
     more = {"run_time_s": 60.0, "adjacency": "failure_domain", **more}
-    spec = fixtures.spec(name, "a", tasks, accelerators, **more)
+    spec = fixtures.spec(name, account, tasks, accelerators, **more)
     assert made.submit(spec, now_ms) is None
     return placements(made, now_ms)
 
@@ -64,22 +66,29 @@
             place(made, f"short-{number}", accelerators=7)
         return made
 
-    def test_long_gang_waits_for_less_scattered_room(self):
+    def gang(self, made, account="t"):
+        return place(made, "g", tasks=2, account=account, run_time_s=HOUR_S)
+
+    def test_long_trial_waits_for_less_scattered_room(self):
         made = self.scattered("citron")
-        self.assertEqual(place(made, "g", tasks=2, run_time_s=HOUR_S), {})
+        self.assertEqual(self.gang(made), {})
         made.ended("kr-a/short-0", END.DONE, 1_000)
         (workers,) = placements(made, 1_000).values()
         self.assertEqual(len(workers), 1)
 
     def test_waiting_is_bounded(self):
         made = self.scattered("citron")
-        self.assertEqual(place(made, "g", tasks=2, run_time_s=HOUR_S), {})
+        self.assertEqual(self.gang(made), {})
         self.assertEqual(placements(made, 6 * MINUTE_MS - 1), {})
         self.assertIn("g", placements(made, 6 * MINUTE_MS))
 
+    def test_paying_work_does_not_wait(self):
+        made = self.scattered("citron")
+        self.assertIn("g", self.gang(made, account="a"))
+
     def test_baselines_do_not_wait(self):
         made = self.scattered("best_fit")
-        self.assertIn("g", place(made, "g", tasks=2, run_time_s=HOUR_S))
+        self.assertIn("g", self.gang(made))
 
 
 class BackfillTest(unittest.TestCase):
