--- a/citronmount/core/guaranteed.py
+++ b/citronmount/core/guaranteed.py
@@ -140,7 +140,7 @@
 ) -> list[decisions.Decision] | None:
     """Returns None if the job found no room in its account's cells."""
     uses = _find(domain, entry, now_ms)
-    if uses is None:
+    if uses is None and entry.spec.urgent:
         uses = _find_by_demotion(domain, entry, now_ms)
     if uses is None:
         return None
@@ -170,20 +170,14 @@
 def _find_by_demotion(
     domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
 ) -> tuple[cells.Use, ...] | None:
-    """Gives a job with the better right the cells of others of its account.
+    """Gives an urgent job the cells of later jobs of its account.
 
     Those jobs go on, but are revocable from then on.
     """
-    batches = (
-        [[job] for job in _demotable(domain, entry)[:_MAX_DEMOTIONS]]
-        if entry.spec.urgent
-        else _narrower_in_one_cell(domain, entry)
-    )
     loose: list[tuple[ids.JobId, tuple[cells.Use, ...]]] = []
-    for batch in batches:
-        for job in batch:
-            loose.append((job, domain.plan.uses(job)))
-            domain.plan.release(job)
+    for job in _demotable(domain, entry)[:_MAX_DEMOTIONS]:
+        loose.append((job, domain.plan.uses(job)))
+        domain.plan.release(job)
         uses = _find(domain, entry, now_ms)
         if uses is not None:
             return uses
@@ -193,34 +187,6 @@
     return None
 
 
-def _narrower_in_one_cell(
-    domain: domain_lib.Domain, entry: queueing.Entry
-) -> list[list[ids.JobId]]:
-    """Returns the jobs of the least used cell that is meant for this gang."""
-    found = [
-        cell
-        for cell in domain.plan.cells(entry.spec.account)
-        if cell.held
-        and cell.shape == entry.shape
-        and all(_is_narrower(domain, job, entry) for job in cell.jobs)
-    ]
-    if not found:
-        return []
-    return [sorted(max(found, key=lambda c: c.spare_accelerators).jobs)]
-
-
-def _is_narrower(
-    domain: domain_lib.Domain, job: ids.JobId, entry: queueing.Entry
-) -> bool:
-    placed = domain.placed.get(job)
-    return (
-        placed is not None
-        and placed.entry.spec.idempotent
-        and not placed.entry.spec.urgent
-        and placed.entry.shape.accelerators < entry.shape.accelerators
-    )
-
-
 def _demotable(
     domain: domain_lib.Domain, entry: queueing.Entry
 ) -> list[ids.JobId]:
