--- a/citronmount/bench/faults/evidence.py
+++ b/citronmount/bench/faults/evidence.py
@@ -16,8 +16,22 @@
 from citronmount.peers import messages as peer_messages
 from citronmount.platform import messages
 from citronmount.state import records
+from citronmount.telemetry import events as timeline_events
 
-__all__ = ["AcceptedChange", "Evidence", "GangAttempt", "NewWork"]
+__all__ = [
+    "AcceptedChange",
+    "Evidence",
+    "GangAttempt",
+    "NewWork",
+    "owners_at",
+]
+
+
+_LEAVING_KINDS = (
+    timeline_events.EventKind.OWNERSHIP_LEFT,
+    timeline_events.EventKind.VM_STARTED,
+    timeline_events.EventKind.VM_STOPPED,
+)
 
 
 class GangAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -70,6 +84,7 @@
         attempts: Every attempt that was reserved anywhere.
         starters: The VM that sent the start of an attempt to a worker, or a
             request to a runner.
+        impaired: Times from and to which the links of a VM were faulty.
         late_work: New work for leaving targets, with its warning.
         replies: How often each ticket was answered.
         relayed: Configurations passed among VMs, by version.
@@ -87,11 +102,25 @@
         self.ended_ms = 0
         self.attempts: dict[str, GangAttempt] = {}
         self.starters: dict[tuple[str, str], ids.VmId] = {}
+        self.impaired: list[tuple[ids.VmId, int, int]] = []
         self.late_work: list[NewWork] = []
         self.replies: collections.Counter = collections.Counter()
         self.relayed: list[records.ConfigurationSnapshot] = []
         self._warned: dict[tuple[ids.VmId, int, str], int] = {}
 
+    def was_impaired(self, vm: ids.VmId, from_ms: int, until_ms: int) -> bool:
+        """Returns whether the links of a VM were faulty at some time.
+
+        Args:
+            vm: The VM.
+            from_ms: Beginning of the time.
+            until_ms: End of the time.
+        """
+        return any(
+            vm == impaired and begin <= until_ms and from_ms <= end
+            for impaired, begin, end in self.impaired
+        )
+
     def watch(self, process: harness_lib.Process, item: Any) -> None:
         """Takes in an event or effect of a process.
 
@@ -237,3 +266,21 @@
                     warned_ms=warned_ms,
                 )
             )
+
+
+def owners_at(harness: harness_lib.Harness, until_ms: int) -> set[str]:
+    """Returns the VMs that have rebuilt a failure domain and not left it.
+
+    Args:
+        harness: The site.
+        until_ms: True time up to which the time line is read.
+    """
+    owners: set[str] = set()
+    for at_ms, event in harness.timeline:
+        if at_ms > until_ms:
+            break
+        if event.kind is timeline_events.EventKind.REBUILD_DONE:
+            owners.add(event.process)
+        elif event.kind in _LEAVING_KINDS:
+            owners.discard(event.process)
+    return owners
