Publish again when bringing a failure domain back has lost a race

In the pair process-paused at job.reserve with configuration-out-and-back at job.renew, the change that ended the fault named a stale base, so the failure domain stayed out to the end of the cell and its job waited. The operator now publishes again, which counts as the end of the fault.

--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -16,8 +16,10 @@
 from citronmount.bench.faults import registry
 from citronmount.bench.faults import steps
 from citronmount.config import configuration
+from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import states
+from citronmount.peers import messages as peer_messages
 
 __all__ = ["Cell", "Hit"]
 
@@ -238,9 +240,26 @@
             self._content, failure_domains=domains
         )
         elsewhere = self.vms_in(ids.FailureDomainId(self.domains[1]))
-        self.callers.publish(
+        case = self.callers.publish(
             self._content, self.evidence.log_version(), elsewhere[0]
         )
+        if state is states.FailureDomainState.IN:
+            self._publish_if_stale(case, domain)
+
+    def _publish_if_stale(
+        self, case: callers_lib.PublishCase, domain: ids.FailureDomainId
+    ) -> None:
+        """Publishes again, as an operator does whose change has lost."""
+        if not case.done:
+            self.after(_CHECK_EVERY_MS, self._publish_if_stale, case, domain)
+            return
+        body = case.told[-1].body
+        lost = isinstance(body, peer_messages.PublishAnswer) and (
+            body.result.code is codes.ResultCode.CONFIGURATION_STALE_BASE
+        )
+        if lost:
+            back = states.FailureDomainState.IN
+            self.heal_after(0, self.set_domain, domain, back)
 
     # The course of a cell.
 
@@ -293,16 +312,19 @@
 
     def _run_to_end(self) -> None:
         """Runs until nothing is open, at least through the settling time."""
-        calm_ms = max(TRIGGER_MS + 6_000, self.healed_ms)
-        least_ms = calm_ms + SETTLE_MS
-        most_ms = calm_ms + END_BOUND_MS
-        self.harness.run_until_ms(least_ms)
+        while self.harness.clock.now_ms < self._calm_ms() + SETTLE_MS:
+            self.harness.run_until_ms(self._calm_ms() + SETTLE_MS)
         while (
-            not self.callers.settled() and self.harness.clock.now_ms < most_ms
+            not self.callers.settled()
+            and self.harness.clock.now_ms < self._calm_ms() + END_BOUND_MS
         ):
             now_ms = self.harness.clock.now_ms
             self.harness.run_until_ms(now_ms + _CHECK_EVERY_MS)
 
+    def _calm_ms(self) -> int:
+        """Returns when the last fault and the workload are over."""
+        return max(TRIGGER_MS + 6_000, self.healed_ms)
+
     def _schedule_workload(self) -> None:
         """Fills the pool with trials, then asks for the guaranteed shape."""
         callers = self.callers
