Greet VMs that start; keep jobs whose room is being cleared

Cause: a VM that had just started had heard of no other failure domain for up to 3 s and refused keyed requests; a home VM that was not ready refused instead of asking its neighbour; jobs whose victims were being evicted were moved away; a job that had run under an earlier owner could end as DEADLINE_PASSED, which proves that it was not run; deadlines used an inferred clock. Change: heartbeats go at once to VMs that are new, both ways; keyed requests go on to a ready home VM; only jobs without cleared room move; such an end is told as INTERRUPTED; the scheduler is told the wall clock.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -263,7 +263,13 @@
         if view is None or view == self._platform:
             return
         self._platform = view
+        strangers = [
+            listed.vm for listed in view.vms if listed.vm not in self.view.peers
+        ]
         self.view.listed(view)
+        for vm in strangers:
+            if vm in self.view.peers:
+                self.heartbeats.send_to(vm)
         own = self.settings.failure_domain
         self._workers = tuple(
             target for target in view.workers if target.failure_domain == own
@@ -373,8 +379,12 @@
         self, sender: ids.VmId, heartbeat: peer_messages.Heartbeat
     ) -> None:
         self._ctx.clock.merge(heartbeat.physical_ms, heartbeat.logical)
+        known = self.view.peers.get(sender)
+        before = None if known is None else known.heartbeat
         if not self.view.heard(sender, heartbeat, self._ctx.now_ms):
             return
+        if before is None or before.incarnation != heartbeat.incarnation:
+            self.heartbeats.send_to(sender)
         self.configuration.peer_is_ahead(sender, heartbeat)
         if heartbeat.failure_domain != self.settings.failure_domain:
             return
--- a/citronmount/agent/heartbeats.py
+++ b/citronmount/agent/heartbeats.py
@@ -51,6 +51,14 @@
         self._remote_ms = self._ctx.now_ms
         self.tick()
 
+    def send_to(self, vm: ids.VmId) -> None:
+        """Sends one to a VM that has just started.
+
+        Args:
+            vm: The VM, which has heard of nobody yet.
+        """
+        self._ctx.send(vm, self._heartbeat())
+
     def tick(self) -> None:
         """Sends what is due."""
         local = self._ctx.now_ms >= self._local_ms
--- a/citronmount/agent/job_ends.py
+++ b/citronmount/agent/job_ends.py
@@ -57,6 +57,20 @@
             limit_ms=None,
         )
 
+    def finish_queued(self, job: ids.JobId, result: jobs.JobResult) -> None:
+        """Ends a queued job that the scheduler gives up.
+
+        Args:
+            job: The job.
+            result: Its final result, if no attempt ever ran.
+        """
+        entry = self._core.table.entries[job]
+        if entry.ever_ran and codes.info(result.code).proves_not_run:
+            result = jobs.JobResult(
+                code=codes.ResultCode.INTERRUPTED, detail=result.detail
+            )
+        self.finish(job, result)
+
     def _end_written(self, ended: records.JobEnded) -> None:
         if ended.result.code is codes.ResultCode.DONE:
             self._tell_end(ended)
--- a/citronmount/agent/job_moves.py
+++ b/citronmount/agent/job_moves.py
@@ -45,10 +45,13 @@
         return moved.to
 
     def queued_specs(self) -> list[jobs.JobSpec]:
-        """Returns the queued jobs that never ran, first in line first."""
+        """Returns queued jobs that may go elsewhere, first in line first.
+
+        Jobs that ran before, or for which room is being cleared, stay.
+        """
         entries = (
             self._core.table.entries.get(job)
-            for job in self._core.scheduler.queued()
+            for job in self._core.scheduler.unclaimed()
         )
         return [
             entry.spec
--- a/citronmount/agent/job_runs.py
+++ b/citronmount/agent/job_runs.py
@@ -52,7 +52,7 @@
             case decisions.EvictJob():
                 self._evict(decision)
             case decisions.EndJob():
-                self._ends.finish(decision.job, decision.result)
+                self._ends.finish_queued(decision.job, decision.result)
 
     def _place(self, decision: decisions.PlaceJob) -> None:
         entry = self._core.table.entries[decision.job]
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -148,6 +148,9 @@
     def tick(self) -> None:
         """Decides, retries and answers whatever is due."""
         core = self._core
+        core.scheduler.set_wall_clock(
+            now_ms=core.ctx.now_ms, wall_ms=core.ctx.wall_ms
+        )
         for attempt in list(core.attempts.values()):
             attempt.tick()
         self._runs.release_held()
--- a/citronmount/agent/request_desk.py
+++ b/citronmount/agent/request_desk.py
@@ -164,7 +164,8 @@
             spec.account,
             spec.idempotency_key,
         )
-        if home == self._ctx.settings.failure_domain:
+        own = self._ctx.settings.failure_domain
+        if home == own and self._view.ready:
             self._claim(spec, respond)
             return
         vms = (
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -292,6 +292,10 @@
         waiting = (entry.spec.job for entry in self._domain.queue)
         return (*self._domain.claims, *waiting)
 
+    def unclaimed(self) -> tuple[ids.JobId, ...]:
+        """Returns the queued jobs for which no room is being cleared."""
+        return tuple(entry.spec.job for entry in self._domain.queue)
+
     def revocable(self, job: ids.JobId) -> bool:
         """Returns whether a placed job may be evicted for another."""
         return self._domain.revocable(job)
