Say that a job would start only if no job ahead has reserved the room

Cause: the look-ahead for eager submissions and moves saw free room that the head of the queue had reserved, so moved jobs were not placed and moved on every 10 s. Change: it makes the same pass as the placement, reservations and patience included; jobs whose room is being cleared stay in the replay as in the agent.

--- a/citronmount/bench/replay.py
+++ b/citronmount/bench/replay.py
@@ -377,10 +377,12 @@
         """Moves queued jobs to failure domains that would start them."""
         self._push(now_ms + MOVE_PERIOD_MS, event)
         for domain, numbers in self._queued.items():
+            movable = frozenset(self._schedulers[domain].unclaimed())
             due = [
                 number
                 for number in sorted(numbers, key=self._last_tried)
                 if self.jobs[number].first_start_ms is None
+                and self.jobs[number].spec.job in movable
                 and now_ms - self.jobs[number].job.arrival_ms >= PATIENCE_MS
                 and now_ms - self._tried_ms.get(number, -RETRY_MOVE_MS)
                 >= RETRY_MOVE_MS
--- a/citronmount/core/leftover.py
+++ b/citronmount/core/leftover.py
@@ -43,6 +43,27 @@
     return found
 
 
+def would_place(
+    domain: domain_lib.Domain, entry: queueing.Entry, now_ms: int
+) -> bool:
+    """Returns whether `place` would start a job that is not queued yet.
+
+    Args:
+        domain: The failure domain, after a call of `place`.
+        entry: The job.
+        now_ms: Monotonic time.
+
+    Returns:
+        Whether there is room for it that no job ahead has reserved.
+    """
+    visits = _Pass(domain, now_ms)
+    for ahead in _in_order(domain, now_ms):
+        visits.note_blocked(ahead)
+        if visits.over or visits.reserved:
+            break
+    return not visits.over and visits.fits(entry)
+
+
 class _Pass:
     """One pass over the queue; it remembers what did not fit.
 
@@ -63,10 +84,7 @@
 
     def visit(self, entry: queueing.Entry) -> Sequence[decisions.Decision]:
         """Places a job, makes room for it or notes that it is blocked."""
-        domain = self._domain
-        if domain.is_trial(entry.spec.account) and not domain.allows(entry):
-            return ()
-        if patience.rests(entry, self._now_ms):
+        if not self._may_start(entry):
             return ()
         groups = self._find(entry)
         if groups is not None:
@@ -76,12 +94,38 @@
             self._block(entry)
         return made or ()
 
+    @property
+    def reserved(self) -> bool:
+        """Whether a blocked job has reserved room."""
+        return self._reservation is not None
+
+    def note_blocked(self, entry: queueing.Entry) -> None:
+        """Notes that a job is blocked, if it finds no room."""
+        if self._may_start(entry) and self._find(entry) is None:
+            self._block(entry)
+
+    def fits(self, entry: queueing.Entry) -> bool:
+        """Returns whether a job would be placed at once."""
+        groups = self._find(entry) if self._may_start(entry) else None
+        return groups is not None and not (
+            self._is_patient(entry) and self._waits(entry, groups)
+        )
+
+    def _may_start(self, entry: queueing.Entry) -> bool:
+        domain = self._domain
+        if domain.is_trial(entry.spec.account) and not domain.allows(entry):
+            return False
+        return not patience.rests(entry, self._now_ms)
+
+    def _is_patient(self, entry: queueing.Entry) -> bool:
+        domain = self._domain
+        return domain.policy.patient and domain.is_trial(entry.spec.account)
+
     def _place(
         self, entry: queueing.Entry, groups: tuple[jobs.TaskGroup, ...]
     ) -> Sequence[decisions.PlaceJob]:
         domain = self._domain
-        patient = domain.policy.patient and domain.is_trial(entry.spec.account)
-        if patient and self._waits(entry, groups):
+        if self._is_patient(entry) and self._waits(entry, groups):
             groups = self._search(entry, self._may_delay(entry), narrow=True)
             if groups is None or self._waits(entry, groups):
                 return ()
--- a/citronmount/core/outlook.py
+++ b/citronmount/core/outlook.py
@@ -1,7 +1,7 @@
 """Tells whether a job would start at once, without deciding anything."""
 
 from citronmount.core import domain as domain_lib
-from citronmount.core import placement
+from citronmount.core import leftover
 from citronmount.core import queueing
 
 __all__ = ["would_start"]
@@ -18,8 +18,8 @@
         now_ms: Monotonic time.
 
     Returns:
-        Whether the account has nothing queued before it and its guarantee or
-        the free room can hold the gang.
+        Whether the account has nothing queued before it, and its guarantee
+        can hold the gang or room is free that no job ahead has reserved.
     """
     account = entry.spec.account
     if not domain.in_service or domain.queue.size(account):
@@ -28,7 +28,4 @@
     free = domain.pool.free
     if domain.plan.fit(account, entry.shape, free, ()) is not None:
         return True
-    if domain.is_trial(account) and not domain.allows(entry):
-        return False
-    key = domain.key(entry, now_ms)
-    return placement.find(free, entry.shape, key=key) is not None
+    return leftover.would_place(domain, entry, now_ms)
