Drop messages and names that nothing uses; trace quarantine

Change: they are gone; the checker of relayed configurations reads the message that now carries them; the owner traces who enters and leaves quarantine.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -11,7 +11,6 @@
 from citronmount.agent import effects
 from citronmount.agent import events
 from citronmount.agent import heartbeats as heartbeats_lib
-from citronmount.agent import homes
 from citronmount.agent import joining as joining_lib
 from citronmount.agent import keeping as keeping_lib
 from citronmount.agent import mover as mover_lib
@@ -369,11 +368,6 @@
                     self.keeping.lapse = frozenset(attempts)
             case peer_messages.StateRequest():
                 self._ctx.send(sender, self._state_answer(message))
-            case peer_messages.ConfigurationRelay(snapshot=snapshot):
-                self.configuration.adopt(snapshot)
-            case peer_messages.Handover():
-                self.book.merge(message.jobs)
-                self.ownership.learn_token(message.token)
 
     def _heartbeat(
         self, sender: ids.VmId, heartbeat: peer_messages.Heartbeat
@@ -454,12 +448,6 @@
         if self.ownership.domain is not None:
             self.ownership.domain.set_configuration(current)
 
-    def in_service(self) -> bool:
-        """Returns whether tasks may start in the own failure domain."""
-        return homes.in_service(
-            self.configuration.fold.current, self.settings.failure_domain
-        )
-
 
 def _draining() -> peer_messages.Failure:
     return peer_messages.Failure(
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -158,6 +158,7 @@
             self.decide()
         core.table.answer_due(core.ctx.now_ms)
         self.reports.send_forget()
+        self.reports.note_quarantine()
         core.token_check.tick()
 
     def decide_if_due(self) -> None:
--- a/citronmount/agent/worker_reports.py
+++ b/citronmount/agent/worker_reports.py
@@ -32,6 +32,7 @@
         self.obsolete: frozenset[ids.AttemptId] = frozenset()
         self.lost: set[ids.WorkerId] = set()
         self._sequences: dict[ids.WorkerId, int] = {}
+        self._quarantined: frozenset[ids.WorkerId] = frozenset()
         self._states: dict[ids.WorkerId, states.TargetState] = {}
 
     def worker_report(self, report: messages.Report) -> None:
@@ -101,12 +102,7 @@
         """
         core = self._core
         if self._states.get(worker, states.TargetState.UP) is not state:
-            core.ctx.trace(
-                timeline.EventKind.TARGET_STATE,
-                target=worker,
-                failure_domain=core.failure_domain,
-                detail=state.value,
-            )
+            self._trace_state(worker, state)
         self._states[worker] = state
         core.scheduler.set_worker_state(worker, state, core.ctx.now_ms)
 
@@ -185,6 +181,25 @@
             lambda answer: answer is not None and self.answered(worker, answer),
         )
 
+    def note_quarantine(self) -> None:
+        """Notes in the time line which workers fail what is placed there."""
+        quarantined = frozenset(self._core.scheduler.quarantined())
+        for worker in sorted(quarantined - self._quarantined):
+            self._trace_state(worker, states.TargetState.QUARANTINED)
+        for worker in sorted(self._quarantined - quarantined):
+            self._trace_state(worker, states.TargetState.UP)
+        self._quarantined = quarantined
+
+    def _trace_state(
+        self, worker: ids.WorkerId, state: states.TargetState
+    ) -> None:
+        self._core.ctx.trace(
+            timeline.EventKind.TARGET_STATE,
+            target=worker,
+            failure_domain=self._core.failure_domain,
+            detail=state.value,
+        )
+
     def send_forget(self) -> None:
         """Lets workers drop ended attempts whose results are in the log."""
         if not self._core.forget or not self._core.outbox.empty():
--- a/citronmount/bench/faults/evidence.py
+++ b/citronmount/bench/faults/evidence.py
@@ -144,9 +144,10 @@
                 self.starters[key] = process.vm.vm
                 self._note_new_work(process, item.runner)
             case events.PeerArrived(
-                message=peer_messages.ConfigurationRelay(snapshot=snapshot)
+                message=peer_messages.StateAnswer(configuration=snapshot)
             ):
-                self.relayed.append(snapshot)
+                if snapshot is not None:
+                    self.relayed.append(snapshot)
 
     def arrive(self, vm: ids.VmId, target: str, effect: Any) -> None:
         """Takes in what arrives at a target, a service or the callers.
--- a/citronmount/bench/faults/steps.py
+++ b/citronmount/bench/faults/steps.py
@@ -5,7 +5,6 @@
 from citronmount.agent import effects
 from citronmount.agent import events
 from citronmount.bench.faults import registry
-from citronmount.core import ids
 from citronmount.core import states
 from citronmount.peers import messages as peer_messages
 from citronmount.platform import messages
@@ -221,21 +220,3 @@
             return str(item.runner)
         case _:
             return None
-
-
-def peer_of(item: Any) -> ids.VmId | None:
-    """Returns the other VM that an event or effect concerns.
-
-    Args:
-        item: An event or effect.
-
-    Returns:
-        Its id, or None if it concerns no other VM.
-    """
-    match item:
-        case effects.SendPeer():
-            return item.to
-        case events.PeerArrived():
-            return item.sender
-        case _:
-            return None
--- a/citronmount/bench/harness_network.py
+++ b/citronmount/bench/harness_network.py
@@ -61,10 +61,6 @@
         """
         self._places[end_point] = place
 
-    def place_of(self, end_point: str) -> str:
-        """Returns where an end point is."""
-        return self._places[end_point]
-
     def reachable(self, source: str, target: str) -> bool:
         """Returns whether no cut lies on the way from source to target."""
         return (self._places[source], self._places[target]) not in self.cuts
--- a/citronmount/cli/job_commands.py
+++ b/citronmount/cli/job_commands.py
@@ -19,7 +19,6 @@
 __all__ = ["cancel", "request", "status", "submit"]
 
 _POLL_MS = 10_000
-_WAIT_PATIENCE_MS = 300_000
 _MS_PER_S = 1_000
 _ANSWER_MARGIN_MS = 10_000
 _JOBS = ("v1", "jobs")
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -15,13 +15,11 @@
     "CancelJobs",
     "ClaimAnswer",
     "ClaimKey",
-    "ConfigurationRelay",
     "DomainSummary",
     "Failure",
     "Forward",
     "ForwardAnswer",
     "GetJob",
-    "Handover",
     "Heartbeat",
     "JobsAnswer",
     "KeeperReport",
@@ -309,13 +307,11 @@
         call: Matches the answer to the call.
         body: The call.
         timeout_ms: How long the sender waits.
-        hops: How often it was forwarded before.
     """
 
     call: ids.CallId
     body: CallerCall
     timeout_ms: int
-    hops: int = 0
 
 
 class ForwardAnswer(_PeerStruct, frozen=True, kw_only=True, tag=True):
@@ -396,16 +392,6 @@
     record: ids.RecordId
 
 
-class ConfigurationRelay(_PeerStruct, frozen=True, kw_only=True, tag=True):
-    """Passes the folded configuration to a peer that is behind.
-
-    Attributes:
-        snapshot: The configuration and the offset it was folded at.
-    """
-
-    snapshot: records.ConfigurationSnapshot
-
-
 class KeeperReport(_PeerStruct, frozen=True, kw_only=True, tag=True):
     """A lease keeper passes changed worker reports to the owner.
 
@@ -464,22 +450,6 @@
     ready: bool = True
 
 
-class Handover(_PeerStruct, frozen=True, kw_only=True, tag=True):
-    """A draining owner passes its state to the next owner.
-
-    Attributes:
-        failure_domain: The failure domain.
-        token: The owner's last fencing token.
-        jobs: Its jobs.
-        unappended: Records not yet in the log.
-    """
-
-    failure_domain: ids.FailureDomainId
-    token: ids.FenceToken
-    jobs: records.JobSnapshot
-    unappended: tuple[records.Record, ...] = ()
-
-
 PeerMessage = (
     Heartbeat
     | Forward
@@ -489,12 +459,10 @@
     | ClaimKey
     | ClaimAnswer
     | ReleaseKey
-    | ConfigurationRelay
     | KeeperReport
     | LapseAttempts
     | StateRequest
     | StateAnswer
-    | Handover
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronmount/platform/messages.py
+++ b/citronmount/platform/messages.py
@@ -4,7 +4,6 @@
 """
 
 import enum
-from typing import Annotated
 
 import msgspec
 
@@ -352,6 +351,3 @@
     outcome: RunnerOutcome
     payload: str = ""
     free_slots: int = 0
-
-
-RecordData = Annotated[bytes, msgspec.Meta(max_length=1 << 20)]
--- a/citronmount/telemetry/events.py
+++ b/citronmount/telemetry/events.py
@@ -25,7 +25,6 @@
     JOB_EVICTING = "job_evicting"
     JOB_STARTED = "job_started"
     JOB_ENDED = "job_ended"
-    ANSWER_GIVEN = "answer_given"
     REQUEST_SENT = "request_sent"
     REQUEST_ANSWERED = "request_answered"
     KEY_CLAIMED = "key_claimed"
