--- a/citronmount/testing/code_table.py
+++ b/citronmount/testing/code_table.py
@@ -31,7 +31,8 @@
 `citronmount/core/codes.py` by `python -m citronmount.testing.code_table`;
 `citronmount codes --json` prints the same. *Not run* is yes only if the code
 proves that the work was not run and will not be; *retry* is yes if the same
-request may succeed later.
+request may succeed later. A code speaks for the call that it answers: what an
+earlier call with the same idempotency key did, its own answer tells.
 """
 
 
