Leave old claims out of the state that peers send

Change: once the log has been read, peers send the claims of the last ten minutes beside what the log may lack; without the log they send all. The size is computed from 300 bytes a claim and its result, not measured.

--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -32,6 +32,8 @@
 
 __all__ = ["Agent"]
 
+RECENT_CLAIMS_MS = 600_000
+
 
 class Agent:
     """All decisions of one VM, without input, output or clock.
@@ -425,6 +427,9 @@
         fold = self.configuration.fold
         jobs_wanted = request.stream != records.CONFIG_STREAM
         book = self.book if jobs_wanted else self._empty_book()
+        since_ms = 0
+        if request.recent_claims:
+            since_ms = self._ctx.wall_ms - RECENT_CLAIMS_MS
         return peer_messages.StateAnswer(
             call=request.call,
             configuration=(
@@ -432,7 +437,9 @@
                 if fold.trusted
                 else None
             ),
-            jobs=book.snapshot(ids.RecordId(self._ctx.unique())),
+            jobs=book.snapshot(
+                ids.RecordId(self._ctx.unique()), claims_since_ms=since_ms
+            ),
             unappended=self.outbox.unappended(request.stream),
             token=self.ownership.token,
             ready=self.view.ready,
--- a/citronmount/agent/joining.py
+++ b/citronmount/agent/joining.py
@@ -66,10 +66,14 @@
             self._listen_until_ms = self._ctx.now_ms + self._listen_ms
         if self._ctx.now_ms >= self._retry_ms and not self._log_read:
             self._read()
+        if self._log_read or self._log_failed:
+            self._ask_peers()
+        self._check()
+
+    def _ask_peers(self) -> None:
         for peer in self._view.local_peers(self._ctx.now_ms):
             if peer not in self._asked:
                 self._ask(peer)
-        self._check()
 
     def _read(self) -> None:
         if self._reading:
@@ -82,6 +86,7 @@
         self._reading = False
         self._log_failed = not complete
         self._log_read = complete
+        self._ask_peers()
         self._check()
 
     def _ask(self, peer: ids.VmId) -> None:
@@ -105,6 +110,7 @@
             peer_messages.StateRequest(
                 call=call,
                 stream=records.job_stream(self._ctx.settings.failure_domain),
+                recent_claims=self._log_read,
             ),
             answered,
             timeout_ms=STATE_TIMEOUT_MS,
--- a/citronmount/agent/ownership.py
+++ b/citronmount/agent/ownership.py
@@ -256,6 +256,7 @@
             peer_messages.StateRequest(
                 call=call,
                 stream=records.job_stream(self._ctx.settings.failure_domain),
+                recent_claims=True,
             ),
             answered,
             timeout_ms=STATE_TIMEOUT_MS,
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -424,10 +424,13 @@
     Attributes:
         call: Matches the answer.
         stream: The stream whose records are asked for.
+        recent_claims: Whether claims that the log must have by now may be
+            left out.
     """
 
     call: ids.CallId
     stream: ids.StreamName
+    recent_claims: bool = False
 
 
 class StateAnswer(_PeerStruct, frozen=True, kw_only=True, tag=True):
