Tell that no configuration was published yet

Cause: a VM of a fresh site said REBUILDING at /v1/ready, though it waited for the first sheet. Conclusion: none.

--- a/citronmount/service/api.py
+++ b/citronmount/service/api.py
@@ -235,7 +235,8 @@
     def _why_not_ready(self) -> codes.ResultCode:
         if self._brain.draining:
             return codes.ResultCode.DRAINING
-        if self._brain.configuration is None:
+        current = self._brain.configuration
+        if current is None or current.version == 0:
             return codes.ResultCode.NO_CONFIGURATION
         return codes.ResultCode.REBUILDING
 
--- a/citronmount/service/tests/test_api.py
+++ b/citronmount/service/tests/test_api.py
@@ -268,6 +268,8 @@
     def test_readiness_tells_what_is_missing(self) -> None:
         self.brain.ready = False
         self.assertEqual(3008, self._send("GET", "/v1/ready")[1]["code"])
+        self.brain.configuration = configuration_lib.Configuration()
+        self.assertEqual(3002, self._send("GET", "/v1/ready")[1]["code"])
         self.brain.configuration = None
         self.assertEqual(3002, self._send("GET", "/v1/ready")[1]["code"])
         self.brain.draining = True
