Drop a function that repeated the constructor of the replay

Cause: replay() took and documented the same six arguments as Replay only to call run(). Change: benches call Replay(...).run().

--- a/citronmount/bench/burst.py
+++ b/citronmount/bench/burst.py
@@ -88,9 +88,9 @@
     )
     horizon_ms = round((HOURS + 2) * workload.HOUR_MS)
     replays = {
-        policy: replay.replay(
+        policy: replay.Replay(
             site=site, trace=trace, policy=policy, horizon_ms=horizon_ms
-        )
+        ).run()
         for policy in policies
     }
     bars = []
--- a/citronmount/bench/domain_out.py
+++ b/citronmount/bench/domain_out.py
@@ -50,13 +50,13 @@
         )
     )
     replays = {
-        policy: replay.replay(
+        policy: replay.Replay(
             site=site,
             trace=trace,
             policy=policy,
             horizon_ms=horizon_ms,
             changes=changes,
-        )
+        ).run()
         for policy in policies
     }
     bars = []
--- a/citronmount/bench/failing_workers.py
+++ b/citronmount/bench/failing_workers.py
@@ -68,13 +68,13 @@
         for worker in BROKEN
     )
     replays = {
-        policy: replay.replay(
+        policy: replay.Replay(
             site=sites.hanbit(),
             trace=trace,
             policy=policy,
             horizon_ms=round((hours + 4) * workload.HOUR_MS),
             changes=changes,
-        )
+        ).run()
         for policy in policies
     }
     return report.BenchReport(
--- a/citronmount/bench/hanbit.py
+++ b/citronmount/bench/hanbit.py
@@ -192,9 +192,9 @@
         (days - 1) * workload.DAY_MS + STORES_OPEN_MS + 4 * workload.HOUR_MS
     )
     replays = {
-        policy: replay.replay(
+        policy: replay.Replay(
             site=site, trace=jobs_of, policy=policy, horizon_ms=horizon_ms
-        )
+        ).run()
         for policy in policies
     }
     return report.BenchReport(
--- a/citronmount/bench/misdeclared.py
+++ b/citronmount/bench/misdeclared.py
@@ -71,12 +71,12 @@
         seed=seed,
         metrics={
             name: metrics.policy_metrics(
-                replay.replay(
+                replay.Replay(
                     site=site,
                     trace=trace,
                     policy=policy,
                     horizon_ms=round((hours + 4) * workload.HOUR_MS),
-                )
+                ).run()
             )
             for name, policy, trace in runs
         },
--- a/citronmount/bench/replay.py
+++ b/citronmount/bench/replay.py
@@ -33,7 +33,6 @@
     "JobTrace",
     "PowerDown",
     "Replay",
-    "replay",
 ]
 
 START_DELAY_MS = 120
@@ -768,35 +767,3 @@
         if job.spec.accelerators:
             mix[pool_usage.shape_of(job.spec)] += job.work_s
     return dict(mix)
-
-
-def replay(
-    *,
-    site: sites.Site,
-    trace: tuple[workload.TracedJob, ...],
-    policy: str,
-    horizon_ms: int,
-    changes: tuple[tuple[int, Change], ...] = (),
-    sample_ms: int = workload.MINUTE_MS,
-) -> Replay:
-    """Runs one replay to its horizon.
-
-    Args:
-        site: The pool and the first configuration.
-        trace: The jobs.
-        policy: The policy of the schedulers.
-        horizon_ms: When the replay ends.
-        changes: Changes of the surroundings with their times.
-        sample_ms: The period of the fragmentation samples.
-
-    Returns:
-        The replay, run.
-    """
-    return Replay(
-        site=site,
-        trace=trace,
-        policy=policy,
-        horizon_ms=horizon_ms,
-        changes=changes,
-        sample_ms=sample_ms,
-    ).run()
--- a/citronmount/bench/two_year.py
+++ b/citronmount/bench/two_year.py
@@ -88,13 +88,13 @@
     """
     jobs_of = trace(seed, hours, scale)
     replays = {
-        policy: replay.replay(
+        policy: replay.Replay(
             site=sites.two_year(scale),
             trace=jobs_of,
             policy=policy,
             horizon_ms=round(hours * workload.HOUR_MS),
             sample_ms=SAMPLE_MS,
-        )
+        ).run()
         for policy in policies
     }
     bars = [
