--- a/citronmount/bench/private_pool.py
+++ b/citronmount/bench/private_pool.py
@@ -54,12 +54,12 @@
         for number, job in enumerate(trace)
         if job.spec.account == account
     ]
-    alone = replay_lib.replay(
+    alone = replay_lib.Replay(
         site=sites.private(site, account),
         trace=tuple(trace[number] for number in numbers),
         policy=shared.policy,
         horizon_ms=shared.horizon_ms,
-    )
+    ).run()
     waits = collections.defaultdict(list)
     shared_waits = metrics.waits_of(shared, account)
     for place, wait_s in metrics.waits_of(alone, account).items():
