--- a/citronmount/agent/agent.py
+++ b/citronmount/agent/agent.py
@@ -25,7 +25,7 @@
 from citronmount.core import jobs
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import job_book
 from citronmount.state import records
 from citronmount.telemetry import events as timeline
--- a/citronmount/agent/configuration.py
+++ b/citronmount/agent/configuration.py
@@ -15,7 +15,7 @@
 from citronmount.membership import rendezvous
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 from citronmount.telemetry import events as timeline
 
--- a/citronmount/agent/context.py
+++ b/citronmount/agent/context.py
@@ -10,7 +10,7 @@
 from citronmount.agent import settings as settings_lib
 from citronmount.core import ids
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 from citronmount.telemetry import events as timeline
 from citronmount.telemetry import hlc
--- a/citronmount/agent/domain_core.py
+++ b/citronmount/agent/domain_core.py
@@ -12,7 +12,7 @@
 from citronmount.core import ids
 from citronmount.core import scheduler as scheduler_lib
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import job_book
 from citronmount.state import records
 from citronmount.telemetry import events as timeline
--- a/citronmount/agent/effects.py
+++ b/citronmount/agent/effects.py
@@ -9,7 +9,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages as platform_messages
+from citronmount.services import messages as platform_messages
 from citronmount.telemetry import events as timeline_events
 
 __all__ = [
--- a/citronmount/agent/events.py
+++ b/citronmount/agent/events.py
@@ -8,7 +8,7 @@
 
 from citronmount.core import ids
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages as platform_messages
+from citronmount.services import messages as platform_messages
 
 __all__ = [
     "CallArrived",
--- a/citronmount/agent/job_runs.py
+++ b/citronmount/agent/job_runs.py
@@ -12,7 +12,7 @@
 from citronmount.core import jobs
 from citronmount.core import states
 from citronmount.leases import gang as gang_lib
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 from citronmount.telemetry import events as timeline
 
--- a/citronmount/agent/keeping.py
+++ b/citronmount/agent/keeping.py
@@ -9,7 +9,7 @@
 from citronmount.core import ids
 from citronmount.membership import view as view_lib
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Keeping"]
 
--- a/citronmount/agent/owned_domain.py
+++ b/citronmount/agent/owned_domain.py
@@ -14,7 +14,7 @@
 from citronmount.core import states
 from citronmount.leases import gang as gang_lib
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["OwnedDomain"]
 
--- a/citronmount/agent/stream_reader.py
+++ b/citronmount/agent/stream_reader.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from citronmount.agent import context
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import job_book
 from citronmount.state import records
 
--- a/citronmount/agent/token_check.py
+++ b/citronmount/agent/token_check.py
@@ -5,7 +5,7 @@
 
 from citronmount.agent import context
 from citronmount.core import ids
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["TokenCheck"]
 
--- a/citronmount/agent/worker_reports.py
+++ b/citronmount/agent/worker_reports.py
@@ -6,7 +6,7 @@
 from citronmount.core import decisions
 from citronmount.core import ids
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.telemetry import events as timeline
 
 __all__ = ["WorkerReports"]
--- a/citronmount/bench/capacity_daemon.py
+++ b/citronmount/bench/capacity_daemon.py
@@ -15,9 +15,9 @@
 from citronmount.peers import keys
 from citronmount.peers import messages as peer_messages
 from citronmount.peers import transport
-from citronmount.platform import clients
-from citronmount.platform import exchange
-from citronmount.platform import messages
+from citronmount.services import clients
+from citronmount.services import exchange
+from citronmount.services import messages
 from citronmount.testing import loop
 
 __all__ = [
--- a/citronmount/bench/faults/sabotage.py
+++ b/citronmount/bench/faults/sabotage.py
@@ -26,7 +26,7 @@
 from citronmount.core import decisions
 from citronmount.core import scheduler
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.standins import worker as worker_lib
 from citronmount.state import records
 
--- a/citronmount/bench/faults/steps.py
+++ b/citronmount/bench/faults/steps.py
@@ -7,7 +7,7 @@
 from citronmount.bench.faults import registry
 from citronmount.core import states
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 from citronmount.telemetry import events as timeline_events
 
--- a/citronmount/bench/harness.py
+++ b/citronmount/bench/harness.py
@@ -20,7 +20,7 @@
 from citronmount.core import ids
 from citronmount.core import states
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.standins import log
 from citronmount.standins import platform
 from citronmount.standins import runner
--- a/citronmount/bench/harness_site.py
+++ b/citronmount/bench/harness_site.py
@@ -8,7 +8,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Site", "make_site"]
 
--- a/citronmount/bench/harness_traffic.py
+++ b/citronmount/bench/harness_traffic.py
@@ -6,7 +6,7 @@
 
 from citronmount.bench import harness as harness_lib
 from citronmount.bench import harness_site
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["TrafficRow", "measure_traffic", "slope"]
 
--- a/citronmount/bench/loopback.py
+++ b/citronmount/bench/loopback.py
@@ -23,7 +23,7 @@
 from citronmount.config import pool_file
 from citronmount.core import ids
 from citronmount.core import jobs
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.telemetry import events
 from citronmount.telemetry import metrics as metrics_lib
 
--- a/citronmount/bench/loopback_cluster.py
+++ b/citronmount/bench/loopback_cluster.py
@@ -23,7 +23,7 @@
 from citronmount.config import pool_file
 from citronmount.core import ids
 from citronmount.peers import keys as keys_lib
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Answer", "Cluster", "Vm", "call", "open_cluster"]
 
--- a/citronmount/bench/loopback_load.py
+++ b/citronmount/bench/loopback_load.py
@@ -17,8 +17,8 @@
 from citronmount.bench import loopback_cluster
 from citronmount.core import codes
 from citronmount.core import states
-from citronmount.platform import counted
-from citronmount.platform import exchange
+from citronmount.services import counted
+from citronmount.services import exchange
 from citronmount.telemetry import metrics as metrics_lib
 
 __all__ = ["Load", "Tally"]
--- a/citronmount/bench/pool_usage.py
+++ b/citronmount/bench/pool_usage.py
@@ -16,7 +16,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Fragmentation", "PoolUsage", "Shape", "shape_of", "tasks_that_fit"]
 
--- a/citronmount/bench/request_replay.py
+++ b/citronmount/bench/request_replay.py
@@ -12,7 +12,7 @@
 from citronmount.core import jobs
 from citronmount.core import request_decisions
 from citronmount.core import short_requests
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Answered", "RouterReplay", "random_runner", "single_queue"]
 
--- a/citronmount/bench/request_workload.py
+++ b/citronmount/bench/request_workload.py
@@ -6,7 +6,7 @@
 
 from citronmount.bench import workload
 from citronmount.core import ids
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["RequestSite", "TracedRequest", "perchero_site", "requests"]
 
--- a/citronmount/bench/tests/test_harness.py
+++ b/citronmount/bench/tests/test_harness.py
@@ -10,7 +10,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import messages
+from citronmount.services import messages
 
 _VM = ids.VmId("fd-a.vm0")
 _OTHER = ids.VmId("fd-b.vm0")
--- a/citronmount/config/fold.py
+++ b/citronmount/config/fold.py
@@ -5,7 +5,7 @@
 
 from citronmount.config import configuration
 from citronmount.core import ids
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 
 __all__ = ["ChangeOutcome", "ConfigurationFold"]
--- a/citronmount/config/pool_file.py
+++ b/citronmount/config/pool_file.py
@@ -12,7 +12,7 @@
 from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.core import jobs
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Pool", "load"]
 
--- a/citronmount/config/tests/test_fold.py
+++ b/citronmount/config/tests/test_fold.py
@@ -4,7 +4,7 @@
 from citronmount.config import fold as fold_lib
 from citronmount.core import ids
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 
 
--- a/citronmount/core/guarantees.py
+++ b/citronmount/core/guarantees.py
@@ -7,7 +7,7 @@
 from citronmount.core import ids
 from citronmount.core import shapes
 from citronmount.core import shares
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["cells_wanted", "unplaceable"]
 
--- a/citronmount/core/pool.py
+++ b/citronmount/core/pool.py
@@ -9,7 +9,7 @@
 from citronmount.core import jobs
 from citronmount.core import resources
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["Pool", "RoomIndex"]
 
--- a/citronmount/core/request_slots.py
+++ b/citronmount/core/request_slots.py
@@ -14,7 +14,7 @@
 
 from citronmount.core import ids
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["RunnerSlots", "deal_shares"]
 
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -18,7 +18,7 @@
 from citronmount.core import shapes
 from citronmount.core import states
 from citronmount.core import verdicts
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["DomainScheduler"]
 
--- a/citronmount/core/short_requests.py
+++ b/citronmount/core/short_requests.py
@@ -20,7 +20,7 @@
 from citronmount.core import request_queue
 from citronmount.core import request_slots
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["RequestRouter"]
 
--- a/citronmount/core/tests/fixtures.py
+++ b/citronmount/core/tests/fixtures.py
@@ -4,7 +4,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 ZONE = ids.FailureDomainId("kr-a")
 
--- a/citronmount/core/tests/test_short_requests.py
+++ b/citronmount/core/tests/test_short_requests.py
@@ -14,7 +14,7 @@
 from citronmount.core import request_slots
 from citronmount.core import short_requests
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 
 _OUTCOME = messages.RunnerOutcome
 
--- a/citronmount/peers/messages.py
+++ b/citronmount/peers/messages.py
@@ -4,7 +4,7 @@
 
 from citronmount.core import ids
 from citronmount.core import jobs
-from citronmount.platform import messages as platform_messages
+from citronmount.services import messages as platform_messages
 from citronmount.state import records
 from citronmount.telemetry import events
 
--- a/citronmount/service/runtime.py
+++ b/citronmount/service/runtime.py
@@ -20,10 +20,10 @@
 from citronmount.core import jobs
 from citronmount.peers import messages as peer_messages
 from citronmount.peers import transport as transport_lib
-from citronmount.platform import clients
-from citronmount.platform import exchange
-from citronmount.platform import messages as platform_messages
 from citronmount.service import brain as brain_lib
+from citronmount.services import clients
+from citronmount.services import exchange
+from citronmount.services import messages as platform_messages
 from citronmount.telemetry import events as timeline_events
 from citronmount.telemetry import metrics as metrics_lib
 
--- a/citronmount/service/tests/test_runtime.py
+++ b/citronmount/service/tests/test_runtime.py
@@ -12,11 +12,11 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.peers import messages as peer_messages
-from citronmount.platform import exchange
-from citronmount.platform import messages
-from citronmount.platform import wire
 from citronmount.service import runtime as runtime_lib
 from citronmount.service.tests import fakes
+from citronmount.services import exchange
+from citronmount.services import messages
+from citronmount.services import wire
 from citronmount.telemetry import metrics as metrics_lib
 
 _CALL = ids.CallId("c1")
--- a/citronmount/service/wiring.py
+++ b/citronmount/service/wiring.py
@@ -10,14 +10,14 @@
 from citronmount.core import ids
 from citronmount.peers import keys
 from citronmount.peers import transport
-from citronmount.platform import counted
-from citronmount.platform import exchange
 from citronmount.service import agent_brain
 from citronmount.service import api as api_lib
 from citronmount.service import brain as brain_lib
 from citronmount.service import rate_limit
 from citronmount.service import runtime as runtime_lib
 from citronmount.service import settings as settings_lib
+from citronmount.services import counted
+from citronmount.services import exchange
 from citronmount.telemetry import events
 from citronmount.telemetry import logs
 from citronmount.telemetry import metrics as metrics_lib
--- a/citronmount/platform/clients.py
+++ b/citronmount/services/clients.py
@@ -5,9 +5,9 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
-from citronmount.platform import exchange
-from citronmount.platform import messages
-from citronmount.platform import wire
+from citronmount.services import exchange
+from citronmount.services import messages
+from citronmount.services import wire
 
 __all__ = ["append_log", "call_runner", "call_worker", "list_all", "read_log"]
 
--- a/citronmount/platform/exchange.py
+++ b/citronmount/services/exchange.py
@@ -19,8 +19,8 @@
 
 from citronmount.core import codes
 from citronmount.core import errors
-from citronmount.platform import counted
-from citronmount.platform import wire
+from citronmount.services import counted
+from citronmount.services import wire
 
 __all__ = ["NOT_SENT", "Exchange", "NoAnswerError", "make_agent"]
 
--- a/citronmount/platform/tests/test_clients.py
+++ b/citronmount/services/tests/test_clients.py
@@ -14,10 +14,10 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import clients
-from citronmount.platform import counted
-from citronmount.platform import exchange
-from citronmount.platform import messages
+from citronmount.services import clients
+from citronmount.services import counted
+from citronmount.services import exchange
+from citronmount.services import messages
 from citronmount.standins import http
 from citronmount.standins import http_faults
 from citronmount.testing import loop
--- a/citronmount/standins/http.py
+++ b/citronmount/standins/http.py
@@ -17,8 +17,8 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import messages
-from citronmount.platform import wire
+from citronmount.services import messages
+from citronmount.services import wire
 from citronmount.standins import http_faults
 from citronmount.standins import log
 from citronmount.standins import platform
--- a/citronmount/standins/log.py
+++ b/citronmount/standins/log.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from citronmount.core import ids
-from citronmount.platform import messages
+from citronmount.services import messages
 
 __all__ = ["LogModel"]
 
--- a/citronmount/standins/runner.py
+++ b/citronmount/standins/runner.py
@@ -7,7 +7,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.telemetry import events
 
 __all__ = ["RunnerModel", "answer_payload", "service_ms"]
--- a/citronmount/standins/tests/test_models.py
+++ b/citronmount/standins/tests/test_models.py
@@ -3,7 +3,7 @@
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import states
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.standins import log
 from citronmount.standins import platform
 from citronmount.standins import runner
--- a/citronmount/state/job_book.py
+++ b/citronmount/state/job_book.py
@@ -5,7 +5,7 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
-from citronmount.platform import messages
+from citronmount.services import messages
 from citronmount.state import records
 
 __all__ = ["JobBook"]
