--- /dev/null
+++ b/citronmount/fleet/fitting.py
@@ -0,0 +1,161 @@
+"""Finds workers for a unit: the tightest room that holds all of it.
+
+Load pattern: small tasks and gangs of whole workers arrive mixed. Small ones
+go where least is left, so that whole racks stay free for gangs.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import enum
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.fleet import room as room_lib
+from citronmount.fleet import workers as workers_lib
+from citronmount.workflow import spec
+
+__all__ = ["Need", "Spread", "fit", "suits"]
+
+FreeRoom = Callable[[workers_lib.Worker], spec.Demand]
+
+
+class Spread(enum.Enum):
+    """How far a unit may be spread."""
+
+    PREFERRED = "preferred"
+    ANYWHERE = "anywhere"
+
+
+class Need(msgspec.Struct, frozen=True, kw_only=True):
+    """What one unit needs.
+
+    Attributes:
+        tasks: How many tasks start together.
+        step: Their step.
+        service: The service whose workers may run them.
+        avoid: Workers that must not be used.
+        taken: Tasks of the same step and occurrence on each worker.
+    """
+
+    tasks: int
+    step: spec.Step
+    service: spec.ServiceName
+    avoid: frozenset[ids.WorkerId] = frozenset()
+    taken: dict[ids.WorkerId, int] = {}
+
+
+def suits(need: Need, worker: workers_lib.Worker) -> bool:
+    """Returns whether a worker may ever run tasks of a unit."""
+    label = need.step.worker_label
+    return (
+        worker.service == need.service
+        and worker.worker not in need.avoid
+        and (not label or label in worker.labels)
+    )
+
+
+def fit(
+    need: Need,
+    workers: Iterable[workers_lib.Worker],
+    free: FreeRoom,
+    spread: Spread,
+) -> list[workers_lib.Worker] | None:
+    """Finds workers for all tasks of a unit.
+
+    Args:
+        need: The unit.
+        workers: The workers that may get work.
+        free: The free room of a worker.
+        spread: Whether the unit may leave its preferred rack.
+
+    Returns:
+        A worker for each task, or None if the unit does not fit.
+    """
+    slots = _slots(need, workers, free)
+    if sum(count for _, count in slots) < need.tasks:
+        return None
+    near = _in_one_rack(need, slots, free)
+    if near is not None or spread is Spread.PREFERRED:
+        return near
+    return _fill(need, slots, free)
+
+
+def _slots(
+    need: Need, workers: Iterable[workers_lib.Worker], free: FreeRoom
+) -> list[tuple[workers_lib.Worker, int]]:
+    demand = room_lib.charged(need.step)
+    slots = [
+        (worker, _limited(need, worker, free(worker), demand))
+        for worker in workers
+        if suits(need, worker)
+    ]
+    return [pair for pair in slots if pair[1] > 0]
+
+
+def _limited(
+    need: Need,
+    worker: workers_lib.Worker,
+    free: spec.Demand,
+    demand: spec.Demand,
+) -> int:
+    count = room_lib.fits_times(free, demand, need.tasks)
+    limit = need.step.max_tasks_per_worker
+    if not limit:
+        return count
+    return min(count, limit - need.taken.get(worker.worker, 0))
+
+
+def _in_one_rack(
+    need: Need,
+    slots: Sequence[tuple[workers_lib.Worker, int]],
+    free: FreeRoom,
+) -> list[workers_lib.Worker] | None:
+    """Finds the tightest rack, or any workers where racks do not matter."""
+    if need.step.data_rack:
+        near = [pair for pair in slots if pair[0].rack == need.step.data_rack]
+        return _fill(need, near, free)
+    if need.tasks == 1 or not need.step.one_rack:
+        return _fill(need, slots, free)
+    racks = collections.defaultdict(list)
+    for worker, count in slots:
+        racks[worker.rack].append((worker, count))
+    ranked = sorted(
+        racks.items(), key=lambda item: (sum(n for _, n in item[1]), item[0])
+    )
+    found = (_fill(need, members, free) for _, members in ranked)
+    return next((chosen for chosen in found if chosen is not None), None)
+
+
+def _fill(
+    need: Need,
+    slots: Sequence[tuple[workers_lib.Worker, int]],
+    free: FreeRoom,
+) -> list[workers_lib.Worker] | None:
+    if sum(count for _, count in slots) < need.tasks:
+        return None
+    ranked = sorted(slots, key=lambda pair: _left(pair[0], free))
+    chosen: list[workers_lib.Worker] = []
+    for worker, count in ranked:
+        chosen += [worker] * min(count, need.tasks - len(chosen))
+    return chosen
+
+
+def _left(
+    worker: workers_lib.Worker, free: FreeRoom
+) -> tuple[float, ids.WorkerId]:
+    """Ranks a worker by the share of its room that is free."""
+    left = free(worker)
+    whole = worker.capacity
+    share = sum(
+        have / total
+        for have, total in (
+            (left.millicores, whole.millicores),
+            (left.memory_mb, whole.memory_mb),
+            (left.accelerators, whole.accelerators),
+        )
+        if total
+    )
+    return share, worker.worker
--- /dev/null
+++ b/citronmount/fleet/orders.py
@@ -0,0 +1,169 @@
+"""Orders to workers and what they answer."""
+
+import enum
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.fleet import workers
+from citronmount.workflow import units
+
+__all__ = [
+    "EndKind",
+    "EndedTask",
+    "Hold",
+    "HoldReport",
+    "Order",
+    "RunningTask",
+    "Start",
+    "StartVerdict",
+    "Stop",
+    "StopVerdict",
+]
+
+
+class EndKind(enum.Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    MEMBER_LOST = "member_lost"
+    MEMBER_MISSING = "member_missing"
+
+
+class StartVerdict(enum.Enum):
+    """What became of an order to start."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OLD_RUN = "old_run"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    NOT_STARTED = "not_started"
+    OTHER_LIFE = "other_life"
+    UNANSWERED = "unanswered"
+
+
+class StopVerdict(enum.Enum):
+    """What became of an order to stop."""
+
+    STOPPED = "stopped"
+    FENCED = "fenced"
+    OTHER_LIFE = "other_life"
+    UNANSWERED = "unanswered"
+
+
+class Start(msgspec.Struct, frozen=True, kw_only=True):
+    """Starts one task.
+
+    Attributes:
+        worker: Where.
+        task: The task.
+        run: The number of the run.
+        payload: Handed to the task.
+        until_ms: End of the lease on the worker's clock.
+        saved: The checkpoint to resume from, or empty.
+        token: The fencing token.
+    """
+
+    worker: workers.Worker
+    task: units.TaskName
+    run: int
+    payload: str
+    until_ms: int
+    saved: str
+    token: ids.FenceToken
+
+
+class Stop(msgspec.Struct, frozen=True, kw_only=True):
+    """Stops one run of a task, or keeps it from starting.
+
+    Attributes:
+        worker: Where.
+        task: The task.
+        run: The number of the run.
+        token: The fencing token.
+    """
+
+    worker: workers.Worker
+    task: units.TaskName
+    run: int
+    token: ids.FenceToken
+
+
+class Hold(msgspec.Struct, frozen=True, kw_only=True):
+    """Renews the lease of all that runs on a worker and asks what runs.
+
+    Attributes:
+        worker: Where.
+        until_ms: New end of the lease on the worker's clock, or None.
+        last_seen: The newest end that the worker may forget.
+        wait_ms: How long the answer may wait for a further end.
+        token: The fencing token.
+    """
+
+    worker: workers.Worker
+    until_ms: int | None
+    last_seen: int
+    wait_ms: int
+    token: ids.FenceToken
+
+
+Order = Start | Stop | Hold
+
+
+class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
+    """A task at a worker.
+
+    Attributes:
+        task: The task.
+        run: The number of the run.
+        saved: Its newest checkpoint, or empty.
+        percent: The share of its speed at which it works.
+        load: Tail of the response times in ms for a serving task, else the
+            millicores in use, as of the last half second.
+    """
+
+    task: units.TaskName
+    run: int
+    saved: str
+    percent: float
+    load: float
+
+
+class EndedTask(msgspec.Struct, frozen=True, kw_only=True):
+    """The end of a run.
+
+    Attributes:
+        number: Counts the ends of this life of the worker from 1.
+        task: The task.
+        run: The number of the run.
+        kind: How it ended.
+        saved: Its last checkpoint, or empty.
+    """
+
+    number: int
+    task: units.TaskName
+    run: int
+    kind: EndKind
+    saved: str
+
+
+class HoldReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a worker answers to a hold.
+
+    Attributes:
+        clock_ms: The worker's steady clock.
+        life_ms: The life that answered, or None if it does not say.
+        running: What runs.
+        ended: Ends after the last one that it was told it may forget.
+        complete: Whether `ended` holds all of them.
+    """
+
+    clock_ms: int
+    life_ms: int | None
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedTask, ...]
+    complete: bool = True
--- /dev/null
+++ b/citronmount/fleet/planning.py
@@ -0,0 +1,301 @@
+"""Decides which waiting units start where, and what is stopped for them."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.fleet import configuration as configuration_lib
+from citronmount.fleet import fitting
+from citronmount.fleet import preemption
+from citronmount.fleet import room as room_lib
+from citronmount.fleet import run_table
+from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import workers as workers_lib
+from citronmount.workflow import spec
+from citronmount.workflow import units
+
+__all__ = ["Decision", "Planner", "Waiting", "objective_end_ms"]
+
+FIRST_PRIORITY = 0
+SPREAD_WAIT_GUARANTEED_MS = 700
+SPREAD_WAIT_IDLE_POOL_MS = 1_500
+_IDLE_POOL_SHARE = 0.5
+
+
+class Waiting(msgspec.Struct, frozen=True, kw_only=True):
+    """A unit that may start.
+
+    Attributes:
+        key: The unit.
+        step: Its step.
+        submission: Its job.
+        since_ms: Steady time from which it could have started.
+        run: The number of its last run.
+        failures: Its failed runs.
+        saved: Its newest checkpoint, or empty.
+    """
+
+    key: units.UnitKey
+    step: spec.Step
+    submission: spec.Submission
+    since_ms: int
+    run: int = 0
+    failures: int = 0
+    saved: str = ""
+
+    @property
+    def tasks(self) -> int:
+        """How many tasks start together."""
+        return self.step.tasks if self.step.gang else 1
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of all its tasks."""
+        return self.tasks * self.step.demand.accelerators
+
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
+    """A unit that is to start.
+
+    Attributes:
+        waiting: The unit.
+        workers: A worker for each task.
+        victims: Runs that are to be stopped first.
+    """
+
+    waiting: Waiting
+    workers: tuple[workers_lib.Worker, ...]
+    victims: tuple[runs_lib.Run, ...] = ()
+
+
+def objective_end_ms(submission: spec.Submission) -> int:
+    """Returns the Unix time at which a job's objective ends, as estimated.
+
+    Args:
+        submission: The job.
+
+    Returns:
+        Milliseconds.
+    """
+    chain: list[int] = []
+    for step in submission.workflow.steps:
+        before = max((chain[earlier] for earlier in step.after), default=0)
+        chain.append(before + step.estimate_ms)
+    longest = max(chain, default=0)
+    terms = submission.terms
+    allowed_ms = terms.slack_factor * longest + terms.objective_ms
+    return submission.accepted_ms + int(allowed_ms)
+
+
+class Planner:
+    """One round of decisions over a table of runs.
+
+    Room that is decided on is taken in a copy, so that no two decisions of a
+    round use the same room.
+    """
+
+    def __init__(
+        self,
+        *,
+        workers: Sequence[workers_lib.Worker],
+        table: run_table.RunTable,
+        accounts: Iterable[configuration_lib.Account],
+        bounds: configuration_lib.Bounds,
+        now_ms: int,
+    ) -> None:
+        """Initializes a round.
+
+        Args:
+            workers: The workers that may get work.
+            table: All runs.
+            accounts: The client accounts with their guarantees.
+            bounds: Times that the site sets.
+            now_ms: Steady time in milliseconds.
+        """
+        self._workers = workers
+        self._table = table
+        self._room = table.room.copy()
+        self._bounds = bounds
+        self._now_ms = now_ms
+        self._left = {
+            account.account: account.guaranteed_accelerators
+            for account in accounts
+        }
+        self._stopped: set[units.UnitId] = set()
+        self._full: set[tuple] = set()
+        self._chosen: dict[tuple, collections.Counter[ids.WorkerId]] = (
+            collections.defaultdict(collections.Counter)
+        )
+        self._guaranteed = self._guaranteed_runs()
+        self._idle_pool = self._used_share() < _IDLE_POOL_SHARE
+
+    def decide(self, waiting: Iterable[Waiting]) -> list[Decision]:
+        """Returns what is to start now.
+
+        Args:
+            waiting: The units that may start.
+
+        Returns:
+            Decisions, the most urgent first.
+        """
+        ranked = sorted(waiting, key=self._rank)
+        decisions = []
+        for unit in ranked:
+            decision = self._decide_one(unit)
+            if decision is not None:
+                self._accept(decision)
+                decisions.append(decision)
+        return decisions
+
+    def _rank(self, unit: Waiting) -> tuple:
+        terms = unit.submission.terms
+        within = self._within_guarantee(unit)
+        return (
+            not within,
+            terms.priority,
+            objective_end_ms(unit.submission),
+            unit.key.job,
+            unit.key.occurrence,
+            unit.key.step,
+            unit.key.index,
+        )
+
+    def _within_guarantee(self, unit: Waiting) -> bool:
+        if unit.submission.terms.priority != FIRST_PRIORITY:
+            return False
+        left = self._left.get(unit.submission.account, 0)
+        return 0 < unit.accelerators <= left
+
+    def _decide_one(self, unit: Waiting) -> Decision | None:
+        spread = self._spread(unit)
+        shape = (
+            unit.submission.terms.service,
+            unit.step,
+            unit.tasks,
+            spread,
+            _step_place(unit.key) if unit.step.max_tasks_per_worker else None,
+        )
+        within = self._within_guarantee(unit)
+        if shape in self._full and not within:
+            return None
+        need = self._need(unit)
+        chosen = fitting.fit(need, self._workers, self._free, spread)
+        if chosen is not None:
+            return Decision(waiting=unit, workers=tuple(chosen))
+        self._full.add(shape)
+        return self._reclaim(unit, need, spread) if within else None
+
+    def _reclaim(
+        self, unit: Waiting, need: fitting.Need, spread: fitting.Spread
+    ) -> Decision | None:
+        revocable = [
+            run
+            for run in self._table
+            if run.unit not in self._guaranteed
+            and run.unit not in self._stopped
+            and run.phase is runs_lib.RunPhase.ACTIVE
+        ]
+        found = preemption.find(
+            need, self._workers, self._free, revocable, self._cost, spread
+        )
+        if found is None:
+            return None
+        return Decision(
+            waiting=unit, workers=found.workers, victims=found.victims
+        )
+
+    def _cost(self, run: runs_lib.Run) -> float:
+        return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
+
+    def _accept(self, decision: Decision) -> None:
+        unit = decision.waiting
+        if self._within_guarantee(unit):
+            self._left[unit.submission.account] -= unit.accelerators
+        self._stopped.update(run.unit for run in decision.victims)
+        demand = room_lib.charged(unit.step)
+        for worker in decision.workers:
+            self._room.take(worker.worker, demand)
+            self._chosen[_step_place(unit.key)][worker.worker] += 1
+
+    def _free(self, worker: workers_lib.Worker) -> spec.Demand:
+        return room_lib.minus(worker.capacity, self._room.used(worker.worker))
+
+    def _need(self, unit: Waiting) -> fitting.Need:
+        return fitting.Need(
+            tasks=unit.tasks,
+            step=unit.step,
+            service=unit.submission.terms.service,
+            taken=self._taken(unit) if unit.step.max_tasks_per_worker else {},
+        )
+
+    def _taken(self, unit: Waiting) -> collections.Counter[ids.WorkerId]:
+        place = _step_place(unit.key)
+        running = collections.Counter(
+            member.place.worker
+            for run in self._table.of_job(unit.key.job)
+            if _step_place(run.key) == place
+            for member in run.live_members
+        )
+        return running + self._chosen[place]
+
+    def _spread(self, unit: Waiting) -> fitting.Spread:
+        """Returns whether waiting for the preferred rack costs too much."""
+        waited_ms = self._now_ms - unit.since_ms
+        slower = self._bounds.spread_factor - 1
+        limit_ms = int(slower * unit.step.estimate_ms)
+        if self._idle_pool:
+            limit_ms = min(limit_ms, SPREAD_WAIT_IDLE_POOL_MS)
+        if self._within_guarantee(unit):
+            limit_ms = min(limit_ms, SPREAD_WAIT_GUARANTEED_MS)
+        if waited_ms >= limit_ms or not self._fits_one_rack(unit):
+            return fitting.Spread.ANYWHERE
+        return fitting.Spread.PREFERRED
+
+    def _fits_one_rack(self, unit: Waiting) -> bool:
+        if not unit.step.one_rack and not unit.step.data_rack:
+            return True
+        need = fitting.Need(
+            tasks=unit.tasks,
+            step=unit.step,
+            service=unit.submission.terms.service,
+        )
+        return (
+            fitting.fit(
+                need,
+                self._workers,
+                lambda worker: worker.capacity,
+                fitting.Spread.PREFERRED,
+            )
+            is not None
+        )
+
+    def _guaranteed_runs(self) -> set[units.UnitId]:
+        """Counts the runs inside guarantees, the oldest first."""
+        inside = set()
+        for run in sorted(self._table, key=lambda each: each.placed_ms):
+            if run.submission.terms.priority != FIRST_PRIORITY:
+                continue
+            account = run.submission.account
+            used = len(run.members) * run.step.demand.accelerators
+            if used <= self._left.get(account, 0):
+                self._left[account] -= used
+                inside.add(run.unit)
+        return inside
+
+    def _used_share(self) -> float:
+        names = [worker.worker for worker in self._workers]
+        used = self._room.total(names)
+        whole = sum(worker.capacity.accelerators for worker in self._workers)
+        cores = sum(worker.capacity.millicores for worker in self._workers)
+        return max(
+            used.accelerators / whole if whole else 0.0,
+            used.millicores / cores if cores else 0.0,
+        )
+
+
+def _step_place(key: units.UnitKey) -> tuple[ids.JobId, int, int]:
+    """Returns what units of one step and occurrence share."""
+    return key.job, key.occurrence, key.step
--- /dev/null
+++ b/citronmount/fleet/preemption.py
@@ -0,0 +1,157 @@
+"""Chooses runs to stop so that a guaranteed unit fits.
+
+Load pattern: a job inside its guarantee arrives while others use the room.
+The least work is thrown away: time since the last checkpoint, weighted by the
+resources of the whole gang.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.fleet import fitting
+from citronmount.fleet import room as room_lib
+from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import workers as workers_lib
+
+__all__ = ["CORES_PER_ACCELERATOR", "Reclaim", "find", "lost_work"]
+
+CORES_PER_ACCELERATOR = 8
+
+_MILLICORES_PER_CORE = 1_000
+_MS_PER_S = 1_000
+
+Cost = Callable[[runs_lib.Run], float]
+
+
+class Reclaim(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a unit fits once some runs are stopped.
+
+    Attributes:
+        workers: A worker for each task.
+        victims: The runs to stop.
+        cost_core_s: Work that is thrown away.
+    """
+
+    workers: tuple[workers_lib.Worker, ...]
+    victims: tuple[runs_lib.Run, ...]
+    cost_core_s: float
+
+
+def lost_work(run: runs_lib.Run, now_ms: int, save_s: float) -> float:
+    """Returns the work that a stop of a run throws away.
+
+    Args:
+        run: The run.
+        now_ms: Steady time in milliseconds.
+        save_s: Work between two checkpoints.
+
+    Returns:
+        Core-seconds; an accelerator counts as several cores.
+    """
+    started_ms = run.placed_ms if run.started_ms is None else run.started_ms
+    elapsed_s = max(now_ms - started_ms, 0) / _MS_PER_S
+    if run.step.checkpoints:
+        elapsed_s = min(elapsed_s, save_s)
+    demand = run.step.demand
+    weight = (
+        demand.millicores / _MILLICORES_PER_CORE
+        + demand.accelerators * CORES_PER_ACCELERATOR
+    )
+    return elapsed_s * weight * len(run.members)
+
+
+def find(
+    need: fitting.Need,
+    workers: Sequence[workers_lib.Worker],
+    free: fitting.FreeRoom,
+    revocable: Iterable[runs_lib.Run],
+    cost: Cost,
+    spread: fitting.Spread,
+) -> Reclaim | None:
+    """Finds the cheapest set of runs whose stop makes room for a unit.
+
+    Args:
+        need: The unit.
+        workers: The workers that may get work.
+        free: The free room of a worker.
+        revocable: Runs that may be stopped.
+        cost: What the stop of a run throws away.
+        spread: Whether the unit may leave its preferred rack.
+
+    Returns:
+        The workers and victims, or None if no set makes room.
+    """
+    ranked = sorted(revocable, key=cost)
+    groups: list[Sequence[workers_lib.Worker]] = [workers]
+    if spread is fitting.Spread.PREFERRED and need.step.one_rack:
+        racks = sorted({worker.rack for worker in workers})
+        groups = [[w for w in workers if w.rack == rack] for rack in racks]
+    found = [
+        reclaim
+        for group in groups
+        if (reclaim := _in_group(need, group, free, ranked, cost, spread))
+    ]
+    return min(found, key=lambda each: each.cost_core_s, default=None)
+
+
+def _in_group(
+    need: fitting.Need,
+    group: Sequence[workers_lib.Worker],
+    free: fitting.FreeRoom,
+    ranked: Sequence[runs_lib.Run],
+    cost: Cost,
+    spread: fitting.Spread,
+) -> Reclaim | None:
+    names = {worker.worker for worker in group}
+    useful = [run for run in ranked if _touches(run, names)]
+    victims: list[runs_lib.Run] = []
+    chosen = None
+    for run in useful:
+        victims.append(run)
+        chosen = _fit_without(need, group, free, victims, spread)
+        if chosen is not None:
+            break
+    if chosen is None:
+        return None
+    for run in sorted(victims, key=cost, reverse=True):
+        fewer = [each for each in victims if each is not run]
+        without = _fit_without(need, group, free, fewer, spread)
+        if without is not None:
+            victims, chosen = fewer, without
+    return Reclaim(
+        workers=tuple(chosen),
+        victims=tuple(victims),
+        cost_core_s=sum(map(cost, victims)),
+    )
+
+
+def _touches(run: runs_lib.Run, names: set[ids.WorkerId]) -> bool:
+    return any(member.place.worker in names for member in run.live_members)
+
+
+def _fit_without(
+    need: fitting.Need,
+    group: Sequence[workers_lib.Worker],
+    free: fitting.FreeRoom,
+    victims: Iterable[runs_lib.Run],
+    spread: fitting.Spread,
+) -> list[workers_lib.Worker] | None:
+    freed: dict[ids.WorkerId, room_lib.spec.Demand] = {}
+    for run in victims:
+        demand = room_lib.charged(run.step)
+        for member in run.live_members:
+            worker = member.place.worker
+            freed[worker] = room_lib.plus(
+                freed.get(worker, room_lib.NONE), demand
+            )
+
+    def with_freed(worker: workers_lib.Worker) -> room_lib.spec.Demand:
+        return room_lib.plus(
+            free(worker), freed.get(worker.worker, room_lib.NONE)
+        )
+
+    return fitting.fit(need, group, with_freed, spread)
--- /dev/null
+++ b/citronmount/fleet_service/__init__.py
@@ -0,0 +1,1 @@
+"""The reactor side of a pool's front and owner."""
--- /dev/null
+++ b/citronmount/fleet_service/front.py
@@ -0,0 +1,213 @@
+"""Accepts, cancels and tells the state of jobs at one VM."""
+
+from collections.abc import Callable
+import enum
+
+import msgspec
+import structlog
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.core import states
+from citronmount.fleet import configuration as configuration_lib
+from citronmount.fleet_service import log_tail
+from citronmount.fleet_service import ports
+from citronmount.workflow import book as book_lib
+from citronmount.workflow import records
+from citronmount.workflow import spec
+
+__all__ = ["Answer", "Front", "Verdict"]
+
+APPEND_TIMEOUT_MS = 600
+APPEND_RETRY_MS = 40
+ANSWER_MARGIN_MS = 150
+LOG_OUTAGE_RETRY_S = 1
+
+_MS_PER_S = 1_000
+_MAX_APPENDS = 50
+_NOT_DONE_TRIES = 2
+_ENDED = (
+    states.JobState.DONE,
+    states.JobState.FAILED,
+    states.JobState.CANCELLED,
+)
+
+
+class Verdict(enum.Enum):
+    """What became of a call that changes a job."""
+
+    DONE = "done"
+    UNKNOWN_JOB = "unknown_job"
+    NOT_DONE = "not_done"
+    UNCERTAIN = "uncertain"
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a call that changes a job.
+
+    Attributes:
+        verdict: What became of it.
+        retry_after_s: When to come back, if nothing was done.
+    """
+
+    verdict: Verdict
+    retry_after_s: int = 0
+
+
+class Front:
+    """Answers callers from the fold of the job topic.
+
+    Attributes:
+        configuration: The version in force, or None before the first.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: interfaces.IReactorTime,
+        log: ports.Log,
+        book: book_lib.Book,
+        jobs: log_tail.LogTail,
+        wall: Callable[[], int],
+    ) -> None:
+        """Initializes a front without configuration.
+
+        Args:
+            clock: The reactor.
+            log: The log.
+            book: The fold of the job topic.
+            jobs: The tail that feeds the book.
+            wall: Tells the Unix time in milliseconds.
+        """
+        self.configuration: configuration_lib.FleetConfiguration | None = None
+        self._clock = clock
+        self._log = log
+        self._book = book
+        self._jobs = jobs
+        self._wall = wall
+        self._trace = structlog.get_logger()
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a configuration and a fold to answer from."""
+        return self.configuration is not None and (
+            self._jobs.position is not None
+        )
+
+    async def submit(
+        self,
+        queue: configuration_lib.Queue,
+        account: ids.AccountId,
+        workflow: spec.Workflow,
+        timeout_ms: int,
+    ) -> Answer:
+        """Accepts a job once it is durable.
+
+        Args:
+            queue: The queue.
+            account: The client account, or empty on a public queue.
+            workflow: The job.
+            timeout_ms: How long the caller waits.
+
+        Returns:
+            DONE if the job is stored, NOT_DONE if it surely is not.
+        """
+        if self._book.state(workflow.job) is not None:
+            return Answer(verdict=Verdict.DONE)
+        submission = spec.Submission(
+            workflow=workflow,
+            account=account,
+            terms=queue.terms,
+            accepted_ms=self._wall(),
+        )
+        record = records.Submitted(submission=submission)
+        answer = await self._append(record, timeout_ms)
+        self._trace.info(
+            "job_submitted",
+            job=workflow.job,
+            queue=queue.terms.queue,
+            account=account,
+            steps=len(workflow.steps),
+            tasks=sum(step.tasks for step in workflow.steps),
+            verdict=answer.verdict.value,
+        )
+        return answer
+
+    async def cancel(
+        self, queue: configuration_lib.Queue, job: ids.JobId, timeout_ms: int
+    ) -> Answer:
+        """Cancels a job once that is durable.
+
+        Args:
+            queue: The queue.
+            job: The job.
+            timeout_ms: How long the caller waits.
+
+        Returns:
+            UNKNOWN_JOB if the queue has no such job.
+        """
+        state = await self.state(queue, job)
+        if state is None:
+            return Answer(verdict=Verdict.UNKNOWN_JOB)
+        if state in _ENDED:
+            return Answer(verdict=Verdict.DONE)
+        answer = await self._append(records.Cancelled(job=job), timeout_ms)
+        self._trace.info(
+            "job_cancelled",
+            job=job,
+            queue=queue.terms.queue,
+            state=state.value,
+            verdict=answer.verdict.value,
+        )
+        return answer
+
+    async def state(
+        self, queue: configuration_lib.Queue, job: ids.JobId
+    ) -> states.JobState | None:
+        """Returns the state of a job, or None if the queue has no such job.
+
+        A job that is not known is looked for up to the end of the topic.
+
+        Raises:
+            UnreachableError: It is not known and the log does not answer.
+        """
+        if self._book.state(job) is None:
+            await self._jobs.catch_up()
+        if self._book.queue_of(job) != queue.terms.queue:
+            return None
+        return self._book.state(job)
+
+    def pending(self, queue: configuration_lib.Queue) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        return self._book.pending(queue.terms.queue)
+
+    async def _append(self, record: records.Record, timeout_ms: int) -> Answer:
+        """Appends, again and again while there is time.
+
+        A second copy of a record changes nothing, so an append that got no
+        answer may be repeated.
+        """
+        entry = (records.key_of(record), records.encode(record))
+        end_s = self._clock.seconds() + (
+            (timeout_ms - ANSWER_MARGIN_MS) / _MS_PER_S
+        )
+        verdict = Verdict.NOT_DONE
+        for attempt in range(_MAX_APPENDS):
+            left_ms = int((end_s - self._clock.seconds()) * _MS_PER_S)
+            if attempt and left_ms < APPEND_RETRY_MS:
+                break
+            limit_ms = min(APPEND_TIMEOUT_MS, max(left_ms, APPEND_RETRY_MS))
+            try:
+                offset = await self._log.append([entry], limit_ms)
+            except ports.NotDoneError:
+                if verdict is Verdict.NOT_DONE and attempt >= _NOT_DONE_TRIES:
+                    break
+            except errors.UnreachableError:
+                verdict = Verdict.UNCERTAIN
+            else:
+                self._book.apply(offset, record)
+                return Answer(verdict=Verdict.DONE)
+            await task.deferLater(self._clock, APPEND_RETRY_MS / _MS_PER_S)
+        return Answer(verdict=verdict, retry_after_s=LOG_OUTAGE_RETRY_S)
--- /dev/null
+++ b/citronmount/fleet_service/log_tail.py
@@ -0,0 +1,165 @@
+"""Follows one topic of the log from its newest records to its end."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import structlog
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from citronmount.core import errors
+from citronmount.fleet_service import ports
+
+__all__ = ["LogTail"]
+
+READ_WAIT_MS = 1_500
+READ_MARGIN_MS = 700
+SNAPSHOT_TIMEOUT_MS = 2_500
+CATCH_UP_TIMEOUT_MS = 700
+FIRST_RETRY_MS = 50
+LAST_RETRY_MS = 400
+
+_MS_PER_S = 1_000
+
+OnRecords = Callable[[Sequence[ports.LogRecord]], None]
+
+
+class LogTail:
+    """Reads a topic in a loop and hands its records on in order.
+
+    Attributes:
+        position: The next offset to read, or None before the first snapshot.
+        contact_s: Reactor time of the last answer of the log.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: interfaces.IReactorTime,
+        log: ports.Log,
+        topic: ports.Topic,
+        on_snapshot: OnRecords,
+        on_records: OnRecords,
+        pace_ms: int = 0,
+    ) -> None:
+        """Initializes a tail that does not read yet.
+
+        Args:
+            clock: The reactor.
+            log: The log.
+            topic: The topic.
+            on_snapshot: Gets the newest record of each key, which replace all
+                that was handed on before.
+            on_records: Gets what came after.
+            pace_ms: Time between two reads, so that records gather.
+        """
+        self.position: int | None = None
+        self.contact_s = clock.seconds()
+        self.pace_ms = pace_ms
+        self._clock = clock
+        self._log = log
+        self._topic = topic
+        self._on_snapshot = on_snapshot
+        self._on_records = on_records
+        self._running: defer.Deferred[None] | None = None
+        self._lost = False
+        self._trace = structlog.get_logger().bind(topic=topic.value)
+
+    def start(self) -> None:
+        """Starts reading."""
+        self._running = defer.ensureDeferred(self._run())
+        self._running.addErrback(self._ended)
+
+    def stop(self) -> None:
+        """Stops reading; a read on its way is cancelled."""
+        running, self._running = self._running, None
+        if running is not None:
+            running.cancel()
+
+    def silent_ms(self) -> int:
+        """Returns for how long the log has not answered."""
+        return int((self._clock.seconds() - self.contact_s) * _MS_PER_S)
+
+    async def catch_up(self, end_offset: int | None = None) -> None:
+        """Reads to the end of the topic, beside the loop.
+
+        Args:
+            end_offset: The offset to reach, or None for the present end.
+
+        Raises:
+            UnreachableError: The log did not answer.
+            HistoryLostError: The records expired; the loop reads anew.
+        """
+        if self.position is None:
+            await self._read_snapshot()
+        while end_offset is None or self.position < end_offset:
+            page = await self._log.read(
+                self._topic, self.position, 0, CATCH_UP_TIMEOUT_MS
+            )
+            self._take(page)
+            if page.next_offset >= page.end_offset:
+                return
+
+    async def _run(self) -> None:
+        retry_ms = FIRST_RETRY_MS
+        while self._running is not None or self.position is None:
+            try:
+                await self._read_once()
+            except ports.HistoryLostError:
+                self._trace.warning("history_lost", position=self.position)
+                self.position = None
+            except errors.UnreachableError as error:
+                self._note_lost(error)
+                await self._pause(retry_ms)
+                retry_ms = min(retry_ms * 2, LAST_RETRY_MS)
+            else:
+                retry_ms = FIRST_RETRY_MS
+                self._note_regained()
+                await self._pause(self.pace_ms)
+
+    async def _read_once(self) -> None:
+        if self.position is None:
+            await self._read_snapshot()
+            return
+        page = await self._log.read(
+            self._topic,
+            self.position,
+            READ_WAIT_MS,
+            READ_WAIT_MS + READ_MARGIN_MS,
+        )
+        self._take(page)
+
+    async def _read_snapshot(self) -> None:
+        snapshot = await self._log.snapshot(self._topic, SNAPSHOT_TIMEOUT_MS)
+        self.contact_s = self._clock.seconds()
+        self.position = snapshot.end_offset
+        self._on_snapshot(snapshot.records)
+
+    def _take(self, page: ports.Page) -> None:
+        self.contact_s = self._clock.seconds()
+        fresh = [
+            record
+            for record in page.records
+            if self.position is not None and record.offset >= self.position
+        ]
+        self.position = max(self.position or 0, page.next_offset)
+        if fresh:
+            self._on_records(fresh)
+
+    def _pause(self, pause_ms: int) -> defer.Deferred[None]:
+        return task.deferLater(self._clock, pause_ms / _MS_PER_S)
+
+    def _note_lost(self, error: errors.UnreachableError) -> None:
+        if not self._lost:
+            self._lost = True
+            self._trace.warning("log_lost", error=str(error))
+
+    def _note_regained(self) -> None:
+        if self._lost:
+            self._lost = False
+            self._trace.info("log_regained", position=self.position)
+
+    def _ended(self, reason: object) -> None:
+        if self._running is not None:
+            self._trace.error("tail_failed", error=str(reason))
--- /dev/null
+++ b/citronmount/fleet_service/node.py
@@ -0,0 +1,219 @@
+"""One VM of a pool: tails, front and owner, connected with each other."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import structlog
+from twisted.internet import interfaces
+
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.fleet import configuration as configuration_lib
+from citronmount.fleet import sessions
+from citronmount.fleet import workers as workers_lib
+from citronmount.fleet_service import candidacy
+from citronmount.fleet_service import front as front_lib
+from citronmount.fleet_service import log_tail
+from citronmount.fleet_service import owner_loop
+from citronmount.fleet_service import ports
+from citronmount.workflow import book as book_lib
+from citronmount.workflow import records
+
+__all__ = ["Node"]
+
+LOG_SILENCE_LIMIT_MS = 3_000
+WORKERS_PACE_MS = 400
+
+Decode = Callable[[ports.Topic, ports.LogRecord], ports.LogEvent | None]
+
+
+class Node:
+    """The parts of one VM.
+
+    Attributes:
+        front: Answers callers.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: interfaces.IReactorTime,
+        log: ports.Log,
+        worker_orders: ports.WorkerOrders,
+        decode: Decode,
+        bounds: configuration_lib.Bounds,
+        policy: sessions.LeasePolicy,
+        wall: Callable[[], int] = owner_loop.wall_ms,
+    ) -> None:
+        """Connects the parts; nothing runs yet.
+
+        Args:
+            clock: The reactor.
+            log: The log.
+            worker_orders: The workers.
+            decode: Makes an event of a record of the site.
+            bounds: Times that the site sets.
+            policy: How leases are renewed.
+            wall: Tells the Unix time in milliseconds.
+        """
+        self._decode = decode
+        self._trace = structlog.get_logger()
+        self._book = book_lib.Book()
+        self._directory = workers_lib.WorkerDirectory()
+        self._draining = False
+        self._jobs = log_tail.LogTail(
+            clock=clock,
+            log=log,
+            topic=ports.Topic.JOBS,
+            on_snapshot=self._fold_snapshot,
+            on_records=self._fold,
+            pace_ms=owner_loop.FOLLOWER_PACE_MS,
+        )
+        self._configuration = log_tail.LogTail(
+            clock=clock,
+            log=log,
+            topic=ports.Topic.CONFIGURATION,
+            on_snapshot=self._reconfigure,
+            on_records=self._configure,
+        )
+        self._workers = log_tail.LogTail(
+            clock=clock,
+            log=log,
+            topic=ports.Topic.WORKERS,
+            on_snapshot=self._replace_workers,
+            on_records=self._change_workers,
+            pace_ms=WORKERS_PACE_MS,
+        )
+        self.front = front_lib.Front(
+            clock=clock, log=log, book=self._book, jobs=self._jobs, wall=wall
+        )
+        self._owner = owner_loop.OwnerLoop(
+            clock=clock,
+            log=log,
+            worker_orders=worker_orders,
+            book=self._book,
+            jobs=self._jobs,
+            workers=self._workers,
+            directory=self._directory,
+            bounds=bounds,
+            policy=policy,
+            wall=wall,
+        )
+        self._candidacy = candidacy.Candidacy(
+            clock=clock, log=log, on_change=self._owner.set_candidate
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the VM should get new connections."""
+        silent_ms = self._configuration.silent_ms()
+        in_touch = silent_ms < LOG_SILENCE_LIMIT_MS
+        return self.front.ready and in_touch and not self._draining
+
+    def start(self) -> None:
+        """Starts the tails and joins the group."""
+        self._configuration.start()
+        self._jobs.start()
+        self._candidacy.start()
+
+    def start_draining(self) -> None:
+        """Asks for no new connections."""
+        self._draining = True
+
+    async def give_up(self) -> None:
+        """Lets another VM become the owner."""
+        self._owner.set_candidate(False)
+        await self._candidacy.stop()
+
+    def stop(self) -> None:
+        """Stops the tails."""
+        self._jobs.stop()
+        self._configuration.stop()
+
+    def _fold_snapshot(self, taken: Sequence[ports.LogRecord]) -> None:
+        self._fold(taken)
+
+    def _fold(self, taken: Sequence[ports.LogRecord]) -> None:
+        changed = [self._fold_one(record) for record in taken]
+        if any(changed):
+            self._owner.notice()
+
+    def _fold_one(self, taken: ports.LogRecord) -> bool:
+        if taken.value is None:
+            self._book.drop(taken.offset, taken.key)
+            return False
+        try:
+            record = records.decode(taken.key, taken.value)
+        except errors.InvalidInputError as error:
+            self._trace.warning(
+                "record_ignored", offset=taken.offset, error=str(error)
+            )
+            return False
+        return self._book.apply(taken.offset, record)
+
+    def _events(
+        self, topic: ports.Topic, taken: Iterable[ports.LogRecord]
+    ) -> Iterable[ports.LogEvent]:
+        events = (self._decode(topic, record) for record in taken)
+        return [event for event in events if event is not None]
+
+    def _reconfigure(self, taken: Sequence[ports.LogRecord]) -> None:
+        self._directory.clear_domains_out()
+        self._configure(taken)
+
+    def _configure(self, taken: Sequence[ports.LogRecord]) -> None:
+        for event in self._events(ports.Topic.CONFIGURATION, taken):
+            match event:
+                case ports.ConfigurationChanged(configuration=fresh):
+                    self._put_in_force(fresh)
+                case ports.DomainSwitched(domain=domain, out=out):
+                    self._directory.set_domain_out(domain, out)
+                    self._trace.info("domain_switched", domain=domain, out=out)
+        self._owner.notice()
+
+    def _put_in_force(
+        self, fresh: configuration_lib.FleetConfiguration
+    ) -> None:
+        before = self.front.configuration
+        if before is not None and before.version > fresh.version:
+            self._trace.warning(
+                "older_configuration_ignored",
+                version=fresh.version,
+                in_force=before.version,
+            )
+            return
+        self.front.configuration = fresh
+        self._owner.configure(fresh.accounts)
+        self._trace.info("configuration_in_force", version=fresh.version)
+
+    def _replace_workers(self, taken: Sequence[ports.LogRecord]) -> None:
+        entries = [
+            event.entry
+            for event in self._events(ports.Topic.WORKERS, taken)
+            if isinstance(event, ports.WorkerChanged)
+            and event.entry is not None
+        ]
+        self._directory.replace(tuple(entries))
+        self._owner.notice()
+
+    def _change_workers(self, taken: Sequence[ports.LogRecord]) -> None:
+        for event in self._events(ports.Topic.WORKERS, taken):
+            if isinstance(event, ports.WorkerChanged):
+                self._change_worker(event.worker, event.entry)
+
+    def _change_worker(
+        self, name: ids.WorkerId, entry: workers_lib.Worker | None
+    ) -> None:
+        before = self._directory.get(name)
+        if entry is None:
+            self._directory.remove(name)
+        else:
+            self._directory.put(entry)
+        if entry is None or before is None or before.state != entry.state:
+            self._trace.info(
+                "worker_changed",
+                worker=name,
+                state=entry.state.value if entry else "gone",
+            )
+            self._owner.notice()
--- /dev/null
+++ b/citronmount/fleet_service/owner_loop.py
@@ -0,0 +1,309 @@
+"""Runs the owner: takes over, carries out its orders, appends its records."""
+
+from collections.abc import Callable
+import time
+
+import structlog
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.python import failure
+
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.fleet import configuration as configuration_lib
+from citronmount.fleet import orders
+from citronmount.fleet import owner as owner_lib
+from citronmount.fleet import sessions
+from citronmount.fleet import workers as workers_lib
+from citronmount.fleet_service import log_tail
+from citronmount.fleet_service import ports
+from citronmount.workflow import book as book_lib
+from citronmount.workflow import records
+
+__all__ = ["OwnerLoop"]
+
+TICK_MS = 50
+EPOCH_TIMEOUT_MS = 800
+APPEND_TIMEOUT_MS = 800
+APPEND_RETRY_MS = 50
+MAX_APPEND_RECORDS = 1_000
+START_TIMEOUT_MS = 400
+STOP_TIMEOUT_MS = 600
+HOLD_MARGIN_MS = 600
+TAKE_OVER_RETRY_MS = 200
+FOLLOWER_PACE_MS = 250
+
+_MS_PER_S = 1_000
+
+Wall = Callable[[], int]
+
+
+def wall_ms() -> int:
+    """Returns the Unix time in milliseconds."""
+    return int(time.time() * _MS_PER_S)
+
+
+class OwnerLoop:
+    """One VM's part as owner, while it is the candidate.
+
+    Attributes:
+        active: Whether this VM owns the pool at present.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: interfaces.IReactorTime,
+        log: ports.Log,
+        worker_orders: ports.WorkerOrders,
+        book: book_lib.Book,
+        jobs: log_tail.LogTail,
+        workers: log_tail.LogTail,
+        directory: workers_lib.WorkerDirectory,
+        bounds: configuration_lib.Bounds,
+        policy: sessions.LeasePolicy,
+        wall: Wall = wall_ms,
+    ) -> None:
+        """Initializes a VM that does not own the pool.
+
+        Args:
+            clock: The reactor.
+            log: The log.
+            worker_orders: The workers.
+            book: The fold of the job topic.
+            jobs: The tail that feeds the book.
+            workers: The tail that feeds the directory.
+            directory: The workers' entries.
+            bounds: Times that the site sets.
+            policy: How leases are renewed.
+            wall: Tells the Unix time in milliseconds.
+        """
+        self.active = False
+        self._clock = clock
+        self._log = log
+        self._worker_orders = worker_orders
+        self._book = book
+        self._jobs = jobs
+        self._workers = workers
+        self._directory = directory
+        self._bounds = bounds
+        self._policy = policy
+        self._wall = wall
+        self._accounts: tuple[configuration_lib.Account, ...] = ()
+        self._candidate = False
+        self._taking_over = False
+        self._last_epoch = 0
+        self._owner: owner_lib.Owner | None = None
+        self._sequence = 0
+        self._appending = False
+        self._kick: interfaces.IDelayedCall | None = None
+        self._ticker = task.LoopingCall(self._step)
+        self._ticker.clock = clock
+        self._trace = structlog.get_logger()
+
+    def set_candidate(self, candidate: bool) -> None:
+        """Takes over the pool, or gives it up.
+
+        Args:
+            candidate: Whether the group names this VM.
+        """
+        self._candidate = candidate
+        if candidate and not self.active and not self._taking_over:
+            self._taking_over = True
+            defer.ensureDeferred(self._take_over()).addErrback(self._broken)
+        elif not candidate:
+            self._resign("another_candidate")
+
+    def configure(
+        self, accounts: tuple[configuration_lib.Account, ...]
+    ) -> None:
+        """Takes in the client accounts of the configuration in force."""
+        self._accounts = accounts
+        if self._owner is not None:
+            self._owner.configure(accounts)
+            self.kick()
+
+    def notice(self) -> None:
+        """Takes in that the book or the directory changed."""
+        if self._owner is not None:
+            self._owner.notice()
+            self.kick()
+
+    def kick(self) -> None:
+        """Lets the owner decide in the next turn of the reactor."""
+        if self._kick is None:
+            self._kick = self._clock.callLater(0, self._kicked)
+
+    async def _take_over(self) -> None:
+        try:
+            while self._candidate and not self.active:
+                try:
+                    await self._take_over_once()
+                except errors.CitronmountError as error:
+                    self._trace.warning("take_over_failed", error=str(error))
+                    await task.deferLater(
+                        self._clock, TAKE_OVER_RETRY_MS / _MS_PER_S
+                    )
+        finally:
+            self._taking_over = False
+
+    async def _take_over_once(self) -> None:
+        epoch = await self._raise_epoch()
+        await self._jobs.catch_up(epoch.end_offset)
+        await self._workers.catch_up()
+        if not self._candidate:
+            return
+        self._owner = owner_lib.Owner(
+            token=ids.FenceToken(epoch.epoch),
+            book=self._book,
+            directory=self._directory,
+            bounds=self._bounds,
+            policy=self._policy,
+            now_ms=self._now_ms(),
+        )
+        self._owner.configure(self._accounts)
+        self._sequence = 0
+        self._appending = False
+        self.active = True
+        self._workers.start()
+        self._jobs.pace_ms = 0
+        self._trace.info(
+            "ownership_taken",
+            token=epoch.epoch,
+            offset=epoch.end_offset,
+            jobs=len(self._book.jobs),
+        )
+        self._ticker.start(TICK_MS / _MS_PER_S)
+
+    async def _raise_epoch(self) -> ports.Epoch:
+        wanted = self._last_epoch + 1
+        while True:
+            try:
+                epoch = await self._log.raise_epoch(wanted, EPOCH_TIMEOUT_MS)
+            except ports.FencedError as error:
+                if error.epoch is None:
+                    raise
+                wanted = error.epoch + 1
+                continue
+            self._last_epoch = epoch.epoch
+            return epoch
+
+    def _resign(self, reason: str) -> None:
+        if not self.active:
+            return
+        self.active = False
+        self._owner = None
+        if self._ticker.running:
+            self._ticker.stop()
+        self._workers.stop()
+        self._workers.position = None
+        self._jobs.pace_ms = FOLLOWER_PACE_MS
+        self._trace.info(
+            "ownership_left", token=self._last_epoch, reason=reason
+        )
+        if self._candidate and not self._taking_over:
+            self._taking_over = True
+            defer.ensureDeferred(self._take_over()).addErrback(self._broken)
+
+    def _kicked(self) -> None:
+        self._kick = None
+        self._step()
+
+    def _step(self) -> None:
+        owner = self._owner
+        if owner is None:
+            return
+        if owner.fenced:
+            self._resign("fenced_by_worker")
+            return
+        for order in owner.step(self._now_ms(), self._wall()):
+            self._send(owner, order)
+        self._append(owner)
+
+    def _append(self, owner: owner_lib.Owner) -> None:
+        if self._appending:
+            return
+        entries = owner.take_entries()
+        if not entries:
+            return
+        self._appending = True
+        self._sequence += 1
+        sent = defer.ensureDeferred(self._append_entries(owner, entries))
+        sent.addErrback(self._broken)
+
+    async def _append_entries(
+        self, owner: owner_lib.Owner, entries: list[owner_lib.Entry]
+    ) -> None:
+        """Appends until the log answers; a repeat has no second effect."""
+        encoded = [
+            (
+                entry.key,
+                None if entry.record is None else records.encode(entry.record),
+            )
+            for entry in entries
+        ]
+        sequence = self._sequence
+        while owner is self._owner:
+            try:
+                offset = await self._log.append_as_owner(
+                    encoded, int(owner.token), sequence, APPEND_TIMEOUT_MS
+                )
+            except ports.FencedError as error:
+                self._trace.warning("append_fenced", epoch=error.epoch)
+                if owner is self._owner:
+                    self._resign("fenced_by_log")
+                return
+            except errors.UnreachableError as error:
+                self._trace.warning("append_failed", error=str(error))
+                await task.deferLater(self._clock, APPEND_RETRY_MS / _MS_PER_S)
+                continue
+            if owner is self._owner:
+                self._appending = False
+                owner.appended(entries, offset, self._now_ms())
+                self._step()
+            return
+
+    def _send(self, owner: owner_lib.Owner, order: orders.Order) -> None:
+        match order:
+            case orders.Start():
+                sent = self._start(owner, order)
+            case orders.Stop():
+                sent = self._stop(owner, order)
+            case orders.Hold():
+                sent = self._hold(owner, order)
+        defer.ensureDeferred(sent).addErrback(self._broken)
+
+    async def _start(self, owner: owner_lib.Owner, order: orders.Start) -> None:
+        verdict, clock_ms = await self._worker_orders.start(
+            order, START_TIMEOUT_MS
+        )
+        owner.start_answered(order, verdict, clock_ms, self._now_ms())
+        self.kick()
+
+    async def _stop(self, owner: owner_lib.Owner, order: orders.Stop) -> None:
+        verdict, clock_ms = await self._worker_orders.stop(
+            order, STOP_TIMEOUT_MS
+        )
+        owner.stop_answered(order, verdict, clock_ms, self._now_ms())
+        self.kick()
+
+    async def _hold(self, owner: owner_lib.Owner, order: orders.Hold) -> None:
+        sent_ms = self._now_ms()
+        answer = await self._worker_orders.hold(
+            order, order.wait_ms + HOLD_MARGIN_MS
+        )
+        if isinstance(answer, orders.HoldReport):
+            owner.hold_answered(order, answer, sent_ms, self._now_ms())
+        else:
+            fenced = answer is orders.StopVerdict.FENCED
+            owner.hold_failed(order, fenced, self._now_ms())
+        self.kick()
+
+    def _now_ms(self) -> int:
+        return int(self._clock.seconds() * _MS_PER_S)
+
+    def _broken(self, reason: failure.Failure) -> None:
+        """Logs a fault of the program and gives up what it was about."""
+        self._trace.error("owner_fault", error=reason.getTraceback())
+        self._resign("fault")
--- /dev/null
+++ b/citronmount/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/citronmount/platform/entries.py
@@ -0,0 +1,199 @@
+"""Decodes what operators and runners write into the store."""
+
+import msgspec
+import structlog
+
+from citronmount.core import ids
+from citronmount.fleet import configuration
+from citronmount.fleet import workers
+from citronmount.fleet_service import ports
+from citronmount.workflow import spec
+
+__all__ = ["decode"]
+
+_CONFIGURATION_KEY = "config"
+_OUT_OF_SERVICE_PREFIX = "evacuate/"
+_WAVE_PREFIX = "wave/"
+_STATES = {
+    "ready": workers.WorkerState.READY,
+    "draining": workers.WorkerState.DRAINING,
+}
+
+
+class _Room(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct):
+    """What a runner writes; `free_resources` is its whole room."""
+
+    backend: str
+    address: str
+    zone: str
+    state: str
+    free_resources: _Room
+    labels: list[str]
+    born: int
+    host_machine: str = ""
+    clock_ms: int = 0
+    remaining_ms: int | None = None
+
+
+class _Route(msgspec.Struct):
+    """A queue; `slo_ms` is what the objective allows beyond the work."""
+
+    name: str
+    host: str
+    path_prefix: str
+    backend: str
+    timeout_ms: int = 3_000
+    slo_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    public: bool = False
+    advice: dict[str, float] | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    admission_check: bool = False
+
+
+class _Guaranteed(msgspec.Struct):
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 262_144
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode(
+    topic: ports.Topic, record: ports.LogRecord
+) -> ports.LogEvent | None:
+    """Decodes one record of the operators' or the runners' topic.
+
+    Args:
+        topic: The topic.
+        record: The record.
+
+    Returns:
+        What it says, or None if it says nothing that is used here.
+    """
+    if topic is ports.Topic.WORKERS:
+        return _worker(record)
+    if record.key == _CONFIGURATION_KEY and record.value is not None:
+        return _configuration(record.value, record.offset)
+    if record.key.startswith(_OUT_OF_SERVICE_PREFIX):
+        domain = record.key.removeprefix(_OUT_OF_SERVICE_PREFIX)
+        return ports.DomainSwitched(
+            domain=ids.FailureDomainId(domain), out=record.value is not None
+        )
+    if record.key.startswith(_WAVE_PREFIX):
+        structlog.get_logger().warning("upkeep_not_supported", key=record.key)
+    return None
+
+
+def _worker(record: ports.LogRecord) -> ports.WorkerChanged:
+    """Decodes a runner's entry; one that cannot be read names no worker."""
+    name = ids.WorkerId(record.key)
+    entry = None
+    if record.value is not None:
+        try:
+            entry = _entry(name, record.value)
+        except (msgspec.DecodeError, LookupError, UnicodeDecodeError) as error:
+            structlog.get_logger().warning(
+                "worker_entry_ignored", worker=name, error=str(error)
+            )
+    return ports.WorkerChanged(worker=name, entry=entry)
+
+
+def _entry(name: ids.WorkerId, value: bytes) -> workers.Worker:
+    entry = msgspec.json.decode(value, type=_Entry)
+    return workers.Worker(
+        worker=name,
+        life_ms=entry.born,
+        machine=entry.host_machine,
+        address=entry.address,
+        failure_domain=ids.FailureDomainId(entry.zone),
+        service=spec.ServiceName(entry.backend),
+        state=_STATES[entry.state],
+        capacity=_demand(entry.free_resources),
+        labels=frozenset(entry.labels),
+        rack=ids.RackId(entry.labels[-1]),
+        clock_ms=entry.clock_ms,
+        remaining_ms=entry.remaining_ms,
+    )
+
+
+def _demand(room: _Room) -> spec.Demand:
+    return spec.Demand(
+        millicores=room.cpu, memory_mb=room.mem_mb, accelerators=room.gpu
+    )
+
+
+def _configuration(
+    value: bytes, offset: int
+) -> ports.ConfigurationChanged | None:
+    try:
+        said = msgspec.json.decode(value, type=_Configuration)
+    except msgspec.DecodeError as error:
+        structlog.get_logger().error(
+            "configuration_ignored", offset=offset, error=str(error)
+        )
+        return None
+    queues = sorted(
+        map(_queue, said.routes), key=lambda queue: -len(queue.path_prefix)
+    )
+    guarding = (each.name for each in said.services if each.admission_check)
+    return ports.ConfigurationChanged(
+        configuration=configuration.FleetConfiguration(
+            version=said.version,
+            queues=tuple(queues),
+            accounts=tuple(map(_account, said.tenants)),
+            max_body_bytes=said.limits.max_body_bytes,
+            guarding_services=frozenset(map(spec.ServiceName, guarding)),
+        )
+    )
+
+
+def _queue(route: _Route) -> configuration.Queue:
+    return configuration.Queue(
+        terms=spec.QueueTerms(
+            queue=spec.QueueName(route.name),
+            service=spec.ServiceName(route.backend),
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            slack_factor=route.slack_factor,
+            objective_ms=int(route.slo_ms),
+            needs_advice=route.advice is not None,
+        ),
+        host=route.host,
+        path_prefix=route.path_prefix,
+        timeout_ms=route.timeout_ms,
+        public=route.public,
+    )
+
+
+def _account(tenant: _Tenant) -> configuration.Account:
+    return configuration.Account(
+        account=ids.AccountId(tenant.name),
+        keys=frozenset(tenant.api_keys),
+        guaranteed_accelerators=tenant.guaranteed.gpu,
+    )
--- /dev/null
+++ b/citronmount/platform/job_api.py
@@ -0,0 +1,188 @@
+"""The HTTP interface that clients of the platform call."""
+
+import klein
+from twisted.web import http
+from twisted.web import iweb
+from twisted.web import resource
+from twisted.web import server
+
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.fleet import configuration
+from citronmount.fleet_service import front as front_lib
+from citronmount.platform import job_bodies
+
+__all__ = ["JobApi", "ReadyResource"]
+
+KEY_HEADER = "x-api-key"
+DEADLINE_HEADER = "citronmount-deadline-ms"
+RETRY_AFTER_S = 1
+
+_STATUSES = {
+    front_lib.Verdict.DONE: http.OK,
+    front_lib.Verdict.UNKNOWN_JOB: http.GONE,
+    front_lib.Verdict.NOT_DONE: http.SERVICE_UNAVAILABLE,
+    front_lib.Verdict.UNCERTAIN: http.GATEWAY_TIMEOUT,
+}
+
+
+class JobApi:
+    """Routes calls to the front.
+
+    Attributes:
+        closing: Whether each connection is closed after its answer.
+    """
+
+    app = klein.Klein()
+
+    def __init__(self, *, front: front_lib.Front) -> None:
+        """Initializes the interface.
+
+        Args:
+            front: Answers the calls.
+        """
+        self.closing = False
+        self._front = front
+
+    @app.route("/", branch=True)
+    async def call(self, request: iweb.IRequest) -> bytes:
+        """Answers any call."""
+        request.setHeader("content-type", "application/json")
+        if self.closing:
+            request.channel.persistent = False
+        in_force = self._front.configuration
+        if in_force is None:
+            return _refuse(request, http.SERVICE_UNAVAILABLE)
+        path = request.path.decode("utf-8", "replace")
+        queue = in_force.queue_at(_host(request), path)
+        if queue is None:
+            return _refuse(request, http.NOT_FOUND)
+        account = self._account(request, in_force, queue)
+        if account is None:
+            return _refuse(request, http.UNAUTHORIZED)
+        name = path.removeprefix(queue.path_prefix)
+        if not name and request.method == b"GET":
+            return job_bodies.encode_pending(self._front.pending(queue))
+        if not job_bodies.is_job_id(name):
+            return _refuse(request, http.NOT_FOUND)
+        return await self._job_call(request, queue, account, ids.JobId(name))
+
+    async def _job_call(
+        self,
+        request: iweb.IRequest,
+        queue: configuration.Queue,
+        account: ids.AccountId,
+        job: ids.JobId,
+    ) -> bytes:
+        match request.method:
+            case b"POST":
+                return await self._submit(request, queue, account, job)
+            case b"GET":
+                return await self._state(request, queue, job)
+            case b"DELETE":
+                return await self._cancel(request, queue, job)
+        return _refuse(request, http.NOT_ALLOWED)
+
+    async def _submit(
+        self,
+        request: iweb.IRequest,
+        queue: configuration.Queue,
+        account: ids.AccountId,
+        job: ids.JobId,
+    ) -> bytes:
+        try:
+            workflow = job_bodies.decode_job(job, request.content.read())
+        except job_bodies.BadJobError as error:
+            return _refuse(request, http.BAD_REQUEST, str(error))
+        answer = await self._front.submit(
+            queue, account, workflow, _timeout_ms(request, queue)
+        )
+        return _answer(request, answer)
+
+    async def _cancel(
+        self,
+        request: iweb.IRequest,
+        queue: configuration.Queue,
+        job: ids.JobId,
+    ) -> bytes:
+        try:
+            answer = await self._front.cancel(
+                queue, job, _timeout_ms(request, queue)
+            )
+        except errors.CitronmountError as error:
+            return _refuse(request, http.SERVICE_UNAVAILABLE, str(error))
+        return _answer(request, answer)
+
+    async def _state(
+        self,
+        request: iweb.IRequest,
+        queue: configuration.Queue,
+        job: ids.JobId,
+    ) -> bytes:
+        try:
+            state = await self._front.state(queue, job)
+        except errors.CitronmountError as error:
+            return _refuse(request, http.SERVICE_UNAVAILABLE, str(error))
+        if state is None:
+            return _refuse(request, http.GONE)
+        return job_bodies.encode_state(state)
+
+    def _account(
+        self,
+        request: iweb.IRequest,
+        in_force: configuration.FleetConfiguration,
+        queue: configuration.Queue,
+    ) -> ids.AccountId | None:
+        """Returns the caller's account, or None if its key is unknown."""
+        key = request.getHeader(KEY_HEADER)
+        account = in_force.account_of(key) if key else None
+        if account is None and queue.public:
+            return ids.AccountId("")
+        return account
+
+
+class ReadyResource(resource.Resource):
+    """Tells whether the VM should get new connections."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, *, ready: object) -> None:
+        """Initializes the resource.
+
+        Args:
+            ready: Called for each question; returns whether the VM is ready.
+        """
+        super().__init__()
+        self._ready = ready
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Answers 200 or 503."""
+        if not self._ready():
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        return b""
+
+
+def _host(request: iweb.IRequest) -> str:
+    return (request.getHeader("host") or "").partition(":")[0]
+
+
+def _timeout_ms(request: iweb.IRequest, queue: configuration.Queue) -> int:
+    """Returns how long the caller waits, within the queue's limit."""
+    text = request.getHeader(DEADLINE_HEADER) or ""
+    if not text.isdigit():
+        return queue.timeout_ms
+    return min(int(text), queue.timeout_ms)
+
+
+def _answer(request: iweb.IRequest, answer: front_lib.Answer) -> bytes:
+    request.setResponseCode(_STATUSES[answer.verdict])
+    if answer.verdict is front_lib.Verdict.NOT_DONE:
+        request.setHeader("retry-after", str(answer.retry_after_s))
+    return b"{}"
+
+
+def _refuse(request: iweb.IRequest, status: int, why: str = "") -> bytes:
+    request.setResponseCode(status)
+    if status == http.SERVICE_UNAVAILABLE:
+        request.setHeader("retry-after", str(RETRY_AFTER_S))
+    return job_bodies.encode_refusal(why)
--- /dev/null
+++ b/citronmount/platform/settings.py
@@ -0,0 +1,142 @@
+"""The settings file that the platform writes, decoded into our terms."""
+
+import pathlib
+
+import msgspec
+
+from citronmount.core import codes
+from citronmount.core import errors
+from citronmount.core import ids
+from citronmount.fleet import configuration
+
+__all__ = ["SETTINGS_VARIABLE", "Settings", "SettingsError", "decode", "load"]
+
+SETTINGS_VARIABLE = "CITRONMOUNT_SETTINGS"
+
+
+class SettingsError(errors.InvalidInputError):
+    """A settings file that does not say what is needed."""
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a process needs to know of its VM and site.
+
+    Attributes:
+        vm: The VM.
+        failure_domain: Where it is.
+        caller_address: ``ip:port`` for the calls of clients.
+        ready_address: ``ip:port`` that is asked whether the VM is ready.
+        metrics_port: A free port for metrics.
+        log_address: ``ip:port`` of the log service.
+        processor_share: Processor time that the VM has, in cores.
+        stop_grace_s: Time between SIGTERM and SIGKILL.
+        bounds: Times that the site sets.
+    """
+
+    vm: ids.VmId
+    failure_domain: ids.FailureDomainId
+    caller_address: str
+    ready_address: str
+    metrics_port: int
+    log_address: str
+    processor_share: float
+    stop_grace_s: float
+    bounds: configuration.Bounds
+
+
+class _Addresses(msgspec.Struct):
+    frontend: str
+    ready: str
+
+
+class _Limits(msgspec.Struct):
+    cpu_quota: float = 1.0
+    cores: float = 1.0
+
+
+class _Bounds(msgspec.Struct):
+    hold_max_ms: int = 6_000
+    gang_ms: int = 3_000
+    stop_ms: int = 400
+    status_s: int = 120
+    early_ms: int = 250
+    reclaim_ms: int = 2_900
+    far_factor: float = 3.0
+    save_s: float = 1.0
+    grace_s: float = 6.0
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    listen_addrs: _Addresses
+    platform: _Platform
+    port_range: tuple[int, int] = (7_000, 7_015)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def decode(data: bytes) -> Settings:
+    """Decodes a settings file.
+
+    Args:
+        data: The TOML text.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: A field is missing or has another type.
+    """
+    try:
+        file = msgspec.toml.decode(data, type=_File)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            str(error), code=codes.ResultCode.INVALID_REQUEST
+        ) from error
+    return Settings(
+        vm=ids.VmId(file.node_name),
+        failure_domain=ids.FailureDomainId(file.zone),
+        caller_address=file.listen_addrs.frontend,
+        ready_address=file.listen_addrs.ready,
+        metrics_port=file.port_range[0],
+        log_address=file.platform.address,
+        processor_share=file.limits.cpu_quota * file.limits.cores,
+        stop_grace_s=file.bounds.grace_s,
+        bounds=configuration.Bounds(
+            max_lease_ms=file.bounds.hold_max_ms,
+            gang_wait_ms=file.bounds.gang_ms,
+            stop_ms=file.bounds.stop_ms,
+            status_s=file.bounds.status_s,
+            early_ms=file.bounds.early_ms,
+            reclaim_ms=file.bounds.reclaim_ms,
+            spread_factor=file.bounds.far_factor,
+            save_s=file.bounds.save_s,
+        ),
+    )
+
+
+def load(path: str) -> Settings:
+    """Reads a settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: The file cannot be read or decoded.
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(
+            str(error), code=codes.ResultCode.INVALID_REQUEST
+        ) from error
+    return decode(data)
--- a/citronmount/services/exchange.py
+++ b/citronmount/services/exchange.py
@@ -22,7 +22,7 @@
 from citronmount.services import counted
 from citronmount.services import wire
 
-__all__ = ["NOT_SENT", "Exchange", "NoAnswerError", "make_agent"]
+__all__ = ["NOT_SENT", "Answer", "Exchange", "NoAnswerError", "make_agent"]
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_CONNECTION_S = 30
@@ -133,6 +133,18 @@
         """Does nothing, as all is written at once."""
 
 
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """Any answer, whatever its status.
+
+    Attributes:
+        status: The HTTP status.
+        body: The bytes of the body.
+    """
+
+    status: int
+    body: bytes
+
+
 class _Kept(msgspec.Struct, frozen=True, kw_only=True):
     """An answer that may still be valid."""
 
@@ -224,6 +236,55 @@
         request = self._request("POST", address, path, kind, data=data)
         return self._bounded(request, timeout_ms)
 
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeout_ms: int,
+        *,
+        query: str = "",
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> defer.Deferred[Answer]:
+        """Makes a call whose status and body the caller reads itself.
+
+        Args:
+            method: The HTTP method.
+            address: ``ip:port`` of the service.
+            path: The path.
+            timeout_ms: When to give up.
+            query: The encoded query, or empty.
+            headers: Headers beside those of HTTP.
+            body: The body, if the call has one.
+
+        Returns:
+            Fires with the answer or fails with `NoAnswerError`.
+        """
+        url = self._url(address, path)
+        if query:
+            url = hyperlink.EncodedURL.from_text(f"{url.to_text()}?{query}")
+        data = None if body is None else _BytesProducer(body)
+        request = self._call(method, url, headers or {}, data)
+        return self._bounded(request, timeout_ms)
+
+    async def _call(
+        self,
+        method: str,
+        url: hyperlink.EncodedURL,
+        headers: dict[str, str],
+        data: _BytesProducer | None,
+    ) -> Answer:
+        response = await self._http.request(
+            method,
+            url,
+            headers=headers,
+            data=data,
+            allow_redirects=False,
+            unbuffered=True,
+        )
+        return Answer(status=response.code, body=await _content(response))
+
     def close(self) -> defer.Deferred[None]:
         """Closes every idle connection.
 
--- /dev/null
+++ b/citronmount/workflow/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps: their description, records and progress."""
--- /dev/null
+++ b/citronmount/workflow/units.py
@@ -0,0 +1,98 @@
+"""Units: what is started together, a gang or one task."""
+
+import typing
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.workflow import spec
+
+__all__ = ["TaskName", "UnitId", "UnitKey", "task_names", "units_of_step"]
+
+TaskName = typing.NewType("TaskName", str)
+UnitId = typing.NewType("UnitId", str)
+
+_WHOLE_GANG = -1
+
+
+class UnitKey(msgspec.Struct, frozen=True, kw_only=True):
+    """Names one unit.
+
+    Attributes:
+        job: The job.
+        occurrence: The occurrence, counted from 0.
+        step: The step, counted from 0.
+        index: The task, counted from 0, or -1 for a whole gang.
+    """
+
+    job: ids.JobId
+    occurrence: int
+    step: int
+    index: int = _WHOLE_GANG
+
+    @property
+    def unit(self) -> UnitId:
+        """The id: ``JOB.OCCURRENCE.STEP`` or ``JOB.OCCURRENCE.STEP.INDEX``."""
+        text = f"{self.job}.{self.occurrence}.{self.step}"
+        if self.index == _WHOLE_GANG:
+            return UnitId(text)
+        return UnitId(f"{text}.{self.index}")
+
+    @classmethod
+    def parse(cls, unit: UnitId) -> "UnitKey":
+        """Returns the key of an id.
+
+        Args:
+            unit: An id made by `unit`.
+
+        Returns:
+            The key.
+
+        Raises:
+            ValueError: The text is no such id.
+        """
+        job, occurrence, step, *index = unit.split(".")
+        if len(index) > 1:
+            raise ValueError(f"not a unit: {unit!r}")
+        return cls(
+            job=ids.JobId(job),
+            occurrence=int(occurrence),
+            step=int(step),
+            index=int(index[0]) if index else _WHOLE_GANG,
+        )
+
+
+def units_of_step(
+    job: ids.JobId, occurrence: int, number: int, step: spec.Step
+) -> list[UnitKey]:
+    """Returns the units of one step of one occurrence.
+
+    Args:
+        job: The job.
+        occurrence: The occurrence.
+        number: The number of the step.
+        step: The step.
+
+    Returns:
+        One unit for a gang, else one for each task.
+    """
+    indexes = (_WHOLE_GANG,) if step.gang else range(step.tasks)
+    return [
+        UnitKey(job=job, occurrence=occurrence, step=number, index=index)
+        for index in indexes
+    ]
+
+
+def task_names(key: UnitKey, step: spec.Step) -> list[TaskName]:
+    """Returns the names of a unit's tasks.
+
+    Args:
+        key: The unit.
+        step: Its step.
+
+    Returns:
+        ``JOB.OCCURRENCE.STEP.INDEX`` for each task.
+    """
+    indexes = range(step.tasks) if key.index == _WHOLE_GANG else (key.index,)
+    prefix = f"{key.job}.{key.occurrence}.{key.step}"
+    return [TaskName(f"{prefix}.{index}") for index in indexes]
