Tell apart processes that try one epoch; start a tail whose position is known

Change: the owner raises an epoch by a record of its own and reads back whose record lies there; a tail runs until it is stopped.

--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.python import failure
 
 from citronmount.core import errors
 from citronmount.fleet_service import ports
@@ -63,16 +64,19 @@
         self._on_snapshot = on_snapshot
         self._on_records = on_records
         self._running: defer.Deferred[None] | None = None
+        self._stopped = True
         self._lost = False
         self._trace = structlog.get_logger().bind(topic=topic.value)
 
     def start(self) -> None:
         """Starts reading."""
+        self._stopped = False
         self._running = defer.ensureDeferred(self._run())
         self._running.addErrback(self._ended)
 
     def stop(self) -> None:
         """Stops reading; a read on its way is cancelled."""
+        self._stopped = True
         running, self._running = self._running, None
         if running is not None:
             running.cancel()
@@ -103,7 +107,7 @@
 
     async def _run(self) -> None:
         retry_ms = FIRST_RETRY_MS
-        while self._running is not None or self.position is None:
+        while not self._stopped:
             try:
                 await self._read_once()
             except ports.HistoryLostError:
@@ -160,6 +164,6 @@
             self._lost = False
             self._trace.info("log_regained", position=self.position)
 
-    def _ended(self, reason: object) -> None:
-        if self._running is not None:
-            self._trace.error("tail_failed", error=str(reason))
+    def _ended(self, reason: failure.Failure) -> None:
+        if not self._stopped:
+            self._trace.error("tail_failed", error=reason.getTraceback())
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -44,6 +44,7 @@
         decode: Decode,
         bounds: configuration_lib.Bounds,
         policy: sessions.LeasePolicy,
+        vm: ids.VmId,
         wall: Callable[[], int] = owner_loop.wall_ms,
     ) -> None:
         """Connects the parts; nothing runs yet.
@@ -55,6 +56,7 @@
             decode: Makes an event of a record of the site.
             bounds: Times that the site sets.
             policy: How leases are renewed.
+            vm: This VM.
             wall: Tells the Unix time in milliseconds.
         """
         self._decode = decode
@@ -98,6 +100,7 @@
             directory=self._directory,
             bounds=bounds,
             policy=policy,
+            vm=vm,
             wall=wall,
         )
         self._candidacy = candidacy.Candidacy(
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -1,6 +1,7 @@
 """Runs the owner: takes over, carries out its orders, appends its records."""
 
 from collections.abc import Callable
+import secrets
 import time
 
 import structlog
@@ -25,6 +26,7 @@
 
 TICK_MS = 50
 EPOCH_TIMEOUT_MS = 800
+NONCE_BYTES = 8
 APPEND_TIMEOUT_MS = 800
 APPEND_RETRY_MS = 50
 MAX_APPEND_RECORDS = 1_000
@@ -63,6 +65,7 @@
         directory: workers_lib.WorkerDirectory,
         bounds: configuration_lib.Bounds,
         policy: sessions.LeasePolicy,
+        vm: ids.VmId,
         wall: Wall = wall_ms,
     ) -> None:
         """Initializes a VM that does not own the pool.
@@ -77,6 +80,7 @@
             directory: The workers' entries.
             bounds: Times that the site sets.
             policy: How leases are renewed.
+            vm: This VM.
             wall: Tells the Unix time in milliseconds.
         """
         self.active = False
@@ -89,6 +93,7 @@
         self._directory = directory
         self._bounds = bounds
         self._policy = policy
+        self._vm = vm
         self._wall = wall
         self._accounts: tuple[configuration_lib.Account, ...] = ()
         self._candidate = False
@@ -149,8 +154,10 @@
             self._taking_over = False
 
     async def _take_over_once(self) -> None:
-        epoch = await self._raise_epoch()
-        await self._jobs.catch_up(epoch.end_offset)
+        epoch, offset = await self._raise_epoch()
+        await self._jobs.catch_up(offset + 1)
+        if self._book.owned != epoch:
+            raise ports.FencedError(None)
         await self._workers.catch_up()
         if not self._candidate:
             return
@@ -171,23 +178,35 @@
         self._trace.info(
             "ownership_taken",
             token=epoch.epoch,
-            offset=epoch.end_offset,
+            offset=offset,
             jobs=len(self._book.jobs),
         )
         self._ticker.start(TICK_MS / _MS_PER_S)
 
-    async def _raise_epoch(self) -> ports.Epoch:
-        wanted = self._last_epoch + 1
+    async def _raise_epoch(self) -> tuple[records.Owned, int]:
+        """Appends a record that makes lower epochs be refused.
+
+        Another process may have tried the same epoch; whose record lies at
+        the offset tells which of them has it.
+        """
+        last = self._book.owned.epoch if self._book.owned else 0
+        wanted = max(last, self._last_epoch) + 1
         while True:
+            owned = records.Owned(
+                epoch=wanted, vm=self._vm, nonce=secrets.token_hex(NONCE_BYTES)
+            )
+            entry = (records.key_of(owned), records.encode(owned))
             try:
-                epoch = await self._log.raise_epoch(wanted, EPOCH_TIMEOUT_MS)
+                offset = await self._log.append_as_owner(
+                    [entry], wanted, 0, EPOCH_TIMEOUT_MS
+                )
             except ports.FencedError as error:
                 if error.epoch is None:
                     raise
                 wanted = error.epoch + 1
                 continue
-            self._last_epoch = epoch.epoch
-            return epoch
+            self._last_epoch = wanted
+            return owned, offset
 
     def _resign(self, reason: str) -> None:
         if not self.active:
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -17,7 +17,6 @@
 __all__ = [
     "ConfigurationChanged",
     "DomainSwitched",
-    "Epoch",
     "FencedError",
     "HistoryLostError",
     "Log",
@@ -119,18 +118,6 @@
     end_offset: int
 
 
-class Epoch(msgspec.Struct, frozen=True, kw_only=True):
-    """A raised producer epoch.
-
-    Attributes:
-        epoch: The epoch, which is the fencing token too.
-        end_offset: Where the job topic ended when it was raised.
-    """
-
-    epoch: int
-    end_offset: int
-
-
 class Membership(msgspec.Struct, frozen=True, kw_only=True):
     """What a group member was dealt.
 
@@ -197,12 +184,11 @@
     ) -> defer.Deferred[int]:
         """Appends to the job topic unless a newer epoch was seen.
 
-        A repeat with the same sequence number has no second effect.
+        The first append of an epoch, with sequence number 0, raises it. A
+        repeat of an epoch and sequence number appends nothing and fires with
+        the offset of the first append.
         """
 
-    def raise_epoch(self, epoch: int, timeout_ms: int) -> defer.Deferred[Epoch]:
-        """Makes the job topic refuse owners of lower epochs."""
-
     def read(
         self, topic: Topic, offset: int, wait_ms: int, timeout_ms: int
     ) -> defer.Deferred[Page]:
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -104,6 +104,7 @@
         decode=entries.decode,
         bounds=settings.bounds,
         policy=policy,
+        vm=settings.vm,
     )
 
 
--- a/citronmount/platform/log.py
+++ b/citronmount/platform/log.py
@@ -21,7 +21,6 @@
 MAX_READ_KB = 1_024
 
 _PART = 0
-_FIRST_SEQUENCE = 0
 _TOPICS = {
     ports.Topic.JOBS: JOBS_TOPIC,
     ports.Topic.CONFIGURATION: "keyed.op",
@@ -38,7 +37,6 @@
 
 class _Appended(msgspec.Struct):
     offset: int = 0
-    end_offset: int = 0
 
 
 class _Conflict(msgspec.Struct):
@@ -117,13 +115,6 @@
         answer = await self._append(query, framing.encode(records), timeout_ms)
         return _decoded(answer, _Appended).offset
 
-    async def raise_epoch(self, epoch: int, timeout_ms: int) -> ports.Epoch:
-        """Makes lower epochs be refused; see `ports.Log`."""
-        query = {"producer": PRODUCER, "epoch": epoch, "seq": _FIRST_SEQUENCE}
-        answer = await self._append(query, b"", timeout_ms)
-        end = _decoded(answer, _Appended).end_offset
-        return ports.Epoch(epoch=epoch, end_offset=end)
-
     async def read(
         self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
     ) -> ports.Page:
--- a/citronmount/workflow/book.py
+++ b/citronmount/workflow/book.py
@@ -65,12 +65,14 @@
     Attributes:
         jobs: Jobs without a final state.
         finished: Final states that callers may still ask for.
+        owned: Who took the pool over last, if anyone did.
     """
 
     def __init__(self) -> None:
         """Initializes an empty book."""
         self.jobs: dict[ids.JobId, JobEntry] = {}
         self.finished: dict[ids.JobId, records.Finished] = {}
+        self.owned: records.Owned | None = None
         self._offsets: dict[str, int] = {}
         self._early: dict[ids.JobId, list[tuple[int, records.Record]]] = {}
 
@@ -93,6 +95,9 @@
                 return self._submit(offset, record.submission)
             case records.Finished():
                 return self._finish(record)
+            case records.Owned():
+                self.owned = record
+                return True
             case records.Cancelled():
                 return self._change(record.job, offset, record)
             case records.UnitChanged():
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -13,6 +13,8 @@
 __all__ = [
     "Cancelled",
     "Finished",
+    "OWNER_KEY",
+    "Owned",
     "FinalState",
     "Place",
     "Record",
@@ -124,10 +126,26 @@
     finished_ms: int
 
 
-Record = Submitted | Cancelled | UnitChanged | Finished
+class Owned(msgspec.Struct, frozen=True, kw_only=True, tag="o"):
+    """A process took the pool over.
+
+    Attributes:
+        epoch: The producer epoch that it raised.
+        vm: Its VM.
+        nonce: Tells it from other processes that tried the same epoch.
+    """
+
+    epoch: int
+    vm: ids.VmId
+    nonce: str
+
+
+Record = Submitted | Cancelled | UnitChanged | Finished | Owned
+
+OWNER_KEY = "o"
 
 _ENCODER = msgspec.msgpack.Encoder()
-_OBJECTS = msgspec.msgpack.Decoder(Submitted | Cancelled | Finished)
+_OBJECTS = msgspec.msgpack.Decoder(Submitted | Cancelled | Finished | Owned)
 _UNITS = msgspec.msgpack.Decoder(UnitChanged)
 _UNIT_PREFIX = "u/"
 _FINAL_PREFIX = "e/"
@@ -178,6 +196,8 @@
             return unit_key(unit)
         case Finished(job=job):
             return final_key(job)
+        case Owned():
+            return OWNER_KEY
     typing.assert_never(record)
 
 
