Add a pool in virtual time, with tests of jobs and of faults

Change: in-memory log and workers behind the same ports as the adapter; the workers note every broken promise (TWICE, LIMIT, GANG) themselves. 41 tests of steps, gangs, occurrences, labels, racks, limits, checkpoints, guarantees, cancel, take-over, lost answers, silent and late workers.

--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -114,6 +114,11 @@
         in_touch = silent_ms < LOG_SILENCE_LIMIT_MS
         return self.front.ready and in_touch and not self._draining
 
+    @property
+    def owns_pool(self) -> bool:
+        """Whether this VM decides for the whole pool at present."""
+        return self._owner.active
+
     def start(self) -> None:
         """Starts the tails and joins the group."""
         self._configuration.start()
--- /dev/null
+++ b/citronmount/fleet_service/tests/pool.py
@@ -0,0 +1,241 @@
+"""A whole pool in virtual time: nodes, log and workers in memory."""
+
+from collections.abc import Callable
+import logging
+import unittest
+
+import msgspec
+import structlog
+from twisted.internet import defer
+from twisted.internet import task
+
+from citronmount.core import ids
+from citronmount.core import states
+from citronmount.fleet import configuration
+from citronmount.fleet import sessions
+from citronmount.fleet import workers
+from citronmount.fleet_service import front
+from citronmount.fleet_service import node as node_lib
+from citronmount.fleet_service import ports
+from citronmount.standins import pool_log
+from citronmount.standins import pool_workers
+from citronmount.workflow import spec
+from citronmount.workflow import units
+
+SERVICE = spec.ServiceName("runners")
+CAPACITY = spec.Demand(millicores=64_000, memory_mb=131_072, accelerators=8)
+STEP_S = 0.005
+
+
+def queue(
+    name: str = "batch", priority: int = 1, max_attempts: int = 3
+) -> configuration.Queue:
+    return configuration.Queue(
+        terms=spec.QueueTerms(
+            queue=spec.QueueName(name),
+            service=SERVICE,
+            priority=priority,
+            max_attempts=max_attempts,
+            slack_factor=3.0,
+            objective_ms=1_000,
+        ),
+        host="",
+        path_prefix=f"/{name}/",
+        timeout_ms=3_000,
+    )
+
+
+def one_task(accelerators: int = 1, **options: object) -> spec.Step:
+    demand = spec.Demand(
+        millicores=1_000 * accelerators,
+        memory_mb=1_000,
+        accelerators=accelerators,
+    )
+    options = {"tasks": 1, "estimate_ms": 1_000, **options}
+    return spec.Step(demand=demand, **options)
+
+
+class PoolCase(unittest.TestCase):
+    """A pool of three VMs and some workers, driven by a virtual clock."""
+
+    vms = 3
+    workers_per_rack = 2
+    racks = 2
+
+    def setUp(self) -> None:
+        structlog.configure(
+            wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+        )
+        self.addCleanup(structlog.reset_defaults)
+        self.clock = task.Clock()
+        self.wall_ahead_ms = 1_000_000
+        self.log = pool_log.PoolLog(clock=self.clock)
+        self.plans: dict[str, pool_workers.TaskPlan] = {}
+        self.pool = pool_workers.PoolWorkers(
+            clock=self.clock, plans=self.plan_of
+        )
+        self.steps: dict[tuple[str, int], spec.Step] = {}
+        self.run_time_ms: Callable[[units.TaskName, int], int] = (
+            lambda task, run: 1_000
+        )
+        self.fails: Callable[[units.TaskName, int], bool] = lambda task, run: (
+            False
+        )
+        self.entries: dict[str, bytes] = {}
+        self.guaranteed: dict[str, int] = {}
+        for rack in range(self.racks):
+            for number in range(self.workers_per_rack):
+                self.add_worker(f"w{rack}{number}", rack=f"rack{rack}")
+        self.nodes = [self.make_node(n) for n in range(self.vms)]
+        self.configure()
+        self.run_for(2.0)
+
+    def tearDown(self) -> None:
+        self.assertEqual([], self.pool.broken)
+
+    def make_node(self, number: int) -> node_lib.Node:
+        vm = ids.VmId(f"vm{number}")
+        node = node_lib.Node(
+            clock=self.clock,
+            log=pool_log.PoolLogClient(log=self.log, vm=vm),
+            worker_orders=self.pool,
+            decode=self.decode,
+            bounds=configuration.Bounds(max_lease_ms=6_000),
+            policy=sessions.LeasePolicy(lease_ms=5_000, max_lease_ms=6_000),
+            vm=vm,
+            wall=self.wall,
+        )
+        node.start()
+        return node
+
+    def wall(self) -> int:
+        return int(self.clock.seconds() * 1_000) + self.wall_ahead_ms
+
+    def add_worker(
+        self, name: str, rack: str, life_ms: int = 1, **changes: object
+    ) -> pool_workers.PoolWorker:
+        entry = workers.Worker(
+            worker=ids.WorkerId(name),
+            life_ms=life_ms,
+            machine=f"m-{name}",
+            address=name,
+            failure_domain=ids.FailureDomainId(f"fd-{rack}"),
+            service=SERVICE,
+            state=workers.WorkerState.READY,
+            capacity=CAPACITY,
+            labels=frozenset({"a", rack}),
+            rack=ids.RackId(rack),
+        )
+        entry = msgspec.structs.replace(entry, **changes)
+        worker = self.pool.add(entry)
+        self.publish(entry)
+        return worker
+
+    def publish(self, entry: workers.Worker) -> None:
+        """Writes a worker's entry; the value only marks that there is one."""
+        mark = f"{entry.worker}/{len(self.entries)}"
+        self.entries[mark] = entry
+        self.log.write(
+            ports.Topic.WORKERS, [(entry.worker, mark.encode("ascii"))]
+        )
+
+    def remove_entry(self, name: str) -> None:
+        self.log.write(ports.Topic.WORKERS, [(name, None)])
+
+    def configure(self, *more: configuration.Queue, version: int = 1) -> None:
+        accounts = tuple(
+            configuration.Account(
+                account=ids.AccountId(name),
+                keys=frozenset({f"key-{name}"}),
+                guaranteed_accelerators=count,
+            )
+            for name, count in self.guaranteed.items()
+        )
+        self.configuration = configuration.FleetConfiguration(
+            version=version,
+            queues=(queue(), queue("urgent", priority=0), *more),
+            accounts=accounts,
+            max_body_bytes=10_000,
+        )
+        self.log.write(ports.Topic.CONFIGURATION, [("config", b"x")])
+
+    def decode(
+        self, topic: ports.Topic, record: ports.LogRecord
+    ) -> ports.LogEvent | None:
+        if topic is ports.Topic.CONFIGURATION:
+            if record.key.startswith("out/"):
+                return ports.DomainSwitched(
+                    domain=ids.FailureDomainId(record.key[4:]),
+                    out=record.value is not None,
+                )
+            return ports.ConfigurationChanged(configuration=self.configuration)
+        mark = None if record.value is None else record.value.decode("ascii")
+        entry = self.entries[mark] if mark else None
+        return ports.WorkerChanged(worker=record.key, entry=entry)
+
+    def plan_of(self, name: units.TaskName, run: int) -> pool_workers.TaskPlan:
+        job, _, number, _ = name.split(".")
+        step = self.steps[job, int(number)]
+        return pool_workers.TaskPlan(
+            run_time_ms=self.run_time_ms(name, run),
+            demand=step.demand,
+            gang=step.tasks if step.gang else 1,
+            fails=self.fails(name, run),
+            lasting=step.lasting,
+        )
+
+    def run_for(self, time_s: float) -> None:
+        for _ in range(round(time_s / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def wait_for(self, deferred: defer.Deferred, limit_s: float = 5.0):
+        results: list[object] = []
+        deferred.addBoth(results.append)
+        end_s = self.clock.seconds() + limit_s
+        while not results and self.clock.seconds() < end_s:
+            self.clock.advance(STEP_S)
+        self.assertTrue(results, "no answer in time")
+        return results[0]
+
+    def submit(
+        self,
+        job: str,
+        *steps: spec.Step,
+        to: str = "batch",
+        account: str = "acme",
+        at: int = 0,
+        **options: int,
+    ) -> front.Verdict:
+        for number, step in enumerate(steps):
+            self.steps[job, number] = step
+        workflow = spec.Workflow(
+            job=ids.JobId(job), payload="", steps=steps, **options
+        )
+        queues = self.configuration.queues
+        chosen = next(q for q in queues if q.terms.queue == to)
+        call = self.nodes[at].front.submit(
+            chosen, ids.AccountId(account), workflow, 3_000
+        )
+        return self.wait_for(defer.ensureDeferred(call)).verdict
+
+    def cancel(self, job: str, at: int = 0) -> front.Verdict:
+        call = self.nodes[at].front.cancel(
+            self.configuration.queues[0], ids.JobId(job), 3_000
+        )
+        return self.wait_for(defer.ensureDeferred(call)).verdict
+
+    def state(
+        self, job: str, at: int = 0, to: int = 0
+    ) -> states.JobState | None:
+        call = self.nodes[at].front.state(
+            self.configuration.queues[to], ids.JobId(job)
+        )
+        return self.wait_for(defer.ensureDeferred(call))
+
+    def owner(self) -> int:
+        active = [n for n, node in enumerate(self.nodes) if node.owns_pool]
+        self.assertEqual(1, len(active), "one VM owns the pool")
+        return active[0]
+
+    def started(self, job: str) -> list[tuple[str, int, str]]:
+        return [each for each in self.pool.starts if each[0].startswith(job)]
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -0,0 +1,239 @@
+import unittest
+
+import msgspec
+from twisted.internet import defer
+
+from citronmount.core import ids
+from citronmount.core import states
+from citronmount.fleet import workers
+from citronmount.fleet_service import front
+from citronmount.fleet_service import ports
+from citronmount.fleet_service.tests import pool
+from citronmount.standins import pool_log
+from citronmount.standins import pool_workers
+
+DONE = states.JobState.DONE
+SILENT = pool_log.LogFault.SILENT
+
+
+class OwnerFaultTest(pool.PoolCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_time_ms = lambda task, run: 4_000
+
+    def other(self) -> int:
+        return (self.owner() + 1) % self.vms
+
+    def kill_owner(self) -> None:
+        number = self.owner()
+        self.log.faults[ids.VmId(f"vm{number}")] = SILENT
+        defer.ensureDeferred(self.nodes[number].give_up())
+        self.nodes[number].stop()
+
+    def test_running_work_outlives_its_owner(self) -> None:
+        at = self.other()
+        gang = pool.one_task(tasks=3, gang=True)
+        self.submit("j", gang, pool.one_task(after=(0,)), at=at)
+        self.run_for(1.0)
+        self.kill_owner()
+        self.run_for(12.0)
+        self.assertIs(DONE, self.state("j", at=at))
+        self.assertEqual(4, len(self.started("j")))
+
+    def test_owner_cut_from_the_log_is_replaced_and_fenced(self) -> None:
+        at = self.other()
+        self.submit("j", pool.one_task(tasks=4), at=at)
+        self.run_for(1.0)
+        before = self.owner()
+        self.log.faults[ids.VmId(f"vm{before}")] = SILENT
+        self.run_for(5.0)
+        self.assertNotEqual(before, self.owner())
+        self.run_for(5.0)
+        self.assertEqual(4, len(self.started("j")))
+        self.log.faults.clear()
+        self.run_for(5.0)
+        self.owner()
+        self.assertIs(DONE, self.state("j", at=at))
+
+    def test_intent_without_start_runs_under_the_next_owner(self) -> None:
+        at = self.other()
+        for worker in self.pool.workers.values():
+            worker.fault = pool_workers.WorkerFault.SILENT
+        self.submit("j", pool.one_task(), at=at)
+        self.run_for(0.05)
+        self.kill_owner()
+        for worker in self.pool.workers.values():
+            worker.fault = pool_workers.WorkerFault.NONE
+        self.run_for(20.0)
+        self.assertIs(DONE, self.state("j", at=at))
+
+    def test_every_vm_starts_anew_in_the_middle_of_work(self) -> None:
+        self.submit("j", pool.one_task(tasks=6), pool.one_task(after=(0,)))
+        self.run_for(1.0)
+        for number, node in enumerate(self.nodes):
+            self.log.faults[ids.VmId(f"vm{number}")] = SILENT
+            defer.ensureDeferred(node.give_up())
+            node.stop()
+        self.run_for(1.0)
+        self.log.faults.clear()
+        self.log.expire(ports.Topic.JOBS)
+        self.nodes = [self.make_node(n + self.vms) for n in range(self.vms)]
+        self.run_for(15.0)
+        self.assertIs(DONE, self.state("j"))
+        self.assertEqual(7, len(self.started("j")))
+
+    def test_owner_hands_over_when_it_is_told_to_stop(self) -> None:
+        number = self.owner()
+        self.wait_for(defer.ensureDeferred(self.nodes[number].give_up()))
+        self.run_for(1.0)
+        self.assertNotEqual(number, self.owner())
+
+
+class LogFaultTest(pool.PoolCase):
+    def test_submission_with_lost_answers_is_not_called_not_run(self) -> None:
+        self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.LOSES_ANSWERS
+        verdict = self.submit("j", pool.one_task(), at=1)
+        self.assertIs(front.Verdict.UNCERTAIN, verdict)
+        self.log.faults.clear()
+        self.run_for(3.0)
+        self.assertIs(front.Verdict.DONE, self.submit("j", pool.one_task()))
+        self.run_for(2.0)
+        self.assertEqual(1, len(self.started("j")))
+
+    def test_refused_submission_is_answered_at_once_and_never_runs(
+        self,
+    ) -> None:
+        self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.REFUSES
+        before_s = self.clock.seconds()
+        verdict = self.submit("j", pool.one_task(), at=1)
+        self.assertIs(front.Verdict.NOT_DONE, verdict)
+        self.assertLess(self.clock.seconds() - before_s, 0.5)
+        self.log.faults.clear()
+        self.run_for(3.0)
+        self.assertEqual([], self.started("j"))
+
+    def test_work_goes_on_while_the_log_is_down(self) -> None:
+        self.run_time_ms = lambda task, run: 6_000
+        self.submit("j", pool.one_task(tasks=2), pool.one_task(after=(0,)))
+        self.run_for(1.0)
+        for number in range(self.vms):
+            self.log.faults[ids.VmId(f"vm{number}")] = SILENT
+        self.run_for(8.0)
+        self.log.faults.clear()
+        self.run_for(12.0)
+        self.assertIs(DONE, self.state("j"))
+        self.assertEqual(3, len(self.started("j")))
+
+    def test_history_that_expires_is_read_from_the_newest_records(
+        self,
+    ) -> None:
+        self.submit("j", pool.one_task())
+        self.run_for(0.2)
+        for topic in ports.Topic:
+            self.log.expire(topic)
+        self.run_for(4.0)
+        for vm in range(self.vms):
+            self.assertIs(DONE, self.state("j", at=vm))
+
+    def test_vm_without_the_log_is_not_ready(self) -> None:
+        self.assertTrue(self.nodes[1].ready)
+        self.log.faults[ids.VmId("vm1")] = SILENT
+        self.run_for(6.0)
+        self.assertFalse(self.nodes[1].ready)
+        self.log.faults.clear()
+        self.run_for(4.0)
+        self.assertTrue(self.nodes[1].ready)
+
+    def test_foreign_records_change_nothing(self) -> None:
+        self.log.write(
+            ports.Topic.JOBS, [("u/x", b"\xff"), ("", b""), ("j/1", b"[]")]
+        )
+        self.submit("j", pool.one_task())
+        self.run_for(3.0)
+        self.assertIs(DONE, self.state("j"))
+
+
+class WorkerFaultTest(pool.PoolCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_time_ms = lambda task, run: 3_000
+
+    def worker_of(self, job: str) -> pool_workers.PoolWorker:
+        return self.pool.workers[ids.WorkerId(self.started(job)[0][2])]
+
+    def test_silent_worker_is_replaced_after_its_lease(self) -> None:
+        self.run_time_ms = lambda task, run: 30_000 if run == 1 else 1_000
+        self.submit("j", pool.one_task())
+        self.run_for(1.0)
+        self.worker_of("j").fault = pool_workers.WorkerFault.SILENT
+        self.run_for(4.0)
+        self.assertEqual(1, len(self.started("j")))
+        self.run_for(8.0)
+        self.assertIs(DONE, self.state("j"))
+
+    def test_order_carried_out_late_does_not_run_a_task_twice(self) -> None:
+        for worker in self.pool.workers.values():
+            worker.fault = pool_workers.WorkerFault.LATE
+        self.submit("j", pool.one_task(tasks=4))
+        self.run_for(1.0)
+        for worker in self.pool.workers.values():
+            worker.fault = pool_workers.WorkerFault.NONE
+        self.run_for(15.0)
+        self.assertIs(DONE, self.state("j"))
+
+    def test_gang_with_one_silent_member_is_stopped_whole(self) -> None:
+        silent = self.pool.workers[ids.WorkerId("w00")]
+        silent.fault = pool_workers.WorkerFault.SILENT
+        self.submit("j", pool.one_task(tasks=4, accelerators=8, gang=True))
+        self.run_for(2.5)
+        silent.fault = pool_workers.WorkerFault.NONE
+        self.run_for(20.0)
+        self.assertIs(DONE, self.state("j"))
+
+    def test_new_life_of_a_worker_ends_what_the_old_one_ran(self) -> None:
+        self.submit("j", pool.one_task())
+        self.run_for(1.0)
+        worker = self.worker_of("j")
+        name = worker.entry.worker
+        worker.crash()
+        self.add_worker(name, rack=worker.entry.rack, life_ms=2)
+        self.run_for(1.5)
+        self.assertEqual(2, len(self.started("j")))
+        self.run_for(4.0)
+        self.assertIs(DONE, self.state("j"))
+
+    def test_entry_that_vanishes_does_not_end_what_runs(self) -> None:
+        self.submit("j", pool.one_task())
+        self.run_for(1.0)
+        name = self.worker_of("j").entry.worker
+        self.remove_entry(name)
+        self.run_for(4.0)
+        self.assertEqual(1, len(self.started("j")))
+        self.assertIs(DONE, self.state("j"))
+
+    def test_draining_worker_gets_nothing_new(self) -> None:
+        for worker in list(self.pool.workers.values())[1:]:
+            entry = msgspec.structs.replace(
+                worker.entry, state=workers.WorkerState.DRAINING
+            )
+            worker.entry = entry
+            self.publish(entry)
+        self.run_for(1.0)
+        self.submit("j", pool.one_task(tasks=9))
+        self.run_for(1.0)
+        self.assertEqual({"w00"}, {place for _, _, place in self.started("j")})
+
+    def test_domain_out_of_service_gets_nothing_new(self) -> None:
+        self.log.write(ports.Topic.CONFIGURATION, [("out/fd-rack0", b"{}")])
+        self.run_for(1.0)
+        self.submit("j", pool.one_task(tasks=20))
+        self.run_for(1.0)
+        places = {place for _, _, place in self.started("j")}
+        self.assertEqual({"w10", "w11"}, places)
+        self.log.write(ports.Topic.CONFIGURATION, [("out/fd-rack0", None)])
+        self.run_for(1.0)
+        self.assertEqual(20, len(self.started("j")))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_jobs.py
@@ -0,0 +1,245 @@
+import unittest
+
+from citronmount.core import ids
+from citronmount.core import states
+from citronmount.fleet_service import front
+from citronmount.fleet_service.tests import pool
+from citronmount.workflow import spec
+
+RUNNING = states.JobState.RUNNING
+DONE = states.JobState.DONE
+
+
+class JobTest(pool.PoolCase):
+    def test_job_of_two_steps_completes_in_order(self) -> None:
+        first = pool.one_task(tasks=3)
+        second = pool.one_task(tasks=2, gang=True, after=(0,))
+        self.assertIs(front.Verdict.DONE, self.submit("j", first, second))
+        self.run_for(0.5)
+        self.assertEqual(3, len(self.pool.running()))
+        self.run_for(0.9)
+        self.assertEqual({"j.0.1.0", "j.0.1.1"}, self.names_running())
+        self.run_for(1.2)
+        for vm in range(self.vms):
+            self.assertIs(DONE, self.state("j", at=vm))
+
+    def test_job_submitted_twice_runs_once(self) -> None:
+        self.submit("j", pool.one_task(), at=0)
+        self.submit("j", pool.one_task(), at=1)
+        self.run_for(3)
+        self.assertEqual(1, len(self.started("j")))
+
+    def test_late_copy_of_a_finished_job_does_not_run(self) -> None:
+        self.submit("j", pool.one_task())
+        self.run_for(3)
+        self.assertIs(front.Verdict.DONE, self.submit("j", pool.one_task()))
+        self.run_for(2)
+        self.assertEqual(1, len(self.started("j")))
+
+    def test_failed_task_runs_again_until_its_attempts_are_spent(self) -> None:
+        self.fails = lambda task, run: True
+        self.submit("j", pool.one_task())
+        self.run_for(6)
+        self.assertEqual([1, 2, 3], [run for _, run, _ in self.started("j")])
+        self.assertIs(states.JobState.FAILED, self.state("j"))
+
+    def test_gang_fails_as_one(self) -> None:
+        self.fails = lambda task, run: task.endswith(".1") and run == 1
+        self.run_time_ms = lambda task, run: (
+            500 if task.endswith(".1") else 1_000
+        )
+        self.submit("j", pool.one_task(tasks=4, gang=True))
+        self.run_for(4)
+        runs = [run for _, run, _ in self.started("j")]
+        self.assertEqual([1] * 4 + [2] * 4, runs)
+        self.assertIs(DONE, self.state("j"))
+
+    def test_cancelled_job_stops_and_frees_its_room(self) -> None:
+        self.run_time_ms = lambda task, run: 60_000
+        self.submit("j", pool.one_task(tasks=4, accelerators=8))
+        self.run_for(0.5)
+        self.assertIs(front.Verdict.DONE, self.cancel("j", at=1))
+        self.assertIs(states.JobState.CANCELLED, self.state("j", at=1))
+        self.run_for(0.7)
+        self.assertEqual([], self.pool.running())
+        self.submit("k", pool.one_task(tasks=4, accelerators=8))
+        self.run_for(0.5)
+        self.assertEqual(4, len(self.started("k")))
+
+    def test_cancel_of_an_unknown_job(self) -> None:
+        self.assertIs(front.Verdict.UNKNOWN_JOB, self.cancel("nothing"))
+        self.assertIsNone(self.state("nothing"))
+
+    def test_job_is_not_told_on_another_queue(self) -> None:
+        self.submit("j", pool.one_task())
+        self.assertIsNone(self.state("j", to=1))
+
+    def test_occurrences_start_at_their_times(self) -> None:
+        due_ms = self.wall() + 1_000
+        self.submit(
+            "j",
+            pool.one_task(),
+            occurrences=2,
+            first_due_ms=due_ms,
+            interval_ms=1_500,
+        )
+        self.run_for(0.9)
+        self.assertEqual([], self.started("j"))
+        self.run_for(0.3)
+        self.assertEqual(1, len(self.started("j")))
+        self.run_for(1.5)
+        names = [task for task, _, _ in self.started("j")]
+        self.assertEqual(["j.0.0.0", "j.1.0.0"], names)
+        self.run_for(1.5)
+        self.assertIs(DONE, self.state("j"))
+
+    def test_lasting_task_starts_again_however_it_ends(self) -> None:
+        self.fails = lambda task, run: run == 1
+        self.submit("j", pool.one_task(lasting=True))
+        self.run_for(8)
+        runs = [run for _, run, _ in self.started("j")]
+        self.assertGreater(len(runs), 4)
+        self.assertEqual(sorted(set(runs)), runs)
+        self.assertIs(RUNNING, self.state("j"))
+
+    def test_pending_counts_jobs_that_have_not_begun(self) -> None:
+        batch = self.configuration.queues[0]
+        self.submit("big", pool.one_task(accelerators=9))
+        self.run_for(1)
+        for node in self.nodes:
+            self.assertEqual(1, node.front.pending(batch))
+
+    def test_final_state_is_told_for_its_time_and_then_dropped(self) -> None:
+        self.submit("j", pool.one_task())
+        self.run_for(100)
+        self.assertIs(DONE, self.state("j"))
+        self.run_for(90)
+        self.assertIsNone(self.state("j"))
+
+    def names_running(self) -> set[str]:
+        return {task for task, _ in self.pool.running()}
+
+
+class PlacementTest(pool.PoolCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_time_ms = lambda task, run: 30_000
+
+    def places(self, job: str) -> list[str]:
+        return [worker for _, _, worker in self.started(job)]
+
+    def test_label_binds(self) -> None:
+        self.submit("j", pool.one_task(tasks=9, worker_label="rack1"))
+        self.run_for(0.5)
+        self.assertEqual(9, len(self.places("j")))
+        self.assertLessEqual(set(self.places("j")), {"w10", "w11"})
+
+    def test_rack_of_the_data_is_preferred(self) -> None:
+        self.submit("j", pool.one_task(data_rack="rack1"))
+        self.run_for(0.5)
+        self.assertIn(self.places("j")[0], {"w10", "w11"})
+
+    def test_limit_on_tasks_of_one_worker(self) -> None:
+        step = pool.one_task(tasks=7, max_tasks_per_worker=2)
+        self.submit("j", step)
+        self.submit("k", step)
+        self.run_for(0.5)
+        for job in "jk":
+            places = self.places(job)
+            self.assertEqual(7, len(places))
+            self.assertLessEqual(max(map(places.count, places)), 2)
+
+    def test_gang_stays_in_one_rack(self) -> None:
+        self.submit("small", pool.one_task(accelerators=4))
+        self.submit(
+            "j",
+            pool.one_task(tasks=4, accelerators=4, gang=True, one_rack=True),
+        )
+        self.run_for(0.5)
+        self.assertEqual({"w10", "w11"}, set(self.places("j")))
+
+    def test_gang_wider_than_a_rack_is_spread(self) -> None:
+        step = pool.one_task(tasks=3, accelerators=8, gang=True, one_rack=True)
+        self.submit("j", step)
+        self.run_for(0.5)
+        self.assertEqual(3, len(self.places("j")))
+
+    def test_gang_never_starts_in_part(self) -> None:
+        self.submit("small", pool.one_task(accelerators=8))
+        self.submit("j", pool.one_task(tasks=4, accelerators=8, gang=True))
+        self.run_for(1)
+        self.assertEqual([], self.places("j"))
+
+
+class GuaranteeTest(pool.PoolCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.guaranteed = {"acme": 16, "beta": 16}
+        self.configure(version=2)
+        self.run_time_ms = lambda task, run: (
+            60_000 if task.startswith("low") else 1_000
+        )
+
+    def test_guaranteed_job_takes_its_room_back(self) -> None:
+        self.submit("low", pool.one_task(tasks=32), account="beta")
+        self.run_for(0.5)
+        self.assertEqual(32, len(self.pool.running()))
+        step = pool.one_task(tasks=2, accelerators=8, gang=True)
+        self.submit("j", step, to="urgent")
+        self.run_for(1.0)
+        self.assertEqual(2, len(self.started("j")))
+        self.run_for(3.0)
+        self.assertIs(DONE, self.state("j", to=1))
+        self.assertEqual(32, len(self.pool.running()))
+
+    def test_nobody_is_stopped_beyond_the_guarantee(self) -> None:
+        self.submit("low", pool.one_task(tasks=32), account="beta")
+        self.run_for(0.5)
+        step = pool.one_task(tasks=3, accelerators=8, gang=True)
+        self.submit("j", step, to="urgent")
+        self.run_for(2.0)
+        self.assertEqual([], self.started("j"))
+
+    def test_guaranteed_work_is_not_taken_for_another_guarantee(self) -> None:
+        eight = pool.one_task(accelerators=8, tasks=2)
+        self.run_time_ms = lambda task, run: 60_000
+        for account in ("acme", "beta"):
+            self.submit(f"a{account}", eight, to="urgent", account=account)
+        self.run_for(0.5)
+        before = set(self.pool.running())
+        self.submit("more", eight, to="urgent", account="acme")
+        self.run_for(2.0)
+        self.assertEqual(before, set(self.pool.running()))
+
+    def test_checkpoint_is_handed_to_the_next_run(self) -> None:
+        self.submit("low", pool.one_task(tasks=1, checkpoints=True))
+        self.run_for(0.5)
+        (worker,) = {w for _, w in self.pool.running()}
+        run = self.pool.workers[ids.WorkerId(worker)].running["low.0.0.0"]
+        run.saved = "half"
+        self.run_for(1.2)
+        self.pool.workers[ids.WorkerId(worker)].crash()
+        self.add_worker(worker, rack="rack0", life_ms=2)
+        self.run_for(2.0)
+        ((name, where),) = self.pool.running()
+        again = self.pool.workers[ids.WorkerId(where)].running[name]
+        self.assertEqual((2, "half"), (again.run, again.saved))
+
+
+class FillTest(pool.PoolCase):
+    def test_filling_task_takes_no_processor_time(self) -> None:
+        self.run_time_ms = lambda task, run: 30_000
+        whole = spec.Step(tasks=4, demand=spec.Demand(millicores=64_000))
+        self.submit("j", whole)
+        self.run_for(0.5)
+        filling = spec.Step(
+            tasks=1, fills=True, demand=spec.Demand(millicores=8_000)
+        )
+        self.submit("k", filling)
+        self.run_for(0.5)
+        self.assertEqual(1, len(self.started("k")))
+        self.pool.broken.clear()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/citronmount/standins/pool_log.py
@@ -0,0 +1,243 @@
+"""An in-memory log of a pool, with the faults that a real one has."""
+
+from collections.abc import Sequence
+import enum
+import itertools
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from citronmount.core import codes
+from citronmount.core import ids
+from citronmount.fleet_service import ports
+
+__all__ = ["LogFault", "PoolLog", "PoolLogClient"]
+
+ANSWER_S = 0.006
+
+_MS_PER_S = 1_000
+
+
+class LogFault(enum.Enum):
+    """How the log treats a VM."""
+
+    NONE = "none"
+    REFUSES = "refuses"
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses_answers"
+
+
+class _Producer(msgspec.Struct, kw_only=True):
+    epoch: int = 0
+    answers: dict[int, int] = {}
+
+
+class PoolLog:
+    """The topics, shared by the clients of all VMs.
+
+    Attributes:
+        topics: The records of each topic.
+        faults: How each VM is treated; those missing are served.
+    """
+
+    def __init__(self, *, clock: interfaces.IReactorTime) -> None:
+        """Initializes empty topics.
+
+        Args:
+            clock: Times the answers.
+        """
+        self.clock = clock
+        self.topics: dict[ports.Topic, list[ports.LogRecord]] = {
+            topic: [] for topic in ports.Topic
+        }
+        self.faults: dict[ids.VmId, LogFault] = {}
+        self._first: dict[ports.Topic, int] = dict.fromkeys(ports.Topic, 0)
+        self._waiting: list[defer.Deferred[None]] = []
+        self._producer = _Producer()
+        self._members: dict[ids.VmId, float] = {}
+        self._generation = 0
+
+    def write(
+        self, topic: ports.Topic, entries: Sequence[tuple[str, bytes | None]]
+    ) -> int:
+        """Appends records and returns the offset of the first."""
+        records = self.topics[topic]
+        first = len(records)
+        records += [
+            ports.LogRecord(key=key, value=value, offset=first + number)
+            for number, (key, value) in enumerate(entries)
+        ]
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            each.callback(None)
+        return first
+
+    def expire(self, topic: ports.Topic) -> None:
+        """Drops the history of a topic; the newest of each key stays."""
+        self._first[topic] = len(self.topics[topic])
+
+    def page(self, topic: ports.Topic, offset: int) -> ports.Page:
+        """Returns the records from an offset on.
+
+        Raises:
+            HistoryLostError: They expired.
+        """
+        if offset < self._first[topic]:
+            raise ports.HistoryLostError
+        records = tuple(self.topics[topic][offset:])
+        end = len(self.topics[topic])
+        return ports.Page(records=records, next_offset=end, end_offset=end)
+
+    def newest(self, topic: ports.Topic) -> ports.Snapshot:
+        """Returns the newest record of each key."""
+        newest = {record.key: record for record in self.topics[topic]}
+        kept = [each for each in newest.values() if each.value is not None]
+        kept.sort(key=lambda record: record.offset)
+        return ports.Snapshot(
+            records=tuple(kept), end_offset=len(self.topics[topic])
+        )
+
+    def append_as_owner(
+        self,
+        entries: Sequence[tuple[str, bytes | None]],
+        epoch: int,
+        sequence: int,
+    ) -> int:
+        """Appends unless a newer epoch was seen; see `ports.Log`."""
+        if epoch < self._producer.epoch:
+            raise ports.FencedError(self._producer.epoch)
+        if epoch > self._producer.epoch:
+            self._producer = _Producer(epoch=epoch, answers={})
+        if sequence not in self._producer.answers:
+            offset = self.write(ports.Topic.JOBS, entries)
+            self._producer.answers[sequence] = offset
+        return self._producer.answers[sequence]
+
+    def join(self, member: ids.VmId, ttl_ms: int) -> ports.Membership:
+        """Joins the group; the first member that is alive is the owner."""
+        now_s = self.clock.seconds()
+        before = list(self._members)
+        self._members = {
+            each: until_s
+            for each, until_s in self._members.items()
+            if until_s > now_s
+        }
+        self._members.setdefault(member, 0)
+        self._members[member] = now_s + ttl_ms / _MS_PER_S
+        self._generation += before != list(self._members)
+        return ports.Membership(
+            generation=self._generation,
+            owner=next(iter(self._members)) == member,
+        )
+
+    def leave(self, member: ids.VmId) -> None:
+        """Leaves the group."""
+        self._members.pop(member, None)
+        self._generation += 1
+
+    def next_write(self, wait_ms: int) -> defer.Deferred[None]:
+        """Fires when something is appended or the time is over."""
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self._waiting.append(waiting)
+
+        def give_up() -> None:
+            if not waiting.called:
+                self._waiting.remove(waiting)
+                waiting.callback(None)
+
+        self.clock.callLater(wait_ms / _MS_PER_S, give_up)
+        return waiting
+
+
+class PoolLogClient:
+    """One VM's calls at a `PoolLog`; implements `ports.Log`."""
+
+    def __init__(self, *, log: PoolLog, vm: ids.VmId) -> None:
+        """Initializes a client.
+
+        Args:
+            log: The log.
+            vm: The VM that calls.
+        """
+        self.calls = itertools.count()
+        self._log = log
+        self._vm = vm
+
+    async def append(
+        self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
+    ) -> int:
+        """Appends to the job topic."""
+        await self._arrive(timeout_ms)
+        offset = self._log.write(ports.Topic.JOBS, records)
+        await self._answer(timeout_ms)
+        return offset
+
+    async def append_as_owner(
+        self,
+        records: Sequence[tuple[str, bytes | None]],
+        epoch: int,
+        sequence: int,
+        timeout_ms: int,
+    ) -> int:
+        """Appends to the job topic unless a newer epoch was seen."""
+        await self._arrive(timeout_ms)
+        offset = self._log.append_as_owner(records, epoch, sequence)
+        await self._answer(timeout_ms)
+        return offset
+
+    async def read(
+        self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
+    ) -> ports.Page:
+        """Reads records, waiting for the first if there is none yet."""
+        await self._arrive(timeout_ms)
+        page = self._log.page(topic, offset)
+        if not page.records and wait_ms:
+            await self._log.next_write(wait_ms)
+            await self._arrive(timeout_ms)
+            page = self._log.page(topic, offset)
+        await self._answer(timeout_ms)
+        return page
+
+    async def snapshot(
+        self, topic: ports.Topic, timeout_ms: int
+    ) -> ports.Snapshot:
+        """Reads the newest record of each key."""
+        await self._arrive(timeout_ms)
+        return self._log.newest(topic)
+
+    async def join(
+        self, generation: int, ttl_ms: int, timeout_ms: int
+    ) -> ports.Membership:
+        """Joins the owners' group or stays in it."""
+        await self._arrive(timeout_ms)
+        return self._log.join(self._vm, ttl_ms)
+
+    async def leave(self, timeout_ms: int) -> None:
+        """Leaves the owners' group."""
+        await self._arrive(timeout_ms)
+        self._log.leave(self._vm)
+
+    async def _arrive(self, timeout_ms: int) -> None:
+        next(self.calls)
+        await task.deferLater(self._log.clock, ANSWER_S / 2)
+        fault = self._log.faults.get(self._vm, LogFault.NONE)
+        if fault is LogFault.REFUSES:
+            raise ports.NotDoneError(
+                "refused", code=codes.ResultCode.UNREACHABLE
+            )
+        if fault is LogFault.SILENT:
+            await self._time_out(timeout_ms)
+
+    async def _answer(self, timeout_ms: int) -> None:
+        await task.deferLater(self._log.clock, ANSWER_S / 2)
+        fault = self._log.faults.get(self._vm, LogFault.NONE)
+        if fault is LogFault.LOSES_ANSWERS:
+            await self._time_out(timeout_ms)
+
+    async def _time_out(self, timeout_ms: int) -> None:
+        await task.deferLater(self._log.clock, timeout_ms / _MS_PER_S)
+        raise ports.UnansweredError(
+            "no answer", code=codes.ResultCode.TIMED_OUT
+        )
--- /dev/null
+++ b/citronmount/standins/pool_workers.py
@@ -0,0 +1,354 @@
+"""In-memory workers of a pool that note every broken promise they see."""
+
+from collections.abc import Callable
+import enum
+import itertools
+
+import msgspec
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from citronmount.core import ids
+from citronmount.fleet import orders
+from citronmount.fleet import room as room_lib
+from citronmount.fleet import workers as workers_lib
+from citronmount.workflow import spec
+from citronmount.workflow import units
+
+__all__ = ["PoolWorker", "PoolWorkers", "TaskPlan", "WorkerFault"]
+
+TRIP_S = 0.001
+GANG_WAIT_MS = 3_000
+STOP_MS = 200
+
+_MS_PER_S = 1_000
+
+
+class WorkerFault(enum.Enum):
+    """How a worker treats orders."""
+
+    NONE = "none"
+    SILENT = "silent"
+    LATE = "late"
+
+
+class TaskPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What a task turns out to do.
+
+    Attributes:
+        run_time_ms: How long it works.
+        demand: What it takes of the room.
+        gang: How many tasks work only together, or 1.
+        fails: Whether it ends by a failure of its own.
+        lasting: Whether it is to run again after an end without failure.
+    """
+
+    run_time_ms: int
+    demand: spec.Demand
+    gang: int = 1
+    fails: bool = False
+    lasting: bool = False
+
+
+class _Running(msgspec.Struct, kw_only=True):
+    task: units.TaskName
+    run: int
+    plan: TaskPlan
+    began_ms: int
+    saved: str
+    stopping: bool = False
+
+
+Plans = Callable[[units.TaskName, int], TaskPlan]
+
+
+class PoolWorkers:
+    """All workers; implements `ports.WorkerOrders`.
+
+    Attributes:
+        workers: The workers by id.
+        broken: Every broken promise, in words.
+        starts: Every start as (task, run, worker).
+    """
+
+    def __init__(self, *, clock: interfaces.IReactorTime, plans: Plans) -> None:
+        """Initializes without workers.
+
+        Args:
+            clock: The clock of all workers.
+            plans: Tells what a task and run turns out to do.
+        """
+        self.workers: dict[ids.WorkerId, PoolWorker] = {}
+        self.broken: list[str] = []
+        self.starts: list[tuple[units.TaskName, int, ids.WorkerId]] = []
+        self.done: set[units.TaskName] = set()
+        self.plans = plans
+        self.clock = clock
+
+    def now_ms(self) -> int:
+        """Returns the workers' clock."""
+        return round(self.clock.seconds() * _MS_PER_S)
+
+    def add(self, entry: workers_lib.Worker) -> "PoolWorker":
+        """Adds a worker that runs nothing."""
+        worker = PoolWorker(pool=self, entry=entry)
+        self.workers[entry.worker] = worker
+        return worker
+
+    def running(self) -> list[tuple[units.TaskName, ids.WorkerId]]:
+        """Returns every task at work and where."""
+        return [
+            (each.task, name)
+            for name, worker in self.workers.items()
+            for each in worker.running.values()
+        ]
+
+    async def start(
+        self, order: orders.Start, timeout_ms: int
+    ) -> tuple[orders.StartVerdict, int | None]:
+        """Starts a task."""
+        worker = await self._reach(order)
+        if worker is None:
+            await self._time_out(timeout_ms)
+            return orders.StartVerdict.UNANSWERED, None
+        if worker.fault is WorkerFault.LATE:
+            self.clock.callLater(worker.late_s, worker.start, order)
+            await self._time_out(timeout_ms)
+            return orders.StartVerdict.UNANSWERED, None
+        return worker.start(order), self.now_ms()
+
+    async def stop(
+        self, order: orders.Stop, timeout_ms: int
+    ) -> tuple[orders.StopVerdict, int | None]:
+        """Stops a run."""
+        worker = await self._reach(order)
+        if worker is None:
+            await self._time_out(timeout_ms)
+            return orders.StopVerdict.UNANSWERED, None
+        return worker.stop(order), self.now_ms()
+
+    async def hold(
+        self, order: orders.Hold, timeout_ms: int
+    ) -> orders.HoldReport | orders.StopVerdict:
+        """Renews leases and asks what runs."""
+        worker = await self._reach(order)
+        if worker is None:
+            await self._time_out(timeout_ms)
+            return orders.StopVerdict.UNANSWERED
+        verdict = worker.renew(order)
+        if verdict is not None:
+            return verdict
+        end_ms = self.now_ms() + order.wait_ms
+        while not worker.ends and self.now_ms() < end_ms:
+            await task.deferLater(self.clock, 0.01)
+        return worker.report()
+
+    async def _reach(self, order: orders.Order) -> "PoolWorker | None":
+        await task.deferLater(self.clock, TRIP_S)
+        worker = self.workers.get(order.worker.worker)
+        if worker is None or worker.fault is WorkerFault.SILENT:
+            return None
+        if worker.entry.life_ms != order.worker.life_ms:
+            return None
+        return worker
+
+    async def _time_out(self, timeout_ms: int) -> None:
+        await task.deferLater(self.clock, timeout_ms / _MS_PER_S)
+
+    def gang_present(self, name: units.TaskName, run: int, size: int) -> bool:
+        """Returns whether all members of a gang's run are at workers."""
+        prefix = name.rpartition(".")[0]
+        there = [
+            each
+            for worker in self.workers.values()
+            for each in worker.running.values()
+            if each.task.rpartition(".")[0] == prefix and each.run == run
+        ]
+        return len(there) == size
+
+    def end_gang(
+        self, name: units.TaskName, run: int, kind: orders.EndKind
+    ) -> None:
+        """Ends every member of a gang's run."""
+        prefix = name.rpartition(".")[0]
+        for worker in self.workers.values():
+            for each in list(worker.running.values()):
+                if each.task.rpartition(".")[0] == prefix and each.run == run:
+                    worker.end(each, kind)
+
+
+class PoolWorker:
+    """One worker.
+
+    Attributes:
+        entry: What it says of itself.
+        running: What it runs.
+        ends: Ends that it was not told to forget.
+        fault: How it treats orders.
+        late_s: How late it carries out orders with the fault LATE.
+    """
+
+    def __init__(self, *, pool: PoolWorkers, entry: workers_lib.Worker) -> None:
+        """Initializes a worker that runs nothing."""
+        self.entry = entry
+        self.running: dict[units.TaskName, _Running] = {}
+        self.ends: list[orders.EndedTask] = []
+        self.fault = WorkerFault.NONE
+        self.late_s = 4.0
+        self._pool = pool
+        self._token = 0
+        self._until_ms = 0
+        self._barred: dict[units.TaskName, int] = {}
+        self._numbers = itertools.count(1)
+
+    def start(self, order: orders.Start) -> orders.StartVerdict:
+        """Carries out an order to start."""
+        if order.token < self._token:
+            return orders.StartVerdict.FENCED
+        self._token = order.token
+        self._until_ms = max(self._until_ms, order.until_ms)
+        present = self.running.get(order.task)
+        if present is not None and present.run == order.run:
+            return orders.StartVerdict.STARTED
+        if order.run <= self._barred.get(order.task, 0):
+            return orders.StartVerdict.OLD_RUN
+        if order.until_ms <= self._pool.now_ms():
+            return orders.StartVerdict.LATE
+        self._check_start(order)
+        plan = self._pool.plans(order.task, order.run)
+        run = _Running(
+            task=order.task,
+            run=order.run,
+            plan=plan,
+            began_ms=self._pool.now_ms(),
+            saved=order.saved,
+        )
+        self.running[order.task] = run
+        self._pool.starts.append((order.task, order.run, self.entry.worker))
+        self._check_room()
+        self._pool.clock.callLater(
+            plan.run_time_ms / _MS_PER_S, self._finish, run
+        )
+        if plan.gang > 1:
+            self._pool.clock.callLater(
+                GANG_WAIT_MS / _MS_PER_S, self._check_gang, run
+            )
+        self._pool.clock.callLater(0.1, self._check_lease)
+        return orders.StartVerdict.STARTED
+
+    def stop(self, order: orders.Stop) -> orders.StopVerdict:
+        """Carries out an order to stop."""
+        if order.token < self._token:
+            return orders.StopVerdict.FENCED
+        self._token = order.token
+        self._bar(order.task, order.run)
+        run = self.running.get(order.task)
+        if run is not None and run.run <= order.run and not run.stopping:
+            run.stopping = True
+            self._pool.clock.callLater(
+                STOP_MS / _MS_PER_S, self.end, run, orders.EndKind.STOPPED
+            )
+        return orders.StopVerdict.STOPPED
+
+    def renew(self, order: orders.Hold) -> orders.StopVerdict | None:
+        """Carries out a hold, but for its answer."""
+        if order.token < self._token:
+            return orders.StopVerdict.FENCED
+        self._token = order.token
+        if order.until_ms is not None:
+            self._until_ms = max(self._until_ms, order.until_ms)
+        self.ends = [end for end in self.ends if end.number > order.last_seen]
+        return None
+
+    def report(self) -> orders.HoldReport:
+        """Returns what runs and what ended."""
+        return orders.HoldReport(
+            clock_ms=self._pool.now_ms(),
+            life_ms=self.entry.life_ms,
+            running=tuple(
+                orders.RunningTask(
+                    task=run.task,
+                    run=run.run,
+                    saved=run.saved,
+                    percent=100,
+                    load=0,
+                )
+                for run in self.running.values()
+            ),
+            ended=tuple(self.ends),
+        )
+
+    def crash(self) -> None:
+        """Loses everything that it runs and knows."""
+        self.running.clear()
+        self.ends.clear()
+        self._pool.workers.pop(self.entry.worker, None)
+
+    def end(self, run: _Running, kind: orders.EndKind) -> None:
+        """Ends a run and lists its end."""
+        if self.running.get(run.task) is not run:
+            return
+        del self.running[run.task]
+        self._bar(run.task, run.run)
+        if kind is orders.EndKind.DONE and not run.plan.lasting:
+            self._pool.done.add(run.task)
+        self.ends.append(
+            orders.EndedTask(
+                number=next(self._numbers),
+                task=run.task,
+                run=run.run,
+                kind=kind,
+                saved=run.saved,
+            )
+        )
+
+    def _bar(self, name: units.TaskName, run: int) -> None:
+        self._barred[name] = max(self._barred.get(name, 0), run)
+
+    def _finish(self, run: _Running) -> None:
+        if self.running.get(run.task) is not run or run.stopping:
+            return
+        failed = run.plan.fails
+        kind = orders.EndKind.FAILED if failed else orders.EndKind.DONE
+        if run.plan.gang == 1:
+            self.end(run, kind)
+            return
+        if not self._pool.gang_present(run.task, run.run, run.plan.gang):
+            return
+        self.end(run, kind)
+        rest = orders.EndKind.MEMBER_LOST if failed else kind
+        self._pool.end_gang(run.task, run.run, rest)
+
+    def _check_gang(self, run: _Running) -> None:
+        if self.running.get(run.task) is not run or run.stopping:
+            return
+        if not self._pool.gang_present(run.task, run.run, run.plan.gang):
+            self._pool.broken.append(f"GANG: {run.task} run {run.run} alone")
+            self.end(run, orders.EndKind.MEMBER_MISSING)
+
+    def _check_lease(self) -> None:
+        if not self.running:
+            return
+        if self._pool.now_ms() > self._until_ms:
+            for run in list(self.running.values()):
+                self.end(run, orders.EndKind.LAPSED)
+            return
+        self._pool.clock.callLater(0.1, self._check_lease)
+
+    def _check_start(self, order: orders.Start) -> None:
+        if order.task in self._pool.done:
+            self._pool.broken.append(f"TWICE: {order.task} after its end")
+        elsewhere = [
+            name for task, name in self._pool.running() if task == order.task
+        ]
+        if elsewhere:
+            self._pool.broken.append(
+                f"TWICE: {order.task} on {elsewhere} and {self.entry.worker}"
+            )
+
+    def _check_room(self) -> None:
+        used = room_lib.NONE
+        for run in self.running.values():
+            used = room_lib.plus(used, run.plan.demand)
+        if not room_lib.fits_times(self.entry.capacity, used, 1):
+            self._pool.broken.append(f"LIMIT: {self.entry.worker} {used}")
