--- /dev/null
+++ b/citronmount/platform/tests/test_job_api.py
@@ -0,0 +1,101 @@
+import unittest
+
+import msgspec
+import treq.testing
+from twisted.internet import defer
+
+from citronmount.core import ids
+from citronmount.fleet_service.tests import pool
+from citronmount.platform import job_api
+from citronmount.standins import pool_log
+
+JOB = "5c0e7a21d94b36f8"
+BODY = msgspec.json.encode({"spec": "x", "phases": [{"count": 1, "gpu": 1}]})
+KEY = {"X-Api-Key": "key-acme"}
+
+
+class JobApiTest(pool.PoolCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.guaranteed = {"acme": 4}
+        self.configure(version=2)
+        self.run_for(0.5)
+        self.run_time_ms = lambda task, run: 1_000
+        self.steps[JOB, 0] = pool.one_task()
+        api = job_api.JobApi(front=self.nodes[1].front)
+        self.http = treq.testing.StubTreq(api.app.resource())
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] = KEY,
+    ) -> tuple[int, dict]:
+        sent = self.http.request(
+            method, f"http://h.example{path}", data=body, headers=headers
+        )
+        response = self.result_of(sent)
+        text = self.result_of(response.text())
+        self.headers = response.headers
+        return response.code, msgspec.json.decode(text) if text else {}
+
+    def result_of(self, deferred: defer.Deferred) -> object:
+        results: list[object] = []
+        deferred.addBoth(results.append)
+        for _ in range(800):
+            if results:
+                break
+            self.clock.advance(pool.STEP_S)
+            self.http.flush()
+        self.assertTrue(results, "no answer")
+        return results[0]
+
+    def test_job_from_its_submission_to_its_end(self) -> None:
+        path = f"/batch/{JOB}"
+        self.assertEqual(200, self.call("POST", path, BODY)[0])
+        self.assertEqual(200, self.call("POST", path, BODY)[0])
+        self.run_for(0.4)
+        self.assertEqual((200, {"state": "active"}), self.call("GET", path))
+        self.run_for(2.0)
+        self.assertEqual((200, {"state": "complete"}), self.call("GET", path))
+        self.assertEqual(200, self.call("DELETE", path)[0])
+        self.assertEqual((200, {"pending": 0}), self.call("GET", "/batch/"))
+
+    def test_calls_that_are_refused(self) -> None:
+        path = f"/batch/{JOB}"
+        calls = (
+            (401, "POST", path, BODY, {"X-Api-Key": "other"}),
+            (401, "GET", path, b"", {}),
+            (404, "POST", f"/none/{JOB}", BODY, KEY),
+            (404, "GET", "/none/", b"", KEY),
+            (404, "POST", "/batch/short", BODY, KEY),
+            (400, "POST", path, b"{", KEY),
+            (405, "PUT", path, BODY, KEY),
+            (410, "GET", path, b"", KEY),
+            (410, "DELETE", path, b"", KEY),
+        )
+        for status, method, where, body, headers in calls:
+            with self.subTest(method=method, path=where, status=status):
+                code, _ = self.call(method, where, body, headers)
+                self.assertEqual(status, code)
+        self.assertEqual([], self.pool.starts)
+
+    def test_refusal_while_the_log_refuses_says_when_to_come_back(
+        self,
+    ) -> None:
+        self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.REFUSES
+        self.assertEqual(503, self.call("POST", f"/batch/{JOB}", BODY)[0])
+        self.assertEqual(["1"], self.headers.getRawHeaders("retry-after"))
+
+    def test_lost_answer_of_the_log_is_not_told_as_a_refusal(self) -> None:
+        self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.LOSES_ANSWERS
+        self.assertEqual(504, self.call("POST", f"/batch/{JOB}", BODY)[0])
+
+    def test_vm_without_configuration_refuses(self) -> None:
+        self.nodes[1].front.configuration = None
+        self.assertEqual(503, self.call("POST", f"/batch/{JOB}", BODY)[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
