Keep the owner while it lives; refuse at once while the log is silent

Ruled out: a lost kick (the owner looks every 100 ms). Change: the member that is dealt the partition takes over only once the owner is not in the group; member names are unique to a process; the log is asked before an append if its last answer is over 100 ms old; the owner's reads wait 200 ms; a submission at the owner's VM is noticed.

--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -22,8 +22,12 @@
 class Candidacy:
     """Joins the group in a loop.
 
+    The group names the next owner: the member that is dealt the partition of
+    the jobs. It takes over once the present owner has left the group or has
+    not joined for the time to live.
+
     Attributes:
-        owner: Whether the group named this VM when it last answered.
+        candidate: Whether this VM should own the pool.
     """
 
     def __init__(
@@ -31,6 +35,7 @@
         *,
         clock: interfaces.IReactorTime,
         log: ports.Log,
+        owner_member: Callable[[], str | None],
         on_change: Callable[[bool], None],
     ) -> None:
         """Initializes a candidacy that is not in the group.
@@ -38,11 +43,13 @@
         Args:
             clock: The reactor.
             log: The log.
+            owner_member: Tells the member that took the pool over last.
             on_change: Called when the VM becomes or ceases to be candidate.
         """
-        self.owner = False
+        self.candidate = False
         self._clock = clock
         self._log = log
+        self._owner_member = owner_member
         self._on_change = on_change
         self._generation = 0
         self._loop = task.LoopingCall(self._join)
@@ -71,14 +78,28 @@
             membership = await self._log.join(
                 self._generation, TTL_MS, JOIN_TIMEOUT_MS
             )
+            candidate = await self._should_own(membership)
         except errors.UnreachableError as error:
             self._trace.debug("group_join_failed", error=str(error))
             return
         self._generation = membership.generation
-        if membership.owner != self.owner:
-            self.owner = membership.owner
+        if candidate != self.candidate and self._loop.running:
+            self.candidate = candidate
             self._trace.info(
-                "candidate" if self.owner else "not_candidate",
+                "candidate" if candidate else "not_candidate",
                 generation=membership.generation,
             )
-            self._on_change(self.owner)
+            self._on_change(candidate)
+
+    async def _should_own(self, membership: ports.Membership) -> bool:
+        """Returns whether this VM should own the pool.
+
+        An owner stays as long as it is in the group, whatever it was dealt:
+        a change of owner costs a take-over and saves nothing.
+        """
+        owner = self._owner_member()
+        if owner == self._log.member:
+            return True
+        if not membership.candidate:
+            return False
+        return owner not in await self._log.members(JOIN_TIMEOUT_MS)
--- a/citronmount/fleet_service/front.py
+++ b/citronmount/fleet_service/front.py
@@ -23,6 +23,7 @@
 APPEND_TIMEOUT_MS = 600
 APPEND_RETRY_MS = 40
 ANSWER_MARGIN_MS = 150
+FRESH_CONTACT_MS = 100
 LOG_OUTAGE_RETRY_S = 1
 
 _MS_PER_S = 1_000
@@ -70,6 +71,7 @@
         log: ports.Log,
         book: book_lib.Book,
         jobs: log_tail.LogTail,
+        on_change: Callable[[], None],
         wall: Callable[[], int],
     ) -> None:
         """Initializes a front without configuration.
@@ -79,6 +81,7 @@
             log: The log.
             book: The fold of the job topic.
             jobs: The tail that feeds the book.
+            on_change: Called after a change of the book.
             wall: Tells the Unix time in milliseconds.
         """
         self.configuration: configuration_lib.FleetConfiguration | None = None
@@ -86,6 +89,7 @@
         self._log = log
         self._book = book
         self._jobs = jobs
+        self._on_change = on_change
         self._wall = wall
         self._trace = structlog.get_logger()
 
@@ -183,6 +187,21 @@
         """Returns how many jobs of a queue have not begun."""
         return self._book.pending(queue.terms.queue)
 
+    async def _log_answers(self) -> bool:
+        """Returns whether the log answers, asking it if that is not known.
+
+        A record sent to a log that is silent may be appended much later, so
+        a caller could not be told that nothing will run.
+        """
+        if self._jobs.silent_ms() < FRESH_CONTACT_MS:
+            return True
+        try:
+            await self._jobs.catch_up()
+        except errors.CitronmountError as error:
+            self._trace.warning("log_does_not_answer", error=str(error))
+            return False
+        return True
+
     async def _append(self, record: records.Record, timeout_ms: int) -> Answer:
         """Appends, again and again while there is time.
 
@@ -193,6 +212,10 @@
         end_s = self._clock.seconds() + (
             (timeout_ms - ANSWER_MARGIN_MS) / _MS_PER_S
         )
+        if not await self._log_answers():
+            return Answer(
+                verdict=Verdict.NOT_DONE, retry_after_s=LOG_OUTAGE_RETRY_S
+            )
         verdict = Verdict.NOT_DONE
         for attempt in range(_MAX_APPENDS):
             left_ms = int((end_s - self._clock.seconds()) * _MS_PER_S)
@@ -207,7 +230,8 @@
             except errors.UnreachableError:
                 verdict = Verdict.UNCERTAIN
             else:
-                self._book.apply(offset, record)
+                if self._book.apply(offset, record):
+                    self._on_change()
                 return Answer(verdict=Verdict.DONE)
             await task.deferLater(self._clock, APPEND_RETRY_MS / _MS_PER_S)
         return Answer(verdict=verdict, retry_after_s=LOG_OUTAGE_RETRY_S)
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -32,6 +32,8 @@
     Attributes:
         position: The next offset to read, or None before the first snapshot.
         contact_s: Reactor time of the last answer of the log.
+        pace_ms: Time between two reads, so that records gather.
+        wait_ms: How long a read waits for records.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.position: int | None = None
         self.contact_s = clock.seconds()
         self.pace_ms = pace_ms
+        self.wait_ms = READ_WAIT_MS
         self._clock = clock
         self._log = log
         self._topic = topic
@@ -129,8 +132,8 @@
         page = await self._log.read(
             self._topic,
             self.position,
-            READ_WAIT_MS,
-            READ_WAIT_MS + READ_MARGIN_MS,
+            self.wait_ms,
+            self.wait_ms + READ_MARGIN_MS,
         )
         self._take(page)
 
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -44,7 +44,6 @@
         decode: Decode,
         bounds: configuration_lib.Bounds,
         policy: sessions.LeasePolicy,
-        vm: ids.VmId,
         wall: Callable[[], int] = owner_loop.wall_ms,
     ) -> None:
         """Connects the parts; nothing runs yet.
@@ -56,7 +55,6 @@
             decode: Makes an event of a record of the site.
             bounds: Times that the site sets.
             policy: How leases are renewed.
-            vm: This VM.
             wall: Tells the Unix time in milliseconds.
         """
         self._decode = decode
@@ -88,7 +86,12 @@
             pace_ms=WORKERS_PACE_MS,
         )
         self.front = front_lib.Front(
-            clock=clock, log=log, book=self._book, jobs=self._jobs, wall=wall
+            clock=clock,
+            log=log,
+            book=self._book,
+            jobs=self._jobs,
+            on_change=self._notice,
+            wall=wall,
         )
         self._owner = owner_loop.OwnerLoop(
             clock=clock,
@@ -100,13 +103,19 @@
             directory=self._directory,
             bounds=bounds,
             policy=policy,
-            vm=vm,
             wall=wall,
         )
         self._candidacy = candidacy.Candidacy(
-            clock=clock, log=log, on_change=self._owner.set_candidate
+            clock=clock,
+            log=log,
+            owner_member=self._owner_member,
+            on_change=self._owner.set_candidate,
         )
 
+    def _owner_member(self) -> str | None:
+        owned = self._book.owned
+        return owned.member if owned else None
+
     @property
     def ready(self) -> bool:
         """Whether the VM should get new connections."""
@@ -139,6 +148,9 @@
         self._jobs.stop()
         self._configuration.stop()
 
+    def _notice(self) -> None:
+        self._owner.notice()
+
     def _fold_snapshot(self, taken: Sequence[ports.LogRecord]) -> None:
         self._fold(taken)
 
@@ -146,6 +158,7 @@
         changed = [self._fold_one(record) for record in taken]
         if any(changed):
             self._owner.notice()
+        self._owner.check_epoch()
 
     def _fold_one(self, taken: ports.LogRecord) -> bool:
         if taken.value is None:
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -1,7 +1,6 @@
 """Runs the owner: takes over, carries out its orders, appends its records."""
 
 from collections.abc import Callable
-import secrets
 import time
 
 import structlog
@@ -26,7 +25,6 @@
 
 TICK_MS = 50
 EPOCH_TIMEOUT_MS = 800
-NONCE_BYTES = 8
 APPEND_TIMEOUT_MS = 800
 APPEND_RETRY_MS = 50
 MAX_APPEND_RECORDS = 1_000
@@ -35,6 +33,7 @@
 HOLD_MARGIN_MS = 600
 TAKE_OVER_RETRY_MS = 200
 FOLLOWER_PACE_MS = 250
+OWNER_READ_WAIT_MS = 200
 
 _MS_PER_S = 1_000
 
@@ -65,7 +64,6 @@
         directory: workers_lib.WorkerDirectory,
         bounds: configuration_lib.Bounds,
         policy: sessions.LeasePolicy,
-        vm: ids.VmId,
         wall: Wall = wall_ms,
     ) -> None:
         """Initializes a VM that does not own the pool.
@@ -80,7 +78,6 @@
             directory: The workers' entries.
             bounds: Times that the site sets.
             policy: How leases are renewed.
-            vm: This VM.
             wall: Tells the Unix time in milliseconds.
         """
         self.active = False
@@ -93,7 +90,6 @@
         self._directory = directory
         self._bounds = bounds
         self._policy = policy
-        self._vm = vm
         self._wall = wall
         self._accounts: tuple[configuration_lib.Account, ...] = ()
         self._candidate = False
@@ -135,6 +131,12 @@
             self._owner.notice()
             self.kick()
 
+    def check_epoch(self) -> None:
+        """Gives the pool up if another process took it over."""
+        owned = self._book.owned
+        if self.active and owned and owned.epoch > self._last_epoch:
+            self._resign("taken_over")
+
     def kick(self) -> None:
         """Lets the owner decide in the next turn of the reactor."""
         if self._kick is None:
@@ -175,6 +177,7 @@
         self.active = True
         self._workers.start()
         self._jobs.pace_ms = 0
+        self._jobs.wait_ms = OWNER_READ_WAIT_MS
         self._trace.info(
             "ownership_taken",
             token=epoch.epoch,
@@ -192,9 +195,7 @@
         last = self._book.owned.epoch if self._book.owned else 0
         wanted = max(last, self._last_epoch) + 1
         while True:
-            owned = records.Owned(
-                epoch=wanted, vm=self._vm, nonce=secrets.token_hex(NONCE_BYTES)
-            )
+            owned = records.Owned(epoch=wanted, member=self._log.member)
             entry = (records.key_of(owned), records.encode(owned))
             try:
                 offset = await self._log.append_as_owner(
@@ -218,6 +219,7 @@
         self._workers.stop()
         self._workers.position = None
         self._jobs.pace_ms = FOLLOWER_PACE_MS
+        self._jobs.wait_ms = log_tail.READ_WAIT_MS
         self._trace.info(
             "ownership_left", token=self._last_epoch, reason=reason
         )
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -123,11 +123,11 @@
 
     Attributes:
         generation: Rises with each change of the group.
-        owner: Whether the member is the candidate to own the pool.
+        candidate: Whether the member is next to own the pool.
     """
 
     generation: int
-    owner: bool
+    candidate: bool
 
 
 class ConfigurationChanged(msgspec.Struct, frozen=True, kw_only=True):
@@ -168,7 +168,13 @@
 
 
 class Log(typing.Protocol):
-    """The site's log. Calls fail with the errors of this module."""
+    """The site's log. Calls fail with the errors of this module.
+
+    Attributes:
+        member: The name of this process in the owners' group.
+    """
+
+    member: str
 
     def append(
         self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
@@ -204,6 +210,9 @@
     ) -> defer.Deferred[Membership]:
         """Joins the owners' group or stays in it."""
 
+    def members(self, timeout_ms: int) -> defer.Deferred[frozenset[str]]:
+        """Tells which members of the owners' group were dealt anything."""
+
     def leave(self, timeout_ms: int) -> defer.Deferred[None]:
         """Leaves the owners' group."""
 
--- a/citronmount/fleet_service/tests/pool.py
+++ b/citronmount/fleet_service/tests/pool.py
@@ -8,6 +8,7 @@
 import structlog
 from twisted.internet import defer
 from twisted.internet import task
+from twisted.python import failure
 
 from citronmount.core import ids
 from citronmount.core import states
@@ -102,7 +103,6 @@
             decode=self.decode,
             bounds=configuration.Bounds(max_lease_ms=6_000),
             policy=sessions.LeasePolicy(lease_ms=5_000, max_lease_ms=6_000),
-            vm=vm,
             wall=self.wall,
         )
         node.start()
@@ -195,6 +195,8 @@
         while not results and self.clock.seconds() < end_s:
             self.clock.advance(STEP_S)
         self.assertTrue(results, "no answer in time")
+        if isinstance(results[0], failure.Failure):
+            results[0].raiseException()
         return results[0]
 
     def submit(
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -88,8 +88,38 @@
         self.run_for(1.0)
         self.assertNotEqual(number, self.owner())
 
+    def test_owner_stays_when_another_vm_is_dealt_the_partition(self) -> None:
+        before = self.owner()
+        self.log.deal_to_last()
+        self.run_for(3.0)
+        self.assertEqual(before, self.owner())
+
+    def test_process_started_anew_takes_over_from_its_former_life(
+        self,
+    ) -> None:
+        for number, node in enumerate(self.nodes):
+            self.log.faults[ids.VmId(f"vm{number}")] = SILENT
+            defer.ensureDeferred(node.give_up())
+            node.stop()
+        self.run_for(0.5)
+        self.log.faults.clear()
+        self.nodes = [self.make_node(n) for n in range(self.vms)]
+        self.run_for(4.0)
+        self.owner()
+
 
 class LogFaultTest(pool.PoolCase):
+    def test_submission_to_a_silent_log_is_refused_at_once(self) -> None:
+        self.log.faults[ids.VmId("vm1")] = SILENT
+        self.run_for(0.5)
+        before_s = self.clock.seconds()
+        verdict = self.submit("j", pool.one_task(), at=1)
+        self.assertIs(front.Verdict.NOT_DONE, verdict)
+        self.assertLess(self.clock.seconds() - before_s, 1.0)
+        self.log.faults.clear()
+        self.run_for(5.0)
+        self.assertEqual([], self.started("j"))
+
     def test_submission_with_lost_answers_is_not_called_not_run(self) -> None:
         self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.LOSES_ANSWERS
         verdict = self.submit("j", pool.one_task(), at=1)
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -1,6 +1,7 @@
 """The process of one VM on the users' platform."""
 
 import os
+import secrets
 import signal
 import sys
 import time
@@ -37,6 +38,7 @@
 LEASE_MARGIN_MS = 200
 CLOSE_BEFORE_KILL_S = 2.0
 CLOSE_IDLE_S = 0.7
+PROCESS_NONCE_BYTES = 4
 
 
 async def serve(
@@ -94,8 +96,9 @@
         max_lease_ms=settings.bounds.max_lease_ms,
         stop_ms=settings.bounds.stop_ms,
     )
+    member = f"{settings.vm}/{secrets.token_hex(PROCESS_NONCE_BYTES)}"
     log = log_lib.StoreLog(
-        connections=http, address=settings.log_address, member=settings.vm
+        connections=http, address=settings.log_address, member=member
     )
     return node_lib.Node(
         clock=reactor,
@@ -104,7 +107,6 @@
         decode=entries.decode,
         bounds=settings.bounds,
         policy=policy,
-        vm=settings.vm,
     )
 
 
--- a/citronmount/platform/log.py
+++ b/citronmount/platform/log.py
@@ -66,6 +66,14 @@
     parts: list[tuple[str, int, int]] = []
 
 
+class _Owners(msgspec.Struct):
+    """`parts` holds rows of topic, partition, member and offset."""
+
+    rows: list[tuple[str, int, str, int]] = msgspec.field(
+        name="parts", default_factory=list
+    )
+
+
 class _Join(msgspec.Struct):
     group: str
     member: str
@@ -94,7 +102,7 @@
         """
         self._connections = connections
         self._address = address
-        self._member = member
+        self.member = member
 
     async def append(
         self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
@@ -154,7 +162,7 @@
         """Joins the owners' group; see `ports.Log`."""
         body = _Join(
             group=GROUP,
-            member=self._member,
+            member=self.member,
             topics=[JOBS_TOPIC],
             ttl_ms=ttl_ms,
             generation=generation,
@@ -165,12 +173,21 @@
         joined = _decoded(answer, _Joined)
         held = {(topic, part) for topic, part, _ in joined.parts}
         return ports.Membership(
-            generation=joined.generation, owner=(JOBS_TOPIC, _PART) in held
+            generation=joined.generation,
+            candidate=(JOBS_TOPIC, _PART) in held,
+        )
+
+    async def members(self, timeout_ms: int) -> frozenset[str]:
+        """Tells who was dealt anything; see `ports.Log`."""
+        answer = await self._call(
+            "GET", "/-/log-owners", {"group": GROUP}, timeout_ms
         )
+        rows = _decoded(answer, _Owners).rows
+        return frozenset(member for _, _, member, _ in rows)
 
     async def leave(self, timeout_ms: int) -> None:
         """Leaves the owners' group; see `ports.Log`."""
-        body = msgspec.json.encode(_Leave(group=GROUP, member=self._member))
+        body = msgspec.json.encode(_Leave(group=GROUP, member=self.member))
         answer = await self._call("POST", "/-/log-leave", {}, timeout_ms, body)
         _checked(answer)
 
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -18,10 +18,11 @@
 ANSWER_S = 0.006
 
 _MS_PER_S = 1_000
+_PROCESSES = itertools.count(1)
 
 
 class LogFault(enum.Enum):
-    """How the log treats a VM."""
+    """How the log treats a VM; answers are lost to writes only."""
 
     NONE = "none"
     REFUSES = "refuses"
@@ -56,7 +57,7 @@
         self._first: dict[ports.Topic, int] = dict.fromkeys(ports.Topic, 0)
         self._waiting: list[defer.Deferred[None]] = []
         self._producer = _Producer()
-        self._members: dict[ids.VmId, float] = {}
+        self._members: dict[str, float] = {}
         self._generation = 0
 
     def write(
@@ -115,7 +116,7 @@
             self._producer.answers[sequence] = offset
         return self._producer.answers[sequence]
 
-    def join(self, member: ids.VmId, ttl_ms: int) -> ports.Membership:
+    def join(self, member: str, ttl_ms: int) -> ports.Membership:
         """Joins the group; the first member that is alive is the owner."""
         now_s = self.clock.seconds()
         before = list(self._members)
@@ -129,10 +130,24 @@
         self._generation += before != list(self._members)
         return ports.Membership(
             generation=self._generation,
-            owner=next(iter(self._members)) == member,
+            candidate=next(iter(self._members)) == member,
         )
 
-    def leave(self, member: ids.VmId) -> None:
+    def deal_to_last(self) -> None:
+        """Makes the newest member the candidate."""
+        self._members = dict(reversed(self._members.items()))
+        self._generation += 1
+
+    def members(self) -> frozenset[str]:
+        """Returns the members that are alive."""
+        now_s = self.clock.seconds()
+        return frozenset(
+            member
+            for member, until_s in self._members.items()
+            if until_s > now_s
+        )
+
+    def leave(self, member: str) -> None:
         """Leaves the group."""
         self._members.pop(member, None)
         self._generation += 1
@@ -152,7 +167,12 @@
 
 
 class PoolLogClient:
-    """One VM's calls at a `PoolLog`; implements `ports.Log`."""
+    """One VM's calls at a `PoolLog`; implements `ports.Log`.
+
+    Attributes:
+        calls: Counts the calls.
+        member: The name of the process in the owners' group.
+    """
 
     def __init__(self, *, log: PoolLog, vm: ids.VmId) -> None:
         """Initializes a client.
@@ -162,6 +182,7 @@
             vm: The VM that calls.
         """
         self.calls = itertools.count()
+        self.member = f"{vm}/{next(_PROCESSES)}"
         self._log = log
         self._vm = vm
 
@@ -197,7 +218,7 @@
             await self._log.next_write(wait_ms)
             await self._arrive(timeout_ms)
             page = self._log.page(topic, offset)
-        await self._answer(timeout_ms)
+        await task.deferLater(self._log.clock, ANSWER_S / 2)
         return page
 
     async def snapshot(
@@ -212,12 +233,17 @@
     ) -> ports.Membership:
         """Joins the owners' group or stays in it."""
         await self._arrive(timeout_ms)
-        return self._log.join(self._vm, ttl_ms)
+        return self._log.join(self.member, ttl_ms)
+
+    async def members(self, timeout_ms: int) -> frozenset[str]:
+        """Tells which members of the owners' group are alive."""
+        await self._arrive(timeout_ms)
+        return self._log.members()
 
     async def leave(self, timeout_ms: int) -> None:
         """Leaves the owners' group."""
         await self._arrive(timeout_ms)
-        self._log.leave(self._vm)
+        self._log.leave(self.member)
 
     async def _arrive(self, timeout_ms: int) -> None:
         next(self.calls)
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -131,13 +131,11 @@
 
     Attributes:
         epoch: The producer epoch that it raised.
-        vm: Its VM.
-        nonce: Tells it from other processes that tried the same epoch.
+        member: Its name in the owners' group, unique to the process.
     """
 
     epoch: int
-    vm: ids.VmId
-    nonce: str
+    member: str
 
 
 Record = Submitted | Cancelled | UnitChanged | Finished | Owned
