Let a fenced owner wait; refuse at once while the log is known to be silent

Change: a fence makes the VM wait until it has folded who owns the pool; every call at the log notes its outcome, and a submission is refused while the newest one failed.

--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 
 from citronmount.core import errors
+from citronmount.fleet_service import contact as contact_lib
 from citronmount.fleet_service import ports
 
 __all__ = ["Candidacy"]
@@ -15,6 +16,7 @@
 TTL_MS = 1_500
 JOIN_PERIOD_MS = 400
 JOIN_TIMEOUT_MS = 400
+YIELD_MS = 1_000
 
 _MS_PER_S = 1_000
 
@@ -35,6 +37,7 @@
         *,
         clock: interfaces.IReactorTime,
         log: ports.Log,
+        contact: contact_lib.LogContact,
         owner_member: Callable[[], str | None],
         on_change: Callable[[bool], None],
     ) -> None:
@@ -43,12 +46,15 @@
         Args:
             clock: The reactor.
             log: The log.
+            contact: Notes whether the log answers.
             owner_member: Tells the member that took the pool over last.
             on_change: Called when the VM becomes or ceases to be candidate.
         """
         self.candidate = False
         self._clock = clock
         self._log = log
+        self._contact = contact
+        self._yielded_until_s = 0.0
         self._owner_member = owner_member
         self._on_change = on_change
         self._generation = 0
@@ -60,6 +66,14 @@
         """Joins the group."""
         self._loop.start(JOIN_PERIOD_MS / _MS_PER_S)
 
+    def yield_pool(self) -> None:
+        """Leaves the pool to a newer owner, of which a fence has told.
+
+        The record that names it is folded before this VM looks again.
+        """
+        self.candidate = False
+        self._yielded_until_s = self._clock.seconds() + YIELD_MS / _MS_PER_S
+
     async def stop(self) -> None:
         """Leaves the group, so that another VM becomes candidate at once."""
         if not self._loop.running:
@@ -78,8 +92,10 @@
             membership = await self._log.join(
                 self._generation, TTL_MS, JOIN_TIMEOUT_MS
             )
+            self._contact.answered()
             candidate = await self._should_own(membership)
         except errors.UnreachableError as error:
+            self._contact.failed()
             self._trace.debug("group_join_failed", error=str(error))
             return
         self._generation = membership.generation
@@ -97,6 +113,8 @@
         An owner stays as long as it is in the group, whatever it was dealt:
         a change of owner costs a take-over and saves nothing.
         """
+        if self._clock.seconds() < self._yielded_until_s:
+            return False
         owner = self._owner_member()
         if owner == self._log.member:
             return True
--- a/citronmount/fleet_service/front.py
+++ b/citronmount/fleet_service/front.py
@@ -12,6 +12,7 @@
 from citronmount.core import ids
 from citronmount.core import states
 from citronmount.fleet import configuration as configuration_lib
+from citronmount.fleet_service import contact as contact_lib
 from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import ports
 from citronmount.workflow import book as book_lib
@@ -24,6 +25,7 @@
 APPEND_RETRY_MS = 40
 ANSWER_MARGIN_MS = 150
 FRESH_CONTACT_MS = 100
+PROBE_TIMEOUT_MS = 400
 LOG_OUTAGE_RETRY_S = 1
 
 _MS_PER_S = 1_000
@@ -71,6 +73,7 @@
         log: ports.Log,
         book: book_lib.Book,
         jobs: log_tail.LogTail,
+        contact: contact_lib.LogContact,
         on_change: Callable[[], None],
         wall: Callable[[], int],
     ) -> None:
@@ -81,6 +84,7 @@
             log: The log.
             book: The fold of the job topic.
             jobs: The tail that feeds the book.
+            contact: Tells whether the log answers.
             on_change: Called after a change of the book.
             wall: Tells the Unix time in milliseconds.
         """
@@ -89,6 +93,7 @@
         self._log = log
         self._book = book
         self._jobs = jobs
+        self._contact = contact
         self._on_change = on_change
         self._wall = wall
         self._trace = structlog.get_logger()
@@ -193,11 +198,14 @@
         A record sent to a log that is silent may be appended much later, so
         a caller could not be told that nothing will run.
         """
-        if self._jobs.silent_ms() < FRESH_CONTACT_MS:
+        if self._contact.lost:
+            return False
+        if self._contact.silent_ms() < FRESH_CONTACT_MS:
             return True
         try:
-            await self._jobs.catch_up()
+            await self._jobs.catch_up(timeout_ms=PROBE_TIMEOUT_MS)
         except errors.CitronmountError as error:
+            self._contact.failed()
             self._trace.warning("log_does_not_answer", error=str(error))
             return False
         return True
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -10,6 +10,7 @@
 from twisted.python import failure
 
 from citronmount.core import errors
+from citronmount.fleet_service import contact as contact_lib
 from citronmount.fleet_service import ports
 
 __all__ = ["LogTail"]
@@ -31,7 +32,6 @@
 
     Attributes:
         position: The next offset to read, or None before the first snapshot.
-        contact_s: Reactor time of the last answer of the log.
         pace_ms: Time between two reads, so that records gather.
         wait_ms: How long a read waits for records.
     """
@@ -41,6 +41,7 @@
         *,
         clock: interfaces.IReactorTime,
         log: ports.Log,
+        contact: contact_lib.LogContact,
         topic: ports.Topic,
         on_snapshot: OnRecords,
         on_records: OnRecords,
@@ -51,6 +52,7 @@
         Args:
             clock: The reactor.
             log: The log.
+            contact: Notes whether the log answers.
             topic: The topic.
             on_snapshot: Gets the newest record of each key, which replace all
                 that was handed on before.
@@ -58,11 +60,11 @@
             pace_ms: Time between two reads, so that records gather.
         """
         self.position: int | None = None
-        self.contact_s = clock.seconds()
         self.pace_ms = pace_ms
         self.wait_ms = READ_WAIT_MS
         self._clock = clock
         self._log = log
+        self._contact = contact
         self._topic = topic
         self._on_snapshot = on_snapshot
         self._on_records = on_records
@@ -84,15 +86,16 @@
         if running is not None:
             running.cancel()
 
-    def silent_ms(self) -> int:
-        """Returns for how long the log has not answered."""
-        return int((self._clock.seconds() - self.contact_s) * _MS_PER_S)
-
-    async def catch_up(self, end_offset: int | None = None) -> None:
+    async def catch_up(
+        self,
+        end_offset: int | None = None,
+        timeout_ms: int = CATCH_UP_TIMEOUT_MS,
+    ) -> None:
         """Reads to the end of the topic, beside the loop.
 
         Args:
             end_offset: The offset to reach, or None for the present end.
+            timeout_ms: How long each read may take.
 
         Raises:
             UnreachableError: The log did not answer.
@@ -102,7 +105,7 @@
             await self._read_snapshot()
         while end_offset is None or self.position < end_offset:
             page = await self._log.read(
-                self._topic, self.position, 0, CATCH_UP_TIMEOUT_MS
+                self._topic, self.position, 0, timeout_ms
             )
             self._take(page)
             if page.next_offset >= page.end_offset:
@@ -139,12 +142,12 @@
 
     async def _read_snapshot(self) -> None:
         snapshot = await self._log.snapshot(self._topic, SNAPSHOT_TIMEOUT_MS)
-        self.contact_s = self._clock.seconds()
+        self._contact.answered()
         self.position = snapshot.end_offset
         self._on_snapshot(snapshot.records)
 
     def _take(self, page: ports.Page) -> None:
-        self.contact_s = self._clock.seconds()
+        self._contact.answered()
         fresh = [
             record
             for record in page.records
@@ -158,6 +161,7 @@
         return task.deferLater(self._clock, pause_ms / _MS_PER_S)
 
     def _note_lost(self, error: errors.UnreachableError) -> None:
+        self._contact.failed()
         if not self._lost:
             self._lost = True
             self._trace.warning("log_lost", error=str(error))
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -13,6 +13,7 @@
 from citronmount.fleet import sessions
 from citronmount.fleet import workers as workers_lib
 from citronmount.fleet_service import candidacy
+from citronmount.fleet_service import contact as contact_lib
 from citronmount.fleet_service import front as front_lib
 from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import owner_loop
@@ -22,7 +23,7 @@
 
 __all__ = ["Node"]
 
-LOG_SILENCE_LIMIT_MS = 3_000
+LOG_SILENCE_LIMIT_MS = 1_500
 WORKERS_PACE_MS = 400
 
 Decode = Callable[[ports.Topic, ports.LogRecord], ports.LogEvent | None]
@@ -62,9 +63,11 @@
         self._book = book_lib.Book()
         self._directory = workers_lib.WorkerDirectory()
         self._draining = False
+        self._contact = contact_lib.LogContact(clock=clock)
         self._jobs = log_tail.LogTail(
             clock=clock,
             log=log,
+            contact=self._contact,
             topic=ports.Topic.JOBS,
             on_snapshot=self._fold_snapshot,
             on_records=self._fold,
@@ -73,6 +76,7 @@
         self._configuration = log_tail.LogTail(
             clock=clock,
             log=log,
+            contact=self._contact,
             topic=ports.Topic.CONFIGURATION,
             on_snapshot=self._reconfigure,
             on_records=self._configure,
@@ -80,6 +84,7 @@
         self._workers = log_tail.LogTail(
             clock=clock,
             log=log,
+            contact=self._contact,
             topic=ports.Topic.WORKERS,
             on_snapshot=self._replace_workers,
             on_records=self._change_workers,
@@ -90,6 +95,7 @@
             log=log,
             book=self._book,
             jobs=self._jobs,
+            contact=self._contact,
             on_change=self._notice,
             wall=wall,
         )
@@ -103,11 +109,13 @@
             directory=self._directory,
             bounds=bounds,
             policy=policy,
+            on_fenced=self._yield_pool,
             wall=wall,
         )
         self._candidacy = candidacy.Candidacy(
             clock=clock,
             log=log,
+            contact=self._contact,
             owner_member=self._owner_member,
             on_change=self._owner.set_candidate,
         )
@@ -119,8 +127,7 @@
     @property
     def ready(self) -> bool:
         """Whether the VM should get new connections."""
-        silent_ms = self._configuration.silent_ms()
-        in_touch = silent_ms < LOG_SILENCE_LIMIT_MS
+        in_touch = self._contact.silent_ms() < LOG_SILENCE_LIMIT_MS
         return self.front.ready and in_touch and not self._draining
 
     @property
@@ -148,6 +155,9 @@
         self._jobs.stop()
         self._configuration.stop()
 
+    def _yield_pool(self) -> None:
+        self._candidacy.yield_pool()
+
     def _notice(self) -> None:
         self._owner.notice()
 
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -64,6 +64,7 @@
         directory: workers_lib.WorkerDirectory,
         bounds: configuration_lib.Bounds,
         policy: sessions.LeasePolicy,
+        on_fenced: Callable[[], None],
         wall: Wall = wall_ms,
     ) -> None:
         """Initializes a VM that does not own the pool.
@@ -78,6 +79,7 @@
             directory: The workers' entries.
             bounds: Times that the site sets.
             policy: How leases are renewed.
+            on_fenced: Called when the pool is left to a newer owner.
             wall: Tells the Unix time in milliseconds.
         """
         self.active = False
@@ -90,6 +92,7 @@
         self._directory = directory
         self._bounds = bounds
         self._policy = policy
+        self._on_fenced = on_fenced
         self._wall = wall
         self._accounts: tuple[configuration_lib.Account, ...] = ()
         self._candidate = False
@@ -135,7 +138,7 @@
         """Gives the pool up if another process took it over."""
         owned = self._book.owned
         if self.active and owned and owned.epoch > self._last_epoch:
-            self._resign("taken_over")
+            self._yield("taken_over")
 
     def kick(self) -> None:
         """Lets the owner decide in the next turn of the reactor."""
@@ -223,9 +226,12 @@
         self._trace.info(
             "ownership_left", token=self._last_epoch, reason=reason
         )
-        if self._candidate and not self._taking_over:
-            self._taking_over = True
-            defer.ensureDeferred(self._take_over()).addErrback(self._broken)
+
+    def _yield(self, reason: str) -> None:
+        """Leaves the pool to the newer owner that a fence tells of."""
+        self._candidate = False
+        self._resign(reason)
+        self._on_fenced()
 
     def _kicked(self) -> None:
         self._kick = None
@@ -236,7 +242,7 @@
         if owner is None:
             return
         if owner.fenced:
-            self._resign("fenced_by_worker")
+            self._yield("fenced_by_worker")
             return
         for order in owner.step(self._now_ms(), self._wall()):
             self._send(owner, order)
@@ -273,7 +279,7 @@
             except ports.FencedError as error:
                 self._trace.warning("append_fenced", epoch=error.epoch)
                 if owner is self._owner:
-                    self._resign("fenced_by_log")
+                    self._yield("fenced_by_log")
                 return
             except errors.UnreachableError as error:
                 self._trace.warning("append_failed", error=str(error))
@@ -327,4 +333,4 @@
     def _broken(self, reason: failure.Failure) -> None:
         """Logs a fault of the program and gives up what it was about."""
         self._trace.error("owner_fault", error=reason.getTraceback())
-        self._resign("fault")
+        self._yield("fault")
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -11,6 +11,7 @@
 from citronmount.fleet_service.tests import pool
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
+from citronmount.workflow import records
 
 DONE = states.JobState.DONE
 SILENT = pool_log.LogFault.SILENT
@@ -94,6 +95,24 @@
         self.run_for(3.0)
         self.assertEqual(before, self.owner())
 
+    def test_two_owners_do_not_take_the_pool_from_each_other(self) -> None:
+        before = self.owner()
+        self.run_time_ms = lambda task, run: 60_000
+        self.submit("j", pool.one_task(tasks=4), at=self.other())
+        self.log.faults[ids.VmId(f"vm{before}")] = SILENT
+        self.run_for(5.0)
+        after = self.owner()
+        self.assertNotEqual(before, after)
+        self.log.faults.clear()
+        self.run_for(6.0)
+        self.assertEqual(after, self.owner())
+        epochs = [
+            record
+            for record in self.log.topics[ports.Topic.JOBS]
+            if record.key == records.OWNER_KEY
+        ]
+        self.assertLessEqual(len(epochs), 3)
+
     def test_process_started_anew_takes_over_from_its_former_life(
         self,
     ) -> None:
@@ -115,7 +134,7 @@
         before_s = self.clock.seconds()
         verdict = self.submit("j", pool.one_task(), at=1)
         self.assertIs(front.Verdict.NOT_DONE, verdict)
-        self.assertLess(self.clock.seconds() - before_s, 1.0)
+        self.assertLess(self.clock.seconds() - before_s, 0.5)
         self.log.faults.clear()
         self.run_for(5.0)
         self.assertEqual([], self.started("j"))
