--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -1,5 +1,6 @@
 """Keeps the VM in the owners' group and tells when it is the candidate."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import structlog
@@ -38,7 +39,9 @@
         clock: interfaces.IReactorTime,
         log: ports.Log,
         contact: contact_lib.LogContact,
+        owns: Callable[[], bool],
         owner_member: Callable[[], str | None],
+        refresh: Callable[[], Awaitable[None]],
         on_change: Callable[[bool], None],
     ) -> None:
         """Initializes a candidacy that is not in the group.
@@ -47,7 +50,10 @@
             clock: The reactor.
             log: The log.
             contact: Notes whether the log answers.
-            owner_member: Tells the member that took the pool over last.
+            owns: Tells whether this VM decides for the pool at present.
+            owner_member: Tells the member that took the pool over last, as
+                far as is known here.
+            refresh: Learns what is new of that.
             on_change: Called when the VM becomes or ceases to be candidate.
         """
         self.candidate = False
@@ -55,7 +61,9 @@
         self._log = log
         self._contact = contact
         self._yielded_until_s = 0.0
+        self._owns = owns
         self._owner_member = owner_member
+        self._refresh = refresh
         self._on_change = on_change
         self._generation = 0
         self._loop = task.LoopingCall(self._join)
@@ -94,7 +102,7 @@
             )
             self._contact.answered()
             candidate = await self._should_own(membership)
-        except errors.UnreachableError as error:
+        except errors.CitronmountError as error:
             self._contact.failed()
             self._trace.debug("group_join_failed", error=str(error))
             return
@@ -115,9 +123,13 @@
         """
         if self._clock.seconds() < self._yielded_until_s:
             return False
-        owner = self._owner_member()
-        if owner == self._log.member:
+        member = self._log.member
+        if self._owns() and self._owner_member() == member:
             return True
-        if not membership.candidate:
+        if not membership.candidate and self._owner_member() != member:
             return False
+        await self._refresh()
+        owner = self._owner_member()
+        if owner == member:
+            return True
         return owner not in await self._log.members(JOIN_TIMEOUT_MS)
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -116,7 +116,9 @@
             clock=clock,
             log=log,
             contact=self._contact,
+            owns=lambda: self._owner.active,
             owner_member=self._owner_member,
+            refresh=self._jobs.catch_up,
             on_change=self._owner.set_candidate,
         )
 
