Tell slow, failing and hanging workers by what their runs did

Change: run times against the pool's usual ratio, failures of distinct jobs and overdue runs decide where new work goes; a run that stands still is ended once and its limit doubles; a failed unit avoids where it failed.

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -13,6 +13,7 @@
 from citronmount.fleet import run_table
 from citronmount.fleet import runs as runs_lib
 from citronmount.fleet import sessions as sessions_lib
+from citronmount.fleet import worker_health
 from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import book as book_lib
 from citronmount.workflow import records
@@ -22,8 +23,10 @@
 
 START_TRIES = 3
 ORDER_RETRY_MS = 100
-STALL_MS = 1_500
+SILENCE_MARGIN_MS = 1_500
 SUSPENSION_MS = 1_000
+STALL_FACTOR = 4
+STALL_FLOOR_MS = 20_000
 FINAL_STATE_MARGIN_S = 60
 
 _MS_PER_S = 1_000
@@ -100,6 +103,9 @@
             collections.Counter()
         )
         self._last_runs: dict[units.UnitId, runs_lib.Run] = {}
+        self._failed_at: dict[units.UnitId, set[ids.WorkerId]] = {}
+        self._stalls: collections.Counter[units.UnitId] = collections.Counter()
+        self._health = worker_health.WorkerHealth()
         self._entries: list[Entry] = []
         self._orders: list[orders.Order] = []
         self._orphans_gone_ms = now_ms + int(
@@ -358,6 +364,7 @@
             kind=end.kind.value,
         )
         self._table.gone(run, member)
+        self._note_health(run, member, end.kind, now_ms)
         status = self._outcome(run, end.kind)
         if status is None:
             session.resolve_end(end.number, now_ms)
@@ -365,6 +372,24 @@
         change = run.record(status)
         self._write(change, ends=((place, end.number),))
 
+    def _note_health(
+        self,
+        run: runs_lib.Run,
+        member: runs_lib.Member,
+        kind: orders.EndKind,
+        now_ms: int,
+    ) -> None:
+        """Learns from an end what the worker is like."""
+        worker = member.place.worker
+        if kind is orders.EndKind.DONE and run.started_ms is not None:
+            elapsed_ms = now_ms - run.started_ms
+            estimate_ms = run.step.estimate_ms
+            self._health.done(worker, elapsed_ms, estimate_ms, now_ms)
+        if kind is orders.EndKind.FAILED:
+            self._failed_at.setdefault(run.unit, set()).add(worker)
+            if self._health.failed(worker, run.job, now_ms):
+                self._log.warning("worker_distrusted", worker=worker)
+
     def _outcome(
         self, run: runs_lib.Run, kind: orders.EndKind
     ) -> records.UnitStatus | None:
@@ -450,6 +475,7 @@
         if self._sessions.get(name) is session:
             del self._sessions[name]
         self._strangers.pop(name, None)
+        self._health.forget(name)
         for run, member in self._table.on_worker(name):
             if member.place.life_ms == session.worker.life_ms:
                 self._member_gone(run, member)
@@ -529,6 +555,7 @@
                 self._clear(run)
             elif run.phase is runs_lib.RunPhase.ACTIVE:
                 self._drive(run, now_ms)
+                self._end_if_hanging(run, now_ms)
             elif run.phase is runs_lib.RunPhase.ENDING:
                 self._drive_to_end(run, now_ms)
             self._note_lapsed(run, now_ms)
@@ -560,6 +587,39 @@
                 return
             self._send_start(run, member, now_ms)
 
+    def _end_if_hanging(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Ends a run that stands still, so that it goes on elsewhere.
+
+        Each time the limit doubles: a job that is far longer than it said
+        ends all the same.
+        """
+        estimate_ms = run.step.estimate_ms
+        if run.started_ms is None or run.step.lasting or not estimate_ms:
+            return
+        elapsed_ms = now_ms - run.started_ms
+        if elapsed_ms < estimate_ms:
+            return
+        factors = [
+            self._health.overdue(
+                member.place.worker, elapsed_ms, estimate_ms, now_ms
+            )
+            for member in run.live_members
+        ]
+        patience = 2 ** self._stalls[run.unit]
+        least = min(factors, default=0.0)
+        if elapsed_ms < STALL_FLOOR_MS * patience:
+            return
+        if least >= STALL_FACTOR * patience:
+            self._stalls[run.unit] += 1
+            self._log.warning(
+                "run_stalled",
+                unit=run.unit,
+                run=run.number,
+                elapsed_ms=elapsed_ms,
+                estimate_ms=estimate_ms,
+            )
+            run.end(runs_lib.EndCause.STALLED)
+
     def _send_start(
         self, run: runs_lib.Run, member: runs_lib.Member, now_ms: int
     ) -> None:
@@ -674,6 +734,8 @@
         for change in entry.progress.changed:
             self._ready_since.pop(change, None)
             self._last_runs.pop(change, None)
+            self._failed_at.pop(change, None)
+            self._stalls.pop(change, None)
             self._unrecorded.pop(change, None)
         self._log.info("job_finished", job=job, state=final.name.lower())
 
@@ -707,6 +769,7 @@
             table=self._table,
             accounts=self._accounts,
             bounds=self._bounds,
+            trust=lambda name: self._health.trust(name, now_ms),
             now_ms=now_ms,
         )
         for decision in planner.decide(waiting):
@@ -736,6 +799,7 @@
             submission=entry.submission,
             since_ms=self._ready_since.setdefault(key.unit, now_ms),
             run=max(before.run if before else 0, last.number if last else 0),
+            avoid=frozenset(self._failed_at.get(key.unit, ())),
             failures=max(
                 before.failures if before else 0, last.failures if last else 0
             ),
@@ -758,7 +822,7 @@
         """Returns how long a worker may be silent and still get work."""
         if not session.runs:
             return float("inf")
-        return self._policy.wait_ms + self._policy.retry_ms + STALL_MS
+        return self._policy.wait_ms + self._policy.retry_ms + SILENCE_MARGIN_MS
 
     def _place(self, decision: planning.Decision, now_ms: int) -> None:
         unit = decision.waiting
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -1,6 +1,7 @@
 """Decides which waiting units start where, and what is stopped for them."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -13,6 +14,7 @@
 from citronmount.fleet import room as room_lib
 from citronmount.fleet import run_table
 from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import worker_health
 from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import spec
 from citronmount.workflow import units
@@ -25,6 +27,11 @@
 _IDLE_POOL_SHARE = 0.5
 
 
+def _full_trust(worker: ids.WorkerId) -> worker_health.Trust:
+    del worker
+    return worker_health.Trust()
+
+
 class Waiting(msgspec.Struct, frozen=True, kw_only=True):
     """A unit that may start.
 
@@ -36,6 +43,7 @@
         run: The number of its last run.
         failures: Its failed runs.
         saved: Its newest checkpoint, or empty.
+        avoid: Workers at which it failed.
     """
 
     key: units.UnitKey
@@ -45,6 +53,7 @@
     run: int = 0
     failures: int = 0
     saved: str = ""
+    avoid: frozenset[ids.WorkerId] = frozenset()
 
     @property
     def tasks(self) -> int:
@@ -105,6 +114,7 @@
         accounts: Iterable[configuration_lib.Account],
         bounds: configuration_lib.Bounds,
         now_ms: int,
+        trust: Callable[[ids.WorkerId], worker_health.Trust] = _full_trust,
     ) -> None:
         """Initializes a round.
 
@@ -114,8 +124,17 @@
             accounts: The client accounts with their guarantees.
             bounds: Times that the site sets.
             now_ms: Steady time in milliseconds.
+            trust: What is believed of a worker.
         """
-        self._workers = workers
+        trusts = {each.worker: trust(each.worker) for each in workers}
+        self._workers = [
+            each for each in workers if not trusts[each.worker].distrusted
+        ] or list(workers)
+        self._quick = [
+            each
+            for each in self._workers
+            if trusts[each.worker].slowness < worker_health.SLOW_FACTOR
+        ]
         self._table = table
         self._room = table.room.copy()
         self._bounds = bounds
@@ -176,18 +195,31 @@
             unit.step,
             unit.tasks,
             spread,
+            unit.avoid,
+            self._takes_slow(unit),
             _step_place(unit.key) if unit.step.max_tasks_per_worker else None,
         )
         within = self._within_guarantee(unit)
         if shape in self._full and not within:
             return None
         need = self._need(unit)
-        chosen = fitting.fit(need, self._workers, self._free, spread)
+        workers = self._workers if self._takes_slow(unit) else self._quick
+        chosen = fitting.fit(need, workers, self._free, spread)
         if chosen is not None:
             return Decision(waiting=unit, workers=tuple(chosen))
         self._full.add(shape)
         return self._reclaim(unit, need, spread) if within else None
 
+    def _takes_slow(self, unit: Waiting) -> bool:
+        """Returns whether a slow worker is better than further waiting."""
+        waited_ms = self._now_ms - unit.since_ms
+        limit_ms = unit.step.estimate_ms
+        if self._idle_pool:
+            limit_ms = min(limit_ms, SPREAD_WAIT_IDLE_POOL_MS)
+        if self._within_guarantee(unit):
+            limit_ms = min(limit_ms, SPREAD_WAIT_GUARANTEED_MS)
+        return waited_ms >= limit_ms
+
     def _reclaim(
         self, unit: Waiting, need: fitting.Need, spread: fitting.Spread
     ) -> Decision | None:
@@ -228,6 +260,7 @@
             tasks=unit.tasks,
             step=unit.step,
             service=unit.submission.terms.service,
+            avoid=unit.avoid,
             taken=self._taken(unit) if unit.step.max_tasks_per_worker else {},
         )
 
--- a/citronmount/fleet_service/front.py
+++ b/citronmount/fleet_service/front.py
@@ -177,17 +177,36 @@
     ) -> states.JobState | None:
         """Returns the state of a job, or None if the queue has no such job.
 
-        A job that is not known is looked for up to the end of the topic.
+        The topic is read to its end first, unless the state is final; that
+        lets the tail read rarely.
 
         Raises:
             UnreachableError: It is not known and the log does not answer.
         """
-        if self._book.state(job) is None:
-            await self._jobs.catch_up()
+        known = self._book.state(job)
+        if known not in _ENDED:
+            await self._refresh(known is not None)
         if self._book.queue_of(job) != queue.terms.queue:
             return None
         return self._book.state(job)
 
+    async def _refresh(self, optional: bool) -> None:
+        """Reads to the end of the topic.
+
+        Args:
+            optional: Whether an older state may be told if that fails.
+        """
+        if optional and self._contact.lost:
+            return
+        timeout_ms = PROBE_TIMEOUT_MS if optional else log_tail.LOOK_UP_MS
+        try:
+            await self._jobs.catch_up(timeout_ms=timeout_ms)
+        except errors.CitronmountError as error:
+            self._contact.failed()
+            if not optional:
+                raise
+            self._trace.warning("older_state_told", error=str(error))
+
     def pending(self, queue: configuration_lib.Queue) -> int:
         """Returns how many jobs of a queue have not begun."""
         return self._book.pending(queue.terms.queue)
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -18,7 +18,7 @@
 READ_WAIT_MS = 1_500
 READ_MARGIN_MS = 700
 SNAPSHOT_TIMEOUT_MS = 2_500
-CATCH_UP_TIMEOUT_MS = 700
+LOOK_UP_MS = 700
 FIRST_RETRY_MS = 50
 LAST_RETRY_MS = 400
 
@@ -89,7 +89,7 @@
     async def catch_up(
         self,
         end_offset: int | None = None,
-        timeout_ms: int = CATCH_UP_TIMEOUT_MS,
+        timeout_ms: int = LOOK_UP_MS,
     ) -> None:
         """Reads to the end of the topic, beside the loop.
 
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -202,6 +202,23 @@
         self.assertIs(DONE, self.state("j"))
 
 
+class StallTest(pool.PoolCase):
+    def test_run_that_stands_still_goes_on_elsewhere(self) -> None:
+        self.run_time_ms = lambda task, run: 900_000 if run == 1 else 1_000
+        self.submit("j", pool.one_task())
+        self.run_for(30.0)
+        places = [place for _, _, place in self.started("j")]
+        self.assertEqual(2, len(set(places)))
+        self.assertIs(DONE, self.state("j"))
+
+    def test_job_far_longer_than_it_said_ends_all_the_same(self) -> None:
+        self.run_time_ms = lambda task, run: 60_000
+        self.submit("j", pool.one_task())
+        self.run_for(140.0)
+        self.assertIs(DONE, self.state("j"))
+        self.assertLessEqual(len(self.started("j")), 3)
+
+
 class WorkerFaultTest(pool.PoolCase):
     def setUp(self) -> None:
         super().setUp()
