--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -208,7 +208,7 @@
         if chosen is not None:
             return Decision(waiting=unit, workers=tuple(chosen))
         self._full.add(shape)
-        return self._reclaim(unit, need, spread) if within else None
+        return self._reclaim(unit, need, spread, within)
 
     def _takes_slow(self, unit: Waiting) -> bool:
         """Returns whether a slow worker is better than further waiting."""
@@ -221,20 +221,37 @@
         return waited_ms >= limit_ms
 
     def _reclaim(
-        self, unit: Waiting, need: fitting.Need, spread: fitting.Spread
+        self,
+        unit: Waiting,
+        need: fitting.Need,
+        spread: fitting.Spread,
+        within: bool,
     ) -> Decision | None:
+        """Finds runs to stop for a unit of the first priority.
+
+        Inside the guarantee any run outside one may go. Beyond it only runs
+        of lower priority, and only if less work is lost than the unit itself
+        is: a burst of urgent jobs is then served at the cost of young runs.
+        """
+        if unit.submission.terms.priority != FIRST_PRIORITY:
+            return None
         revocable = [
             run
             for run in self._table
             if run.unit not in self._guaranteed
             and run.unit not in self._stopped
             and run.phase is runs_lib.RunPhase.ACTIVE
+            and (within or run.submission.terms.priority > FIRST_PRIORITY)
         ]
         found = preemption.find(
             need, self._workers, self._free, revocable, self._cost, spread
         )
         if found is None:
             return None
+        if not within and found.cost_core_s > preemption.planned_work(
+            unit.step, unit.tasks
+        ):
+            return None
         return Decision(
             waiting=unit, workers=found.workers, victims=found.victims
         )
--- a/citronmount/fleet/preemption.py
+++ b/citronmount/fleet/preemption.py
@@ -16,8 +16,15 @@
 from citronmount.fleet import room as room_lib
 from citronmount.fleet import runs as runs_lib
 from citronmount.fleet import workers as workers_lib
+from citronmount.workflow import spec
 
-__all__ = ["CORES_PER_ACCELERATOR", "Reclaim", "find", "lost_work"]
+__all__ = [
+    "CORES_PER_ACCELERATOR",
+    "Reclaim",
+    "find",
+    "lost_work",
+    "planned_work",
+]
 
 CORES_PER_ACCELERATOR = 8
 
@@ -56,12 +63,28 @@
     elapsed_s = max(now_ms - started_ms, 0) / _MS_PER_S
     if run.step.checkpoints:
         elapsed_s = min(elapsed_s, save_s)
-    demand = run.step.demand
-    weight = (
+    return elapsed_s * _cores(run.step) * len(run.members)
+
+
+def planned_work(step: spec.Step, tasks: int) -> float:
+    """Returns the work of a unit as declared.
+
+    Args:
+        step: Its step.
+        tasks: How many tasks start together.
+
+    Returns:
+        Core-seconds; an accelerator counts as several cores.
+    """
+    return step.estimate_ms / _MS_PER_S * _cores(step) * tasks
+
+
+def _cores(step: spec.Step) -> float:
+    demand = step.demand
+    return (
         demand.millicores / _MILLICORES_PER_CORE
         + demand.accelerators * CORES_PER_ACCELERATOR
     )
-    return elapsed_s * weight * len(run.members)
 
 
 def find(
