Keep the owners' group small and to VMs that can carry it

Change: a VM looks before it joins, leaves if it is dealt nothing, and joins with less than one core only where nobody is a member.

--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 
 import structlog
 from twisted.internet import defer
@@ -18,12 +19,16 @@
 JOIN_PERIOD_MS = 400
 JOIN_TIMEOUT_MS = 400
 YIELD_MS = 1_000
+ENOUGH_MEMBERS = 5
+LOOK_PERIOD_S = 1.5
+FIRST_LOOK_SPREAD_S = 0.6
+LESS_CAPABLE_DELAY_S = 1.5
 
 _MS_PER_S = 1_000
 
 
 class Candidacy:
-    """Joins the group in a loop.
+    """Joins the group in a loop, if it has too few members.
 
     The group names the next owner: the member that is dealt the partition of
     the jobs. It takes over once the present owner has left the group or has
@@ -43,6 +48,8 @@
         owner_member: Callable[[], str | None],
         refresh: Callable[[], Awaitable[None]],
         on_change: Callable[[bool], None],
+        capable: bool = True,
+        jitter: Callable[[], float] = random.random,
     ) -> None:
         """Initializes a candidacy that is not in the group.
 
@@ -55,6 +62,10 @@
                 far as is known here.
             refresh: Learns what is new of that.
             on_change: Called when the VM becomes or ceases to be candidate.
+            capable: Whether the VM has the processor time to own a pool; one
+                that has not joins only a group without members.
+            jitter: Spreads the first looks of VMs that start together; a
+                share of a second.
         """
         self.candidate = False
         self._clock = clock
@@ -65,13 +76,21 @@
         self._owner_member = owner_member
         self._refresh = refresh
         self._on_change = on_change
+        self._capable = capable
+        self._jitter = jitter
         self._generation = 0
-        self._loop = task.LoopingCall(self._join)
+        self._in_group = False
+        self._next_look_s = 0.0
+        self._loop = task.LoopingCall(self._turn)
         self._loop.clock = clock
         self._trace = structlog.get_logger()
 
     def start(self) -> None:
-        """Joins the group."""
+        """Starts to look at the group."""
+        delay_s = self._jitter() * FIRST_LOOK_SPREAD_S
+        if not self._capable:
+            delay_s += LESS_CAPABLE_DELAY_S
+        self._next_look_s = self._clock.seconds() + delay_s
         self._loop.start(JOIN_PERIOD_MS / _MS_PER_S)
 
     def yield_pool(self) -> None:
@@ -87,27 +106,52 @@
         if not self._loop.running:
             return
         self._loop.stop()
+        if self._in_group:
+            await self._leave()
+
+    async def _leave(self) -> None:
+        self._in_group = False
         try:
             await self._log.leave(JOIN_TIMEOUT_MS)
         except errors.UnreachableError as error:
             self._trace.warning("group_leave_failed", error=str(error))
 
-    def _join(self) -> defer.Deferred[None]:
-        return defer.ensureDeferred(self._join_once())
+    def _turn(self) -> defer.Deferred[None]:
+        return defer.ensureDeferred(self._take_turn())
 
-    async def _join_once(self) -> None:
+    async def _take_turn(self) -> None:
         try:
-            membership = await self._log.join(
-                self._generation, TTL_MS, JOIN_TIMEOUT_MS
-            )
+            if self._in_group or await self._is_wanted():
+                self._in_group = True
+                await self._join()
             self._contact.answered()
-            candidate = await self._should_own(membership)
         except errors.CitronmountError as error:
             self._contact.failed()
-            self._trace.debug("group_join_failed", error=str(error))
-            return
+            self._trace.debug("group_call_failed", error=str(error))
+
+    async def _is_wanted(self) -> bool:
+        """Returns whether the group has too few members.
+
+        The log deals a fixed number of partitions, and a member that is dealt
+        none is not seen by the others; so only a few VMs are members.
+        """
+        if self._clock.seconds() < self._next_look_s:
+            return False
+        self._next_look_s = self._clock.seconds() + LOOK_PERIOD_S
+        members = await self._log.members(JOIN_TIMEOUT_MS)
+        return len(members) < (ENOUGH_MEMBERS if self._capable else 1)
+
+    async def _join(self) -> None:
+        membership = await self._log.join(
+            self._generation, TTL_MS, JOIN_TIMEOUT_MS
+        )
+        candidate = await self._should_own(membership)
         self._generation = membership.generation
-        if candidate != self.candidate and self._loop.running:
+        if not self._loop.running:
+            return
+        if not membership.dealt and not candidate:
+            await self._leave()
+        if candidate != self.candidate:
             self.candidate = candidate
             self._trace.info(
                 "candidate" if candidate else "not_candidate",
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -45,6 +45,7 @@
         decode: Decode,
         bounds: configuration_lib.Bounds,
         policy: sessions.LeasePolicy,
+        capable: bool = True,
         wall: Callable[[], int] = owner_loop.wall_ms,
     ) -> None:
         """Connects the parts; nothing runs yet.
@@ -56,6 +57,7 @@
             decode: Makes an event of a record of the site.
             bounds: Times that the site sets.
             policy: How leases are renewed.
+            capable: Whether the VM has the processor time to own the pool.
             wall: Tells the Unix time in milliseconds.
         """
         self._decode = decode
@@ -120,6 +122,7 @@
             owner_member=self._owner_member,
             refresh=self._jobs.catch_up,
             on_change=self._owner.set_candidate,
+            capable=capable,
         )
 
     def _owner_member(self) -> str | None:
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -124,10 +124,12 @@
     Attributes:
         generation: Rises with each change of the group.
         candidate: Whether the member is next to own the pool.
+        dealt: Whether the member was dealt anything.
     """
 
     generation: int
     candidate: bool
+    dealt: bool = True
 
 
 class ConfigurationChanged(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/fleet_service/tests/pool.py
+++ b/citronmount/fleet_service/tests/pool.py
@@ -89,12 +89,12 @@
                 self.add_worker(f"w{rack}{number}", rack=f"rack{rack}")
         self.nodes = [self.make_node(n) for n in range(self.vms)]
         self.configure()
-        self.run_for(2.0)
+        self.run_for(3.0)
 
     def tearDown(self) -> None:
         self.assertEqual([], self.pool.broken)
 
-    def make_node(self, number: int) -> node_lib.Node:
+    def make_node(self, number: int, capable: bool = True) -> node_lib.Node:
         vm = ids.VmId(f"vm{number}")
         node = node_lib.Node(
             clock=self.clock,
@@ -103,6 +103,7 @@
             decode=self.decode,
             bounds=configuration.Bounds(max_lease_ms=6_000),
             policy=sessions.LeasePolicy(lease_ms=5_000, max_lease_ms=6_000),
+            capable=capable,
             wall=self.wall,
         )
         node.start()
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -127,6 +127,29 @@
         self.owner()
 
 
+class LargeGroupTest(pool.PoolCase):
+    vms = 20
+
+    def test_only_a_few_vms_are_members_and_one_owns(self) -> None:
+        before = self.owner()
+        self.run_for(5.0)
+        self.assertEqual(before, self.owner())
+        self.assertLessEqual(len(self.log.members()), 12)
+
+    def test_vm_with_little_processor_time_owns_only_if_none_else_does(
+        self,
+    ) -> None:
+        small = self.make_node(self.vms, capable=False)
+        self.run_for(4.0)
+        self.assertFalse(small.owns_pool)
+        for number, node in enumerate(self.nodes):
+            self.log.faults[ids.VmId(f"vm{number}")] = SILENT
+            defer.ensureDeferred(node.give_up())
+            node.stop()
+        self.run_for(6.0)
+        self.assertTrue(small.owns_pool)
+
+
 class LogFaultTest(pool.PoolCase):
     def test_submission_to_a_silent_log_is_refused_at_once(self) -> None:
         self.log.faults[ids.VmId("vm1")] = SILENT
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -39,6 +39,7 @@
 CLOSE_BEFORE_KILL_S = 2.0
 CLOSE_IDLE_S = 0.7
 PROCESS_NONCE_BYTES = 4
+OWNER_PROCESSOR_SHARE = 1.0
 
 
 async def serve(
@@ -107,6 +108,7 @@
         decode=entries.decode,
         bounds=settings.bounds,
         policy=policy,
+        capable=settings.processor_share >= OWNER_PROCESSOR_SHARE,
     )
 
 
--- a/citronmount/platform/log.py
+++ b/citronmount/platform/log.py
@@ -175,6 +175,7 @@
         return ports.Membership(
             generation=joined.generation,
             candidate=(JOBS_TOPIC, _PART) in held,
+            dealt=bool(held),
         )
 
     async def members(self, timeout_ms: int) -> frozenset[str]:
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -16,6 +16,7 @@
 __all__ = ["LogFault", "PoolLog", "PoolLogClient"]
 
 ANSWER_S = 0.006
+PARTITIONS = 12
 
 _MS_PER_S = 1_000
 _PROCESSES = itertools.count(1)
@@ -128,8 +129,10 @@
         self._members.setdefault(member, 0)
         self._members[member] = now_s + ttl_ms / _MS_PER_S
         self._generation += before != list(self._members)
+        dealt = list(self._members).index(member) < PARTITIONS
         return ports.Membership(
             generation=self._generation,
+            dealt=dealt,
             candidate=next(iter(self._members)) == member,
         )
 
@@ -139,13 +142,14 @@
         self._generation += 1
 
     def members(self) -> frozenset[str]:
-        """Returns the members that are alive."""
+        """Returns the members that are alive and were dealt a partition."""
         now_s = self.clock.seconds()
-        return frozenset(
+        alive = (
             member
             for member, until_s in self._members.items()
             if until_s > now_s
         )
+        return frozenset(itertools.islice(alive, PARTITIONS))
 
     def leave(self, member: str) -> None:
         """Leaves the group."""
