Log each decision, bounded and without blocking; serve metrics

Cause: on-call engineers have only logs and metrics; refusals, starts, causes of stops and silent workers were not told, and a slow reader of the log could have held the process up.

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -25,6 +25,7 @@
 ORDER_RETRY_MS = 100
 SILENCE_MARGIN_MS = 1_500
 SUSPENSION_MS = 1_000
+SILENT_HOLDS = 3
 STALL_FACTOR = 4
 STALL_FLOOR_MS = 20_000
 FINAL_STATE_MARGIN_S = 60
@@ -214,7 +215,7 @@
         if verdict in _LOST_ROOM:
             self._suspended[order.worker.worker] = now_ms + SUSPENSION_MS
         self._table.gone(run, member)
-        run.end(runs_lib.EndCause.MEMBER_NOT_STARTED)
+        self._end(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
 
     def stop_answered(
         self,
@@ -253,8 +254,16 @@
         if fenced:
             self.fenced = True
         session = self._session_of(order.worker)
-        if session is not None:
-            session.hold_failed(now_ms)
+        if session is None:
+            return
+        session.hold_failed(now_ms)
+        if session.waits_unanswered == SILENT_HOLDS:
+            self._log.warning(
+                "worker_silent",
+                worker=order.worker.worker,
+                answered_ms_ago=session.silent_ms(now_ms),
+                runs=session.runs,
+            )
 
     def hold_answered(
         self,
@@ -278,6 +287,8 @@
             self._life_over(session)
             return
         first = not session.primed
+        if session.waits_unanswered >= SILENT_HOLDS:
+            self._log.info("worker_answers", worker=order.worker.worker)
         session.hold_answered(report, now_ms)
         self._changed = self._changed or first
         for end in report.ended:
@@ -402,7 +413,7 @@
             if run.step.lasting:
                 return records.UnitStatus.WAITING
             return records.UnitStatus.DONE
-        run.end(runs_lib.EndCause.MEMBER_ENDED)
+        self._end(run, runs_lib.EndCause.MEMBER_ENDED)
         if kind is orders.EndKind.FAILED:
             run.failures += 1
             spent = run.failures >= run.submission.terms.max_attempts
@@ -411,6 +422,14 @@
             return records.UnitStatus.WAITING
         return records.UnitStatus.WAITING if run.saved else None
 
+    def _end(self, run: runs_lib.Run, cause: runs_lib.EndCause) -> None:
+        """Makes what is left of a run end, and tells why."""
+        if run.cause is None:
+            self._log.info(
+                "run_ending", unit=run.unit, run=run.number, cause=cause.value
+            )
+        run.end(cause)
+
     def _seen_running(
         self, run: runs_lib.Run, member: runs_lib.Member, now_ms: int
     ) -> None:
@@ -423,6 +442,12 @@
         member.state = runs_lib.MemberState.RUNNING
         if run.started_ms is None and run.all_running():
             run.started_ms = now_ms
+            self._log.info(
+                "run_started",
+                unit=run.unit,
+                run=run.number,
+                took_ms=now_ms - run.placed_ms,
+            )
 
     def _member_gone(self, run: runs_lib.Run, member: runs_lib.Member) -> None:
         self._log.info(
@@ -434,7 +459,7 @@
         self._table.gone(run, member)
         self._changed = True
         if run.outcome is not orders.EndKind.DONE:
-            run.end(runs_lib.EndCause.MEMBER_ENDED)
+            self._end(run, runs_lib.EndCause.MEMBER_ENDED)
 
     # Workers and their lives.
 
@@ -533,7 +558,7 @@
                     member.state = runs_lib.MemberState.ORDERED
                     member.start_answered = True
                 if change.status is records.UnitStatus.WAITING:
-                    run.end(runs_lib.EndCause.MEMBER_ENDED)
+                    self._end(run, runs_lib.EndCause.MEMBER_ENDED)
                 self._table.add(run)
 
     def _recorded(self, change: records.UnitChanged) -> None:
@@ -583,7 +608,7 @@
             if now_ms < member.next_order_ms:
                 continue
             if member.start_tries >= START_TRIES:
-                run.end(runs_lib.EndCause.MEMBER_NOT_STARTED)
+                self._end(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
                 return
             self._send_start(run, member, now_ms)
 
@@ -618,7 +643,7 @@
                 elapsed_ms=elapsed_ms,
                 estimate_ms=estimate_ms,
             )
-            run.end(runs_lib.EndCause.STALLED)
+            self._end(run, runs_lib.EndCause.STALLED)
 
     def _send_start(
         self, run: runs_lib.Run, member: runs_lib.Member, now_ms: int
@@ -626,7 +651,7 @@
         session = self._sessions.get(member.place.worker)
         if session is None or session.worker.life_ms != member.place.life_ms:
             self._table.gone(run, member)
-            run.end(runs_lib.EndCause.MEMBER_NOT_STARTED)
+            self._end(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
             return
         member.start_open = True
         member.start_tries += 1
@@ -695,7 +720,7 @@
             left = self._table.of_job(job)
             for run in left:
                 if run.outcome is not orders.EndKind.DONE:
-                    run.end(cause)
+                    self._end(run, cause)
                     self._drive_to_end(run, now_ms)
             if not left:
                 self._finish(job, entry, final, wall_ms)
@@ -737,7 +762,15 @@
             self._failed_at.pop(change, None)
             self._stalls.pop(change, None)
             self._unrecorded.pop(change, None)
-        self._log.info("job_finished", job=job, state=final.name.lower())
+        self._log.info(
+            "job_finished",
+            job=job,
+            account=record.account,
+            state=final.name.lower(),
+            age_ms=wall_ms - entry.submission.accepted_ms,
+            objective_ms=planning.objective_end_ms(entry.submission)
+            - entry.submission.accepted_ms,
+        )
 
     def _forget_old(self, wall_ms: int) -> None:
         kept_s = self._bounds.status_s + FINAL_STATE_MARGIN_S
@@ -842,7 +875,7 @@
         )
         self._table.add(run)
         for victim in decision.victims:
-            victim.end(runs_lib.EndCause.PREEMPTED)
+            self._end(victim, runs_lib.EndCause.PREEMPTED)
             self._drive_to_end(victim, now_ms)
         self._clearing[run.unit] = list(decision.victims)
         self._clear(run)
@@ -851,6 +884,9 @@
             unit=run.unit,
             run=run.number,
             account=unit.submission.account,
+            priority=unit.submission.terms.priority,
+            within_guarantee=decision.within_guarantee,
+            spread=decision.spread.value,
             workers=sorted({w.worker for w in decision.workers}),
             waited_ms=now_ms - unit.since_ms,
             victims=[victim.unit for victim in decision.victims],
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -73,11 +73,15 @@
         waiting: The unit.
         workers: A worker for each task.
         victims: Runs that are to be stopped first.
+        within_guarantee: Whether the unit is inside its account's guarantee.
+        spread: Whether it was allowed to leave its preferred rack.
     """
 
     waiting: Waiting
     workers: tuple[workers_lib.Worker, ...]
     victims: tuple[runs_lib.Run, ...] = ()
+    within_guarantee: bool = False
+    spread: fitting.Spread = fitting.Spread.PREFERRED
 
 
 def objective_end_ms(submission: spec.Submission) -> int:
@@ -206,7 +210,12 @@
         workers = self._workers if self._takes_slow(unit) else self._quick
         chosen = fitting.fit(need, workers, self._free, spread)
         if chosen is not None:
-            return Decision(waiting=unit, workers=tuple(chosen))
+            return Decision(
+                waiting=unit,
+                workers=tuple(chosen),
+                within_guarantee=within,
+                spread=spread,
+            )
         self._full.add(shape)
         return self._reclaim(unit, need, spread, within)
 
@@ -253,7 +262,11 @@
         ):
             return None
         return Decision(
-            waiting=unit, workers=found.workers, victims=found.victims
+            waiting=unit,
+            workers=found.workers,
+            victims=found.victims,
+            within_guarantee=within,
+            spread=spread,
         )
 
     def _cost(self, run: runs_lib.Run) -> float:
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -11,6 +11,7 @@
 from twisted import logger
 from twisted.internet import defer
 from twisted.internet import endpoints
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import task
 from twisted.python import failure
@@ -21,12 +22,18 @@
 from citronmount.platform import entries
 from citronmount.platform import job_api
 from citronmount.platform import log as log_lib
+from citronmount.platform import metrics_page
+from citronmount.platform import reloading
 from citronmount.platform import runners
 from citronmount.platform import settings as settings_lib
 from citronmount.service import closing
 from citronmount.service import site
 from citronmount.services import exchange
+from citronmount.telemetry import bounded_sink
+from citronmount.telemetry import event_metrics
 from citronmount.telemetry import logs
+from citronmount.telemetry import metrics as metrics_lib
+from citronmount.telemetry import process
 
 __all__ = ["main"]
 
@@ -38,27 +45,39 @@
 LEASE_MARGIN_MS = 200
 CLOSE_BEFORE_KILL_S = 2.0
 CLOSE_IDLE_S = 0.7
+RELOAD_PERIOD_S = 5.0
 PROCESS_NONCE_BYTES = 4
 OWNER_PROCESSOR_SHARE = 1.0
 
 
 async def serve(
-    reactor: interfaces.IReactorCore, settings: settings_lib.Settings
+    reactor: interfaces.IReactorCore,
+    path: str,
+    settings: settings_lib.Settings,
+    metrics: metrics_lib.Metrics,
 ) -> None:
     """Runs the parts of one VM until SIGTERM.
 
     Args:
         reactor: The reactor of the process.
+        path: The settings file.
         settings: The settings.
+        metrics: What the process measures.
 
     Raises:
         ExceptionGroup: Parts could not be closed.
     """
     http = exchange.Exchange(reactor=reactor)
-    node = _node(reactor, settings, http)
+    log = _log(settings, http)
+    node = _node(reactor, settings, http, log)
+    reloader = reloading.Reloader(
+        path=path, settings=settings, on_address=log.use_address
+    )
+    metrics.gauge("owns_pool", lambda: node.owns_pool)
+    metrics.gauge("ready", lambda: node.ready)
     api = job_api.JobApi(front=node.front)
     terminated: defer.Deferred[None] = defer.Deferred()
-    _on_sigterm(reactor, terminated)
+    _on_signals(reactor, terminated, reloader)
     async with closing.ClosingStack() as stack:
         stack.push("platform connections", http.close)
         factory = site.make_factory(api.app.resource(), MAX_BODY_BYTES)
@@ -69,8 +88,13 @@
         stack.push("caller port", port.stopListening)
         ready = server.Site(job_api.ReadyResource(ready=lambda: node.ready))
         await _listen(reactor, settings.ready_address, ready)
+        await _listen_for_metrics(reactor, settings, metrics)
         node.start()
         stack.push("node", node.stop)
+        watcher = task.LoopingCall(reloader.check)
+        watcher.clock = reactor
+        watcher.start(RELOAD_PERIOD_S, now=False)
+        stack.push("settings watcher", watcher.stop)
         structlog.get_logger().info(
             "started", failure_domain=settings.failure_domain
         )
@@ -90,6 +114,7 @@
     reactor: interfaces.IReactorCore,
     settings: settings_lib.Settings,
     http: exchange.Exchange,
+    log: log_lib.StoreLog,
 ) -> node_lib.Node:
     lease_ms = min(LEASE_MS, settings.bounds.max_lease_ms - LEASE_MARGIN_MS)
     policy = sessions.LeasePolicy(
@@ -97,10 +122,6 @@
         max_lease_ms=settings.bounds.max_lease_ms,
         stop_ms=settings.bounds.stop_ms,
     )
-    member = f"{settings.vm}/{secrets.token_hex(PROCESS_NONCE_BYTES)}"
-    log = log_lib.StoreLog(
-        connections=http, address=settings.log_address, member=member
-    )
     return node_lib.Node(
         clock=reactor,
         log=log,
@@ -112,6 +133,28 @@
     )
 
 
+def _log(
+    settings: settings_lib.Settings, http: exchange.Exchange
+) -> log_lib.StoreLog:
+    member = f"{settings.vm}/{secrets.token_hex(PROCESS_NONCE_BYTES)}"
+    return log_lib.StoreLog(
+        connections=http, address=settings.log_address, member=member
+    )
+
+
+async def _listen_for_metrics(
+    reactor: interfaces.IReactorTCP,
+    settings: settings_lib.Settings,
+    metrics: metrics_lib.Metrics,
+) -> None:
+    """Serves metrics; a port that is taken costs only the metrics."""
+    page = server.Site(metrics_page.MetricsPage(metrics=metrics))
+    try:
+        await _listen(reactor, settings.metrics_address, page)
+    except error.CannotListenError as reason:
+        structlog.get_logger().warning("metrics_off", error=str(reason))
+
+
 def _listen(
     reactor: interfaces.IReactorTCP,
     address: str,
@@ -122,8 +165,10 @@
     return endpoint.listen(factory)
 
 
-def _on_sigterm(
-    reactor: interfaces.IReactorCore, terminated: defer.Deferred[None]
+def _on_signals(
+    reactor: interfaces.IReactorCore,
+    terminated: defer.Deferred[None],
+    reloader: reloading.Reloader,
 ) -> None:
     def fire() -> None:
         if not terminated.called:
@@ -132,12 +177,20 @@
     def terminate(number: int, frame: object) -> None:
         reactor.callFromThread(fire)
 
+    def reload(number: int, frame: object) -> None:
+        reactor.callFromThread(reloader.reload)
+
     signal.signal(signal.SIGTERM, terminate)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGHUP, reload)
+
 
+def _run(
+    path: str, settings: settings_lib.Settings, metrics: metrics_lib.Metrics
+) -> int:
+    """Runs the reactor on the steady clock until the process has ended.
 
-def _run(settings: settings_lib.Settings) -> int:
-    """Runs the reactor on the steady clock until the process has ended."""
+    Twisted times its calls by the time of day, which jumps.
+    """
     from twisted.internet import reactor
 
     reactor.seconds = time.monotonic
@@ -154,7 +207,9 @@
         reactor.stop()
 
     def start() -> None:
-        defer.ensureDeferred(serve(reactor, settings)).addBoth(end)
+        defer.ensureDeferred(serve(reactor, path, settings, metrics)).addBoth(
+            end
+        )
 
     logger.globalLogBeginner.beginLoggingTo(
         [], discardBuffer=True, redirectStandardIO=False
@@ -187,6 +242,17 @@
     if check:
         click.echo(f"{path}: no faults")
         return
-    with logs.configure(vm=settings.vm, level="INFO", file_path=None):
-        status = _run(settings)
+    metrics = metrics_lib.Metrics()
+    sink = bounded_sink.BoundedSink(descriptor=sys.stdout.fileno())
+    metrics.gauge("log_lines_dropped", lambda: sink.dropped)
+    metrics.gauge("resident_bytes", process.resident_bytes)
+    metrics.gauge("processor_s", process.processor_s)
+    with logs.configure(
+        vm=settings.vm,
+        level="INFO",
+        file_path=None,
+        stream=sink,
+        count=event_metrics.EventCounter(metrics=metrics),
+    ):
+        status = _run(path, settings, metrics)
     sys.exit(status)
--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -1,6 +1,9 @@
 """The HTTP interface that clients of the platform call."""
 
+import time
+
 import klein
+import structlog
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import resource
@@ -17,6 +20,9 @@
 KEY_HEADER = "x-api-key"
 DEADLINE_HEADER = "citronmount-deadline-ms"
 RETRY_AFTER_S = 1
+MAX_LOGGED_PATH = 200
+
+_MS_PER_S = 1_000
 
 _STATUSES = {
     front_lib.Verdict.DONE: http.OK,
@@ -46,11 +52,30 @@
 
     @app.route("/", branch=True)
     async def call(self, request: iweb.IRequest) -> bytes:
-        """Answers any call."""
+        """Answers any call and logs each refusal."""
         request.setHeader("content-type", "application/json")
         if self.closing:
             request.channel.persistent = False
+        began_s = time.monotonic()
         in_force = self._front.configuration
+        body = await self._answer(request, in_force)
+        if request.code >= http.BAD_REQUEST:
+            structlog.get_logger().info(
+                "call_refused",
+                method=request.method.decode("ascii", "replace"),
+                path=request.path.decode("utf-8", "replace")[:MAX_LOGGED_PATH],
+                status=request.code,
+                why=body.decode("utf-8", "replace"),
+                version=in_force.version if in_force else None,
+                took_ms=int((time.monotonic() - began_s) * _MS_PER_S),
+            )
+        return body
+
+    async def _answer(
+        self,
+        request: iweb.IRequest,
+        in_force: configuration.FleetConfiguration | None,
+    ) -> bytes:
         if in_force is None:
             return _refuse(request, http.SERVICE_UNAVAILABLE)
         path = request.path.decode("utf-8", "replace")
--- a/citronmount/platform/log.py
+++ b/citronmount/platform/log.py
@@ -104,6 +104,10 @@
         self._address = address
         self.member = member
 
+    def use_address(self, address: str) -> None:
+        """Makes further calls go to another address."""
+        self._address = address
+
     async def append(
         self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
     ) -> int:
--- a/citronmount/platform/settings.py
+++ b/citronmount/platform/settings.py
@@ -26,7 +26,7 @@
         failure_domain: Where it is.
         caller_address: ``ip:port`` for the calls of clients.
         ready_address: ``ip:port`` that is asked whether the VM is ready.
-        metrics_port: A free port for metrics.
+        metrics_address: ``ip:port`` for metrics.
         log_address: ``ip:port`` of the log service.
         processor_share: Processor time that the VM has, in cores.
         stop_grace_s: Time between SIGTERM and SIGKILL.
@@ -37,7 +37,7 @@
     failure_domain: ids.FailureDomainId
     caller_address: str
     ready_address: str
-    metrics_port: int
+    metrics_address: str
     log_address: str
     processor_share: float
     stop_grace_s: float
@@ -104,7 +104,7 @@
         failure_domain=ids.FailureDomainId(file.zone),
         caller_address=file.listen_addrs.frontend,
         ready_address=file.listen_addrs.ready,
-        metrics_port=file.port_range[0],
+        metrics_address=f"{file.ip}:{file.port_range[0]}",
         log_address=file.platform.address,
         processor_share=file.limits.cpu_quota * file.limits.cores,
         stop_grace_s=file.bounds.grace_s,
--- a/citronmount/telemetry/logs.py
+++ b/citronmount/telemetry/logs.py
@@ -12,6 +12,7 @@
 from twisted.python import failure
 
 from citronmount.core import codes
+from citronmount.telemetry import bounded_sink
 from citronmount.telemetry import events
 
 __all__ = ["configure", "log_event"]
@@ -20,25 +21,33 @@
 
 
 def configure(
-    *, vm: str, level: str, file_path: str | None
+    *,
+    vm: str,
+    level: str,
+    file_path: str | None,
+    stream: typing.TextIO | bounded_sink.BoundedSink | None = None,
+    count: structlog.typing.Processor | None = None,
 ) -> contextlib.ExitStack:
     """Sends every log line of the process to one place as JSON.
 
     Args:
         vm: The VM, part of each line.
         level: The least important level that is written.
-        file_path: The log file, or None for standard output.
+        file_path: The log file, or None for the stream.
+        stream: Where lines go without a file, or None for standard output.
+        count: Gets every event before its line is made, if given.
 
     Returns:
         Closes the log file when it is closed.
     """
     stack = contextlib.ExitStack()
-    stream: typing.TextIO = sys.stdout
+    stream = stream or sys.stdout
     if file_path is not None:
         path = pathlib.Path(file_path)
         stream = stack.enter_context(path.open("a", encoding="utf-8"))
     structlog.configure(
         processors=[
+            *([] if count is None else [count]),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
