Revert "Wait for room to come free before old runs are stopped for a guarantee"

Conclusion: a guaranteed job that waits 1.8 s is late, which costs more than the work it would throw away. Runs are stopped at once again.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -23,7 +23,6 @@
 
 FIRST_PRIORITY = 0
 SPREAD_WAIT_GUARANTEED_MS = 700
-RECLAIM_MARGIN_MS = 700  # two appends, the starts and a late look
 SPREAD_WAIT_IDLE_POOL_MS = 1_500
 _IDLE_POOL_SHARE = 0.5
 
@@ -239,10 +238,9 @@
     ) -> Decision | None:
         """Finds runs to stop for a unit of the first priority.
 
-        If less work is lost than the unit itself is, runs go at once: a burst
-        of urgent jobs is then served at the cost of young runs. Inside the
-        guarantee any run outside one goes, but old ones only when the unit
-        could not begin in time otherwise: room often comes free before.
+        Inside the guarantee any run outside one may go. Beyond it only runs
+        of lower priority, and only if less work is lost than the unit itself
+        is: a burst of urgent jobs is then served at the cost of young runs.
         """
         if unit.submission.terms.priority != FIRST_PRIORITY:
             return None
@@ -259,8 +257,9 @@
         )
         if found is None:
             return None
-        worth = preemption.planned_work(unit.step, unit.tasks)
-        if found.cost_core_s > worth and not (within and self._pressing(unit)):
+        if not within and found.cost_core_s > preemption.planned_work(
+            unit.step, unit.tasks
+        ):
             return None
         return Decision(
             waiting=unit,
@@ -270,12 +269,6 @@
             spread=spread,
         )
 
-    def _pressing(self, unit: Waiting) -> bool:
-        """Returns whether a guaranteed unit must get its room now."""
-        latest_ms = self._bounds.reclaim_ms - self._bounds.stop_ms
-        latest_ms -= RECLAIM_MARGIN_MS
-        return self._now_ms - unit.since_ms >= latest_ms
-
     def _cost(self, run: runs_lib.Run) -> float:
         return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
 
