Let workers forget the ends of a gang only once its end is recorded

Cause: only the first listed end of a gang waited for its record; the others were given up at once. Change: further ends wait for the same record. A submission with less than 60 ms left is refused instead of sent; a VM closes the connection with a 503, so that a retry reaches another VM, and is not ready after 1 s without the log.

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -103,6 +103,9 @@
         self._unrecorded: collections.Counter[units.UnitId] = (
             collections.Counter()
         )
+        self._later_ends: dict[
+            units.UnitId, list[tuple[records.Place, int]]
+        ] = collections.defaultdict(list)
         self._last_runs: dict[units.UnitId, runs_lib.Run] = {}
         self._failed_at: dict[units.UnitId, set[ids.WorkerId]] = {}
         self._stalls: collections.Counter[units.UnitId] = collections.Counter()
@@ -150,12 +153,20 @@
             for place, end in entry.ends:
                 self._resolve(place, end, now_ms)
             if isinstance(entry.record, records.UnitChanged):
-                self._unrecorded[entry.record.unit] -= 1
+                self._note_durable(entry.record.unit, now_ms)
                 self._recorded(entry.record)
             if isinstance(entry.record, records.Finished):
                 self._finishing.discard(entry.record.job)
         self._changed = True
 
+    def _note_durable(self, unit: units.UnitId, now_ms: int) -> None:
+        """Lets workers forget further ends of a run once it is recorded."""
+        self._unrecorded[unit] -= 1
+        if self._unrecorded[unit] > 0:
+            return
+        for place, number in self._later_ends.pop(unit, ()):
+            self._resolve(place, number, now_ms)
+
     def step(self, now_ms: int, wall_ms: int) -> list[orders.Order]:
         """Decides on all that happened and on the passing of time.
 
@@ -377,6 +388,9 @@
         self._table.gone(run, member)
         self._note_health(run, member, end.kind, now_ms)
         status = self._outcome(run, end.kind)
+        if status is None and self._unrecorded[run.unit]:
+            self._later_ends[run.unit].append((place, end.number))
+            return
         if status is None:
             session.resolve_end(end.number, now_ms)
             return
--- a/citronmount/fleet_service/front.py
+++ b/citronmount/fleet_service/front.py
@@ -23,7 +23,8 @@
 
 APPEND_TIMEOUT_MS = 600
 APPEND_RETRY_MS = 40
-ANSWER_MARGIN_MS = 150
+ANSWER_MARGIN_MS = 50
+SHORTEST_APPEND_MS = 60
 FRESH_CONTACT_MS = 100
 PROBE_TIMEOUT_MS = 400
 LOG_OUTAGE_RETRY_S = 1
@@ -246,9 +247,9 @@
         verdict = Verdict.NOT_DONE
         for attempt in range(_MAX_APPENDS):
             left_ms = int((end_s - self._clock.seconds()) * _MS_PER_S)
-            if attempt and left_ms < APPEND_RETRY_MS:
+            if left_ms < SHORTEST_APPEND_MS:
                 break
-            limit_ms = min(APPEND_TIMEOUT_MS, max(left_ms, APPEND_RETRY_MS))
+            limit_ms = min(APPEND_TIMEOUT_MS, left_ms)
             try:
                 offset = await self._log.append([entry], limit_ms)
             except ports.NotDoneError:
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Node"]
 
-LOG_SILENCE_LIMIT_MS = 1_500
+LOG_SILENCE_LIMIT_MS = 1_000
 WORKERS_PACE_MS = 400
 
 Decode = Callable[[ports.Topic, ports.LogRecord], ports.LogEvent | None]
@@ -132,7 +132,8 @@
     @property
     def ready(self) -> bool:
         """Whether the VM should get new connections."""
-        in_touch = self._contact.silent_ms() < LOG_SILENCE_LIMIT_MS
+        silent_ms = self._contact.silent_ms()
+        in_touch = silent_ms < LOG_SILENCE_LIMIT_MS or not self._contact.lost
         return self.front.ready and in_touch and not self._draining
 
     @property
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -26,7 +26,7 @@
 TICK_MS = 50
 EPOCH_TIMEOUT_MS = 800
 APPEND_TIMEOUT_MS = 800
-APPEND_RETRY_MS = 50
+APPEND_RETRY_MS = 100
 MAX_APPEND_RECORDS = 1_000
 START_TIMEOUT_MS = 400
 STOP_TIMEOUT_MS = 600
@@ -271,6 +271,8 @@
             for entry in entries
         ]
         sequence = self._sequence
+        began_ms = self._now_ms()
+        failed = False
         while owner is self._owner:
             try:
                 offset = await self._log.append_as_owner(
@@ -282,9 +284,14 @@
                     self._yield("fenced_by_log")
                 return
             except errors.UnreachableError as error:
-                self._trace.warning("append_failed", error=str(error))
+                if not failed:
+                    self._trace.warning("append_failed", error=str(error))
+                failed = True
                 await task.deferLater(self._clock, APPEND_RETRY_MS / _MS_PER_S)
                 continue
+            if failed:
+                took_ms = self._now_ms() - began_ms
+                self._trace.info("append_done_at_last", took_ms=took_ms)
             if owner is self._owner:
                 self._appending = False
                 owner.appended(entries, offset, self._now_ms())
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -95,6 +95,21 @@
         self.run_for(3.0)
         self.assertEqual(before, self.owner())
 
+    def test_gang_that_ended_while_its_owner_was_cut_off_is_not_run_again(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 2_000
+        at = self.other()
+        self.submit("j", pool.one_task(tasks=4, accelerators=8, gang=True))
+        self.run_for(1.0)
+        self.log.faults[ids.VmId(f"vm{self.owner()}")] = SILENT
+        self.run_for(1.4)
+        first = self.pool.workers[ids.WorkerId("w00")]
+        first.crash()
+        self.run_for(12.0)
+        self.assertEqual(4, len(self.started("j")))
+        self.assertIs(DONE, self.state("j", at=at))
+
     def test_two_owners_do_not_take_the_pool_from_each_other(self) -> None:
         before = self.owner()
         self.run_time_ms = lambda task, run: 60_000
--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -52,13 +52,17 @@
 
     @app.route("/", branch=True)
     async def call(self, request: iweb.IRequest) -> bytes:
-        """Answers any call and logs each refusal."""
+        """Answers any call and logs each refusal.
+
+        A VM that refuses closes the connection, so that the caller's retry
+        comes to another VM.
+        """
         request.setHeader("content-type", "application/json")
-        if self.closing:
-            request.channel.persistent = False
         began_s = time.monotonic()
         in_force = self._front.configuration
         body = await self._answer(request, in_force)
+        if self.closing or request.code == http.SERVICE_UNAVAILABLE:
+            request.channel.persistent = False
         if request.code >= http.BAD_REQUEST:
             structlog.get_logger().info(
                 "call_refused",
