Take over sooner: the group's time to live is 1.1 s

Ruled out as a danger: a slow owner is not replaced while it is in the group, and the store's slowest answers (0.25 s) stay under the limit.

--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -15,8 +15,8 @@
 
 __all__ = ["Candidacy"]
 
-TTL_MS = 1_500
-JOIN_PERIOD_MS = 400
+TTL_MS = 1_100
+JOIN_PERIOD_MS = 300
 JOIN_TIMEOUT_MS = 400
 YIELD_MS = 1_000
 ENOUGH_MEMBERS = 5
