Split the owner by what its parts do; keep filling and serving tasks apart

Units could avoid every worker that they may run on; a lasting step could lose more tasks than it allows; filling tasks could start beside tasks that serve users. Change: state, reports, sessions, run driver and ends of jobs are modules of their own, without change of behaviour; each of the three faults has a test.

--- /dev/null
+++ b/citronmount/fleet/job_ends.py
@@ -0,0 +1,102 @@
+"""Ends jobs: stops what is left of them and records their final state."""
+
+from citronmount.core import ids
+from citronmount.fleet import orders
+from citronmount.fleet import owner_state
+from citronmount.fleet import planning
+from citronmount.fleet import run_driver
+from citronmount.fleet import runs as runs_lib
+from citronmount.workflow import book as book_lib
+from citronmount.workflow import records
+
+__all__ = ["JobEnds", "final_state"]
+
+FINAL_STATE_MARGIN_S = 60
+
+_MS_PER_S = 1_000
+
+
+class JobEnds:
+    """Gives jobs their final state and forgets it in time."""
+
+    def __init__(
+        self, *, state: owner_state.OwnerState, driver: run_driver.RunDriver
+    ) -> None:
+        """Initializes the part.
+
+        Args:
+            state: What it shares with the other parts.
+            driver: Stops runs.
+        """
+        self._state = state
+        self._driver = driver
+
+    def end_jobs(self, now_ms: int, wall_ms: int) -> None:
+        """Ends jobs that are complete, failed or cancelled."""
+        for job, entry in list(self._state.book.jobs.items()):
+            final = final_state(entry)
+            if final is None or job in self._state.finishing:
+                continue
+            cause = runs_lib.EndCause.JOB_FAILED
+            if final is records.FinalState.CANCELLED:
+                cause = runs_lib.EndCause.CANCELLED
+            left = self._state.table.of_job(job)
+            for run in left:
+                if run.outcome is not orders.EndKind.DONE:
+                    self._state.end_run(run, cause)
+                    self._driver.drive_to_end(run, now_ms)
+            if not left:
+                self._finish(job, entry, final, wall_ms)
+        self._forget_old(wall_ms)
+
+    def _finish(
+        self,
+        job: ids.JobId,
+        entry: book_lib.JobEntry,
+        final: records.FinalState,
+        wall_ms: int,
+    ) -> None:
+        self._state.finishing.add(job)
+        record = records.Finished(
+            job=job,
+            state=final,
+            queue=entry.submission.terms.queue,
+            account=entry.submission.account,
+            finished_ms=wall_ms,
+        )
+        keys = self._state.book.keys_of(job)
+        self._state.write(record)
+        for key in keys:
+            self._state.drop_key(key)
+        for unit in entry.progress.changed:
+            self._state.forget_unit(unit)
+        self._state.log.info(
+            "job_finished",
+            job=job,
+            account=record.account,
+            state=final.name.lower(),
+            age_ms=wall_ms - entry.submission.accepted_ms,
+            objective_ms=planning.objective_end_ms(entry.submission)
+            - entry.submission.accepted_ms,
+        )
+
+    def _forget_old(self, wall_ms: int) -> None:
+        kept_s = self._state.bounds.status_s + FINAL_STATE_MARGIN_S
+        for job in self._state.book.expired(wall_ms - kept_s * _MS_PER_S):
+            if job not in self._state.finishing:
+                self._state.finishing.add(job)
+                key = records.final_key(job)
+                self._state.drop_key(key)
+
+
+def final_state(
+    entry: book_lib.JobEntry,
+) -> records.FinalState | None:
+    """Returns how a job has ended, or None if it has not."""
+    if entry.progress.complete:
+        return records.FinalState.COMPLETE
+    if entry.cancelled:
+        return records.FinalState.CANCELLED
+    if entry.progress.failed:
+        return records.FinalState.FAILED
+    return None
--- /dev/null
+++ b/citronmount/fleet/owner_state.py
@@ -0,0 +1,198 @@
+"""What the parts of an owner share."""
+
+import collections
+
+import msgspec
+import structlog
+
+from citronmount.core import ids
+from citronmount.fleet import configuration as configuration_lib
+from citronmount.fleet import orders
+from citronmount.fleet import run_table
+from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import sessions as sessions_lib
+from citronmount.fleet import worker_health
+from citronmount.fleet import workers as workers_lib
+from citronmount.workflow import book as book_lib
+from citronmount.workflow import records
+from citronmount.workflow import units
+
+__all__ = ["Entry", "OwnerState"]
+
+CLOCK_DRIFT_FACTOR = 1.03
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
+    """One record that the owner wants appended.
+
+    Attributes:
+        key: Its key.
+        record: The record, or None to remove the key.
+        ends: Ends that workers may forget once it is durable, as pairs of
+            worker and number.
+    """
+
+    key: str
+    record: records.Record | None
+    ends: tuple[tuple[records.Place, int], ...] = ()
+
+
+class OwnerState:
+    """Runs, workers and records of one owner.
+
+    Attributes:
+        token: The fencing token.
+        fenced: Whether a worker or the log has seen a newer owner.
+        log: Where decisions are told.
+        book: The fold of the job topic.
+        directory: The workers' entries.
+        bounds: Times that the site sets.
+        policy: How leases are renewed.
+        table: The runs.
+        sessions: What is known of each worker's life.
+        strangers: Runs at each worker that are not in the table.
+        suspended: Steady times until which workers get no work.
+        ready_since: Steady times from which units could have started.
+        clearing: The runs that each run waits for.
+        finishing: Jobs whose final record is on its way.
+        unrecorded: Records of each unit that are on their way.
+        later_ends: Ends that wait for a record that is on its way.
+        last_runs: The last run of each unit that is over.
+        failed_at: Workers at which each unit failed.
+        stalls: How often each unit stood still.
+        health: What the workers' runs did.
+        entries: Records to append.
+        orders: Orders to send.
+        orphans_gone_ms: Steady time from which no lease of an earlier owner
+            can be left.
+        changed: Whether anything happened that decisions depend on.
+    """
+
+    def __init__(
+        self,
+        *,
+        token: ids.FenceToken,
+        book: book_lib.Book,
+        directory: workers_lib.WorkerDirectory,
+        bounds: configuration_lib.Bounds,
+        policy: sessions_lib.LeasePolicy,
+        now_ms: int,
+    ) -> None:
+        """Initializes without runs.
+
+        Args:
+            token: The fencing token.
+            book: The fold of the job topic, up to date.
+            directory: The workers' entries.
+            bounds: Times that the site sets.
+            policy: How leases are renewed.
+            now_ms: Steady time in milliseconds.
+        """
+        self.token = token
+        self.fenced = False
+        self.log = structlog.get_logger().bind(token=token)
+        self.book = book
+        self.directory = directory
+        self.bounds = bounds
+        self.policy = policy
+        self.table = run_table.RunTable()
+        self.sessions: dict[ids.WorkerId, sessions_lib.Session] = {}
+        self.strangers: dict[ids.WorkerId, int] = {}
+        self.suspended: dict[ids.WorkerId, int] = {}
+        self.ready_since: dict[units.UnitId, int] = {}
+        self.clearing: dict[units.UnitId, list[runs_lib.Run]] = {}
+        self.finishing: set[ids.JobId] = set()
+        self.unrecorded: collections.Counter[units.UnitId] = (
+            collections.Counter()
+        )
+        self.later_ends: dict[units.UnitId, list[tuple[records.Place, int]]] = (
+            collections.defaultdict(list)
+        )
+        self.last_runs: dict[units.UnitId, runs_lib.Run] = {}
+        self.failed_at: dict[units.UnitId, set[ids.WorkerId]] = {}
+        self.stalls: collections.Counter[units.UnitId] = collections.Counter()
+        self.health = worker_health.WorkerHealth()
+        self.entries: list[Entry] = []
+        self.orders: list[orders.Order] = []
+        self.orphans_gone_ms = now_ms + int(
+            policy.max_lease_ms * CLOCK_DRIFT_FACTOR + policy.stop_ms
+        )
+        self.changed = True
+
+    def end_run(self, run: runs_lib.Run, cause: runs_lib.EndCause) -> None:
+        """Makes what is left of a run end, and tells why."""
+        if run.cause is None:
+            self.log.info(
+                "run_ending", unit=run.unit, run=run.number, cause=cause.value
+            )
+        run.end(cause)
+
+    def write(
+        self,
+        record: records.Record,
+        ends: tuple[tuple[records.Place, int], ...] = (),
+    ) -> None:
+        """Has a record appended, and ends told once it is durable."""
+        if isinstance(record, records.UnitChanged):
+            self.unrecorded[record.unit] += 1
+        self.entries.append(
+            Entry(key=records.key_of(record), record=record, ends=ends)
+        )
+
+    def resolve(self, place: records.Place, number: int, now_ms: int) -> None:
+        """Lets a worker forget an end, if that life still lasts."""
+        session = self.session_at(place)
+        if session is not None:
+            session.resolve_end(number, now_ms)
+
+    def member_gone(self, run: runs_lib.Run, member: runs_lib.Member) -> None:
+        """Notes a task that its worker no longer has."""
+        self.log.info(
+            "run_missing",
+            task=member.task,
+            run=run.number,
+            worker=member.place.worker,
+        )
+        self.table.gone(run, member)
+        self.changed = True
+        if run.outcome is not orders.EndKind.DONE:
+            self.end_run(run, runs_lib.EndCause.MEMBER_ENDED)
+
+    def session_of(
+        self, worker: workers_lib.Worker
+    ) -> sessions_lib.Session | None:
+        """Returns the session of this life of a worker, if any."""
+        session = self.sessions.get(worker.worker)
+        if session is None or session.worker.life_ms != worker.life_ms:
+            return None
+        return session
+
+    def note_durable(self, unit: units.UnitId, now_ms: int) -> None:
+        """Lets workers forget further ends of a run once it is recorded."""
+        self.unrecorded[unit] -= 1
+        if self.unrecorded[unit] > 0:
+            return
+        for place, number in self.later_ends.pop(unit, ()):
+            self.resolve(place, number, now_ms)
+
+    def drop_key(self, key: str) -> None:
+        """Has a key of the job topic removed."""
+        self.entries.append(Entry(key=key, record=None))
+
+    def forget_unit(self, unit: units.UnitId) -> None:
+        """Drops what is remembered of a unit whose job has ended."""
+        for kept in (
+            self.ready_since,
+            self.last_runs,
+            self.failed_at,
+            self.stalls,
+            self.unrecorded,
+        ):
+            kept.pop(unit, None)
+
+    def session_at(self, place: records.Place) -> sessions_lib.Session | None:
+        """Returns the session of the life that a place names, if it lives."""
+        session = self.sessions.get(place.worker)
+        if session is None or session.worker.life_ms != place.life_ms:
+            return None
+        return session
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -153,6 +153,8 @@
             collections.defaultdict(collections.Counter)
         )
         self._guaranteed = self._guaranteed_runs()
+        self._serving = _places(run for run in table if run.step.goal_ms)
+        self._filling = _places(run for run in table if run.step.fills)
         self._idle_pool = self._used_share() < _IDLE_POOL_SHARE
 
     def decide(self, waiting: Iterable[Waiting]) -> list[Decision]:
@@ -208,6 +210,7 @@
             return None
         need = self._need(unit)
         workers = self._workers if self._takes_slow(unit) else self._quick
+        workers = [each for each in workers if self._gets_along(unit, each)]
         chosen = fitting.fit(need, workers, self._free, spread)
         if chosen is not None:
             return Decision(
@@ -219,6 +222,18 @@
         self._full.add(shape)
         return self._reclaim(unit, need, spread, within)
 
+    def _gets_along(self, unit: Waiting, worker: workers_lib.Worker) -> bool:
+        """Returns whether a unit disturbs nobody at a worker.
+
+        Filling tasks slow down the answers of tasks that serve users, so the
+        two are kept apart.
+        """
+        if unit.step.fills:
+            return worker.worker not in self._serving
+        if unit.step.goal_ms:
+            return worker.worker not in self._filling
+        return True
+
     def _takes_slow(self, unit: Waiting) -> bool:
         """Returns whether a slow worker is better than further waiting."""
         waited_ms = self._now_ms - unit.since_ms
@@ -251,9 +266,14 @@
             and run.unit not in self._stopped
             and run.phase is runs_lib.RunPhase.ACTIVE
             and (within or run.submission.terms.priority > FIRST_PRIORITY)
+            and not run.step.lasting
+        ]
+        revocable += self._spare_lasting() if within else []
+        workers = [
+            each for each in self._workers if self._gets_along(unit, each)
         ]
         found = preemption.find(
-            need, self._workers, self._free, revocable, self._cost, spread
+            need, workers, self._free, revocable, self._cost, spread
         )
         if found is None:
             return None
@@ -269,6 +289,14 @@
             spread=spread,
         )
 
+    def _spare_lasting(self) -> list[runs_lib.Run]:
+        """Returns lasting runs that their steps can spare at present."""
+        steps = collections.defaultdict(list)
+        for run in self._table:
+            if run.step.lasting and run.unit not in self._guaranteed:
+                steps[_step_place(run.key)].append(run)
+        return [run for members in steps.values() for run in _spared(members)]
+
     def _cost(self, run: runs_lib.Run) -> float:
         return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
 
@@ -278,6 +306,11 @@
             self._left[unit.submission.account] -= unit.accelerators
         self._stopped.update(run.unit for run in decision.victims)
         demand = room_lib.charged(unit.step)
+        names = {worker.worker for worker in decision.workers}
+        if unit.step.goal_ms:
+            self._serving |= names
+        if unit.step.fills:
+            self._filling |= names
         for worker in decision.workers:
             self._room.take(worker.worker, demand)
             self._chosen[_step_place(unit.key)][worker.worker] += 1
@@ -290,10 +323,24 @@
             tasks=unit.tasks,
             step=unit.step,
             service=unit.submission.terms.service,
-            avoid=unit.avoid,
+            avoid=self._avoided(unit),
             taken=self._taken(unit) if unit.step.max_tasks_per_worker else {},
         )
 
+    def _avoided(self, unit: Waiting) -> frozenset[ids.WorkerId]:
+        """Returns where not to start, unless that leaves nowhere."""
+        anywhere = fitting.Need(
+            tasks=unit.tasks,
+            step=unit.step,
+            service=unit.submission.terms.service,
+        )
+        suited = {
+            worker.worker
+            for worker in self._workers
+            if fitting.suits(anywhere, worker)
+        }
+        return unit.avoid if suited - unit.avoid else frozenset()
+
     def _taken(self, unit: Waiting) -> collections.Counter[ids.WorkerId]:
         place = _step_place(unit.key)
         running = collections.Counter(
@@ -362,3 +409,25 @@
 def _step_place(key: units.UnitKey) -> tuple[ids.JobId, int, int]:
     """Returns what units of one step and occurrence share."""
     return key.job, key.occurrence, key.step
+
+
+def _places(some: Iterable[runs_lib.Run]) -> set[ids.WorkerId]:
+    """Returns the workers that hold tasks of some runs."""
+    return {member.place.worker for run in some for member in run.live_members}
+
+
+def _spared(members: list[runs_lib.Run]) -> list[runs_lib.Run]:
+    """Returns how many runs of one lasting step may be away, as runs.
+
+    A step without a bound on unavailable tasks can spare all of them.
+    """
+    working = [
+        run
+        for run in members
+        if run.started_ms is not None and run.phase is runs_lib.RunPhase.ACTIVE
+    ]
+    step = members[0].step
+    if not step.max_unavailable:
+        return working
+    away = step.tasks - len(working)
+    return working[: max(step.max_unavailable - away, 0)]
--- /dev/null
+++ b/citronmount/fleet/run_driver.py
@@ -0,0 +1,199 @@
+"""Drives runs from their decision to their end."""
+
+from citronmount.fleet import orders
+from citronmount.fleet import owner_state
+from citronmount.fleet import runs as runs_lib
+from citronmount.workflow import records
+from citronmount.workflow import units
+
+__all__ = ["RunDriver"]
+
+START_TRIES = 3
+STALL_FACTOR = 4
+STALL_FLOOR_MS = 20_000
+
+
+class RunDriver:
+    """Records runs, sends their orders and gives up what has lapsed."""
+
+    def __init__(self, *, state: owner_state.OwnerState) -> None:
+        """Initializes the part.
+
+        Args:
+            state: What it shares with the other parts.
+        """
+        self._state = state
+
+    def restore(self, now_ms: int) -> None:
+        """Makes runs of all that workers may still hold."""
+        for entry in self._state.book.jobs.values():
+            workflow = entry.submission.workflow
+            for change in entry.progress.changed.values():
+                if not change.places:
+                    continue
+                key = units.UnitKey.parse(change.unit)
+                run = runs_lib.Run(
+                    key=key,
+                    step=workflow.steps[key.step],
+                    submission=entry.submission,
+                    number=change.run,
+                    places=change.places,
+                    phase=runs_lib.RunPhase.ACTIVE,
+                    failures=change.failures,
+                    saved=change.saved,
+                    now_ms=now_ms,
+                )
+                for member in run.members:
+                    member.state = runs_lib.MemberState.ORDERED
+                    member.start_answered = True
+                if change.status is records.UnitStatus.WAITING:
+                    self._state.end_run(run, runs_lib.EndCause.MEMBER_ENDED)
+                self._state.table.add(run)
+
+    def recorded(self, change: records.UnitChanged) -> None:
+        """Takes in that the record of a run is durable."""
+        run = self._state.table.get(change.unit)
+        if (
+            run is None
+            or run.number != change.run
+            or change.status is not records.UnitStatus.PLACED
+            or run.phase is not runs_lib.RunPhase.RECORDING
+        ):
+            return
+        run.phase = runs_lib.RunPhase.ACTIVE
+        for member in run.members:
+            member.state = runs_lib.MemberState.ORDERED
+
+    def settle(self, now_ms: int) -> None:
+        """Brings every run a step further and removes those over."""
+        for run in self._state.table:
+            if run.phase is runs_lib.RunPhase.CLEARING:
+                self.clear(run)
+            elif run.phase is runs_lib.RunPhase.ACTIVE:
+                self._drive(run, now_ms)
+                self._end_if_hanging(run, now_ms)
+            elif run.phase is runs_lib.RunPhase.ENDING:
+                self.drive_to_end(run, now_ms)
+            self._note_lapsed(run, now_ms)
+            if run.over:
+                self._state.table.remove(run)
+                self._state.clearing.pop(run.unit, None)
+                self._state.ready_since[run.unit] = now_ms
+                self._state.last_runs[run.unit] = run
+                self._state.changed = True
+
+    def clear(self, run: runs_lib.Run) -> None:
+        """Records a run once what it waits for has ended."""
+        victims = self._state.clearing.get(run.unit, [])
+        if all(victim.over for victim in victims):
+            run.phase = runs_lib.RunPhase.RECORDING
+            self._state.write(run.record(records.UnitStatus.PLACED))
+
+    def _drive(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Sends the orders to start that are due."""
+        for member in run.live_members:
+            if member.state is not runs_lib.MemberState.ORDERED:
+                continue
+            if member.start_answered or member.start_open:
+                continue
+            if now_ms < member.next_order_ms:
+                continue
+            if member.start_tries >= START_TRIES:
+                self._state.end_run(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
+                return
+            self._send_start(run, member, now_ms)
+
+    def _end_if_hanging(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Ends a run that stands still, so that it goes on elsewhere.
+
+        Each time the limit doubles: a job that is far longer than it said
+        ends all the same.
+        """
+        estimate_ms = run.step.estimate_ms
+        if run.started_ms is None or run.step.lasting or not estimate_ms:
+            return
+        elapsed_ms = now_ms - run.started_ms
+        if elapsed_ms < estimate_ms:
+            return
+        factors = [
+            self._state.health.overdue(
+                member.place.worker, elapsed_ms, estimate_ms, now_ms
+            )
+            for member in run.live_members
+        ]
+        patience = 2 ** self._state.stalls[run.unit]
+        least = min(factors, default=0.0)
+        if elapsed_ms < STALL_FLOOR_MS * patience:
+            return
+        if least >= STALL_FACTOR * patience:
+            self._state.stalls[run.unit] += 1
+            self._state.log.warning(
+                "run_stalled",
+                unit=run.unit,
+                run=run.number,
+                elapsed_ms=elapsed_ms,
+                estimate_ms=estimate_ms,
+            )
+            self._state.end_run(run, runs_lib.EndCause.STALLED)
+
+    def _send_start(
+        self, run: runs_lib.Run, member: runs_lib.Member, now_ms: int
+    ) -> None:
+        session = self._state.session_at(member.place)
+        if session is None:
+            self._state.table.gone(run, member)
+            self._state.end_run(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
+            return
+        member.start_open = True
+        member.start_tries += 1
+        self._state.orders.append(
+            orders.Start(
+                worker=session.worker,
+                task=member.task,
+                run=run.number,
+                payload=run.submission.workflow.payload,
+                until_ms=session.lease_until_ms(now_ms),
+                saved=run.saved,
+                token=self._state.token,
+            )
+        )
+
+    def drive_to_end(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Sends the orders to stop that are due."""
+        for member in run.live_members:
+            if not member.ordered:
+                self._state.table.gone(run, member)
+            elif not member.stop_open and not member.stop_answered:
+                self._send_stop(run, member, now_ms)
+
+    def _send_stop(
+        self, run: runs_lib.Run, member: runs_lib.Member, now_ms: int
+    ) -> None:
+        session = self._state.session_at(member.place)
+        if session is None:
+            return
+        if now_ms < member.next_order_ms:
+            return
+        member.stop_open = True
+        self._state.orders.append(
+            orders.Stop(
+                worker=session.worker,
+                task=member.task,
+                run=run.number,
+                token=self._state.token,
+            )
+        )
+
+    def _note_lapsed(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Gives up members whose lease has surely run out."""
+        for member in run.live_members:
+            if member.state is runs_lib.MemberState.HELD:
+                continue
+            session = self._state.sessions.get(member.place.worker)
+            if session is None:
+                if now_ms > self._state.orphans_gone_ms:
+                    self._state.member_gone(run, member)
+                continue
+            silent = session.silent_ms(now_ms) > self._state.policy.trust_ms
+            if (silent or not session.primed) and session.lapsed(now_ms):
+                self._state.member_gone(run, member)
--- /dev/null
+++ b/citronmount/fleet/worker_sessions.py
@@ -0,0 +1,98 @@
+"""Opens and closes sessions with workers as their lives begin and end."""
+
+from citronmount.fleet import owner_state
+from citronmount.fleet import sessions as sessions_lib
+from citronmount.fleet import workers as workers_lib
+
+__all__ = ["WorkerSessions"]
+
+SILENCE_MARGIN_MS = 1_500
+
+
+class WorkerSessions:
+    """One session for each life of a worker."""
+
+    def __init__(self, *, state: owner_state.OwnerState) -> None:
+        """Initializes the part.
+
+        Args:
+            state: What it shares with the other parts.
+        """
+        self._state = state
+
+    def follow_directory(self, now_ms: int) -> None:
+        """Opens and closes sessions as the entries tell."""
+        for worker in self._state.directory:
+            session = self._state.sessions.get(worker.worker)
+            if session is None:
+                self._open_session(worker, now_ms)
+            elif session.worker.life_ms != worker.life_ms:
+                self.life_over(session)
+                self._open_session(worker, now_ms)
+            else:
+                session.worker = worker
+        for name in list(self._state.sessions):
+            listed = self._state.directory.get(name) is not None
+            if not listed and not self._state.table.count_on(name):
+                del self._state.sessions[name]
+
+    def _open_session(self, worker: workers_lib.Worker, now_ms: int) -> None:
+        session = sessions_lib.Session(
+            worker=worker,
+            policy=self._state.policy,
+            token=self._state.token,
+            now_ms=now_ms,
+        )
+        self._state.sessions[worker.worker] = session
+        for run, member in self._state.table.on_worker(worker.worker):
+            if member.place.life_ms != worker.life_ms:
+                self._state.member_gone(run, member)
+        for other in list(self._state.sessions.values()):
+            same = other.worker.machine == worker.machine
+            if same and other is not session and worker.machine:
+                self.life_over(other)
+
+    def life_over(self, session: sessions_lib.Session) -> None:
+        """Takes in that a life of a worker is over, with all it ran."""
+        name = session.worker.worker
+        self._state.log.info(
+            "worker_life_over", worker=name, life_ms=session.worker.life_ms
+        )
+        if self._state.sessions.get(name) is session:
+            del self._state.sessions[name]
+        self._state.strangers.pop(name, None)
+        self._state.health.forget(name)
+        for run, member in self._state.table.on_worker(name):
+            if member.place.life_ms == session.worker.life_ms:
+                self._state.member_gone(run, member)
+        self._state.changed = True
+
+    def due_holds(self, now_ms: int) -> None:
+        """Sends the holds that are due."""
+        for session in self._state.sessions.values():
+            session.runs = self._state.table.count_on(session.worker.worker)
+            order = session.next_hold(now_ms)
+            if order is not None:
+                self._state.orders.append(order)
+
+    def usable(self, now_ms: int) -> list[workers_lib.Worker]:
+        """Returns the workers that may get work."""
+        return [
+            session.worker
+            for name, session in self._state.sessions.items()
+            if session.primed
+            and session.silent_ms(now_ms) < self._silence_limit_ms(session)
+            and not self._state.strangers.get(name)
+            and self._state.suspended.get(name, 0) <= now_ms
+            and self._state.directory.usable(session.worker)
+        ]
+
+    def _silence_limit_ms(self, session: sessions_lib.Session) -> float:
+        """Returns how long a worker may be silent and still get work."""
+        if not session.runs:
+            return float("inf")
+        return (
+            self._state.policy.wait_ms
+            + self._state.policy.retry_ms
+            + SILENCE_MARGIN_MS
+        )
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -14,6 +14,7 @@
 from citronmount.fleet import configuration as configuration_lib
 from citronmount.fleet import orders
 from citronmount.fleet import owner as owner_lib
+from citronmount.fleet import owner_state
 from citronmount.fleet import sessions
 from citronmount.fleet import workers as workers_lib
 from citronmount.fleet_service import log_tail
@@ -260,7 +261,7 @@
         sent.addErrback(self._broken)
 
     async def _append_entries(
-        self, owner: owner_lib.Owner, entries: list[owner_lib.Entry]
+        self, owner: owner_lib.Owner, entries: list[owner_state.Entry]
     ) -> None:
         """Appends until the log answers; a repeat has no second effect."""
         encoded = [
@@ -312,14 +313,14 @@
         verdict, clock_ms = await self._worker_orders.start(
             order, START_TIMEOUT_MS
         )
-        owner.start_answered(order, verdict, clock_ms, self._now_ms())
+        owner.reports.start_answered(order, verdict, clock_ms, self._now_ms())
         self.kick()
 
     async def _stop(self, owner: owner_lib.Owner, order: orders.Stop) -> None:
         verdict, clock_ms = await self._worker_orders.stop(
             order, STOP_TIMEOUT_MS
         )
-        owner.stop_answered(order, verdict, clock_ms, self._now_ms())
+        owner.reports.stop_answered(order, verdict, clock_ms, self._now_ms())
         self.kick()
 
     async def _hold(self, owner: owner_lib.Owner, order: orders.Hold) -> None:
@@ -328,10 +329,10 @@
             order, order.wait_ms + HOLD_MARGIN_MS
         )
         if isinstance(answer, orders.HoldReport):
-            owner.hold_answered(order, answer, sent_ms, self._now_ms())
+            owner.reports.hold_answered(order, answer, sent_ms, self._now_ms())
         else:
             fenced = answer is orders.StopVerdict.FENCED
-            owner.hold_failed(order, fenced, self._now_ms())
+            owner.reports.hold_failed(order, fenced, self._now_ms())
         self.kick()
 
     def _now_ms(self) -> int:
--- a/citronmount/fleet_service/tests/test_jobs.py
+++ b/citronmount/fleet_service/tests/test_jobs.py
@@ -234,6 +234,51 @@
         self.assertEqual((2, "half"), (again.run, again.saved))
 
 
+class SharingTest(pool.PoolCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_time_ms = lambda task, run: 60_000
+
+    def places(self, job: str) -> set[str]:
+        return {worker for _, _, worker in self.started(job)}
+
+    def test_filling_and_serving_tasks_are_kept_apart(self) -> None:
+        serving = pool.one_task(tasks=2, lasting=True, goal_ms=50)
+        self.submit("serve", serving)
+        self.run_for(0.5)
+        self.submit("fill", pool.one_task(tasks=8, fills=True))
+        self.run_for(0.5)
+        self.assertEqual(8, len(self.started("fill")))
+        self.assertFalse(self.places("serve") & self.places("fill"))
+
+    def test_lasting_tasks_go_only_as_far_as_their_step_can_spare(
+        self,
+    ) -> None:
+        self.guaranteed = {"acme": 32}
+        self.configure(version=2)
+        lasting = pool.one_task(
+            tasks=4, accelerators=8, lasting=True, max_unavailable=1
+        )
+        self.submit("serve", lasting, account="beta")
+        self.run_for(0.5)
+        two = pool.one_task(tasks=2, accelerators=8)
+        self.submit("j", two, to="urgent")
+        self.run_for(3.0)
+        self.assertEqual(1, len(self.started("j")))
+
+    def test_task_that_failed_everywhere_still_gets_its_attempts(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 200
+        self.fails = lambda task, run: True
+        step = pool.one_task(worker_label="only")
+        self.add_worker("single", rack="only")
+        self.run_for(1.0)
+        self.submit("j", step)
+        self.run_for(5.0)
+        self.assertEqual(3, len(self.started("j")))
+
+
 class FillTest(pool.PoolCase):
     def test_filling_task_takes_no_processor_time(self) -> None:
         self.run_time_ms = lambda task, run: 30_000
