Ask a queue's policy before its steps start

Cause: contracts name queues whose policy allows only some workers; a start without a ticket is rejected, so such jobs would never have run.

--- a/citronmount/fleet/job_ends.py
+++ b/citronmount/fleet/job_ends.py
@@ -68,6 +68,7 @@
         self._state.write(record)
         for key in keys:
             self._state.drop_key(key)
+        self._state.advice.forget_job(job)
         for unit in entry.progress.changed:
             self._state.forget_unit(unit)
         self._state.log.info(
--- a/citronmount/fleet/orders.py
+++ b/citronmount/fleet/orders.py
@@ -9,8 +9,10 @@
 from citronmount.workflow import units
 
 __all__ = [
+    "Ask",
     "EndKind",
     "EndedTask",
+    "Grants",
     "Hold",
     "HoldReport",
     "Order",
@@ -41,6 +43,7 @@
     OLD_RUN = "old_run"
     LATE = "late"
     NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"
     NOT_STARTED = "not_started"
     OTHER_LIFE = "other_life"
     UNANSWERED = "unanswered"
@@ -66,6 +69,7 @@
         until_ms: End of the lease on the worker's clock.
         saved: The checkpoint to resume from, or empty.
         token: The fencing token.
+        ticket: What the queue's policy gave for the step and worker, or empty.
     """
 
     worker: workers.Worker
@@ -75,6 +79,7 @@
     until_ms: int
     saved: str
     token: ids.FenceToken
+    ticket: str = ""
 
 
 class Stop(msgspec.Struct, frozen=True, kw_only=True):
@@ -111,7 +116,31 @@
     token: ids.FenceToken
 
 
-Order = Start | Stop | Hold
+class Ask(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks which workers a queue's policy allows for a step.
+
+    Attributes:
+        step: The step of one occurrence, ``JOB.OCCURRENCE.STEP``.
+        workers: The workers asked about.
+    """
+
+    step: str
+    workers: tuple[workers.Worker, ...]
+
+
+class Grants(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to `Ask`.
+
+    Attributes:
+        tickets: A ticket for each worker that is allowed.
+        valid_ms: How long the tickets are valid.
+    """
+
+    tickets: dict[ids.WorkerId, str]
+    valid_ms: int
+
+
+Order = Start | Stop | Hold | Ask
 
 
 class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -146,17 +146,45 @@
         waiting = self._waiting(now_ms, wall_ms)
         if not waiting:
             return
+        usable = self._sessions.usable(now_ms)
+        self._ask_for_advice(waiting, usable, now_ms)
         planner = planning.Planner(
-            workers=self._sessions.usable(now_ms),
+            workers=usable,
             table=self._state.table,
             accounts=self._accounts,
             bounds=self._state.bounds,
             trust=lambda name: self._state.health.trust(name, now_ms),
+            allowed=lambda key, worker: bool(
+                self._state.advice.ticket(key.step_id, worker, now_ms)
+            ),
             now_ms=now_ms,
         )
         for decision in planner.decide(waiting):
             self._place(decision, now_ms)
 
+    def _ask_for_advice(
+        self,
+        waiting: list[planning.Waiting],
+        usable: list[workers_lib.Worker],
+        now_ms: int,
+    ) -> None:
+        """Asks about workers with room for steps that need advice."""
+        for unit in waiting:
+            if not unit.submission.terms.needs_advice:
+                continue
+            room = self._state.table.room
+            suited = [
+                worker
+                for worker in usable
+                if planning.has_room_for(unit, worker, room)
+            ]
+            question = self._state.advice.next_question(
+                unit.key.step_id, suited, now_ms
+            )
+            if question is not None:
+                self._state.orders.append(question)
+                return
+
     def _waiting(self, now_ms: int, wall_ms: int) -> list[planning.Waiting]:
         waiting = []
         for job, entry in self._state.book.jobs.items():
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -6,6 +6,7 @@
 import structlog
 
 from citronmount.core import ids
+from citronmount.fleet import advice as advice_lib
 from citronmount.fleet import configuration as configuration_lib
 from citronmount.fleet import orders
 from citronmount.fleet import run_table
@@ -61,6 +62,7 @@
         failed_at: Workers at which each unit failed.
         stalls: How often each unit stood still.
         health: What the workers' runs did.
+        advice: Which workers policies allow.
         entries: Records to append.
         orders: Orders to send.
         orphans_gone_ms: Steady time from which no lease of an earlier owner
@@ -112,6 +114,7 @@
         self.failed_at: dict[units.UnitId, set[ids.WorkerId]] = {}
         self.stalls: collections.Counter[units.UnitId] = collections.Counter()
         self.health = worker_health.WorkerHealth()
+        self.advice = advice_lib.AdviceBook()
         self.entries: list[Entry] = []
         self.orders: list[orders.Order] = []
         self.orphans_gone_ms = now_ms + int(
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -19,7 +19,7 @@
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
-__all__ = ["Decision", "Planner", "Waiting", "objective_end_ms"]
+__all__ = ["Decision", "Planner", "Waiting", "has_room_for", "objective_end_ms"]
 
 FIRST_PRIORITY = 0
 SPREAD_WAIT_GUARANTEED_MS = 700
@@ -32,6 +32,11 @@
     return worker_health.Trust()
 
 
+def _anyone(key: units.UnitKey, worker: workers_lib.Worker) -> bool:
+    del key, worker
+    return True
+
+
 class Waiting(msgspec.Struct, frozen=True, kw_only=True):
     """A unit that may start.
 
@@ -103,6 +108,29 @@
     return submission.accepted_ms + int(allowed_ms)
 
 
+def has_room_for(
+    unit: Waiting, worker: workers_lib.Worker, room: room_lib.Room
+) -> bool:
+    """Returns whether one task of a unit could start at a worker.
+
+    Args:
+        unit: The unit.
+        worker: The worker.
+        room: What is given of the workers' room.
+
+    Returns:
+        Whether the worker suits and has room.
+    """
+    need = fitting.Need(
+        tasks=1, step=unit.step, service=unit.submission.terms.service
+    )
+    free = room_lib.minus(worker.capacity, room.used(worker.worker))
+    demand = room_lib.charged(unit.step)
+    return fitting.suits(need, worker) and bool(
+        room_lib.fits_times(free, demand, 1)
+    )
+
+
 class Planner:
     """One round of decisions over a table of runs.
 
@@ -119,6 +147,7 @@
         bounds: configuration_lib.Bounds,
         now_ms: int,
         trust: Callable[[ids.WorkerId], worker_health.Trust] = _full_trust,
+        allowed: Callable[[units.UnitKey, workers_lib.Worker], bool] = _anyone,
     ) -> None:
         """Initializes a round.
 
@@ -129,7 +158,9 @@
             bounds: Times that the site sets.
             now_ms: Steady time in milliseconds.
             trust: What is believed of a worker.
+            allowed: Whether the queue's policy allows a worker for a unit.
         """
+        self._allowed = allowed
         trusts = {each.worker: trust(each.worker) for each in workers}
         self._workers = [
             each for each in workers if not trusts[each.worker].distrusted
@@ -203,7 +234,7 @@
             spread,
             unit.avoid,
             self._takes_slow(unit),
-            _step_place(unit.key) if unit.step.max_tasks_per_worker else None,
+            _step_place(unit.key) if self._is_particular(unit) else None,
         )
         within = self._within_guarantee(unit)
         if shape in self._full and not within:
@@ -223,11 +254,14 @@
         return self._reclaim(unit, need, spread, within)
 
     def _gets_along(self, unit: Waiting, worker: workers_lib.Worker) -> bool:
-        """Returns whether a unit disturbs nobody at a worker.
+        """Returns whether a unit may and should go to a worker at all.
 
         Filling tasks slow down the answers of tasks that serve users, so the
         two are kept apart.
         """
+        advised = unit.submission.terms.needs_advice
+        if advised and not self._allowed(unit.key, worker):
+            return False
         if unit.step.fills:
             return worker.worker not in self._serving
         if unit.step.goal_ms:
@@ -244,6 +278,12 @@
             limit_ms = min(limit_ms, SPREAD_WAIT_GUARANTEED_MS)
         return waited_ms >= limit_ms
 
+    @staticmethod
+    def _is_particular(unit: Waiting) -> bool:
+        """Returns whether its own step decides where a unit may go."""
+        advised = unit.submission.terms.needs_advice
+        return advised or unit.step.max_tasks_per_worker > 0
+
     def _reclaim(
         self,
         unit: Waiting,
--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -155,6 +155,9 @@
                 until_ms=session.lease_until_ms(now_ms),
                 saved=run.saved,
                 token=self._state.token,
+                ticket=self._state.advice.ticket(
+                    run.key.step_id, session.worker, now_ms
+                ),
             )
         )
 
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -73,11 +73,29 @@
             worker=order.worker.worker,
             verdict=verdict.value,
         )
+        if verdict is orders.StartVerdict.NO_TICKET:
+            self._state.advice.drop(run.key.step_id, member.place.worker)
         if verdict in _LOST_ROOM:
             self._state.suspended[order.worker.worker] = now_ms + SUSPENSION_MS
         self._state.table.gone(run, member)
         self._state.end_run(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
 
+    def advised(
+        self, question: orders.Ask, grants: orders.Grants | None, now_ms: int
+    ) -> None:
+        """Takes in the answer to a question, or that there was none."""
+        if grants is None:
+            self._state.advice.unanswered(now_ms)
+            return
+        self._state.advice.answered(question, grants, now_ms)
+        self._state.changed = True
+        self._state.log.info(
+            "advice_taken",
+            step=question.step,
+            asked=len(question.workers),
+            granted=len(grants.tickets),
+        )
+
     def stop_answered(
         self,
         order: orders.Stop,
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -32,6 +32,7 @@
 START_TIMEOUT_MS = 400
 STOP_TIMEOUT_MS = 600
 HOLD_MARGIN_MS = 600
+ADVICE_TIMEOUT_MS = 3_000
 TAKE_OVER_RETRY_MS = 200
 FOLLOWER_PACE_MS = 1_000
 OWNER_READ_WAIT_MS = 200
@@ -307,6 +308,8 @@
                 sent = self._stop(owner, order)
             case orders.Hold():
                 sent = self._hold(owner, order)
+            case orders.Ask():
+                sent = self._ask(owner, order)
         defer.ensureDeferred(sent).addErrback(self._broken)
 
     async def _start(self, owner: owner_lib.Owner, order: orders.Start) -> None:
@@ -323,6 +326,11 @@
         owner.reports.stop_answered(order, verdict, clock_ms, self._now_ms())
         self.kick()
 
+    async def _ask(self, owner: owner_lib.Owner, order: orders.Ask) -> None:
+        grants = await self._worker_orders.ask(order, ADVICE_TIMEOUT_MS)
+        owner.reports.advised(order, grants, self._now_ms())
+        self.kick()
+
     async def _hold(self, owner: owner_lib.Owner, order: orders.Hold) -> None:
         sent_ms = self._now_ms()
         answer = await self._worker_orders.hold(
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -232,6 +232,11 @@
     ) -> defer.Deferred[tuple[orders.StopVerdict, int | None]]:
         """Stops a run; fires with the verdict and the worker's clock."""
 
+    def ask(
+        self, question: orders.Ask, timeout_ms: int
+    ) -> defer.Deferred[orders.Grants | None]:
+        """Asks a queue's policy; fires with None if it does not answer."""
+
     def hold(
         self, order: orders.Hold, timeout_ms: int
     ) -> defer.Deferred[orders.HoldReport | orders.StopVerdict]:
--- a/citronmount/fleet_service/tests/pool.py
+++ b/citronmount/fleet_service/tests/pool.py
@@ -29,7 +29,10 @@
 
 
 def queue(
-    name: str = "batch", priority: int = 1, max_attempts: int = 3
+    name: str = "batch",
+    priority: int = 1,
+    max_attempts: int = 3,
+    needs_advice: bool = False,
 ) -> configuration.Queue:
     return configuration.Queue(
         terms=spec.QueueTerms(
@@ -39,6 +42,7 @@
             max_attempts=max_attempts,
             slack_factor=3.0,
             objective_ms=1_000,
+            needs_advice=needs_advice,
         ),
         host="",
         path_prefix=f"/{name}/",
--- a/citronmount/fleet_service/tests/test_jobs.py
+++ b/citronmount/fleet_service/tests/test_jobs.py
@@ -234,6 +234,23 @@
         self.assertEqual((2, "half"), (again.run, again.saved))
 
 
+class AdviceTest(pool.PoolCase):
+    def test_step_goes_only_where_its_queue_allows(self) -> None:
+        advised = pool.queue("advised", needs_advice=True)
+        self.configure(advised, version=2)
+        self.run_for(0.5)
+        self.pool.allowed = {ids.WorkerId("w11")}
+        step = pool.one_task(tasks=3)
+        self.submit("j", step, to="advised")
+        self.run_for(3.0)
+        self.assertEqual(
+            {"w11"}, {worker for _, _, worker in self.started("j")}
+        )
+        self.assertEqual("j.0.0/w11", self.pool.tickets["j.0.0.0"])
+        self.assertEqual(1, self.pool.questions)
+        self.assertIs(DONE, self.state("j", to=2))
+
+
 class SharingTest(pool.PoolCase):
     def setUp(self) -> None:
         super().setUp()
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -125,7 +125,9 @@
     return node_lib.Node(
         clock=reactor,
         log=log,
-        worker_orders=runners.RunnerOrders(connections=http),
+        worker_orders=runners.RunnerOrders(
+            connections=http, advice_address=settings.advice_address
+        ),
         decode=entries.decode,
         bounds=settings.bounds,
         policy=policy,
--- a/citronmount/platform/runners.py
+++ b/citronmount/platform/runners.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from citronmount.core import ids
 from citronmount.fleet import orders
 from citronmount.services import exchange
 from citronmount.workflow import units
@@ -26,6 +27,7 @@
     "old": orders.StartVerdict.OLD_RUN,
     "late": orders.StartVerdict.LATE,
     "room": orders.StartVerdict.NO_ROOM,
+    "ticket": orders.StartVerdict.NO_TICKET,
 }
 _MAX_ENDS = 500
 
@@ -39,6 +41,7 @@
     until_ms: int
     fencing_token: int
     checkpoint: str = ""
+    ticket: str = ""
 
 
 class _Stop(msgspec.Struct):
@@ -54,6 +57,18 @@
     wait_ms: int = 0
 
 
+class _Question(msgspec.Struct):
+    step: str
+    workers: list[str]
+
+
+class _Advice(msgspec.Struct):
+    """`granted` holds rows of worker and ticket."""
+
+    granted: list[tuple[str, str]]
+    valid_ms: float
+
+
 class _Answer(msgspec.Struct):
     clock_ms: int | None = None
     reason: str = ""
@@ -74,13 +89,17 @@
 class RunnerOrders:
     """Makes the calls of `ports.WorkerOrders` at the platform's runners."""
 
-    def __init__(self, *, connections: exchange.Exchange) -> None:
+    def __init__(
+        self, *, connections: exchange.Exchange, advice_address: str = ""
+    ) -> None:
         """Initializes a client.
 
         Args:
             connections: The connections to use.
+            advice_address: ``ip:port`` of the policies' service, if any.
         """
         self._connections = connections
+        self._advice_address = advice_address
 
     async def start(
         self, order: orders.Start, timeout_ms: int
@@ -93,6 +112,7 @@
             until_ms=order.until_ms,
             fencing_token=int(order.token),
             checkpoint=order.saved,
+            ticket=order.ticket,
         )
         answer = await self._post("/-/run-start", order, body, timeout_ms)
         if answer is None:
@@ -134,6 +154,33 @@
         except (msgspec.DecodeError, LookupError, ValueError):
             return orders.StopVerdict.UNANSWERED
 
+    async def ask(
+        self, question: orders.Ask, timeout_ms: int
+    ) -> orders.Grants | None:
+        """Asks a queue's policy; see `ports.WorkerOrders`."""
+        body = _Question(
+            step=question.step,
+            workers=[worker.worker for worker in question.workers],
+        )
+        try:
+            answer = await self._connections.call(
+                "POST",
+                self._advice_address,
+                "/-/advise",
+                timeout_ms,
+                headers={"Content-Type": "application/json"},
+                body=msgspec.json.encode(body),
+            )
+            if answer.status != http.HTTPStatus.OK:
+                return None
+            said = msgspec.json.decode(answer.body, type=_Advice)
+        except (exchange.NoAnswerError, msgspec.DecodeError):
+            return None
+        return orders.Grants(
+            tickets={ids.WorkerId(name): text for name, text in said.granted},
+            valid_ms=int(said.valid_ms),
+        )
+
     async def _post(
         self,
         path: str,
--- a/citronmount/platform/settings.py
+++ b/citronmount/platform/settings.py
@@ -28,6 +28,7 @@
         ready_address: ``ip:port`` that is asked whether the VM is ready.
         metrics_address: ``ip:port`` for metrics.
         log_address: ``ip:port`` of the log service.
+        advice_address: ``ip:port`` of the policies' service, or empty.
         processor_share: Processor time that the VM has, in cores.
         stop_grace_s: Time between SIGTERM and SIGKILL.
         bounds: Times that the site sets.
@@ -39,6 +40,7 @@
     ready_address: str
     metrics_address: str
     log_address: str
+    advice_address: str
     processor_share: float
     stop_grace_s: float
     bounds: configuration.Bounds
@@ -76,6 +78,7 @@
     zone: str
     listen_addrs: _Addresses
     platform: _Platform
+    advice: str = ""
     port_range: tuple[int, int] = (7_000, 7_015)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -106,6 +109,7 @@
         ready_address=file.listen_addrs.ready,
         metrics_address=f"{file.ip}:{file.port_range[0]}",
         log_address=file.platform.address,
+        advice_address=file.advice,
         processor_share=file.limits.cpu_quota * file.limits.cores,
         stop_grace_s=file.bounds.grace_s,
         bounds=configuration.Bounds(
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -19,6 +19,8 @@
 
 TRIP_S = 0.001
 GANG_WAIT_MS = 3_000
+ADVICE_S = 0.1
+TICKET_MS = 3_000
 STOP_MS = 200
 
 _MS_PER_S = 1_000
@@ -69,6 +71,9 @@
         workers: The workers by id.
         broken: Every broken promise, in words.
         starts: Every start as (task, run, worker).
+        allowed: Workers for which tickets are given.
+        tickets: The ticket of each task's last start.
+        questions: Counts questions to the policies' service.
     """
 
     def __init__(self, *, clock: interfaces.IReactorTime, plans: Plans) -> None:
@@ -81,6 +86,9 @@
         self.workers: dict[ids.WorkerId, PoolWorker] = {}
         self.broken: list[str] = []
         self.starts: list[tuple[units.TaskName, int, ids.WorkerId]] = []
+        self.allowed: set[ids.WorkerId] = set()
+        self.questions = 0
+        self.tickets: dict[units.TaskName, str] = {}
         self.done: set[units.TaskName] = set()
         self.plans = plans
         self.clock = clock
@@ -127,6 +135,21 @@
             return orders.StopVerdict.UNANSWERED, None
         return worker.stop(order), self.now_ms()
 
+    async def ask(
+        self, question: orders.Ask, timeout_ms: int
+    ) -> orders.Grants | None:
+        """Allows the workers in `allowed` for every step."""
+        await task.deferLater(self.clock, ADVICE_S)
+        self.questions += 1
+        return orders.Grants(
+            tickets={
+                worker.worker: f"{question.step}/{worker.worker}"
+                for worker in question.workers
+                if worker.worker in self.allowed
+            },
+            valid_ms=TICKET_MS,
+        )
+
     async def hold(
         self, order: orders.Hold, timeout_ms: int
     ) -> orders.HoldReport | orders.StopVerdict:
@@ -215,6 +238,7 @@
         if order.until_ms <= self._pool.now_ms():
             return orders.StartVerdict.LATE
         self._check_start(order)
+        self._pool.tickets[order.task] = order.ticket
         plan = self._pool.plans(order.task, order.run)
         run = _Running(
             task=order.task,
--- a/citronmount/workflow/units.py
+++ b/citronmount/workflow/units.py
@@ -33,11 +33,16 @@
     @property
     def unit(self) -> UnitId:
         """The id: ``JOB.OCCURRENCE.STEP`` or ``JOB.OCCURRENCE.STEP.INDEX``."""
-        text = f"{self.job}.{self.occurrence}.{self.step}"
+        text = self.step_id
         if self.index == _WHOLE_GANG:
             return UnitId(text)
         return UnitId(f"{text}.{self.index}")
 
+    @property
+    def step_id(self) -> str:
+        """The id of its step: ``JOB.OCCURRENCE.STEP``."""
+        return f"{self.job}.{self.occurrence}.{self.step}"
+
     @classmethod
     def parse(cls, unit: UnitId) -> "UnitKey":
         """Returns the key of an id.
