--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/worker_sessions.py
@@ -22,7 +22,7 @@
 
     def follow_directory(self, now_ms: int) -> None:
         """Opens and closes sessions as the entries tell."""
-        for worker in self._state.directory:
+        for worker in self._state.directory.newest_lives():
             session = self._state.sessions.get(worker.worker)
             if session is None:
                 self._open_session(worker, now_ms)
@@ -49,7 +49,8 @@
                 self._state.member_gone(run, member)
         for other in list(self._state.sessions.values()):
             same = other.worker.machine == worker.machine
-            if same and other is not session and worker.machine:
+            older = other.worker.life_ms < worker.life_ms
+            if same and older and worker.machine:
                 self.life_over(other)
 
     def life_over(self, session: sessions_lib.Session) -> None:
--- a/citronmount/fleet/workers.py
+++ b/citronmount/fleet/workers.py
@@ -64,6 +64,20 @@
         """Iterates over the workers that have an entry."""
         return iter(self._workers.values())
 
+    def newest_lives(self) -> list[Worker]:
+        """Returns the entries but for those of a machine's older lives.
+
+        A worker that starts again under another id leaves its former entry
+        behind until that lapses.
+        """
+        newest: dict[MachineId, Worker] = {}
+        for worker in self._workers.values():
+            machine = worker.machine or worker.worker
+            known = newest.get(machine)
+            if known is None or known.life_ms < worker.life_ms:
+                newest[machine] = worker
+        return list(newest.values())
+
     def get(self, worker: ids.WorkerId) -> Worker | None:
         """Returns the newest entry of a worker, if it has one."""
         return self._workers.get(worker)
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -306,6 +306,22 @@
         self.run_for(4.0)
         self.assertIs(DONE, self.state("j"))
 
+    def test_new_worker_on_a_machine_outlives_the_old_entry(self) -> None:
+        for worker in list(self.pool.workers.values()):
+            worker.crash()
+            fresh = f"{worker.entry.worker}-new"
+            self.add_worker(
+                fresh,
+                rack=worker.entry.rack,
+                life_ms=2,
+                machine=worker.entry.machine,
+            )
+        self.run_for(1.0)
+        self.submit("j", pool.one_task(tasks=4))
+        self.run_for(6.0)
+        self.assertEqual(4, len(self.started("j")))
+        self.assertIs(DONE, self.state("j"))
+
     def test_entry_that_vanishes_does_not_end_what_runs(self) -> None:
         self.submit("j", pool.one_task())
         self.run_for(1.0)
