--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -253,4 +253,5 @@
             workers=sorted({w.worker for w in decision.workers}),
             waited_ms=now_ms - unit.since_ms,
             victims=[victim.unit for victim in decision.victims],
+            lost_core_s=round(decision.lost_core_s),
         )
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -80,6 +80,7 @@
         victims: Runs that are to be stopped first.
         within_guarantee: Whether the unit is inside its account's guarantee.
         spread: Whether it was allowed to leave its preferred rack.
+        lost_core_s: Work that the stops throw away.
     """
 
     waiting: Waiting
@@ -87,6 +88,7 @@
     victims: tuple[runs_lib.Run, ...] = ()
     within_guarantee: bool = False
     spread: fitting.Spread = fitting.Spread.PREFERRED
+    lost_core_s: float = 0.0
 
 
 def objective_end_ms(submission: spec.Submission) -> int:
@@ -327,6 +329,7 @@
             victims=found.victims,
             within_guarantee=within,
             spread=spread,
+            lost_core_s=found.cost_core_s,
         )
 
     def _spare_lasting(self) -> list[runs_lib.Run]:
