--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -252,5 +252,7 @@
                 "worker_changed",
                 worker=name,
                 state=entry.state.value if entry else "gone",
+                failure_domain=entry.failure_domain if entry else None,
+                rack=entry.rack if entry else None,
             )
             self._owner.notice()
