Give flapping machines no work; move saved work off leaving workers

Change: a machine that lost two lives in 30 s is left alone for a while, longer with each; lasting tasks and those that save their work move off a worker that drains.

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -153,7 +153,7 @@
             table=self._state.table,
             accounts=self._accounts,
             bounds=self._state.bounds,
-            trust=lambda name: self._state.health.trust(name, now_ms),
+            trust=lambda worker: self._state.health.trust(worker, now_ms),
             allowed=lambda key, worker: bool(
                 self._state.advice.ticket(key.step_id, worker, now_ms)
             ),
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -27,7 +27,7 @@
 _IDLE_POOL_SHARE = 0.5
 
 
-def _full_trust(worker: ids.WorkerId) -> worker_health.Trust:
+def _full_trust(worker: workers_lib.Worker) -> worker_health.Trust:
     del worker
     return worker_health.Trust()
 
@@ -148,7 +148,9 @@
         accounts: Iterable[configuration_lib.Account],
         bounds: configuration_lib.Bounds,
         now_ms: int,
-        trust: Callable[[ids.WorkerId], worker_health.Trust] = _full_trust,
+        trust: Callable[
+            [workers_lib.Worker], worker_health.Trust
+        ] = _full_trust,
         allowed: Callable[[units.UnitKey, workers_lib.Worker], bool] = _anyone,
     ) -> None:
         """Initializes a round.
@@ -163,7 +165,7 @@
             allowed: Whether the queue's policy allows a worker for a unit.
         """
         self._allowed = allowed
-        trusts = {each.worker: trust(each.worker) for each in workers}
+        trusts = {each.worker: trust(each) for each in workers}
         self._workers = [
             each for each in workers if not trusts[each.worker].distrusted
         ] or list(workers)
--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -3,6 +3,7 @@
 from citronmount.fleet import orders
 from citronmount.fleet import owner_state
 from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import records
 from citronmount.workflow import units
 
@@ -72,6 +73,7 @@
             elif run.phase is runs_lib.RunPhase.ACTIVE:
                 self._drive(run, now_ms)
                 self._end_if_hanging(run, now_ms)
+                self._move_off_leaving_workers(run, now_ms)
             elif run.phase is runs_lib.RunPhase.ENDING:
                 self.drive_to_end(run, now_ms)
             self._note_lapsed(run, now_ms)
@@ -136,6 +138,28 @@
             )
             self._state.end_run(run, runs_lib.EndCause.STALLED)
 
+    def _move_off_leaving_workers(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Ends a run that loses nothing by going on elsewhere.
+
+        What runs on a worker ends when that leaves. Lasting tasks, and those
+        that save their work and would not be done by then, move before.
+        """
+        if run.started_ms is None:
+            return
+        if not (run.step.lasting or run.step.checkpoints):
+            return
+        left_ms = run.started_ms + run.step.estimate_ms - now_ms
+        for member in run.live_members:
+            session = self._state.session_at(member.place)
+            if session is None:
+                continue
+            worker = session.worker
+            if worker.state is not workers_lib.WorkerState.DRAINING:
+                continue
+            if run.step.lasting or left_ms > (worker.remaining_ms or 0):
+                self._state.end_run(run, runs_lib.EndCause.WORKER_LEAVES)
+                return
+
     def _send_start(
         self, run: runs_lib.Run, member: runs_lib.Member, now_ms: int
     ) -> None:
--- a/citronmount/fleet/worker_health.py
+++ b/citronmount/fleet/worker_health.py
@@ -12,12 +12,16 @@
 import msgspec
 
 from citronmount.core import ids
+from citronmount.fleet import workers as workers_lib
 
 __all__ = ["Trust", "WorkerHealth"]
 
 RATIOS_KEPT = 6
 FLEET_RATIOS_KEPT = 200
 SLOW_FACTOR = 2.0
+FLAPS_TO_DISTRUST = 2
+FLAP_WINDOW_MS = 30_000
+FLAP_DISTRUST_MS = 6_000
 OVERDUE_FLOOR_MS = 2_000
 OVERDUE_DISTRUST_MS = 1_000
 FAILURES_TO_DISTRUST = 2
@@ -56,6 +60,9 @@
         self._records: dict[ids.WorkerId, _Record] = collections.defaultdict(
             _Record
         )
+        self._life_ends: dict[workers_lib.MachineId, collections.deque[int]] = (
+            collections.defaultdict(collections.deque)
+        )
         self._usual: collections.deque[float] = collections.deque(
             maxlen=FLEET_RATIOS_KEPT
         )
@@ -129,9 +136,32 @@
             )
         return factor
 
-    def trust(self, worker: ids.WorkerId, now_ms: int) -> Trust:
+    def life_over(self, worker: workers_lib.Worker, now_ms: int) -> None:
+        """Drops the evidence on a worker and remembers the machine.
+
+        A machine whose workers come and go gets no work for a while, longer
+        with each time.
+        """
+        self._records.pop(worker.worker, None)
+        if not worker.machine:
+            return
+        ends = self._life_ends[worker.machine]
+        ends.append(now_ms)
+        while ends and ends[0] < now_ms - FLAP_WINDOW_MS:
+            ends.popleft()
+
+    def flaps(self, machine: workers_lib.MachineId, now_ms: int) -> bool:
+        """Returns whether workers of a machine come and go."""
+        ends = self._life_ends.get(machine)
+        if not ends or len(ends) < FLAPS_TO_DISTRUST:
+            return False
+        return now_ms < ends[-1] + FLAP_DISTRUST_MS * (len(ends) - 1)
+
+    def trust(self, worker: workers_lib.Worker, now_ms: int) -> Trust:
         """Returns what is believed of a worker."""
-        record = self._records.get(worker)
+        if self.flaps(worker.machine, now_ms):
+            return Trust(distrusted=True)
+        record = self._records.get(worker.worker)
         if record is None:
             return Trust()
         slowness = 1.0
@@ -141,10 +171,6 @@
             slowness=slowness, distrusted=now_ms < record.distrusted_until_ms
         )
 
-    def forget(self, worker: ids.WorkerId) -> None:
-        """Drops the evidence on a worker, whose life is over."""
-        self._records.pop(worker, None)
-
     def _usual_ratio(self) -> float:
         if not self._usual:
             return 1.0
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -163,7 +163,7 @@
         if session is None:
             return
         if report.life_ms not in (None, session.worker.life_ms):
-            self._sessions.life_over(session)
+            self._sessions.life_over(session, now_ms)
             return
         first = not session.primed
         if session.waits_unanswered >= SILENT_HOLDS:
--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/worker_sessions.py
@@ -27,7 +27,7 @@
             if session is None:
                 self._open_session(worker, now_ms)
             elif session.worker.life_ms != worker.life_ms:
-                self.life_over(session)
+                self.life_over(session, now_ms)
                 self._open_session(worker, now_ms)
             else:
                 session.worker = worker
@@ -51,9 +51,9 @@
             same = other.worker.machine == worker.machine
             older = other.worker.life_ms < worker.life_ms
             if same and older and worker.machine:
-                self.life_over(other)
+                self.life_over(other, now_ms)
 
-    def life_over(self, session: sessions_lib.Session) -> None:
+    def life_over(self, session: sessions_lib.Session, now_ms: int) -> None:
         """Takes in that a life of a worker is over, with all it ran."""
         name = session.worker.worker
         self._state.log.info(
@@ -62,7 +62,7 @@
         if self._state.sessions.get(name) is session:
             del self._state.sessions[name]
         self._state.strangers.pop(name, None)
-        self._state.health.forget(name)
+        self._state.health.life_over(session.worker, now_ms)
         for run, member in self._state.table.on_worker(name):
             if member.place.life_ms == session.worker.life_ms:
                 self._state.member_gone(run, member)
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -331,6 +331,28 @@
         self.assertEqual(1, len(self.started("j")))
         self.assertIs(DONE, self.state("j"))
 
+    def drain(self, worker: pool_workers.PoolWorker) -> None:
+        entry = msgspec.structs.replace(
+            worker.entry, state=workers.WorkerState.DRAINING, remaining_ms=2_000
+        )
+        worker.entry = entry
+        self.publish(entry)
+
+    def test_work_that_is_saved_moves_off_a_leaving_worker(self) -> None:
+        self.run_time_ms = lambda task, run: 8_000
+        saved = pool.one_task(checkpoints=True, estimate_ms=8_000)
+        self.submit("saved", saved)
+        self.submit("lost", pool.one_task(estimate_ms=8_000))
+        self.submit("lasting", pool.one_task(lasting=True))
+        self.run_for(1.0)
+        for worker in list(self.pool.workers.values()):
+            if worker.running:
+                self.drain(worker)
+        self.run_for(1.5)
+        self.assertEqual(2, len(self.started("saved")))
+        self.assertEqual(2, len(self.started("lasting")))
+        self.assertEqual(1, len(self.started("lost")))
+
     def test_draining_worker_gets_nothing_new(self) -> None:
         for worker in list(self.pool.workers.values())[1:]:
             entry = msgspec.structs.replace(
