--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -15,7 +15,7 @@
 from citronmount.fleet_service import front as front_lib
 from citronmount.platform import job_bodies
 
-__all__ = ["JobApi", "ReadyResource"]
+__all__ = ["JobApi", "ReadyResource", "close_after_answer"]
 
 KEY_HEADER = "x-api-key"
 DEADLINE_HEADER = "citronmount-deadline-ms"
@@ -62,7 +62,7 @@
         in_force = self._front.configuration
         body = await self._answer(request, in_force)
         if self.closing or request.code == http.SERVICE_UNAVAILABLE:
-            request.channel.persistent = False
+            close_after_answer(request)
         if request.code >= http.BAD_REQUEST:
             structlog.get_logger().info(
                 "call_refused",
@@ -191,6 +191,16 @@
         return b""
 
 
+def close_after_answer(request: iweb.IRequest) -> None:
+    """Lets the connection of a call end with its answer.
+
+    Args:
+        request: The call; its caller may have gone already.
+    """
+    if request.channel is not None:
+        request.channel.persistent = False
+
+
 def _host(request: iweb.IRequest) -> str:
     return (request.getHeader("host") or "").partition(":")[0]
 
--- a/citronmount/platform/tests/test_job_api.py
+++ b/citronmount/platform/tests/test_job_api.py
@@ -1,3 +1,4 @@
+import types
 import unittest
 
 import msgspec
@@ -92,6 +93,12 @@
         self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.LOSES_ANSWERS
         self.assertEqual(504, self.call("POST", f"/batch/{JOB}", BODY)[0])
 
+    def test_caller_that_has_gone_is_no_fault(self) -> None:
+        job_api.close_after_answer(types.SimpleNamespace(channel=None))
+        channel = types.SimpleNamespace(persistent=True)
+        job_api.close_after_answer(types.SimpleNamespace(channel=channel))
+        self.assertFalse(channel.persistent)
+
     def test_vm_without_configuration_refuses(self) -> None:
         self.nodes[1].front.configuration = None
         self.assertEqual(503, self.call("POST", f"/batch/{JOB}", BODY)[0])
