--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -35,7 +35,7 @@
 from citronmount.telemetry import metrics as metrics_lib
 from citronmount.telemetry import process
 
-__all__ = ["main"]
+__all__ = ["check", "main", "run"]
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -221,29 +221,40 @@
     return statuses[0] if statuses else EXIT_FAILED
 
 
-@click.command()
-@click.option(
-    "--settings",
-    "path",
-    type=click.Path(),
-    help="The settings file, instead of the one that the platform names.",
-)
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-def main(path: str | None, check: bool) -> None:
-    """Runs the process of one VM on the users' platform.
+def check(path: str) -> int:
+    """Checks a settings file and prints what is wrong with it.
 
-    Exits with 0 after a planned stop, 1 after a fault and 2 if the settings
-    are faulty.
+    Args:
+        path: The file.
+
+    Returns:
+        The exit status: 0, or 2 if the file is faulty.
+    """
+    try:
+        settings_lib.load(path)
+    except settings_lib.SettingsError as error:
+        click.echo(f"{path}: {error}", err=True)
+        return EXIT_BAD_SETTINGS
+    click.echo(f"{path}: no faults")
+    return EXIT_OK
+
+
+def run(path: str | None) -> int:
+    """Runs the process of one VM until it is stopped.
+
+    Args:
+        path: The settings file, or None for the one the platform names.
+
+    Returns:
+        The exit status: 0 after a planned stop, 1 after a fault and 2 if the
+        settings are faulty.
     """
     path = path or os.environ.get(settings_lib.SETTINGS_VARIABLE, "")
     try:
         settings = settings_lib.load(path)
     except settings_lib.SettingsError as error:
         click.echo(f"{path}: {error}", err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
-    if check:
-        click.echo(f"{path}: no faults")
-        return
+        return EXIT_BAD_SETTINGS
     metrics = metrics_lib.Metrics()
     sink = bounded_sink.BoundedSink(descriptor=sys.stdout.fileno())
     metrics.gauge("log_lines_dropped", lambda: sink.dropped)
@@ -256,5 +267,26 @@
         stream=sink,
         count=event_metrics.EventCounter(metrics=metrics),
     ):
-        status = _run(path, settings, metrics)
-    sys.exit(status)
+        return _run(path, settings, metrics)
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(),
+    help="The settings file, instead of the one that the platform names.",
+)
+@click.option(
+    "--check",
+    "check_path",
+    type=click.Path(),
+    help="Check this settings file, print what is wrong and exit.",
+)
+def main(path: str | None, check_path: str | None) -> None:
+    """Runs the process of one VM on the users' platform.
+
+    Exits with 0 after a planned stop, 1 after a fault and 2 if the settings
+    are faulty.
+    """
+    sys.exit(check(check_path) if check_path else run(path))
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -1,5 +1,7 @@
+import pathlib
 import unittest
 
+from click import testing
 import msgspec
 
 from citronmount.core import ids
@@ -9,6 +11,7 @@
 from citronmount.platform import framing
 from citronmount.platform import job_bodies
 from citronmount.platform import settings
+from citronmount.service import daemon
 from citronmount.workflow import spec
 
 JOB = ids.JobId("5c0e7a21d94b36f8")
@@ -58,6 +61,21 @@
                 settings.decode(data)
 
 
+class CheckTest(unittest.TestCase):
+    def check(self, data: bytes) -> testing.Result:
+        runner = testing.CliRunner()
+        with runner.isolated_filesystem():
+            pathlib.Path("boot.toml").write_bytes(data)
+            arguments = ["--platform", "--check", "boot.toml"]
+            return runner.invoke(daemon.main, arguments)
+
+    def test_daemon_checks_the_platforms_settings(self) -> None:
+        self.assertEqual(0, self.check(SETTINGS).exit_code)
+        result = self.check(SETTINGS.replace(b'zone = "a"', b""))
+        self.assertEqual(2, result.exit_code)
+        self.assertIn("zone", result.output)
+
+
 class FramingTest(unittest.TestCase):
     def test_records_survive(self) -> None:
         body = framing.encode([("k", b"value"), ("gone", None)])
--- a/citronmount/service/daemon.py
+++ b/citronmount/service/daemon.py
@@ -137,13 +137,23 @@
     type=click.Path(),
     help="Check this TOML file, print every fault and exit.",
 )
+@click.option(
+    "--platform",
+    "on_platform",
+    is_flag=True,
+    help="Run on, or check the settings of, the users' platform.",
+)
 @click.version_option(citronmount.__version__, prog_name="citronmountd")
-def main(settings_path: str | None, check_path: str | None) -> None:
+def main(
+    settings_path: str | None, check_path: str | None, on_platform: bool
+) -> None:
     """Runs the daemon of one VM.
 
     Exits with 0 after a planned stop, 1 after a fault and 2 if the settings
     are faulty.
     """
+    if on_platform:
+        sys.exit(_on_platform(settings_path, check_path))
     if check_path is not None:
         sys.exit(_check(check_path))
     if settings_path is None:
@@ -163,6 +173,15 @@
     sys.exit(status)
 
 
+def _on_platform(settings_path: str | None, check_path: str | None) -> int:
+    """Runs the other composition, whose modules load only here."""
+    from citronmount.platform import daemon as platform_daemon
+
+    if check_path is not None:
+        return platform_daemon.check(check_path)
+    return platform_daemon.run(settings_path)
+
+
 def _check(path: str) -> int:
     faults = settings_lib.check(path)
     for fault in faults:
