--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -126,7 +126,12 @@
         """Makes what is left of a run end, and tells why."""
         if run.cause is None:
             self.log.info(
-                "run_ending", unit=run.unit, run=run.number, cause=cause.value
+                "run_ending",
+                unit=run.unit,
+                run=run.number,
+                cause=cause.value,
+                outcome=run.outcome.value if run.outcome else None,
+                tasks=len(run.members),
             )
         run.end(cause)
 
