--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -178,6 +178,9 @@
 
     member: str
 
+    def use_address(self, address: str) -> None:
+        """Makes further calls go to another address."""
+
     def append(
         self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
     ) -> defer.Deferred[int]:
--- a/citronmount/platform/reloading.py
+++ b/citronmount/fleet_service/reloading.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from citronmount.platform import settings as settings_lib
+from citronmount.fleet_service import vm_settings
 
 __all__ = ["Reloader"]
 
@@ -21,17 +21,20 @@
         self,
         *,
         path: str,
-        settings: settings_lib.Settings,
+        load: Callable[[str], vm_settings.VmSettings],
+        settings: vm_settings.VmSettings,
         on_address: Callable[[str], None],
     ) -> None:
         """Initializes with the settings in force.
 
         Args:
             path: The settings file.
+            load: Reads such a file.
             settings: What it said at the start.
             on_address: Gets a new address of the log service.
         """
         self._path = path
+        self._load = load
         self._settings = settings
         self._on_address = on_address
         self._stamp = self._file_stamp()
@@ -47,8 +50,8 @@
         """Reads the file; one that cannot be read changes nothing."""
         trace = structlog.get_logger()
         try:
-            fresh = settings_lib.load(self._path)
-        except settings_lib.SettingsError as error:
+            fresh = self._load(self._path)
+        except vm_settings.SettingsError as error:
             trace.warning("reload_failed", error=str(error))
             return
         changed = [
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -1,242 +1,68 @@
 """The process of one VM on the users' platform."""
 
 import os
-import secrets
-import signal
 import sys
-import time
 
 import click
-import structlog
-from twisted import logger
-from twisted.internet import defer
-from twisted.internet import endpoints
-from twisted.internet import error
-from twisted.internet import interfaces
-from twisted.internet import task
-from twisted.python import failure
-from twisted.web import server
 
-from citronmount.fleet import sessions
-from citronmount.fleet_service import node as node_lib
+from citronmount.fleet_service import front as front_lib
+from citronmount.fleet_service import ports
+from citronmount.fleet_service import vm_process
+from citronmount.fleet_service import vm_settings
 from citronmount.platform import entries
 from citronmount.platform import job_api
 from citronmount.platform import log as log_lib
-from citronmount.platform import metrics_page
-from citronmount.platform import reloading
 from citronmount.platform import runners
 from citronmount.platform import settings as settings_lib
-from citronmount.service import closing
-from citronmount.service import site
 from citronmount.services import exchange
-from citronmount.telemetry import bounded_sink
-from citronmount.telemetry import event_metrics
-from citronmount.telemetry import logs
-from citronmount.telemetry import metrics as metrics_lib
-from citronmount.telemetry import process
 
-__all__ = ["check", "main", "run"]
+__all__ = ["UsersPlatform", "check", "main", "run"]
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
-MAX_BODY_BYTES = 262_144
-LEASE_MS = 7_000
-LEASE_MARGIN_MS = 200
-CLOSE_BEFORE_KILL_S = 2.0
-CLOSE_IDLE_S = 0.7
-RELOAD_PERIOD_S = 5.0
-PROCESS_NONCE_BYTES = 4
-OWNER_PROCESSOR_SHARE = 1.0
 
+class UsersPlatform:
+    """The parts of a VM that speak to the platform; see `Adapter`."""
 
-async def serve(
-    reactor: interfaces.IReactorCore,
-    path: str,
-    settings: settings_lib.Settings,
-    metrics: metrics_lib.Metrics,
-) -> None:
-    """Runs the parts of one VM until SIGTERM.
+    def load(self, path: str) -> vm_settings.VmSettings:
+        """Reads a settings file."""
+        return settings_lib.load(path)
 
-    Args:
-        reactor: The reactor of the process.
-        path: The settings file.
-        settings: The settings.
-        metrics: What the process measures.
-
-    Raises:
-        ExceptionGroup: Parts could not be closed.
-    """
-    http = exchange.Exchange(reactor=reactor)
-    log = _log(settings, http)
-    node = _node(reactor, settings, http, log)
-    reloader = reloading.Reloader(
-        path=path, settings=settings, on_address=log.use_address
-    )
-    metrics.gauge("owns_pool", lambda: node.owns_pool)
-    metrics.gauge("ready", lambda: node.ready)
-    api = job_api.JobApi(front=node.front)
-    terminated: defer.Deferred[None] = defer.Deferred()
-    _on_signals(reactor, terminated, reloader)
-    async with closing.ClosingStack() as stack:
-        stack.push("platform connections", http.close)
-        factory = site.make_factory(api.app.resource(), MAX_BODY_BYTES)
-        port = await _listen(reactor, settings.caller_address, factory)
-        stack.push(
-            "caller connections", lambda: factory.close_connections(reactor)
-        )
-        stack.push("caller port", port.stopListening)
-        ready = server.Site(job_api.ReadyResource(ready=lambda: node.ready))
-        await _listen(reactor, settings.ready_address, ready)
-        await _listen_for_metrics(reactor, settings, metrics)
-        node.start()
-        stack.push("node", node.stop)
-        watcher = task.LoopingCall(reloader.check)
-        watcher.clock = reactor
-        watcher.start(RELOAD_PERIOD_S, now=False)
-        stack.push("settings watcher", watcher.stop)
-        structlog.get_logger().info(
-            "started", failure_domain=settings.failure_domain
+    def log(
+        self,
+        settings: vm_settings.VmSettings,
+        connections: exchange.Exchange,
+        member: str,
+    ) -> ports.Log:
+        """Returns the platform's store as the log."""
+        return log_lib.StoreLog(
+            connections=connections,
+            address=settings.log_address,
+            member=member,
         )
-        await terminated
-        structlog.get_logger().info("stopping")
-        node.start_draining()
-        await node.give_up()
-        await task.deferLater(
-            reactor, settings.stop_grace_s - CLOSE_BEFORE_KILL_S
-        )
-        api.closing = True
-        await task.deferLater(reactor, CLOSE_IDLE_S)
-    structlog.get_logger().info("stopped")
-
-
-def _node(
-    reactor: interfaces.IReactorCore,
-    settings: settings_lib.Settings,
-    http: exchange.Exchange,
-    log: log_lib.StoreLog,
-) -> node_lib.Node:
-    lease_ms = min(LEASE_MS, settings.bounds.max_lease_ms - LEASE_MARGIN_MS)
-    policy = sessions.LeasePolicy(
-        lease_ms=lease_ms,
-        max_lease_ms=settings.bounds.max_lease_ms,
-        stop_ms=settings.bounds.stop_ms,
-    )
-    return node_lib.Node(
-        clock=reactor,
-        log=log,
-        worker_orders=runners.RunnerOrders(
-            connections=http, advice_address=settings.advice_address
-        ),
-        decode=entries.decode,
-        bounds=settings.bounds,
-        policy=policy,
-        capable=settings.processor_share >= OWNER_PROCESSOR_SHARE,
-    )
-
-
-def _log(
-    settings: settings_lib.Settings, http: exchange.Exchange
-) -> log_lib.StoreLog:
-    member = f"{settings.vm}/{secrets.token_hex(PROCESS_NONCE_BYTES)}"
-    return log_lib.StoreLog(
-        connections=http, address=settings.log_address, member=member
-    )
-
-
-async def _listen_for_metrics(
-    reactor: interfaces.IReactorTCP,
-    settings: settings_lib.Settings,
-    metrics: metrics_lib.Metrics,
-) -> None:
-    """Serves metrics; a port that is taken costs only the metrics."""
-    page = server.Site(metrics_page.MetricsPage(metrics=metrics))
-    try:
-        await _listen(reactor, settings.metrics_address, page)
-    except error.CannotListenError as reason:
-        structlog.get_logger().warning("metrics_off", error=str(reason))
-
-
-def _listen(
-    reactor: interfaces.IReactorTCP,
-    address: str,
-    factory: interfaces.IProtocolFactory,
-) -> defer.Deferred[interfaces.IListeningPort]:
-    host, _, port = address.rpartition(":")
-    endpoint = endpoints.TCP4ServerEndpoint(reactor, int(port), interface=host)
-    return endpoint.listen(factory)
-
-
-def _on_signals(
-    reactor: interfaces.IReactorCore,
-    terminated: defer.Deferred[None],
-    reloader: reloading.Reloader,
-) -> None:
-    def fire() -> None:
-        if not terminated.called:
-            terminated.callback(None)
 
-    def terminate(number: int, frame: object) -> None:
-        reactor.callFromThread(fire)
-
-    def reload(number: int, frame: object) -> None:
-        reactor.callFromThread(reloader.reload)
-
-    signal.signal(signal.SIGTERM, terminate)
-    signal.signal(signal.SIGHUP, reload)
-
-
-def _run(
-    path: str, settings: settings_lib.Settings, metrics: metrics_lib.Metrics
-) -> int:
-    """Runs the reactor on the steady clock until the process has ended.
-
-    Twisted times its calls by the time of day, which jumps.
-    """
-    from twisted.internet import reactor
-
-    reactor.seconds = time.monotonic
-    statuses: list[int] = []
-
-    def end(result: object) -> None:
-        if isinstance(result, failure.Failure):
-            structlog.get_logger().error(
-                "process_failed", error=result.getTraceback()
-            )
-            statuses.append(EXIT_FAILED)
-        else:
-            statuses.append(EXIT_OK)
-        reactor.stop()
-
-    def start() -> None:
-        defer.ensureDeferred(serve(reactor, path, settings, metrics)).addBoth(
-            end
+    def worker_orders(
+        self,
+        settings: vm_settings.VmSettings,
+        connections: exchange.Exchange,
+    ) -> ports.WorkerOrders:
+        """Returns the orders that the platform's runners take."""
+        return runners.RunnerOrders(
+            connections=connections, advice_address=settings.advice_address
         )
 
-    logger.globalLogBeginner.beginLoggingTo(
-        [], discardBuffer=True, redirectStandardIO=False
-    )
-    reactor.callWhenRunning(start)
-    reactor.run(installSignalHandlers=False)
-    return statuses[0] if statuses else EXIT_FAILED
-
+    def decode(
+        self, topic: ports.Topic, record: ports.LogRecord
+    ) -> ports.LogEvent | None:
+        """Decodes a record of the operators or the runners."""
+        return entries.decode(topic, record)
 
-def check(path: str) -> int:
-    """Checks a settings file and prints what is wrong with it.
+    def api(self, front: front_lib.Front) -> vm_process.Api:
+        """Returns the interface that the platform's clients call."""
+        return job_api.JobApi(front=front)
 
-    Args:
-        path: The file.
 
-    Returns:
-        The exit status: 0, or 2 if the file is faulty.
-    """
-    try:
-        settings_lib.load(path)
-    except settings_lib.SettingsError as error:
-        click.echo(f"{path}: {error}", err=True)
-        return EXIT_BAD_SETTINGS
-    click.echo(f"{path}: no faults")
-    return EXIT_OK
+def check(path: str) -> int:
+    """Checks a settings file; see `vm_process.check`."""
+    return vm_process.check(UsersPlatform(), path)
 
 
 def run(path: str | None) -> int:
@@ -246,28 +72,10 @@
         path: The settings file, or None for the one the platform names.
 
     Returns:
-        The exit status: 0 after a planned stop, 1 after a fault and 2 if the
-        settings are faulty.
+        The exit status; see `vm_process.run`.
     """
-    path = path or os.environ.get(settings_lib.SETTINGS_VARIABLE, "")
-    try:
-        settings = settings_lib.load(path)
-    except settings_lib.SettingsError as error:
-        click.echo(f"{path}: {error}", err=True)
-        return EXIT_BAD_SETTINGS
-    metrics = metrics_lib.Metrics()
-    sink = bounded_sink.BoundedSink(descriptor=sys.stdout.fileno())
-    metrics.gauge("log_lines_dropped", lambda: sink.dropped)
-    metrics.gauge("resident_bytes", process.resident_bytes)
-    metrics.gauge("processor_s", process.processor_s)
-    with logs.configure(
-        vm=settings.vm,
-        level="INFO",
-        file_path=None,
-        stream=sink,
-        count=event_metrics.EventCounter(metrics=metrics),
-    ):
-        return _run(path, settings, metrics)
+    named = os.environ.get(settings_lib.SETTINGS_VARIABLE, "")
+    return vm_process.run(UsersPlatform(), path or named)
 
 
 @click.command()
--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -6,8 +6,7 @@
 import structlog
 from twisted.web import http
 from twisted.web import iweb
-from twisted.web import resource
-from twisted.web import server
+from twisted.web import resource as resource_lib
 
 from citronmount.core import errors
 from citronmount.core import ids
@@ -15,7 +14,7 @@
 from citronmount.fleet_service import front as front_lib
 from citronmount.platform import job_bodies
 
-__all__ = ["JobApi", "ReadyResource", "close_after_answer"]
+__all__ = ["JobApi", "close_after_answer"]
 
 KEY_HEADER = "x-api-key"
 DEADLINE_HEADER = "citronmount-deadline-ms"
@@ -50,6 +49,10 @@
         self.closing = False
         self._front = front
 
+    def resource(self) -> resource_lib.Resource:
+        """Returns the root of the interface."""
+        return self.app.resource()
+
     @app.route("/", branch=True)
     async def call(self, request: iweb.IRequest) -> bytes:
         """Answers any call and logs each refusal.
@@ -170,27 +173,6 @@
         return account
 
 
-class ReadyResource(resource.Resource):
-    """Tells whether the VM should get new connections."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, *, ready: object) -> None:
-        """Initializes the resource.
-
-        Args:
-            ready: Called for each question; returns whether the VM is ready.
-        """
-        super().__init__()
-        self._ready = ready
-
-    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
-        """Answers 200 or 503."""
-        if not self._ready():
-            request.setResponseCode(http.SERVICE_UNAVAILABLE)
-        return b""
-
-
 def close_after_answer(request: iweb.IRequest) -> None:
     """Lets the connection of a call end with its answer.
 
--- a/citronmount/platform/settings.py
+++ b/citronmount/platform/settings.py
@@ -5,47 +5,15 @@
 import msgspec
 
 from citronmount.core import codes
-from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import configuration
+from citronmount.fleet_service import vm_settings
 
-__all__ = ["SETTINGS_VARIABLE", "Settings", "SettingsError", "decode", "load"]
+__all__ = ["SETTINGS_VARIABLE", "decode", "load"]
 
 SETTINGS_VARIABLE = "CITRONMOUNT_SETTINGS"
 
 
-class SettingsError(errors.InvalidInputError):
-    """A settings file that does not say what is needed."""
-
-
-class Settings(msgspec.Struct, frozen=True, kw_only=True):
-    """What a process needs to know of its VM and site.
-
-    Attributes:
-        vm: The VM.
-        failure_domain: Where it is.
-        caller_address: ``ip:port`` for the calls of clients.
-        ready_address: ``ip:port`` that is asked whether the VM is ready.
-        metrics_address: ``ip:port`` for metrics.
-        log_address: ``ip:port`` of the log service.
-        advice_address: ``ip:port`` of the policies' service, or empty.
-        processor_share: Processor time that the VM has, in cores.
-        stop_grace_s: Time between SIGTERM and SIGKILL.
-        bounds: Times that the site sets.
-    """
-
-    vm: ids.VmId
-    failure_domain: ids.FailureDomainId
-    caller_address: str
-    ready_address: str
-    metrics_address: str
-    log_address: str
-    advice_address: str
-    processor_share: float
-    stop_grace_s: float
-    bounds: configuration.Bounds
-
-
 class _Addresses(msgspec.Struct):
     frontend: str
     ready: str
@@ -84,7 +52,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
-def decode(data: bytes) -> Settings:
+def decode(data: bytes) -> vm_settings.VmSettings:
     """Decodes a settings file.
 
     Args:
@@ -99,10 +67,10 @@
     try:
         file = msgspec.toml.decode(data, type=_File)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(
+        raise vm_settings.SettingsError(
             str(error), code=codes.ResultCode.INVALID_REQUEST
         ) from error
-    return Settings(
+    return vm_settings.VmSettings(
         vm=ids.VmId(file.node_name),
         failure_domain=ids.FailureDomainId(file.zone),
         caller_address=file.listen_addrs.frontend,
@@ -125,7 +93,7 @@
     )
 
 
-def load(path: str) -> Settings:
+def load(path: str) -> vm_settings.VmSettings:
     """Reads a settings file.
 
     Args:
@@ -140,7 +108,7 @@
     try:
         data = pathlib.Path(path).read_bytes()
     except OSError as error:
-        raise SettingsError(
+        raise vm_settings.SettingsError(
             str(error), code=codes.ResultCode.INVALID_REQUEST
         ) from error
     return decode(data)
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -7,6 +7,7 @@
 from citronmount.core import ids
 from citronmount.fleet import workers
 from citronmount.fleet_service import ports
+from citronmount.fleet_service import vm_settings
 from citronmount.platform import entries
 from citronmount.platform import framing
 from citronmount.platform import job_bodies
@@ -57,7 +58,7 @@
 
     def test_faults_are_told(self) -> None:
         for data in (b"", b"x=", SETTINGS.replace(b'"a"', b"3"), b"\xff"):
-            with self.assertRaises(settings.SettingsError):
+            with self.assertRaises(vm_settings.SettingsError):
                 settings.decode(data)
 
 
