--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -22,6 +22,7 @@
 __all__ = ["Decision", "Planner", "Waiting", "has_room_for", "objective_end_ms"]
 
 FIRST_PRIORITY = 0
+URGENCY_FACTOR = 2.5
 SPREAD_WAIT_GUARANTEED_MS = 700
 SPREAD_WAIT_IDLE_POOL_MS = 1_500
 _IDLE_POOL_SHARE = 0.5
@@ -298,8 +299,9 @@
         """Finds runs to stop for a unit of the first priority.
 
         Inside the guarantee any run outside one may go. Beyond it only runs
-        of lower priority, and only if less work is lost than the unit itself
-        is: a burst of urgent jobs is then served at the cost of young runs.
+        of lower priority, and only if not much more work is lost than the
+        unit itself is: a burst of urgent jobs is then served at the cost of
+        young runs.
         """
         if unit.submission.terms.priority != FIRST_PRIORITY:
             return None
@@ -321,9 +323,8 @@
         )
         if found is None:
             return None
-        if not within and found.cost_core_s > preemption.planned_work(
-            unit.step, unit.tasks
-        ):
+        worth = preemption.planned_work(unit.step, unit.tasks)
+        if not within and found.cost_core_s > URGENCY_FACTOR * worth:
             return None
         return Decision(
             waiting=unit,
