--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -124,7 +124,6 @@
             if self._in_group or await self._is_wanted():
                 self._in_group = True
                 await self._join()
-            self._contact.answered()
         except errors.CitronmountError as error:
             self._contact.failed()
             self._trace.debug("group_call_failed", error=str(error))
@@ -139,12 +138,14 @@
             return False
         self._next_look_s = self._clock.seconds() + LOOK_PERIOD_S
         members = await self._log.members(JOIN_TIMEOUT_MS)
+        self._contact.answered()
         return len(members) < (ENOUGH_MEMBERS if self._capable else 1)
 
     async def _join(self) -> None:
         membership = await self._log.join(
             self._generation, TTL_MS, JOIN_TIMEOUT_MS
         )
+        self._contact.answered()
         candidate = await self._should_own(membership)
         self._generation = membership.generation
         if not self._loop.running:
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -151,6 +151,19 @@
         self.assertEqual(before, self.owner())
         self.assertLessEqual(len(self.log.members()), 12)
 
+    def test_vm_outside_the_group_knows_that_the_log_is_silent(self) -> None:
+        members = {name.partition("/")[0] for name in self.log.members()}
+        outside = next(n for n in range(self.vms) if f"vm{n}" not in members)
+        self.log.faults[ids.VmId(f"vm{outside}")] = SILENT
+        self.run_for(4.0)
+        for _ in range(3):
+            before_s = self.clock.seconds()
+            verdict = self.submit("j", pool.one_task(), at=outside)
+            self.assertIs(front.Verdict.NOT_DONE, verdict)
+            self.assertLess(self.clock.seconds() - before_s, 0.05)
+            self.run_for(0.7)
+        self.assertFalse(self.nodes[outside].ready)
+
     def test_vm_with_little_processor_time_owns_only_if_none_else_does(
         self,
     ) -> None:
