--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -23,7 +23,6 @@
 
 FIRST_PRIORITY = 0
 URGENCY_FACTOR = 2.5
-RECLAIM_MARGIN_MS = 700  # two appends, the starts and a late look
 SPREAD_WAIT_GUARANTEED_MS = 700
 SPREAD_WAIT_IDLE_POOL_MS = 1_500
 _IDLE_POOL_SHARE = 0.5
@@ -299,8 +298,7 @@
     ) -> Decision | None:
         """Finds runs to stop for a unit of the first priority.
 
-        Inside the guarantee any run outside one may go, but those that cost
-        much more than the unit only in the last moment. Beyond it only runs
+        Inside the guarantee any run outside one may go. Beyond it only runs
         of lower priority, and only if not much more work is lost than the
         unit itself is: a burst of urgent jobs is then served at the cost of
         young runs.
@@ -326,8 +324,7 @@
         if found is None:
             return None
         worth = preemption.planned_work(unit.step, unit.tasks)
-        dear = found.cost_core_s > URGENCY_FACTOR * worth
-        if dear and not (within and self._pressing(unit)):
+        if not within and found.cost_core_s > URGENCY_FACTOR * worth:
             return None
         return Decision(
             waiting=unit,
@@ -338,12 +335,6 @@
             lost_core_s=found.cost_core_s,
         )
 
-    def _pressing(self, unit: Waiting) -> bool:
-        """Returns whether a guaranteed unit must get its room now."""
-        latest_ms = self._bounds.reclaim_ms - self._bounds.stop_ms
-        latest_ms -= RECLAIM_MARGIN_MS
-        return self._now_ms - unit.since_ms >= latest_ms
-
     def _spare_lasting(self) -> list[runs_lib.Run]:
         """Returns lasting runs that their steps can spare at present."""
         steps = collections.defaultdict(list)
--- a/citronmount/fleet_service/tests/test_jobs.py
+++ b/citronmount/fleet_service/tests/test_jobs.py
@@ -192,17 +192,6 @@
         self.assertIs(DONE, self.state("j", to=1))
         self.assertEqual(32, len(self.pool.running()))
 
-    def test_guaranteed_job_takes_dear_runs_only_in_the_last_moment(
-        self,
-    ) -> None:
-        self.submit("low", pool.one_task(tasks=4, accelerators=8))
-        self.run_for(20.0)
-        self.submit("j", pool.one_task(accelerators=8), to="urgent")
-        self.run_for(1.0)
-        self.assertEqual([], self.started("j"))
-        self.run_for(1.8)
-        self.assertEqual(1, len(self.started("j")))
-
     def test_old_runs_are_not_stopped_beyond_the_guarantee(self) -> None:
         self.submit("low", pool.one_task(tasks=32), account="beta")
         self.run_for(3.0)
