Add a seeded fault soak of the real programs on loopback

Change: four VMs as processes, the store and eight runners over HTTP, a proxy of our own that delays, resets and silences either way; kills, planned stops, freezes, outages of the store, silent and late runners in overlapping series; every accepted job has to end, none may run twice or in part, a refused one may not run, every process ends with status 0.

--- /dev/null
+++ b/citronmount/platform/tests/soak.py
@@ -0,0 +1,389 @@
+"""A seeded fault soak of the real programs on loopback.
+
+python -m citronmount.platform.tests.soak --seed 1 --seconds 20
+
+Exit status 0: every promise held; 1: the broken promises are printed with the
+folder that keeps the logs.
+"""
+
+import argparse
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.web import server
+
+from citronmount.core import ids
+from citronmount.fleet import workers
+from citronmount.fleet_service import ports
+from citronmount.platform.tests import loopback_site as site
+from citronmount.services import exchange
+from citronmount.standins import pool_log
+from citronmount.standins import pool_workers
+from citronmount.workflow import spec
+from citronmount.workflow import units
+
+VMS = 4
+WORKERS = 8
+QUEUE = "/jobs/"
+KEY = {"X-Api-Key": "key", "Content-Type": "application/json"}
+HEAL_LIMIT_S = 40.0
+DEMAND = spec.Demand(millicores=4_000, memory_mb=4_096, accelerators=2)
+ROOM = spec.Demand(millicores=32_000, memory_mb=65_536, accelerators=8)
+SETTINGS = """
+node_name = "vm-{n}"
+ip = "127.0.0.1"
+zone = "zone-{zone}"
+port_range = [{metrics}, {metrics}]
+[listen_addrs]
+frontend = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+cpu_quota = 1.0
+cores = 2
+[bounds]
+hold_max_ms = 6000
+grace_s = 3
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, *, seed: int, time_s: float, folder: str) -> None:
+        self.rng = random.Random(seed)
+        self.time_s = time_s
+        self.folder = pathlib.Path(folder)
+        self.log = pool_log.PoolLog(clock=reactor)
+        self.pool = pool_workers.PoolWorkers(clock=reactor, plans=self.plan)
+        self.http = exchange.Exchange(reactor=reactor)
+        self.links: list[site.Link] = []
+        self.fronts: list[str] = []
+        self.processes: dict[int, subprocess.Popen] = {}
+        self.gangs: dict[str, int] = {}
+        self.accepted: dict[str, str] = {}
+        self.broken: list[str] = []
+        self.faults: list[str] = []
+        self.healing = False
+
+    def plan(self, name: units.TaskName, run: int) -> pool_workers.TaskPlan:
+        gang = self.gangs.get(name.partition(".")[0], 1)
+        time_ms = 300 + hash_of(name) % 1_500
+        return pool_workers.TaskPlan(
+            run_time_ms=1_200 if gang > 1 else time_ms, demand=DEMAND, gang=gang
+        )
+
+    async def run(self) -> list[str]:
+        self.set_up()
+        await site.sleep(4.0)
+        traffic = defer.ensureDeferred(self.traffic())
+        faults = defer.ensureDeferred(self.inject())
+        await traffic
+        await faults
+        self.heal()
+        await self.settle()
+        for number in list(self.processes):
+            self.processes[number].terminate()
+        await site.sleep(4.0)
+        self.check_exits()
+        return self.broken + self.pool.broken
+
+    def set_up(self) -> None:
+        store = site.StoreResource(log=self.log).app.resource()
+        store_port = listen(server.Site(store))
+        runners = site.RunnerResource(pool=self.pool).app.resource()
+        runner_port = listen(server.Site(runners))
+        for number in range(WORKERS):
+            self.add_worker(number, runner_port)
+        route = {
+            "name": "r",
+            "host": "",
+            "path_prefix": QUEUE,
+            "backend": "s",
+            "priority": 1,
+            "max_attempts": 3,
+            "slack_factor": 3.0,
+        }
+        tenant = {"name": "t", "api_keys": ["key"], "guaranteed": {"gpu": 0}}
+        said = {"version": 1, "routes": [route], "tenants": [tenant]}
+        entry = ("config", msgspec.json.encode(said))
+        self.log.write(ports.Topic.CONFIGURATION, [entry])
+        for number in range(VMS):
+            link = site.Link(port=store_port)
+            self.links.append(link)
+            self.write_settings(number, listen(link))
+            self.start(number)
+
+    def add_worker(self, number: int, port: int) -> None:
+        rack = f"rack-{number // 4}"
+        entry = workers.Worker(
+            worker=ids.WorkerId(f"i-{number}"),
+            life_ms=1,
+            machine=f"m-{number}",
+            address=f"{site.HOST}:{port}",
+            failure_domain=ids.FailureDomainId("zone-0"),
+            service=spec.ServiceName("s"),
+            state=workers.WorkerState.READY,
+            capacity=ROOM,
+            labels=frozenset({"a", rack}),
+            rack=ids.RackId(rack),
+        )
+        self.pool.add(entry)
+        said = {
+            "backend": "s",
+            "address": entry.address,
+            "zone": "zone-0",
+            "state": "ready",
+            "free_resources": {
+                "cpu": ROOM.millicores,
+                "mem_mb": ROOM.memory_mb,
+                "gpu": ROOM.accelerators,
+            },
+            "labels": ["a", rack],
+            "born": 1,
+            "host_machine": entry.machine,
+        }
+        record = (entry.worker, msgspec.json.encode(said))
+        self.log.write(ports.Topic.WORKERS, [record])
+
+    def write_settings(self, number: int, store_port: int) -> None:
+        front, ready, metrics = (free_port() for _ in range(3))
+        self.fronts.append(f"{site.HOST}:{front}")
+        text = SETTINGS.format(
+            n=number,
+            zone=number % 2,
+            front=front,
+            ready=ready,
+            metrics=metrics,
+            store=store_port,
+        )
+        (self.folder / f"vm-{number}.toml").write_text(text)
+
+    def start(self, number: int) -> None:
+        path = self.folder / f"vm-{number}.toml"
+        with (self.folder / f"vm-{number}.log").open("ab") as output:
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, "-m", "citronmount.platform"],
+                env={**os.environ, "CITRONMOUNT_SETTINGS": str(path)},
+                stdout=output,
+                stderr=output,
+            )
+
+    async def traffic(self) -> None:
+        end_s = reactor.seconds() + self.time_s
+        number = 0
+        while reactor.seconds() < end_s:
+            number += 1
+            defer.ensureDeferred(self.submit(f"{number:016x}"))
+            await site.sleep(site.pick(self.rng, 0.05, 0.5))
+
+    async def submit(self, job: str) -> None:
+        tasks = self.rng.choice((1, 1, 2, 4))
+        gang = tasks > 1 and self.rng.random() < 0.6
+        self.gangs[job] = tasks if gang else 1
+        phase = {
+            "count": tasks,
+            "gang": gang,
+            "cpu": DEMAND.millicores,
+            "mem_mb": DEMAND.memory_mb,
+            "gpu": DEMAND.accelerators,
+            "estimate_ms": 1_000,
+        }
+        body = msgspec.json.encode({"spec": "x", "phases": [phase]})
+        refusals = 0
+        for attempt in range(4):
+            status, _ = await self.call("POST", job, body)
+            if status == 200:
+                self.accepted[job] = ""
+                return
+            if status not in (503, 429):
+                return
+            refusals = attempt + 1
+            await site.sleep(1.0)
+        if refusals == 4:
+            self.accepted[job] = "refused"
+
+    async def call(
+        self, method: str, job: str, body: bytes | None = None
+    ) -> tuple[int, bytes]:
+        address = self.rng.choice(self.fronts)
+        try:
+            answer = await self.http.call(
+                method,
+                address,
+                QUEUE + job,
+                3_000,
+                headers=KEY,
+                body=body,
+            )
+        except exchange.NoAnswerError:
+            return 0, b""
+        return answer.status, answer.body
+
+    async def inject(self) -> None:
+        end_s = reactor.seconds() + self.time_s
+        while reactor.seconds() < end_s:
+            await site.sleep(site.pick(self.rng, 0.3, 2.0))
+            fault = self.rng.choice(FAULTS)
+            number = self.rng.randrange(VMS)
+            time_s = site.pick(self.rng, 0.5, 4.0)
+            self.faults.append(f"{fault.__name__} vm-{number} {time_s:.1f} s")
+            defer.ensureDeferred(fault(self, number, time_s))
+
+    def heal(self) -> None:
+        self.healing = True
+        for link in self.links:
+            link.heal()
+            link.reset()
+        for worker in self.pool.workers.values():
+            worker.fault = pool_workers.WorkerFault.NONE
+        for number, process in self.processes.items():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+            else:
+                self.start(number)
+
+    async def settle(self) -> None:
+        end_s = reactor.seconds() + HEAL_LIMIT_S
+        left = [job for job, end in self.accepted.items() if not end]
+        while left and reactor.seconds() < end_s:
+            await site.sleep(0.5)
+            left = [job for job in left if not await self.complete(job)]
+        self.broken += [f"LOST: {job} is not complete" for job in left]
+        started = {name.partition(".")[0] for name, _, _ in self.pool.starts}
+        refused = {job for job, end in self.accepted.items() if end}
+        self.broken += [f"REFUSED: {job} ran" for job in refused & started]
+
+    async def complete(self, job: str) -> bool:
+        status, body = await self.call("GET", job)
+        if status == 410:
+            self.broken.append(f"LOST: {job} is told as unknown")
+        return status == 200 and b"complete" in body
+
+    def check_exits(self) -> None:
+        for number, process in self.processes.items():
+            if process.poll() != 0:
+                self.broken.append(f"vm-{number} ended with {process.poll()}")
+                process.kill()
+
+
+async def kill(soak: Soak, number: int, time_s: float) -> None:
+    soak.processes[number].kill()
+    await again(soak, number, time_s)
+
+
+async def stop(soak: Soak, number: int, time_s: float) -> None:
+    soak.processes[number].terminate()
+    await again(soak, number, time_s + 3.0)
+
+
+async def again(soak: Soak, number: int, time_s: float) -> None:
+    await site.sleep(time_s)
+    if soak.processes[number].poll() is not None and not soak.healing:
+        soak.start(number)
+
+
+async def freeze(soak: Soak, number: int, time_s: float) -> None:
+    process = soak.processes[number]
+    process.send_signal(signal.SIGSTOP)
+    await site.sleep(time_s)
+    process.send_signal(signal.SIGCONT)
+
+
+async def silence(soak: Soak, number: int, time_s: float) -> None:
+    link = soak.links[number]
+    link.silent_in = soak.rng.random() < 0.7
+    link.silent_out = not link.silent_in or soak.rng.random() < 0.5
+    await site.sleep(time_s)
+    link.heal()
+
+
+async def delay(soak: Soak, number: int, time_s: float) -> None:
+    soak.links[number].delay_s = site.pick(soak.rng, 0.05, 0.6)
+    await site.sleep(time_s)
+    soak.links[number].heal()
+
+
+async def reset(soak: Soak, number: int, time_s: float) -> None:
+    soak.links[number].reset()
+
+
+async def outage(soak: Soak, number: int, time_s: float) -> None:
+    for link in soak.links:
+        link.silent_in = True
+    await site.sleep(time_s)
+    for link in soak.links:
+        link.heal()
+
+
+async def quiet_worker(soak: Soak, number: int, time_s: float) -> None:
+    worker = soak.rng.choice(list(soak.pool.workers.values()))
+    kinds = (pool_workers.WorkerFault.SILENT, pool_workers.WorkerFault.LATE)
+    worker.fault = soak.rng.choice(kinds)
+    worker.late_s = time_s
+    await site.sleep(time_s)
+    worker.fault = pool_workers.WorkerFault.NONE
+
+
+FAULTS = (kill, stop, freeze, silence, delay, reset, outage, quiet_worker)
+
+
+def hash_of(text: str) -> int:
+    return sum(map(ord, text)) * 7_919
+
+
+def listen(factory: object) -> int:
+    return reactor.listenTCP(0, factory, interface=site.HOST).getHost().port
+
+
+def free_port() -> int:
+    port = reactor.listenTCP(0, server.Site(None), interface=site.HOST)
+    number = port.getHost().port
+    port.stopListening()
+    return number
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    args = parser.parse_args()
+    folder = tempfile.mkdtemp(prefix=f"soak-{args.seed}-")
+    soak = Soak(seed=args.seed, time_s=args.seconds, folder=folder)
+    results: list[object] = []
+
+    def end(result: object) -> None:
+        results.append(result)
+        for process in soak.processes.values():
+            if process.poll() is None:
+                process.kill()
+        reactor.stop()
+
+    def begin() -> None:
+        defer.ensureDeferred(soak.run()).addBoth(end)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    (broken,) = results
+    done = sum(not end for end in soak.accepted.values())
+    print(f"seed {args.seed}: {done} jobs accepted, {len(soak.faults)} faults")
+    if broken == []:
+        print("every promise held")
+        return 0
+    print(broken if isinstance(broken, list) else broken.getTraceback())
+    print("\n".join(soak.faults))
+    print(f"logs in {folder}")
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
