Let nobody wait long for workers that lost their trust

Cause: found by reading: a worker that lost its trust got no work for 10 s, also from jobs that no other worker may run; with jobs that fail everywhere that can be most workers, while there is room. Change: after 1.5 s a unit takes any worker.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -24,6 +24,7 @@
 FIRST_PRIORITY = 0
 URGENCY_FACTOR = 2.5
 SPREAD_WAIT_GUARANTEED_MS = 700
+DISTRUST_WAIT_MS = 1_500
 SPREAD_WAIT_IDLE_POOL_MS = 1_500
 _IDLE_POOL_SHARE = 0.5
 
@@ -167,9 +168,10 @@
         """
         self._allowed = allowed
         trusts = {each.worker: trust(each) for each in workers}
+        self._all = list(workers)
         self._workers = [
             each for each in workers if not trusts[each.worker].distrusted
-        ] or list(workers)
+        ]
         self._quick = [
             each
             for each in self._workers
@@ -239,14 +241,18 @@
             spread,
             unit.avoid,
             self._takes_slow(unit),
+            self._takes_distrusted(unit),
             _step_place(unit.key) if self._is_particular(unit) else None,
         )
         within = self._within_guarantee(unit)
         if shape in self._full and not within:
             return None
         need = self._need(unit)
-        workers = self._workers if self._takes_slow(unit) else self._quick
-        workers = [each for each in workers if self._gets_along(unit, each)]
+        workers = [
+            each
+            for each in self._candidates(unit)
+            if self._gets_along(unit, each)
+        ]
         chosen = fitting.fit(need, workers, self._free, spread)
         if chosen is not None:
             return Decision(
@@ -273,6 +279,19 @@
             return worker.worker not in self._filling
         return True
 
+    def _candidates(self, unit: Waiting) -> list[workers_lib.Worker]:
+        """Returns the workers that are good enough for a unit by now."""
+        if self._takes_distrusted(unit):
+            return self._all
+        return self._workers if self._takes_slow(unit) else self._quick
+
+    def _takes_distrusted(self, unit: Waiting) -> bool:
+        """Returns whether any worker is better than further waiting.
+
+        Jobs that fail everywhere can cost many workers their trust.
+        """
+        return self._now_ms - unit.since_ms >= DISTRUST_WAIT_MS
+
     def _takes_slow(self, unit: Waiting) -> bool:
         """Returns whether a slow worker is better than further waiting."""
         waited_ms = self._now_ms - unit.since_ms
@@ -382,7 +401,7 @@
         )
         suited = {
             worker.worker
-            for worker in self._workers
+            for worker in self._all
             if fitting.suits(anywhere, worker)
         }
         return unit.avoid if suited - unit.avoid else frozenset()
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -255,6 +255,21 @@
         self.assertIs(DONE, self.state("j"))
 
 
+class DistrustTest(pool.PoolCase):
+    def test_jobs_that_fail_everywhere_do_not_keep_others_waiting(
+        self,
+    ) -> None:
+        self.fails = lambda task, run: task.startswith("bad")
+        self.run_time_ms = lambda task, run: 200
+        for number in range(8):
+            step = pool.one_task(tasks=2, worker_label="rack0")
+            self.submit(f"bad{number}", step)
+        self.run_for(2.0)
+        self.submit("good", pool.one_task(tasks=4, worker_label="rack0"))
+        self.run_for(2.5)
+        self.assertIs(DONE, self.state("good"))
+
+
 class StallTest(pool.PoolCase):
     def test_run_that_stands_still_goes_on_elsewhere(self) -> None:
         self.run_time_ms = lambda task, run: 900_000 if run == 1 else 1_000
