Drop settings and fields that nothing reads

Change: body limit, guarding services, two bounds and a worker's clock were decoded and never used; the topics of the adapter are public, as the soak's store needs them. No change of behaviour.

--- a/citronmount/fleet/configuration.py
+++ b/citronmount/fleet/configuration.py
@@ -48,15 +48,11 @@
         version: Rises with each change.
         queues: The queues, those with the longest prefix first.
         accounts: The client accounts.
-        max_body_bytes: The longest body of a call.
-        guarding_services: Services whose workers refuse what does not fit.
     """
 
     version: int
     queues: tuple[Queue, ...]
     accounts: tuple[Account, ...]
-    max_body_bytes: int
-    guarding_services: frozenset[spec.ServiceName] = frozenset()
 
     def queue_at(self, host: str, path: str) -> Queue | None:
         """Returns the queue that serves a call.
@@ -86,10 +82,8 @@
 
     Attributes:
         max_lease_ms: The longest lease that workers grant.
-        gang_wait_ms: How long a member of a gang waits for the others.
         stop_ms: How long a stop takes at most.
         status_s: How long final states must be told.
-        early_ms: How much before its time an occurrence may start.
         reclaim_ms: When jobs inside a guarantee must have begun.
         spread_factor: How many times as long a step takes that is spread
             over racks or runs far from its data.
@@ -97,10 +91,8 @@
     """
 
     max_lease_ms: int = 6_000
-    gang_wait_ms: int = 3_000
     stop_ms: int = 400
     status_s: int = 120
-    early_ms: int = 250
     reclaim_ms: int = 2_900
     spread_factor: float = 3.0
     save_s: float = 1.0
--- a/citronmount/fleet/workers.py
+++ b/citronmount/fleet/workers.py
@@ -34,7 +34,6 @@
         capacity: Its whole room.
         labels: What constraints may name.
         rack: Its rack.
-        clock_ms: Its own steady clock when it wrote its entry.
         remaining_ms: How much longer it runs at least, while it drains.
     """
 
@@ -48,7 +47,6 @@
     capacity: spec.Demand
     labels: frozenset[str]
     rack: ids.RackId
-    clock_ms: int = 0
     remaining_ms: int | None = None
 
 
--- a/citronmount/fleet_service/tests/pool.py
+++ b/citronmount/fleet_service/tests/pool.py
@@ -160,7 +160,6 @@
             version=version,
             queues=(queue(), queue("urgent", priority=0), *more),
             accounts=accounts,
-            max_body_bytes=10_000,
         )
         self.log.write(ports.Topic.CONFIGURATION, [("config", b"x")])
 
--- a/citronmount/platform/entries.py
+++ b/citronmount/platform/entries.py
@@ -37,7 +37,6 @@
     labels: list[str]
     born: int
     host_machine: str = ""
-    clock_ms: int = 0
     remaining_ms: int | None = None
 
 
@@ -57,11 +56,6 @@
     advice: dict[str, float] | None = None
 
 
-class _Service(msgspec.Struct):
-    name: str
-    admission_check: bool = False
-
-
 class _Guaranteed(msgspec.Struct):
     gpu: int = 0
 
@@ -72,16 +66,10 @@
     guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
 
 
-class _Limits(msgspec.Struct):
-    max_body_bytes: int = 262_144
-
-
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route] = []
-    services: list[_Service] = []
     tenants: list[_Tenant] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def decode(
@@ -137,7 +125,6 @@
         capacity=_demand(entry.free_resources),
         labels=frozenset(entry.labels),
         rack=ids.RackId(entry.labels[-1]),
-        clock_ms=entry.clock_ms,
         remaining_ms=entry.remaining_ms,
     )
 
@@ -161,14 +148,11 @@
     queues = sorted(
         map(_queue, said.routes), key=lambda queue: -len(queue.path_prefix)
     )
-    guarding = (each.name for each in said.services if each.admission_check)
     return ports.ConfigurationChanged(
         configuration=configuration.FleetConfiguration(
             version=said.version,
             queues=tuple(queues),
             accounts=tuple(map(_account, said.tenants)),
-            max_body_bytes=said.limits.max_body_bytes,
-            guarding_services=frozenset(map(spec.ServiceName, guarding)),
         )
     )
 
--- a/citronmount/platform/log.py
+++ b/citronmount/platform/log.py
@@ -13,7 +13,7 @@
 from citronmount.platform import framing
 from citronmount.services import exchange
 
-__all__ = ["StoreLog"]
+__all__ = ["JOBS_TOPIC", "TOPICS", "StoreLog"]
 
 JOBS_TOPIC = "keyed.jobs"
 PRODUCER = "owner"
@@ -21,7 +21,7 @@
 MAX_READ_KB = 1_024
 
 _PART = 0
-_TOPICS = {
+TOPICS = {
     ports.Topic.JOBS: JOBS_TOPIC,
     ports.Topic.CONFIGURATION: "keyed.op",
     ports.Topic.WORKERS: "keyed.servers",
@@ -230,7 +230,7 @@
 
 
 def _place(topic: ports.Topic) -> dict[str, object]:
-    return {"topic": _TOPICS[topic], "part": _PART}
+    return {"topic": TOPICS[topic], "part": _PART}
 
 
 def _record(item: _NewestItem) -> ports.LogRecord:
--- a/citronmount/platform/settings.py
+++ b/citronmount/platform/settings.py
@@ -26,10 +26,8 @@
 
 class _Bounds(msgspec.Struct):
     hold_max_ms: int = 6_000
-    gang_ms: int = 3_000
     stop_ms: int = 400
     status_s: int = 120
-    early_ms: int = 250
     reclaim_ms: int = 2_900
     far_factor: float = 3.0
     save_s: float = 1.0
@@ -82,10 +80,8 @@
         stop_grace_s=file.bounds.grace_s,
         bounds=configuration.Bounds(
             max_lease_ms=file.bounds.hold_max_ms,
-            gang_wait_ms=file.bounds.gang_ms,
             stop_ms=file.bounds.stop_ms,
             status_s=file.bounds.status_s,
-            early_ms=file.bounds.early_ms,
             reclaim_ms=file.bounds.reclaim_ms,
             spread_factor=file.bounds.far_factor,
             save_s=file.bounds.save_s,
--- a/citronmount/platform/tests/loopback_site.py
+++ b/citronmount/platform/tests/loopback_site.py
@@ -21,8 +21,8 @@
 from citronmount.workflow import units
 
 HOST = "127.0.0.1"
-TTL_FIELD = "ttl_ms"
-_TOPICS = {name: topic for topic, name in log_lib._TOPICS.items()}
+SILENCE_MS = 3_000
+_TOPICS = {name: topic for topic, name in log_lib.TOPICS.items()}
 _HOW = {
     orders.EndKind.DONE: "done",
     orders.EndKind.FAILED: "failed",
@@ -94,7 +94,7 @@
     @app.route("/-/log-join", methods=["POST"])
     def join(self, request: iweb.IRequest) -> bytes:
         said = msgspec.json.decode(request.content.read())
-        dealt = self.log.join(said["member"], said[TTL_FIELD])
+        dealt = self.log.join(said["member"], said["ttl_ms"])
         part = 0 if dealt.candidate else 1
         parts = [[log_lib.JOBS_TOPIC, part, 0]] if dealt.dealt else []
         return _json({"generation": dealt.generation, "parts": parts})
@@ -190,9 +190,6 @@
         return _json({"clock_ms": self.pool.now_ms(), "reason": reason})
 
 
-SILENCE_MS = 3_000
-
-
 class Link(protocol.ServerFactory):
     """A loopback proxy in front of the store, with faults.
 
