Bound how many records one append holds

Cause: the constant for it was not used; records of a very wide job could have exceeded what the store takes in one call and would have been refused for good. Change: the owner hands out at most 1,000 records at a time; a test with a bound of 4 runs a job of 30 tasks.

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -90,9 +90,17 @@
         """Takes in that the book or the directory changed."""
         self._state.changed = True
 
-    def take_entries(self) -> list[owner_state.Entry]:
-        """Returns the records to append next, oldest first."""
-        entries, self._state.entries = self._state.entries, []
+    def take_entries(self, most: int) -> list[owner_state.Entry]:
+        """Returns the records to append next, oldest first.
+
+        Args:
+            most: How many one append may hold.
+
+        Returns:
+            The records; those left over come with the next call.
+        """
+        entries = self._state.entries[:most]
+        self._state.entries = self._state.entries[most:]
         return entries
 
     def appended(
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -253,7 +253,7 @@
     def _append(self, owner: owner_lib.Owner) -> None:
         if self._appending:
             return
-        entries = owner.take_entries()
+        entries = owner.take_entries(MAX_APPEND_RECORDS)
         if not entries:
             return
         self._appending = True
--- a/citronmount/fleet_service/tests/test_jobs.py
+++ b/citronmount/fleet_service/tests/test_jobs.py
@@ -1,8 +1,10 @@
 import unittest
+from unittest import mock
 
 from citronmount.core import ids
 from citronmount.core import states
 from citronmount.fleet_service import front
+from citronmount.fleet_service import owner_loop
 from citronmount.fleet_service.tests import pool
 from citronmount.workflow import spec
 
@@ -23,6 +25,14 @@
         for vm in range(self.vms):
             self.assertIs(DONE, self.state("j", at=vm))
 
+    def test_records_of_a_wide_job_go_out_in_several_appends(self) -> None:
+        patch = mock.patch.object(owner_loop, "MAX_APPEND_RECORDS", 4)
+        self.enterContext(patch)
+        self.submit("j", pool.one_task(tasks=30))
+        self.run_for(2.5)
+        self.assertEqual(30, len(self.started("j")))
+        self.assertIs(DONE, self.state("j"))
+
     def test_job_submitted_twice_runs_once(self) -> None:
         self.submit("j", pool.one_task(), at=0)
         self.submit("j", pool.one_task(), at=1)
