Look at each worker once for equal tasks, and at runs at work ten times a second

Cause: a round of planning filtered and sorted all workers for each waiting task, and each step of the owner brought every run up to date, at work or not.

Conclusion: equal tasks share one look at the workers; the shelf of a shape falls with any decision that takes room beside it.

--- a/citronmount/fleet/fitting.py
+++ b/citronmount/fleet/fitting.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import enum
+import itertools
 
 import msgspec
 
@@ -17,7 +18,7 @@
 from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import spec
 
-__all__ = ["Need", "Spread", "fit", "suits"]
+__all__ = ["Need", "Shelf", "Spread", "fit", "shelf", "suits"]
 
 FreeRoom = Callable[[workers_lib.Worker], spec.Demand]
 
@@ -47,6 +48,31 @@
     taken: dict[ids.WorkerId, int] = {}
 
 
+class Shelf:
+    """Room for single tasks of one shape, the tightest worker first.
+
+    Load pattern: steps of many equal tasks arrive at once. Taking a task's room
+    leaves a worker the tightest, so the order holds until the room is used up
+    and the workers are looked at once for all tasks.
+    """
+
+    def __init__(
+        self, *, slots: Sequence[tuple[workers_lib.Worker, int]]
+    ) -> None:
+        """Initializes the room.
+
+        Args:
+            slots: Workers and how many tasks each can take, in order.
+        """
+        self._workers = itertools.chain.from_iterable(
+            itertools.repeat(worker, count) for worker, count in slots
+        )
+
+    def take(self) -> workers_lib.Worker | None:
+        """Returns the worker for the next task, or None if there is none."""
+        return next(self._workers, None)
+
+
 def suits(need: Need, worker: workers_lib.Worker) -> bool:
     """Returns whether a worker may ever run tasks of a unit."""
     label = need.step.worker_label
@@ -83,6 +109,34 @@
     return _fill(need, slots, free)
 
 
+def shelf(
+    need: Need,
+    workers: Iterable[workers_lib.Worker],
+    free: FreeRoom,
+    spread: Spread,
+) -> Shelf:
+    """Finds the workers for many single tasks of one shape.
+
+    Args:
+        need: The tasks; as many as may ever want to start.
+        workers: The workers that may get work.
+        free: The free room of a worker.
+        spread: Whether the tasks may leave their preferred rack.
+
+    Returns:
+        The room, which holds as long as nothing else takes or gives any.
+    """
+    slots = _slots(need, workers, free)
+    slots.sort(key=lambda pair: _left(pair[0], free))
+    rack = need.step.data_rack
+    if not rack:
+        return Shelf(slots=slots)
+    near = [pair for pair in slots if pair[0].rack == rack]
+    if spread is Spread.PREFERRED:
+        return Shelf(slots=near)
+    return Shelf(slots=near + [p for p in slots if p[0].rack != rack])
+
+
 def _slots(
     need: Need, workers: Iterable[workers_lib.Worker], free: FreeRoom
 ) -> list[tuple[workers_lib.Worker, int]]:
--- a/citronmount/fleet/job_ends.py
+++ b/citronmount/fleet/job_ends.py
@@ -3,9 +3,9 @@
 from citronmount.core import ids
 from citronmount.fleet import orders
 from citronmount.fleet import owner_state
-from citronmount.fleet import planning
 from citronmount.fleet import run_driver
 from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import waiting as waiting_lib
 from citronmount.workflow import book as book_lib
 from citronmount.workflow import records
 
@@ -77,7 +77,7 @@
             account=record.account,
             state=final.name.lower(),
             age_ms=wall_ms - entry.submission.accepted_ms,
-            objective_ms=planning.objective_end_ms(entry.submission)
+            objective_ms=waiting_lib.objective_end_ms(entry.submission)
             - entry.submission.accepted_ms,
         )
 
--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -11,6 +11,7 @@
 from citronmount.fleet import run_driver
 from citronmount.fleet import runs as runs_lib
 from citronmount.fleet import sessions as sessions_lib
+from citronmount.fleet import waiting as waiting_lib
 from citronmount.fleet import worker_reports
 from citronmount.fleet import worker_sessions
 from citronmount.fleet import workers as workers_lib
@@ -140,10 +141,12 @@
             The orders to send.
         """
         self._sessions.follow_directory(now_ms)
-        self._driver.settle(now_ms)
-        if self._state.changed or now_ms >= self._next_look_ms:
-            self._state.changed = False
+        look = now_ms >= self._next_look_ms
+        if look:
             self._next_look_ms = now_ms + LOOK_PERIOD_MS
+        self._driver.settle(now_ms, look)
+        if self._state.changed or look:
+            self._state.changed = False
             self._ends.end_jobs(now_ms, wall_ms)
             self._plan(now_ms, wall_ms)
         self._sessions.due_holds(now_ms)
@@ -172,7 +175,7 @@
 
     def _ask_for_advice(
         self,
-        waiting: list[planning.Waiting],
+        waiting: list[waiting_lib.Waiting],
         usable: list[workers_lib.Worker],
         now_ms: int,
     ) -> None:
@@ -184,7 +187,7 @@
             suited = [
                 worker
                 for worker in usable
-                if planning.has_room_for(unit, worker, room)
+                if waiting_lib.has_room_for(unit, worker, room)
             ]
             question = self._state.advice.next_question(
                 unit.key.step_id, suited, now_ms
@@ -193,7 +196,7 @@
                 self._state.orders.append(question)
                 return
 
-    def _waiting(self, now_ms: int, wall_ms: int) -> list[planning.Waiting]:
+    def _waiting(self, now_ms: int, wall_ms: int) -> list[waiting_lib.Waiting]:
         waiting = []
         for job, entry in self._state.book.jobs.items():
             if (
@@ -211,10 +214,10 @@
 
     def _waiting_unit(
         self, entry: book_lib.JobEntry, key: units.UnitKey, now_ms: int
-    ) -> planning.Waiting:
+    ) -> waiting_lib.Waiting:
         before = entry.progress.changed.get(key.unit)
         last = self._state.last_runs.get(key.unit)
-        return planning.Waiting(
+        return waiting_lib.Waiting(
             key=key,
             step=entry.submission.workflow.steps[key.step],
             submission=entry.submission,
@@ -228,7 +231,7 @@
             or (before.saved if before else ""),
         )
 
-    def _place(self, decision: planning.Decision, now_ms: int) -> None:
+    def _place(self, decision: waiting_lib.Decision, now_ms: int) -> None:
         unit = decision.waiting
         run = runs_lib.Run(
             key=unit.key,
--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -65,9 +65,19 @@
         for member in run.members:
             member.state = runs_lib.MemberState.ORDERED
 
-    def settle(self, now_ms: int) -> None:
-        """Brings every run a step further and removes those over."""
+    def settle(self, now_ms: int, look: bool) -> None:
+        """Brings every run a step further and removes those over.
+
+        Load pattern: hundreds of runs are at work while a few start or end. A
+        run at work needs no order, so only the passing of time matters to it.
+
+        Args:
+            now_ms: Steady time in milliseconds.
+            look: Whether runs at work are looked at as well.
+        """
         for run in self._state.table:
+            if run.at_work and not look:
+                continue
             if run.phase is runs_lib.RunPhase.CLEARING:
                 self.clear(run)
             elif run.phase is runs_lib.RunPhase.ACTIVE:
--- a/citronmount/fleet/runs.py
+++ b/citronmount/fleet/runs.py
@@ -158,6 +158,15 @@
         """The job."""
         return self.key.job
 
+    @property
+    def at_work(self) -> bool:
+        """Whether all members run and nothing is known to have ended."""
+        return (
+            self.phase is RunPhase.ACTIVE
+            and self.started_ms is not None
+            and self.outcome is None
+        )
+
     @property
     def over(self) -> bool:
         """Whether no member runs or may still start."""
--- /dev/null
+++ b/citronmount/fleet_service/tests/heap_clock.py
@@ -0,0 +1,54 @@
+"""A virtual clock that stays quick with thousands of delayed calls."""
+
+import heapq
+import itertools
+
+from twisted.internet import base
+from twisted.internet import task
+
+__all__ = ["HeapClock"]
+
+
+class HeapClock(task.Clock):
+    """A clock for tests whose calls lie in a heap.
+
+    The library's own clock sorts all calls whenever one is added.
+    """
+
+    def __init__(self) -> None:
+        """Initializes the clock at 0 s."""
+        super().__init__()
+        self._heap: list[tuple[float, int, base.DelayedCall]] = []
+        self._numbers = itertools.count()
+
+    def callLater(  # noqa: N802, the reactor's own name
+        self, when: float, what: object, *args: object, **options: object
+    ) -> base.DelayedCall:
+        """Has a function called once the clock has advanced so far."""
+        call = base.DelayedCall(
+            self.seconds() + when,
+            what,
+            args,
+            options,
+            lambda cancelled: None,
+            lambda moved: None,
+            self.seconds,
+        )
+        self._push(call)
+        return call
+
+    def advance(self, amount: float) -> None:
+        """Moves the clock on and makes the calls that have become due."""
+        self.rightNow += amount
+        while self._heap and self._heap[0][0] <= self.seconds():
+            _, _, call = heapq.heappop(self._heap)
+            if not call.active():
+                continue
+            if call.getTime() > self.seconds():
+                self._push(call)
+                continue
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+    def _push(self, call: base.DelayedCall) -> None:
+        heapq.heappush(self._heap, (call.getTime(), next(self._numbers), call))
--- a/citronmount/fleet_service/tests/pool.py
+++ b/citronmount/fleet_service/tests/pool.py
@@ -7,7 +7,6 @@
 import msgspec
 import structlog
 from twisted.internet import defer
-from twisted.internet import task
 from twisted.python import failure
 
 from citronmount.core import ids
@@ -18,6 +17,7 @@
 from citronmount.fleet_service import front
 from citronmount.fleet_service import node as node_lib
 from citronmount.fleet_service import ports
+from citronmount.fleet_service.tests import heap_clock
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
 from citronmount.workflow import spec
@@ -72,7 +72,7 @@
             wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
         )
         self.addCleanup(structlog.reset_defaults)
-        self.clock = task.Clock()
+        self.clock = heap_clock.HeapClock()
         self.wall_ahead_ms = 1_000_000
         self.log = pool_log.PoolLog(clock=self.clock)
         self.plans: dict[str, pool_workers.TaskPlan] = {}
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_big_pool.py
@@ -0,0 +1,24 @@
+from citronmount.core import states
+from citronmount.fleet_service.tests import pool
+
+
+class BigPoolTest(pool.PoolCase):
+    workers_per_rack = 20
+    racks = 8
+
+    def test_wide_steps_and_gangs_on_a_big_pool_all_complete(self) -> None:
+        self.run_time_ms = lambda task, run: 2_000 + 97 * len(task) % 900
+        for number in range(24):
+            wide = pool.one_task(tasks=39, estimate_ms=3_000)
+            gang = pool.one_task(
+                tasks=13, gang=True, one_rack=True, accelerators=4
+            )
+            self.submit(f"wide{number}", wide)
+            self.submit(f"gang{number}", gang)
+            self.run_for(0.1)
+        self.run_for(8)
+        jobs = [f"{kind}{n}" for kind in ("wide", "gang") for n in range(24)]
+        self.assertEqual(
+            {states.JobState.DONE}, {self.state(job) for job in jobs}
+        )
+        self.assertEqual(24 * (39 + 13), len(self.pool.starts))
--- a/citronmount/workflow/progress.py
+++ b/citronmount/workflow/progress.py
@@ -8,6 +8,7 @@
 
 __all__ = ["Progress"]
 
+_FAILED = records.UnitStatus.FAILED
 _ENDED = (records.UnitStatus.DONE, records.UnitStatus.FAILED)
 
 
@@ -27,6 +28,7 @@
         self._workflow = workflow
         self.changed: dict[units.UnitId, records.UnitChanged] = {}
         self._done: dict[tuple[int, int], int] = {}
+        self._failed = 0
         self._open: list[units.UnitKey] = []
         self._open_until_ms = -math.inf
         self._unit_counts = [
@@ -47,10 +49,7 @@
     @property
     def failed(self) -> bool:
         """Whether a unit has failed for good."""
-        return any(
-            unit.status is records.UnitStatus.FAILED
-            for unit in self.changed.values()
-        )
+        return self._failed > 0
 
     def apply(self, change: records.UnitChanged) -> None:
         """Takes in the newest record of a unit.
@@ -62,6 +61,8 @@
         self.changed[change.unit] = change
         self._open_until_ms = -math.inf
         step = self._step_of(change.unit)
+        was_failed = before is not None and before.status is _FAILED
+        self._failed += (change.status is _FAILED) - was_failed
         self._done[step] = (
             self._done.get(step, 0)
             + (change.status is records.UnitStatus.DONE)
--- a/citronmount/workflow/units.py
+++ b/citronmount/workflow/units.py
@@ -1,5 +1,6 @@
 """Units: what is started together, a gang or one task."""
 
+import functools
 import typing
 
 import msgspec
@@ -15,7 +16,7 @@
 _WHOLE_GANG = -1
 
 
-class UnitKey(msgspec.Struct, frozen=True, kw_only=True):
+class UnitKey(msgspec.Struct, frozen=True, kw_only=True, dict=True):
     """Names one unit.
 
     Attributes:
@@ -30,7 +31,7 @@
     step: int
     index: int = _WHOLE_GANG
 
-    @property
+    @functools.cached_property
     def unit(self) -> UnitId:
         """The id: ``JOB.OCCURRENCE.STEP`` or ``JOB.OCCURRENCE.STEP.INDEX``."""
         text = self.step_id
@@ -38,7 +39,7 @@
             return UnitId(text)
         return UnitId(f"{text}.{self.index}")
 
-    @property
+    @functools.cached_property
     def step_id(self) -> str:
         """The id of its step: ``JOB.OCCURRENCE.STEP``."""
         return f"{self.job}.{self.occurrence}.{self.step}"
