Ask a worker at once after an uncertain start, and shun silent failure domains

Ruled out: the lease; it had not run out when the worker answered again.

The workers' stand-in answered a waiting hold although it had fallen silent meanwhile; it does not any more.

--- a/citronmount/fleet/orders.py
+++ b/citronmount/fleet/orders.py
@@ -107,6 +107,7 @@
         last_seen: The newest end that the worker may forget.
         wait_ms: How long the answer may wait for a further end.
         token: The fencing token.
+        look: Whether it only asks, beside a hold that may be waiting.
     """
 
     worker: workers.Worker
@@ -114,6 +115,7 @@
     last_seen: int
     wait_ms: int
     token: ids.FenceToken
+    look: bool = False
 
 
 class Ask(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/fleet/sessions.py
+++ b/citronmount/fleet/sessions.py
@@ -81,6 +81,7 @@
         self._last_seen = 0
         self._sent_seen = 0
         self._told_seen = 0
+        self._look_wanted = False
         self._unresolved: set[int] = set()
         self._highest_end = 0
 
@@ -136,6 +137,8 @@
         Returns:
             The hold; the session then waits for its answer.
         """
+        if self._look_wanted:
+            return self._look()
         if self._hold is HoldState.OPEN or now_ms < self._next_hold_ms:
             return None
         if not self._has_reason_to_hold:
@@ -153,6 +156,23 @@
             token=self._token,
         )
 
+    def _look(self) -> orders.Hold:
+        """Returns a hold that only asks, beside one that may be waiting."""
+        self._look_wanted = False
+        return orders.Hold(
+            worker=self.worker,
+            until_ms=None,
+            last_seen=self._told_seen,
+            wait_ms=0,
+            token=self._token,
+            look=True,
+        )
+
+    def look_answered(self, report: orders.HoldReport, now_ms: int) -> None:
+        """Takes in the answer to a look."""
+        self.waits_unanswered = 0
+        self.heard(report.clock_ms, now_ms)
+
     def hold_answered(self, report: orders.HoldReport, now_ms: int) -> None:
         """Takes in the answer to a hold."""
         self._hold = HoldState.IDLE
@@ -172,6 +192,13 @@
         """Lets the next hold go out without a pause."""
         self._next_hold_ms = now_ms
 
+    def look_soon(self) -> None:
+        """Has the worker asked at once what it runs.
+
+        A hold that is on its way waits for an end, which may be long.
+        """
+        self._look_wanted = True
+
     def note_end(self, number: int, now_ms: int) -> bool:
         """Takes in the number of an end.
 
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -125,6 +125,9 @@
             return
         member.stop_answered = True
         member.settled_ms = now_ms
+        never_seen = member.state is runs_lib.MemberState.ORDERED
+        if never_seen and session is not None:
+            session.look_soon()
 
     def hold_failed(
         self, order: orders.Hold, fenced: bool, now_ms: int
@@ -135,6 +138,8 @@
         session = self._state.session_of(order.worker)
         if session is None:
             return
+        if order.look:
+            return
         session.hold_failed(now_ms)
         if session.waits_unanswered == SILENT_HOLDS:
             self._state.log.warning(
@@ -168,7 +173,10 @@
         first = not session.primed
         if session.waits_unanswered >= SILENT_HOLDS:
             self._state.log.info("worker_answers", worker=order.worker.worker)
-        session.hold_answered(report, now_ms)
+        if order.look:
+            session.look_answered(report, now_ms)
+        else:
+            session.hold_answered(report, now_ms)
         self._state.changed = self._state.changed or first
         for end in report.ended:
             if session.note_end(end.number, now_ms):
--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/worker_sessions.py
@@ -1,12 +1,16 @@
 """Opens and closes sessions with workers as their lives begin and end."""
 
+import collections
+
+from citronmount.core import ids
 from citronmount.fleet import owner_state
 from citronmount.fleet import sessions as sessions_lib
 from citronmount.fleet import workers as workers_lib
 
 __all__ = ["WorkerSessions"]
 
-SILENCE_MARGIN_MS = 1_500
+SILENCE_MARGIN_MS = 600
+WITNESSES = 2
 
 
 class WorkerSessions:
@@ -78,22 +82,42 @@
 
     def usable(self, now_ms: int) -> list[workers_lib.Worker]:
         """Returns the workers that may get work."""
+        silent_domains = self._silent_domains(now_ms)
         return [
             session.worker
             for name, session in self._state.sessions.items()
             if session.primed
-            and session.silent_ms(now_ms) < self._silence_limit_ms(session)
+            and not self._is_silent(session, now_ms)
+            and session.worker.failure_domain not in silent_domains
             and not self._state.strangers.get(name)
             and self._state.suspended.get(name, 0) <= now_ms
             and self._state.directory.usable(session.worker)
         ]
 
-    def _silence_limit_ms(self, session: sessions_lib.Session) -> float:
-        """Returns how long a worker may be silent and still get work."""
-        if not session.runs:
-            return float("inf")
-        return (
-            self._state.policy.wait_ms
-            + self._state.policy.retry_ms
-            + SILENCE_MARGIN_MS
+    def _is_silent(self, session: sessions_lib.Session, now_ms: int) -> bool:
+        """Returns whether a worker should have answered by now.
+
+        One that holds nothing is not asked and so is never silent.
+        """
+        policy = self._state.policy
+        limit_ms = policy.wait_ms + policy.retry_ms + SILENCE_MARGIN_MS
+        return bool(session.runs) and session.silent_ms(now_ms) >= limit_ms
+
+    def _silent_domains(self, now_ms: int) -> set[ids.FailureDomainId]:
+        """Returns the failure domains in which no worker answers.
+
+        Load pattern: a failure domain is cut off. Its idle workers are not
+        asked anything, so the busy ones tell for them.
+        """
+        silent: dict[ids.FailureDomainId, list[bool]] = collections.defaultdict(
+            list
         )
+        for session in self._state.sessions.values():
+            if session.primed and session.runs:
+                domain = session.worker.failure_domain
+                silent[domain].append(self._is_silent(session, now_ms))
+        return {
+            domain
+            for domain, each in silent.items()
+            if len(each) >= WITNESSES and all(each)
+        }
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -164,6 +164,9 @@
         end_ms = self.now_ms() + order.wait_ms
         while not worker.ends and self.now_ms() < end_ms:
             await task.deferLater(self.clock, 0.01)
+        if worker.fault is WorkerFault.SILENT:
+            await self._time_out(timeout_ms - order.wait_ms)
+            return orders.StopVerdict.UNANSWERED
         return worker.report()
 
     async def _reach(self, order: orders.Order) -> "PoolWorker | None":
