Learn the speeds of workers from gangs and give urgent gangs the quick ones

A gang is as slow as its slowest member, and nothing told such workers apart before they took twice as long as usual.

How: the workers report what share of a task is done. Members of one gang do equal work, so their rates compare their workers; no estimate is needed. Jobs with little slack take quick workers first, the others leave those free.

Ruled out: telling it from run times and estimates.

A new owner begins without this knowledge.

The workers' stand-in reports shares, has slower workers and ends a gang with its slowest member.

--- a/citronmount/fleet/fitting.py
+++ b/citronmount/fleet/fitting.py
@@ -38,6 +38,7 @@
         step: Their step.
         service: The service whose workers may run them.
         avoid: Workers that must not be used.
+        last: Workers that are used only where the others are full.
         taken: Tasks of the same step and occurrence on each worker.
     """
 
@@ -45,6 +46,7 @@
     step: spec.Step
     service: spec.ServiceName
     avoid: frozenset[ids.WorkerId] = frozenset()
+    last: frozenset[ids.WorkerId] = frozenset()
     taken: dict[ids.WorkerId, int] = {}
 
 
@@ -101,6 +103,20 @@
         A worker for each task, or None if the unit does not fit.
     """
     slots = _slots(need, workers, free)
+    if need.last:
+        first = [p for p in slots if p[0].worker not in need.last]
+        chosen = _fit_slots(need, first, free, spread)
+        if chosen is not None:
+            return chosen
+    return _fit_slots(need, slots, free, spread)
+
+
+def _fit_slots(
+    need: Need,
+    slots: Sequence[tuple[workers_lib.Worker, int]],
+    free: FreeRoom,
+    spread: Spread,
+) -> list[workers_lib.Worker] | None:
     if sum(count for _, count in slots) < need.tasks:
         return None
     near = _in_one_rack(need, slots, free)
@@ -127,7 +143,9 @@
         The room, which holds as long as nothing else takes or gives any.
     """
     slots = _slots(need, workers, free)
-    slots.sort(key=lambda pair: _left(pair[0], free))
+    slots.sort(
+        key=lambda pair: (pair[0].worker in need.last, _left(pair[0], free))
+    )
     rack = need.step.data_rack
     if not rack:
         return Shelf(slots=slots)
@@ -190,7 +208,10 @@
 ) -> list[workers_lib.Worker] | None:
     if sum(count for _, count in slots) < need.tasks:
         return None
-    ranked = sorted(slots, key=lambda pair: _left(pair[0], free))
+    ranked = sorted(
+        slots,
+        key=lambda pair: (pair[0].worker in need.last, _left(pair[0], free)),
+    )
     chosen: list[workers_lib.Worker] = []
     for worker, count in ranked:
         chosen += [worker] * min(count, need.tasks - len(chosen))
--- a/citronmount/fleet/orders.py
+++ b/citronmount/fleet/orders.py
@@ -152,7 +152,8 @@
         task: The task.
         run: The number of the run.
         saved: Its newest checkpoint, or empty.
-        percent: The share of its speed at which it works.
+        percent: The share of its work that is done; 100 for a lasting task
+            that is at work.
         load: Tail of the response times in ms for a serving task, else the
             millicores in use, as of the last half second.
     """
--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -165,6 +165,9 @@
             accounts=self._accounts,
             bounds=self._state.bounds,
             trust=lambda worker: self._state.health.trust(worker, now_ms),
+            slowdown=lambda worker: self._state.speeds.slowdown(
+                worker.speed_key, now_ms
+            ),
             allowed=lambda key, worker: bool(
                 self._state.advice.ticket(key.step_id, worker, now_ms)
             ),
@@ -262,6 +265,13 @@
             within_guarantee=decision.within_guarantee,
             spread=decision.spread.value,
             workers=sorted({w.worker for w in decision.workers}),
+            slowdown=round(
+                max(
+                    self._state.speeds.slowdown(w.speed_key, now_ms)
+                    for w in decision.workers
+                ),
+                2,
+            ),
             waited_ms=now_ms - unit.since_ms,
             victims=[victim.unit for victim in decision.victims],
             lost_core_s=round(decision.lost_core_s),
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -13,6 +13,7 @@
 from citronmount.fleet import runs as runs_lib
 from citronmount.fleet import sessions as sessions_lib
 from citronmount.fleet import worker_health
+from citronmount.fleet import worker_speeds
 from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import book as book_lib
 from citronmount.workflow import records
@@ -62,6 +63,7 @@
         failed_at: Workers at which each unit failed.
         stalls: How often each unit stood still.
         health: What the workers' runs did.
+        speeds: How fast the workers are.
         advice: Which workers policies allow.
         entries: Records to append.
         orders: Orders to send.
@@ -114,6 +116,7 @@
         self.failed_at: dict[units.UnitId, set[ids.WorkerId]] = {}
         self.stalls: collections.Counter[units.UnitId] = collections.Counter()
         self.health = worker_health.WorkerHealth()
+        self.speeds = worker_speeds.WorkerSpeeds()
         self.advice = advice_lib.AdviceBook()
         self.entries: list[Entry] = []
         self.orders: list[orders.Order] = []
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -16,6 +16,7 @@
 from citronmount.fleet import runs as runs_lib
 from citronmount.fleet import waiting as waiting_lib
 from citronmount.fleet import worker_health
+from citronmount.fleet import worker_speeds
 from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import spec
 from citronmount.workflow import units
@@ -23,6 +24,7 @@
 __all__ = ["Planner"]
 
 URGENCY_FACTOR = 2.5
+PATIENT_SLACK_FACTOR = 2.0
 _IDLE_POOL_SHARE = 0.5
 
 # What decides whether a unit fits: units with equal shapes fit alike.
@@ -34,6 +36,11 @@
     return worker_health.Trust()
 
 
+def _full_speed(worker: workers_lib.Worker) -> float:
+    del worker
+    return 1.0
+
+
 def _anyone(key: units.UnitKey, worker: workers_lib.Worker) -> bool:
     del key, worker
     return True
@@ -57,6 +64,7 @@
         trust: Callable[
             [workers_lib.Worker], worker_health.Trust
         ] = _full_trust,
+        slowdown: Callable[[workers_lib.Worker], float] = _full_speed,
         allowed: Callable[[units.UnitKey, workers_lib.Worker], bool] = _anyone,
     ) -> None:
         """Initializes a round.
@@ -68,10 +76,12 @@
             bounds: Times that the site sets.
             now_ms: Steady time in milliseconds.
             trust: What is believed of a worker.
+            slowdown: How much longer a worker takes than a quick one.
             allowed: Whether the queue's policy allows a worker for a unit.
         """
         self._allowed = allowed
         trusts = {each.worker: trust(each) for each in workers}
+        slowdowns = {each.worker: slowdown(each) for each in workers}
         self._all = list(workers)
         self._workers = [
             each for each in workers if not trusts[each.worker].distrusted
@@ -80,7 +90,14 @@
             each
             for each in self._workers
             if trusts[each.worker].slowness < worker_health.SLOW_FACTOR
+            and slowdowns[each.worker] < worker_health.SLOW_FACTOR
         ]
+        self._slower = frozenset(
+            name
+            for name, factor in slowdowns.items()
+            if factor >= worker_speeds.SLOWER_FACTOR
+        )
+        self._quicker = frozenset(slowdowns) - self._slower
         self._table = table
         self._room = table.room.copy()
         self._bounds = bounds
@@ -170,6 +187,7 @@
             unit.tasks,
             spread,
             unit.avoid,
+            unit.submission.terms.slack_factor,
             self._patience.takes_slow(unit, within),
             self._patience.takes_distrusted(unit),
             _step_place(unit.key) if _is_particular(unit) else None,
@@ -314,9 +332,21 @@
             step=unit.step,
             service=unit.submission.terms.service,
             avoid=self._avoided(unit),
+            last=self._last(unit),
             taken=self._taken(unit) if unit.step.max_tasks_per_worker else {},
         )
 
+    def _last(self, unit: waiting_lib.Waiting) -> frozenset[ids.WorkerId]:
+        """Returns the workers that a unit should leave to others.
+
+        Load pattern: urgent gangs among work that can wait. Jobs with little
+        slack get the quick workers, the others leave those free for them.
+        """
+        patient = unit.submission.terms.slack_factor >= PATIENT_SLACK_FACTOR
+        if self._slower and patient and not unit.step.lasting:
+            return self._quicker
+        return self._slower
+
     def _avoided(self, unit: waiting_lib.Waiting) -> frozenset[ids.WorkerId]:
         """Returns where not to start, unless that leaves nowhere."""
         if not unit.avoid:
--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -42,6 +42,7 @@
                     phase=runs_lib.RunPhase.ACTIVE,
                     failures=change.failures,
                     saved=change.saved,
+                    restored=True,
                     now_ms=now_ms,
                 )
                 for member in run.members:
--- a/citronmount/fleet/runs.py
+++ b/citronmount/fleet/runs.py
@@ -7,6 +7,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import orders
+from citronmount.fleet import task_progress
 from citronmount.workflow import records
 from citronmount.workflow import spec
 from citronmount.workflow import units
@@ -62,6 +63,7 @@
         next_order_ms: Steady time of the next order, after one that got no
             answer.
         saved: Its newest checkpoint.
+        progress: How it gets on.
     """
 
     place: records.Place
@@ -75,6 +77,9 @@
     settled_ms: int = 0
     next_order_ms: int = 0
     saved: str = ""
+    progress: task_progress.TaskProgress = msgspec.field(
+        default_factory=task_progress.TaskProgress
+    )
 
     @property
     def ordered(self) -> bool:
@@ -105,6 +110,7 @@
         outcome: The end that decides, once one was listed.
         failures: Failed runs of the unit, this one included.
         saved: The checkpoint that the run started from, or a newer one.
+        restored: Whether an earlier owner started it.
         placed_ms: Steady time of the decision.
         started_ms: Steady time at which all members ran, if they did.
     """
@@ -120,6 +126,7 @@
         phase: RunPhase,
         failures: int = 0,
         saved: str = "",
+        restored: bool = False,
         now_ms: int = 0,
     ) -> None:
         """Initializes a run.
@@ -133,6 +140,7 @@
             phase: Where the run stands.
             failures: Earlier runs of the unit that failed.
             saved: The checkpoint to start from, or empty.
+            restored: Whether an earlier owner started it.
             now_ms: Steady time in milliseconds.
         """
         self.key = key
@@ -145,6 +153,7 @@
         self.outcome: orders.EndKind | None = None
         self.failures = failures
         self.saved = saved
+        self.restored = restored
         self.placed_ms = now_ms
         self.started_ms: int | None = None
         names = units.task_names(key, step)
--- a/citronmount/fleet/tests/test_planning.py
+++ b/citronmount/fleet/tests/test_planning.py
@@ -1,6 +1,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from citronmount.core import ids
 from citronmount.fleet import configuration
 from citronmount.fleet import fitting
@@ -34,12 +36,14 @@
     )
 
 
-def units_of(job: str, step: spec.Step) -> list[waiting.Waiting]:
+def units_of(
+    job: str, step: spec.Step, slack_factor: float = 3.0
+) -> list[waiting.Waiting]:
     workflow = spec.Workflow(job=ids.JobId(job), payload="", steps=(step,))
     submission = spec.Submission(
         workflow=workflow,
         account=ids.AccountId("a"),
-        terms=TERMS,
+        terms=msgspec.structs.replace(TERMS, slack_factor=slack_factor),
         accepted_ms=ord(job),
     )
     return [
@@ -54,9 +58,11 @@
         pool: list[workers.Worker],
         wanted: list[waiting.Waiting],
         now_ms: int = 0,
+        slow: str = "",
     ) -> list[waiting.Decision]:
         planner = planning.Planner(
             workers=pool,
+            slowdown=lambda each: 1.3 if each.worker in slow.split() else 1.0,
             table=run_table.RunTable(),
             accounts=(),
             bounds=configuration.Bounds(),
@@ -122,3 +128,37 @@
         self.assertEqual(
             ["w1"] * 8 + ["w0"] * 4, [d.workers[0].worker for d in later]
         )
+
+    def test_urgent_gang_takes_quick_workers_and_patient_work_slow_ones(
+        self,
+    ) -> None:
+        pool = [worker(f"w{n}") for n in range(4)]
+        gang = spec.Step(tasks=16, demand=ONE, gang=True)
+        urgent = units_of("a", gang, slack_factor=1.5)
+        patient = units_of("b", spec.Step(tasks=8, demand=ONE))
+        decisions = self.decide(pool, urgent + patient, slow="w0 w2")
+        chosen = {
+            str(decision.waiting.key.job): {w.worker for w in decision.workers}
+            for decision in decisions
+        }
+        self.assertEqual({"w1", "w3"}, chosen["a"])
+        self.assertLessEqual(chosen["b"], {"w0", "w2"})
+
+    def test_urgent_gang_starts_on_slow_workers_rather_than_not(self) -> None:
+        pool = [worker(f"w{n}") for n in range(3)]
+        gang = spec.Step(tasks=24, demand=ONE, gang=True)
+        urgent = units_of("a", gang, slack_factor=1.5)
+        decisions = self.decide(pool, urgent, slow="w0 w2")
+        self.assertEqual(1, len(decisions))
+
+    def test_one_rack_of_quick_workers_is_found(self) -> None:
+        pool = [
+            *(worker(f"a{n}") for n in range(2)),
+            *(worker(f"b{n}", rack="r1") for n in range(4)),
+        ]
+        gang = spec.Step(tasks=16, demand=ONE, gang=True, one_rack=True)
+        urgent = units_of("a", gang, slack_factor=1.5)
+        decisions = self.decide(pool, urgent, slow="a0 b1")
+        names = {w.worker for w in decisions[0].workers}
+        self.assertEqual(2, len(names))
+        self.assertLessEqual(names, {"b0", "b2", "b3"})
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -1,5 +1,8 @@
 """Takes in what workers answer to orders."""
 
+import collections
+import statistics
+
 from citronmount.fleet import orders
 from citronmount.fleet import owner_state
 from citronmount.fleet import runs as runs_lib
@@ -65,6 +68,8 @@
         member.settled_ms = now_ms
         if verdict is orders.StartVerdict.STARTED:
             self._seen_running(run, member, now_ms)
+            if run.started_ms == now_ms:
+                self._begin_progress(run, now_ms)
             return
         self._state.log.warning(
             "start_refused",
@@ -204,6 +209,8 @@
             seen.add(member.task)
             run.saved = task.saved or run.saved
             self._seen_running(run, member, now_ms)
+            if run.started_ms is not None:
+                member.progress.note(task.percent, report.clock_ms)
         if self._state.strangers.get(name, 0) != strangers:
             self._state.strangers[name] = strangers
             self._state.changed = True
@@ -254,6 +261,8 @@
         run, member = found
         self._state.changed = True
         run.saved = end.saved or run.saved
+        if run.outcome is None:
+            self._learn_speeds(run, now_ms)
         self._state.log.info(
             "run_ended",
             task=end.task,
@@ -273,6 +282,19 @@
         change = run.record(status)
         self._state.write(change, ends=((place, end.number),))
 
+    def _learn_speeds(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Compares the workers of a gang by how its members got on."""
+        if not run.step.gang:
+            return
+        rates = collections.defaultdict(list)
+        for member in run.members:
+            session = self._state.session_at(member.place)
+            rate = member.progress.percent_per_s
+            if session is not None and rate is not None:
+                rates[session.worker.speed_key].append(rate)
+        found = {key: statistics.mean(each) for key, each in rates.items()}
+        self._state.speeds.learn(found, now_ms)
+
     def _note_health(
         self,
         run: runs_lib.Run,
@@ -331,6 +353,15 @@
                 took_ms=now_ms - run.placed_ms,
             )
 
+    def _begin_progress(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Notes that a run which starts anew has done nothing so far."""
+        if run.saved or run.restored:
+            return
+        for member in run.members:
+            session = self._state.session_at(member.place)
+            if session is not None:
+                member.progress.note(0, session.clock_ms(now_ms))
+
     def _heard(
         self, worker: workers_lib.Worker, clock_ms: int | None, now_ms: int
     ) -> None:
--- a/citronmount/fleet/workers.py
+++ b/citronmount/fleet/workers.py
@@ -49,6 +49,11 @@
     rack: ids.RackId
     remaining_ms: int | None = None
 
+    @property
+    def speed_key(self) -> MachineId:
+        """What keeps its speed from one life to the next."""
+        return self.machine or self.worker
+
 
 class WorkerDirectory:
     """The newest entry of each worker and the domains out of service."""
--- a/citronmount/fleet_service/tests/pool.py
+++ b/citronmount/fleet_service/tests/pool.py
@@ -33,6 +33,7 @@
     priority: int = 1,
     max_attempts: int = 3,
     needs_advice: bool = False,
+    slack_factor: float = 3.0,
 ) -> configuration.Queue:
     return configuration.Queue(
         terms=spec.QueueTerms(
@@ -40,7 +41,7 @@
             service=SERVICE,
             priority=priority,
             max_attempts=max_attempts,
-            slack_factor=3.0,
+            slack_factor=slack_factor,
             objective_ms=1_000,
             needs_advice=needs_advice,
         ),
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_worker_speeds.py
@@ -0,0 +1,31 @@
+from citronmount.core import ids
+from citronmount.fleet_service.tests import pool
+
+
+class WorkerSpeedsTest(pool.PoolCase):
+    workers_per_rack = 4
+
+    def test_urgent_gangs_move_to_quick_workers_once_they_are_known(
+        self,
+    ) -> None:
+        slow = {"w00", "w02", "w11"}
+        for name in slow:
+            self.pool.workers[ids.WorkerId(name)].slowdown = 1.3
+        tight = pool.queue("tight", priority=0, slack_factor=1.5)
+        self.configure(tight, version=2)
+        self.run_for(0.5)
+        self.run_time_ms = lambda task, run: 2_500
+        wide = pool.one_task(
+            tasks=8, accelerators=8, gang=True, estimate_ms=2_500
+        )
+        for number in range(3):
+            self.submit(f"wide{number}", wide)
+            self.run_for(4.0)
+        gang = pool.one_task(
+            tasks=5, accelerators=8, gang=True, estimate_ms=2_500
+        )
+        self.submit("j", gang, to="tight")
+        self.run_for(1.0)
+        self.assertEqual(5, len(self.started("j")))
+        used = {worker for _, _, worker in self.started("j")}
+        self.assertFalse(used & slow)
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -59,6 +59,7 @@
     began_ms: int
     saved: str
     stopping: bool = False
+    finished: bool = False
 
 
 Plans = Callable[[units.TaskName, int], TaskPlan]
@@ -192,6 +193,26 @@
         ]
         return len(there) == size
 
+    def gang_finished(self, name: units.TaskName, run: int) -> bool:
+        """Returns whether all members of a gang's run have done their work."""
+        prefix = name.rpartition(".")[0]
+        return all(
+            each.finished
+            for worker in self.workers.values()
+            for each in worker.running.values()
+            if each.task.rpartition(".")[0] == prefix and each.run == run
+        )
+
+    def gang_began_ms(self, name: units.TaskName, run: int) -> int:
+        """Returns when the last member of a gang's run came."""
+        prefix = name.rpartition(".")[0]
+        return max(
+            each.began_ms
+            for worker in self.workers.values()
+            for each in worker.running.values()
+            if each.task.rpartition(".")[0] == prefix and each.run == run
+        )
+
     def end_gang(
         self, name: units.TaskName, run: int, kind: orders.EndKind
     ) -> None:
@@ -212,6 +233,7 @@
         ends: Ends that it was not told to forget.
         fault: How it treats orders.
         late_s: How late it carries out orders with the fault LATE.
+        slowdown: How much longer it takes than a plan says.
     """
 
     def __init__(self, *, pool: PoolWorkers, entry: workers_lib.Worker) -> None:
@@ -221,6 +243,7 @@
         self.ends: list[orders.EndedTask] = []
         self.fault = WorkerFault.NONE
         self.late_s = 4.0
+        self.slowdown = 1.0
         self._pool = pool
         self._token = 0
         self._until_ms = 0
@@ -254,7 +277,7 @@
         self._pool.starts.append((order.task, order.run, self.entry.worker))
         self._check_room()
         self._pool.clock.callLater(
-            plan.run_time_ms / _MS_PER_S, self._finish, run
+            plan.run_time_ms * self.slowdown / _MS_PER_S, self._finish, run
         )
         if plan.gang > 1:
             self._pool.clock.callLater(
@@ -297,7 +320,7 @@
                     task=run.task,
                     run=run.run,
                     saved=run.saved,
-                    percent=100,
+                    percent=self._percent(run),
                     load=0,
                 )
                 for run in self.running.values()
@@ -305,6 +328,20 @@
             ended=tuple(self.ends),
         )
 
+    def _percent(self, run: _Running) -> int:
+        """Returns the whole percent that are done; a lasting task's are 100.
+
+        The members of a gang begin together.
+        """
+        if run.plan.lasting:
+            return 100
+        began_ms = run.began_ms
+        if run.plan.gang > 1:
+            began_ms = self._pool.gang_began_ms(run.task, run.run)
+        whole_ms = run.plan.run_time_ms * self.slowdown
+        done = (self._pool.now_ms() - began_ms) / max(whole_ms, 1)
+        return int(max(min(done, 1.0), 0.0) * 100)
+
     def crash(self) -> None:
         """Loses everything that it runs and knows."""
         self.running.clear()
@@ -342,6 +379,9 @@
             return
         if not self._pool.gang_present(run.task, run.run, run.plan.gang):
             return
+        run.finished = True
+        if not failed and not self._pool.gang_finished(run.task, run.run):
+            return
         self.end(run, kind)
         rest = orders.EndKind.MEMBER_LOST if failed else kind
         self._pool.end_gang(run.task, run.run, rest)
