Send a lost order again after 0.2 s, and leave workers that take no connection

Where an order had got lost the second one went out after 0.5 s; where a worker took no connection the gang was given up after 0.34 s and then waited 0.6 to 1.0 s more, until a new life of that worker proved that nothing had started there.

How: the second copy of an order goes out after 0.2 s without a pause; an order of which no byte has left is settled at once, unless an earlier one for the same run may still be on its way.

Ruled out: the placement itself (2 to 40 ms) and the log (10 to 30 ms).

A refused copy after a lost one settles nothing (test).

--- a/citronmount/fleet/orders.py
+++ b/citronmount/fleet/orders.py
@@ -36,7 +36,11 @@
 
 
 class StartVerdict(enum.Enum):
-    """What became of an order to start."""
+    """What became of an order to start.
+
+    UNREACHED tells that no byte of the order left, as the worker takes no
+    connection; after UNANSWERED it may still be carried out.
+    """
 
     STARTED = "started"
     FENCED = "fenced"
@@ -46,6 +50,7 @@
     NO_TICKET = "no_ticket"
     NOT_STARTED = "not_started"
     OTHER_LIFE = "other_life"
+    UNREACHED = "unreached"
     UNANSWERED = "unanswered"
 
 
@@ -70,6 +75,7 @@
         saved: The checkpoint to resume from, or empty.
         token: The fencing token.
         ticket: What the queue's policy gave for the step and worker, or empty.
+        attempt: Counts the orders to start this run of the task from 1.
     """
 
     worker: workers.Worker
@@ -80,6 +86,7 @@
     saved: str
     token: ids.FenceToken
     ticket: str = ""
+    attempt: int = 1
 
 
 class Stop(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -9,7 +9,7 @@
 
 __all__ = ["RunDriver"]
 
-START_TRIES = 3
+START_TRIES = 4
 STALL_FACTOR = 4
 STALL_FLOOR_MS = 20_000
 
@@ -181,6 +181,7 @@
             return
         member.start_open = True
         member.start_tries += 1
+        member.start_sent_ms = now_ms
         self._state.orders.append(
             orders.Start(
                 worker=session.worker,
@@ -193,6 +194,7 @@
                 ticket=self._state.advice.ticket(
                     run.key.step_id, session.worker, now_ms
                 ),
+                attempt=member.start_tries,
             )
         )
 
--- a/citronmount/fleet/runs.py
+++ b/citronmount/fleet/runs.py
@@ -55,6 +55,9 @@
         state: Where it stands.
         start_open: Whether an order to start is on its way.
         start_tries: How many orders to start were sent.
+        start_sent_ms: Steady time of the last one.
+        start_uncertain: Whether one got no answer and may still be carried
+            out.
         start_answered: Whether the last order to start was answered, or the
             task was seen running.
         stop_open: Whether an order to stop is on its way.
@@ -71,6 +74,8 @@
     state: MemberState = MemberState.HELD
     start_open: bool = False
     start_tries: int = 0
+    start_sent_ms: int = 0
+    start_uncertain: bool = False
     start_answered: bool = False
     stop_open: bool = False
     stop_answered: bool = False
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -22,6 +22,7 @@
     orders.StartVerdict.NO_ROOM,
     orders.StartVerdict.NOT_STARTED,
     orders.StartVerdict.LATE,
+    orders.StartVerdict.UNREACHED,
 )
 
 
@@ -61,8 +62,10 @@
         run, member = found
         member.start_open = False
         self._state.changed = True
-        if verdict is orders.StartVerdict.UNANSWERED:
-            member.next_order_ms = now_ms + ORDER_RETRY_MS
+        if self._is_uncertain(member, verdict):
+            member.start_uncertain = True
+            retry_ms = member.start_sent_ms + ORDER_RETRY_MS
+            member.next_order_ms = max(now_ms, retry_ms)
             return
         member.start_answered = True
         member.settled_ms = now_ms
@@ -85,6 +88,15 @@
         self._state.table.gone(run, member)
         self._state.end_run(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
 
+    @staticmethod
+    def _is_uncertain(
+        member: runs_lib.Member, verdict: orders.StartVerdict
+    ) -> bool:
+        """Returns whether a member may still start by what was ordered."""
+        if verdict is orders.StartVerdict.UNREACHED:
+            return member.start_uncertain
+        return verdict is orders.StartVerdict.UNANSWERED
+
     def advised(
         self, question: orders.Ask, grants: orders.Grants | None, now_ms: int
     ) -> None:
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -29,7 +29,7 @@
 APPEND_TIMEOUT_MS = 800
 APPEND_RETRY_MS = 100
 MAX_APPEND_RECORDS = 1_000
-START_TIMEOUT_MS = 400
+START_TIMEOUTS_MS = (200, 400)
 STOP_TIMEOUT_MS = 600
 HOLD_MARGIN_MS = 600
 ADVICE_TIMEOUT_MS = 3_000
@@ -313,8 +313,9 @@
         defer.ensureDeferred(sent).addErrback(self._broken)
 
     async def _start(self, owner: owner_lib.Owner, order: orders.Start) -> None:
+        number = min(order.attempt, len(START_TIMEOUTS_MS))
         verdict, clock_ms = await self._worker_orders.start(
-            order, START_TIMEOUT_MS
+            order, START_TIMEOUTS_MS[number - 1]
         )
         owner.reports.start_answered(order, verdict, clock_ms, self._now_ms())
         self.kick()
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_lost_orders.py
@@ -0,0 +1,42 @@
+from citronmount.core import ids
+from citronmount.fleet_service.tests import pool
+from citronmount.standins import pool_workers
+
+
+class LostOrderTest(pool.PoolCase):
+    workers_per_rack = 3
+
+    def set_fault(self, name: str, fault: pool_workers.WorkerFault) -> None:
+        self.pool.workers[ids.WorkerId(name)].fault = fault
+
+    def test_order_that_got_lost_is_sent_again_soon(self) -> None:
+        for name in self.pool.workers:
+            self.set_fault(name, pool_workers.WorkerFault.LOSES_ONE)
+        self.submit("j", pool.one_task(tasks=6, accelerators=8, gang=True))
+        self.run_for(0.3)
+        self.assertEqual(6, len(self.started("j")))
+
+    def test_gang_leaves_a_worker_that_takes_no_connection_at_once(
+        self,
+    ) -> None:
+        self.set_fault("w00", pool_workers.WorkerFault.REFUSING)
+        self.submit("j", pool.one_task(tasks=5, accelerators=8, gang=True))
+        self.run_for(0.5)
+        again = [each for each in self.started("j") if each[1] == 2]
+        self.assertEqual(5, len(again))
+        self.assertNotIn("w00", {worker for _, _, worker in again})
+
+    def test_refused_order_after_a_lost_one_is_not_taken_as_settled(
+        self,
+    ) -> None:
+        self.pool.workers[ids.WorkerId("w00")].late_s = 1.0
+        self.set_fault("w00", pool_workers.WorkerFault.LATE)
+        gang = pool.one_task(
+            tasks=3, accelerators=8, gang=True, data_rack="rack0"
+        )
+        self.submit("j", gang)
+        self.run_for(0.1)
+        self.set_fault("w00", pool_workers.WorkerFault.REFUSING)
+        self.run_for(1.5)
+        again = [each for each in self.started("j") if each[1] == 2]
+        self.assertEqual([], again)
--- a/citronmount/platform/runners.py
+++ b/citronmount/platform/runners.py
@@ -4,6 +4,7 @@
 import typing
 
 import msgspec
+from twisted.internet import defer
 
 from citronmount.core import ids
 from citronmount.fleet import orders
@@ -114,9 +115,12 @@
             checkpoint=order.saved,
             ticket=order.ticket,
         )
-        answer = await self._post("/-/run-start", order, body, timeout_ms)
-        if answer is None:
-            return orders.StartVerdict.UNANSWERED, None
+        try:
+            answer = await self._call("/-/run-start", order, body, timeout_ms)
+        except exchange.NoAnswerError as error:
+            if error.sent:
+                return orders.StartVerdict.UNANSWERED, None
+            return orders.StartVerdict.UNREACHED, None
         said = _decoded(answer)
         return _start_verdict(answer.status, said.reason), said.clock_ms
 
@@ -189,20 +193,29 @@
         timeout_ms: int,
     ) -> exchange.Answer | None:
         try:
-            return await self._connections.call(
-                "POST",
-                order.worker.address,
-                path,
-                timeout_ms,
-                headers={
-                    "Content-Type": "application/json",
-                    EXPECTED_LIFE_HEADER: order.worker.worker,
-                },
-                body=msgspec.json.encode(body),
-            )
+            return await self._call(path, order, body, timeout_ms)
         except exchange.NoAnswerError:
             return None
 
+    def _call(
+        self,
+        path: str,
+        order: orders.Order,
+        body: msgspec.Struct,
+        timeout_ms: int,
+    ) -> defer.Deferred[exchange.Answer]:
+        return self._connections.call(
+            "POST",
+            order.worker.address,
+            path,
+            timeout_ms,
+            headers={
+                "Content-Type": "application/json",
+                EXPECTED_LIFE_HEADER: order.worker.worker,
+            },
+            body=msgspec.json.encode(body),
+        )
+
 
 def _decoded(answer: exchange.Answer) -> _Answer:
     try:
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -27,11 +27,20 @@
 
 
 class WorkerFault(enum.Enum):
-    """How a worker treats orders."""
+    """How a worker treats orders.
+
+    LATE carries out orders to start late and does not answer them, LOSES_ONE
+    loses the next such order, and REFUSING takes no connection.
+    """
 
     NONE = "none"
     SILENT = "silent"
     LATE = "late"
+    LOSES_ONE = "loses_one"
+    REFUSING = "refusing"
+
+
+_UNREACHABLE = (WorkerFault.SILENT, WorkerFault.REFUSING)
 
 
 class TaskPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,9 +126,15 @@
     ) -> tuple[orders.StartVerdict, int | None]:
         """Starts a task."""
         worker = await self._reach(order)
+        if self._refuses(order):
+            return orders.StartVerdict.UNREACHED, None
         if worker is None:
             await self._time_out(timeout_ms)
             return orders.StartVerdict.UNANSWERED, None
+        if worker.fault is WorkerFault.LOSES_ONE:
+            worker.fault = WorkerFault.NONE
+            await self._time_out(timeout_ms)
+            return orders.StartVerdict.UNANSWERED, None
         if worker.fault is WorkerFault.LATE:
             self.clock.callLater(worker.late_s, worker.start, order)
             await self._time_out(timeout_ms)
@@ -173,12 +188,16 @@
     async def _reach(self, order: orders.Order) -> "PoolWorker | None":
         await task.deferLater(self.clock, TRIP_S)
         worker = self.workers.get(order.worker.worker)
-        if worker is None or worker.fault is WorkerFault.SILENT:
+        if worker is None or worker.fault in _UNREACHABLE:
             return None
         if worker.entry.life_ms != order.worker.life_ms:
             return None
         return worker
 
+    def _refuses(self, order: orders.Order) -> bool:
+        worker = self.workers.get(order.worker.worker)
+        return worker is not None and worker.fault is WorkerFault.REFUSING
+
     async def _time_out(self, timeout_ms: int) -> None:
         await task.deferLater(self.clock, timeout_ms / _MS_PER_S)
 
