Move a task within seconds when its reported share stands still

A run was only ended after 20 s and four times its estimate, although its worker reports with every hold that nothing is done.

How: a member whose share has not changed for 2 s, or a quarter of the estimate, on the worker's own clock ends its run; the worker loses its trust as one that fails, and the unit avoids it. The limit doubles with each time.

Ruled out: ending slow tasks that get on; a test shows that one of fifteen times its estimate is left alone.

Before and after (pool in virtual time): a task and a gang on two workers that stand still are done within 7 s, before not (the test failed first).

--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -12,6 +12,8 @@
 START_TRIES = 4
 STALL_FACTOR = 4
 STALL_FLOOR_MS = 20_000
+STILL_FLOOR_MS = 2_000
+STILL_ESTIMATE_SHARE = 0.25
 
 
 class RunDriver:
@@ -83,6 +85,7 @@
                 self.clear(run)
             elif run.phase is runs_lib.RunPhase.ACTIVE:
                 self._drive(run, now_ms)
+                self._end_if_still(run, now_ms)
                 self._end_if_hanging(run, now_ms)
                 self._move_off_leaving_workers(run, now_ms)
             elif run.phase is runs_lib.RunPhase.ENDING:
@@ -116,6 +119,36 @@
                 return
             self._send_start(run, member, now_ms)
 
+    def _end_if_still(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Ends a run of which a member does not get on, so that it moves.
+
+        Each time the limit doubles, as with `_end_if_hanging`.
+        """
+        if run.started_ms is None or run.step.lasting:
+            return
+        share_ms = run.step.estimate_ms * STILL_ESTIMATE_SHARE
+        patience = 2 ** self._state.stalls[run.unit]
+        limit_ms = max(STILL_FLOOR_MS, share_ms) * patience
+        still = [
+            member.place.worker
+            for member in run.live_members
+            if member.progress.still_ms >= limit_ms
+        ]
+        if not still:
+            return
+        self._state.stalls[run.unit] += 1
+        self._state.failed_at.setdefault(run.unit, set()).update(still)
+        for worker in still:
+            self._state.health.stands_still(worker, now_ms)
+        self._state.log.warning(
+            "run_stands_still",
+            unit=run.unit,
+            run=run.number,
+            workers=still,
+            limit_ms=int(limit_ms),
+        )
+        self._state.end_run(run, runs_lib.EndCause.STALLED)
+
     def _end_if_hanging(self, run: runs_lib.Run, now_ms: int) -> None:
         """Ends a run that stands still, so that it goes on elsewhere.
 
--- a/citronmount/fleet/worker_health.py
+++ b/citronmount/fleet/worker_health.py
@@ -104,6 +104,10 @@
         record.distrusted_until_ms = now_ms + DISTRUST_MS
         return True
 
+    def stands_still(self, worker: ids.WorkerId, now_ms: int) -> None:
+        """Notes that a task at a worker does not get on."""
+        self._records[worker].distrusted_until_ms = now_ms + DISTRUST_MS
+
     def overdue(
         self,
         worker: ids.WorkerId,
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -279,6 +279,22 @@
         self.assertEqual(2, len(set(places)))
         self.assertIs(DONE, self.state("j"))
 
+    def test_tasks_that_do_not_get_on_move_within_seconds(self) -> None:
+        for name in ("w00", "w01"):
+            self.pool.workers[ids.WorkerId(name)].stands_still = True
+        self.submit("j", pool.one_task(tasks=4, max_tasks_per_worker=1))
+        self.submit("g", pool.one_task(tasks=2, accelerators=7, gang=True))
+        self.run_for(7.0)
+        self.assertIs(DONE, self.state("j"))
+        self.assertIs(DONE, self.state("g"))
+
+    def test_slow_task_that_gets_on_is_left_alone(self) -> None:
+        self.run_time_ms = lambda task, run: 15_000
+        self.submit("j", pool.one_task(tasks=3, gang=True))
+        self.run_for(16.0)
+        self.assertEqual(3, len(self.started("j")))
+        self.assertIs(DONE, self.state("j"))
+
     def test_job_far_longer_than_it_said_ends_all_the_same(self) -> None:
         self.run_time_ms = lambda task, run: 60_000
         self.submit("j", pool.one_task())
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -253,6 +253,7 @@
         fault: How it treats orders.
         late_s: How late it carries out orders with the fault LATE.
         slowdown: How much longer it takes than a plan says.
+        stands_still: Whether what starts there never gets on.
     """
 
     def __init__(self, *, pool: PoolWorkers, entry: workers_lib.Worker) -> None:
@@ -263,6 +264,7 @@
         self.fault = WorkerFault.NONE
         self.late_s = 4.0
         self.slowdown = 1.0
+        self.stands_still = False
         self._pool = pool
         self._token = 0
         self._until_ms = 0
@@ -357,6 +359,8 @@
         began_ms = run.began_ms
         if run.plan.gang > 1:
             began_ms = self._pool.gang_began_ms(run.task, run.run)
+        if self.stands_still:
+            return 0
         whole_ms = run.plan.run_time_ms * self.slowdown
         done = (self._pool.now_ms() - began_ms) / max(whole_ms, 1)
         return int(max(min(done, 1.0), 0.0) * 100)
@@ -391,6 +395,8 @@
     def _finish(self, run: _Running) -> None:
         if self.running.get(run.task) is not run or run.stopping:
             return
+        if self.stands_still:
+            return
         failed = run.plan.fails
         kind = orders.EndKind.FAILED if failed else orders.EndKind.DONE
         if run.plan.gang == 1:
