Ignore unit records that name no unit of their job

Cause: a record of the job topic with a key like u/j.0.0.0.0, or one of a step that its job does not have, decoded well but raised when it was folded. The tail ended for good on every VM, and the owner gave up the pool again and again. Found by a test of mine whose job ids held a dot.

Ruled out: ids of callers; the adapter takes 16 hexadecimal digits only, so such a record can only come from another writer.

--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -12,6 +12,7 @@
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
 from citronmount.workflow import records
+from citronmount.workflow import units
 
 DONE = states.JobState.DONE
 SILENT = pool_log.LogFault.SILENT
@@ -251,8 +252,20 @@
             ports.Topic.JOBS, [("u/x", b"\xff"), ("", b""), ("j/1", b"[]")]
         )
         self.submit("j", pool.one_task())
+        for unit in ("j.0.0.0.0", "j", "j.0.7.0"):
+            record = records.UnitChanged(
+                unit=units.UnitId(unit),
+                status=records.UnitStatus.WAITING,
+                run=1,
+                places=(records.Place(worker=ids.WorkerId("w"), life_ms=1),),
+            )
+            entry = (records.key_of(record), records.encode(record))
+            self.log.write(ports.Topic.JOBS, [entry])
         self.run_for(3.0)
-        self.assertIs(DONE, self.state("j"))
+        self.assertIs(DONE, self.state("j", at=1))
+        self.submit("k", pool.one_task())
+        self.run_for(3.0)
+        self.assertIs(DONE, self.state("k"))
 
 
 class DistrustTest(pool.PoolCase):
--- a/citronmount/workflow/book.py
+++ b/citronmount/workflow/book.py
@@ -101,8 +101,7 @@
             case records.Cancelled():
                 return self._change(record.job, offset, record)
             case records.UnitChanged():
-                job = units.UnitKey.parse(record.unit).job
-                return self._change(job, offset, record)
+                return self._change_unit(offset, record)
 
     def drop(self, offset: int, key: str) -> None:
         """Folds a record that removes a key.
@@ -178,6 +177,14 @@
         self.finished[record.job] = record
         return True
 
+    def _change_unit(self, offset: int, record: records.UnitChanged) -> bool:
+        """Folds the record of a unit, unless its job has no such step."""
+        key = units.UnitKey.parse(record.unit)
+        entry = self.jobs.get(key.job)
+        if entry and key.step >= len(entry.submission.workflow.steps):
+            return False
+        return self._change(key.job, offset, record)
+
     def _change(
         self,
         job: ids.JobId,
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -229,6 +229,11 @@
         record = decoder.decode(value)
     except msgspec.DecodeError as error:
         raise UnreadableRecordError(f"record {key}: {error}") from error
+    if isinstance(record, UnitChanged):
+        try:
+            units.UnitKey.parse(record.unit)
+        except ValueError as error:
+            raise UnreadableRecordError(f"record {key}: {error}") from error
     if key_of(record) != key:
         raise UnreadableRecordError(f"record {key} holds another key")
     return record
