Tell silence of the job topic from that of others, and notice its end sooner

After its return VMs refused for up to 1.1 s more: a lost tail still waited 2.2 s for each answer.

How: one contact for the job topic alone, which decides on refusals and readiness; a lost tail reads without waiting and gives up after 0.4 s. An acknowledged append counts as an answer.

Ruled out: restarted VMs; those probed once each, as they should.

--- a/citronmount/fleet_service/contact.py
+++ b/citronmount/fleet_service/contact.py
@@ -1,4 +1,7 @@
-"""Whether the log answered this VM last time it was called.
+"""Whether a part of the log answered this VM last time it was called.
+
+The topics may lie on different machines of the site, so one may be silent
+while the others answer: what takes jobs in only looks at the job topic.
 
 Load pattern: the log is silent for seconds while callers go on. A call whose
 record is not sent can truthfully be refused, at once.
--- a/citronmount/fleet_service/front.py
+++ b/citronmount/fleet_service/front.py
@@ -262,6 +262,7 @@
                     end_s = min(end_s, self._clock.seconds() + limit_s)
                 verdict = Verdict.UNCERTAIN
             else:
+                self._contact.answered()
                 if self._book.apply(offset, record):
                     self._on_change()
                 return Answer(verdict=Verdict.DONE)
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -19,6 +19,7 @@
 READ_MARGIN_MS = 700
 SNAPSHOT_TIMEOUT_MS = 2_500
 LOOK_UP_MS = 700
+LOST_READ_MS = 400
 FIRST_RETRY_MS = 50
 LAST_RETRY_MS = 400
 
@@ -132,11 +133,10 @@
         if self.position is None:
             await self._read_snapshot()
             return
+        wait_ms = 0 if self._lost else self.wait_ms
+        margin_ms = LOST_READ_MS if self._lost else READ_MARGIN_MS
         page = await self._log.read(
-            self._topic,
-            self.position,
-            self.wait_ms,
-            self.wait_ms + READ_MARGIN_MS,
+            self._topic, self.position, wait_ms, wait_ms + margin_ms
         )
         self._take(page)
 
--- a/citronmount/fleet_service/node.py
+++ b/citronmount/fleet_service/node.py
@@ -66,6 +66,7 @@
         self._directory = workers_lib.WorkerDirectory()
         self._draining = False
         self._contact = contact_lib.LogContact(clock=clock)
+        elsewhere = contact_lib.LogContact(clock=clock)
         self._jobs = log_tail.LogTail(
             clock=clock,
             log=log,
@@ -78,7 +79,7 @@
         self._configuration = log_tail.LogTail(
             clock=clock,
             log=log,
-            contact=self._contact,
+            contact=elsewhere,
             topic=ports.Topic.CONFIGURATION,
             on_snapshot=self._reconfigure,
             on_records=self._configure,
@@ -86,7 +87,7 @@
         self._workers = log_tail.LogTail(
             clock=clock,
             log=log,
-            contact=self._contact,
+            contact=elsewhere,
             topic=ports.Topic.WORKERS,
             on_snapshot=self._replace_workers,
             on_records=self._change_workers,
@@ -117,7 +118,7 @@
         self._candidacy = candidacy.Candidacy(
             clock=clock,
             log=log,
-            contact=self._contact,
+            contact=elsewhere,
             owns=lambda: self._owner.active,
             owner_member=self._owner_member,
             refresh=self._jobs.catch_up,
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -42,6 +42,7 @@
     Attributes:
         topics: The records of each topic.
         faults: How each VM is treated; those missing are served.
+        silent_topics: Topics at which no call is answered.
     """
 
     def __init__(self, *, clock: interfaces.IReactorTime) -> None:
@@ -55,6 +56,7 @@
             topic: [] for topic in ports.Topic
         }
         self.faults: dict[ids.VmId, LogFault] = {}
+        self.silent_topics: set[ports.Topic] = set()
         self._first: dict[ports.Topic, int] = dict.fromkeys(ports.Topic, 0)
         self._waiting: list[defer.Deferred[None]] = []
         self._producer = _Producer()
@@ -194,7 +196,7 @@
         self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
     ) -> int:
         """Appends to the job topic."""
-        await self._arrive(timeout_ms)
+        await self._arrive(timeout_ms, ports.Topic.JOBS)
         offset = self._log.write(ports.Topic.JOBS, records)
         await self._answer(timeout_ms)
         return offset
@@ -207,7 +209,7 @@
         timeout_ms: int,
     ) -> int:
         """Appends to the job topic unless a newer epoch was seen."""
-        await self._arrive(timeout_ms)
+        await self._arrive(timeout_ms, ports.Topic.JOBS)
         offset = self._log.append_as_owner(records, epoch, sequence)
         await self._answer(timeout_ms)
         return offset
@@ -216,11 +218,11 @@
         self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
     ) -> ports.Page:
         """Reads records, waiting for the first if there is none yet."""
-        await self._arrive(timeout_ms)
+        await self._arrive(timeout_ms, topic)
         page = self._log.page(topic, offset)
         if not page.records and wait_ms:
             await self._log.next_write(wait_ms)
-            await self._arrive(timeout_ms)
+            await self._arrive(timeout_ms, topic)
             page = self._log.page(topic, offset)
         await task.deferLater(self._log.clock, ANSWER_S / 2)
         return page
@@ -229,7 +231,7 @@
         self, topic: ports.Topic, timeout_ms: int
     ) -> ports.Snapshot:
         """Reads the newest record of each key."""
-        await self._arrive(timeout_ms)
+        await self._arrive(timeout_ms, topic)
         return self._log.newest(topic)
 
     async def join(
@@ -249,7 +251,9 @@
         await self._arrive(timeout_ms)
         self._log.leave(self.member)
 
-    async def _arrive(self, timeout_ms: int) -> None:
+    async def _arrive(
+        self, timeout_ms: int, topic: ports.Topic | None = None
+    ) -> None:
         next(self.calls)
         await task.deferLater(self._log.clock, ANSWER_S / 2)
         fault = self._log.faults.get(self._vm, LogFault.NONE)
@@ -257,7 +261,7 @@
             raise ports.NotDoneError(
                 "refused", code=codes.ResultCode.UNREACHABLE
             )
-        if fault is LogFault.SILENT:
+        if fault is LogFault.SILENT or topic in self._log.silent_topics:
             await self._time_out(timeout_ms)
 
     async def _answer(self, timeout_ms: int) -> None:
