--- a/citronmount/cli/main.py
+++ b/citronmount/cli/main.py
@@ -4,6 +4,7 @@
 
 import citronmount
 from citronmount.cli import bench_command
+from citronmount.cli import explain_command
 from citronmount.cli import job_commands
 from citronmount.cli import operate_commands
 from citronmount.cli import sheet_commands
@@ -13,6 +14,7 @@
 
 _COMMANDS = (
     bench_command.bench,
+    explain_command.explain,
     job_commands.cancel,
     job_commands.request,
     job_commands.status,
--- a/citronmount/fleet/job_ends.py
+++ b/citronmount/fleet/job_ends.py
@@ -79,6 +79,8 @@
             age_ms=wall_ms - entry.submission.accepted_ms,
             objective_ms=waiting_lib.objective_end_ms(entry.submission)
             - entry.submission.accepted_ms,
+            slack_factor=entry.submission.terms.slack_factor,
+            margin_ms=entry.submission.terms.objective_ms,
         )
 
     def _forget_old(self, wall_ms: int) -> None:
--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -179,12 +179,15 @@
         )
         (self.folder / f"vm-{number}.toml").write_text(text)
 
-    def start(self, number: int) -> None:
+    def environment(self, number: int) -> dict[str, str]:
         path = self.folder / f"vm-{number}.toml"
+        return {**os.environ, "CITRONMOUNT_SETTINGS": str(path)}
+
+    def start(self, number: int) -> None:
         with (self.folder / f"vm-{number}.log").open("ab") as output:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, "-m", "citronmount.platform"],
-                env={**os.environ, "CITRONMOUNT_SETTINGS": str(path)},
+                env=self.environment(number),
                 stdout=output,
                 stderr=output,
             )
--- /dev/null
+++ b/citronmount/telemetry/tests/test_job_story.py
@@ -0,0 +1,74 @@
+import json
+import unittest
+
+from citronmount.telemetry import job_story
+
+START = "2026-12-04T10:00:0"
+JOB = "5c0e7a21d94b36f8"
+FINISH = {"age_ms": 0, "slack_factor": 1.5, "margin_ms": 250}
+
+
+def line(time_s: float, event: str, **fields: object) -> str:
+    stamp = f"{START}{time_s:.3f}Z"
+    return json.dumps({**fields, "event": event, "timestamp": stamp})
+
+
+def gang(
+    placed_s: float, started_s: float, ended_s: float, finished_s: float
+) -> list[str]:
+    unit = f"{JOB}.0.0"
+    return [
+        line(0.5, "job_submitted", job=JOB, verdict="done"),
+        line(placed_s, "unit_placed", unit=unit, priority=0, waited_ms=0),
+        line(started_s, "run_started", unit=unit),
+        line(ended_s, "run_ended", task=f"{unit}.1", kind="done"),
+        line(finished_s, "job_finished", job=JOB, **FINISH),
+    ]
+
+
+class JobStoryTest(unittest.TestCase):
+    def story(self, lines: list[str]) -> job_story.JobStory:
+        return job_story.stories(lines)[JOB]
+
+    def test_lines_that_are_no_log_lines_are_skipped(self) -> None:
+        for text in ("", "{", "Traceback", '{"event": "x"}', "[]"):
+            self.assertIsNone(job_story.parse(text))
+
+    def test_what_comes_before_the_line_is_skipped(self) -> None:
+        text = "  1.5 vm-1 " + line(1, "job_submitted", job=JOB)
+        self.assertEqual(JOB, job_story.parse(text).job)
+
+    def test_time_is_split_by_phase(self) -> None:
+        spent = self.story(gang(0.6, 0.9, 2.9, 4.0)).spent_ms()
+        self.assertAlmostEqual(300, spent[job_story.Phase.STARTING], 3)
+        self.assertAlmostEqual(2_000, spent[job_story.Phase.WORKING], 3)
+        self.assertAlmostEqual(1_100, spent[job_story.Phase.RECORDING], 3)
+
+    def test_job_in_time_is_not_late(self) -> None:
+        found = job_story.stories(gang(0.6, 0.7, 2.7, 2.8))
+        self.assertEqual([], job_story.late_jobs(found))
+
+    def test_late_job_names_its_main_loss(self) -> None:
+        found = job_story.stories(gang(0.6, 0.7, 2.7, 4.8))
+        late = job_story.late_jobs(found)
+        self.assertIs(job_story.Phase.RECORDING, late[0].main_loss())
+
+    def test_runs_that_came_to_nothing_are_told_with_their_cause(self) -> None:
+        unit = f"{JOB}.0.0"
+        lines = [
+            *gang(0.6, 0.7, 4.7, 4.8),
+            line(1.5, "run_ending", unit=unit, cause="preempted"),
+            line(3.0, "unit_placed", unit=unit, priority=0, waited_ms=100),
+            line(3.1, "run_started", unit=unit),
+        ]
+        story = self.story(lines)
+        self.assertIs(job_story.Phase.REPEATING, story.main_loss())
+        self.assertEqual({"preempted": 1}, dict(story.causes()))
+
+    def test_refused_submissions_count_from_the_first(self) -> None:
+        lines = [
+            line(0.0, "job_submitted", job=JOB, verdict="not_done"),
+            *gang(0.6, 0.7, 2.7, 2.8),
+        ]
+        spent = self.story(lines).spent_ms()
+        self.assertAlmostEqual(500, spent[job_story.Phase.INTAKE], 3)
