Hand the learned speeds of workers on to the next owner

How: the owner records the speeds under one key of the job topic at most every 5 s and only if one changed by 5 percent; the next owner begins with them.

Ruled out: keeping them at every VM from the workers' reports; only the owner asks the workers.

Before and after (pool in virtual time): after a change of owner an urgent gang takes quick workers only; before two of its five were slow (failed first).

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -22,6 +22,8 @@
 __all__ = ["Owner"]
 
 LOOK_PERIOD_MS = 100
+KEEP_SPEEDS_PERIOD_MS = 5_000
+SPEED_CHANGE = 0.05
 
 
 class Owner:
@@ -73,6 +75,8 @@
         )
         self._accounts: tuple[configuration_lib.Account, ...] = ()
         self._next_look_ms = 0
+        self._next_keep_ms = now_ms + KEEP_SPEEDS_PERIOD_MS
+        self._kept_speeds = dict(book.speeds)
         self._driver.restore(now_ms)
 
     @property
@@ -149,10 +153,26 @@
             self._state.changed = False
             self._ends.end_jobs(now_ms, wall_ms)
             self._plan(now_ms, wall_ms)
+        if now_ms >= self._next_keep_ms:
+            self._next_keep_ms = now_ms + KEEP_SPEEDS_PERIOD_MS
+            self._keep_speeds()
         self._sessions.due_holds(now_ms)
         out, self._state.orders = self._state.orders, []
         return out
 
+    def _keep_speeds(self) -> None:
+        """Has the speeds of machines recorded for the next owner."""
+        machines = {each.speed_key for each in self._state.directory}
+        speeds = self._state.speeds.kept(machines)
+        before = self._kept_speeds
+        changed = any(
+            machine not in before or abs(log - before[machine]) >= SPEED_CHANGE
+            for machine, log in speeds.items()
+        )
+        if changed:
+            self._kept_speeds = speeds
+            self._state.write(records.SpeedsLearned(logs=speeds))
+
     def _plan(self, now_ms: int, wall_ms: int) -> None:
         waiting = self._waiting(now_ms, wall_ms)
         if not waiting:
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -117,6 +117,7 @@
         self.stalls: collections.Counter[units.UnitId] = collections.Counter()
         self.health = worker_health.WorkerHealth()
         self.speeds = worker_speeds.WorkerSpeeds()
+        self.speeds.restore(book.speeds, now_ms)
         self.advice = advice_lib.AdviceBook()
         self.entries: list[Entry] = []
         self.orders: list[orders.Order] = []
--- a/citronmount/fleet/worker_speeds.py
+++ b/citronmount/fleet/worker_speeds.py
@@ -5,6 +5,7 @@
 rates at which they get on compare their workers.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import math
 import statistics
@@ -19,6 +20,9 @@
 SLUMP_MEMORY_MS = 10_000
 LEAST_KNOWN = 4
 
+_KEPT_DIGITS = 2
+_RESTORED_OBSERVATIONS = 2
+
 
 class _Speed:
     """The estimate for one worker: logarithm of its relative speed."""
@@ -64,6 +68,40 @@
             speed.learned_ms = now_ms
         self._usual = None
 
+    def kept(
+        self, machines: Iterable[workers_lib.MachineId]
+    ) -> dict[workers_lib.MachineId, float]:
+        """Returns what a later owner should begin with.
+
+        Args:
+            machines: The machines that are there.
+
+        Returns:
+            Logarithm of the relative speed of each machine that is known.
+        """
+        known = ((each, self._speeds.get(each)) for each in machines)
+        return {
+            machine: round(speed.log, _KEPT_DIGITS)
+            for machine, speed in known
+            if speed is not None
+        }
+
+    def restore(
+        self, kept: Mapping[workers_lib.MachineId, float], now_ms: int
+    ) -> None:
+        """Begins with what an earlier owner has learned.
+
+        Args:
+            kept: What `kept` returned there.
+            now_ms: Steady time in milliseconds.
+        """
+        for machine, log in kept.items():
+            speed = self._speeds.setdefault(machine, _Speed())
+            speed.log = log
+            speed.observations = _RESTORED_OBSERVATIONS
+            speed.learned_ms = now_ms
+        self._usual = None
+
     def slowdown(self, machine: workers_lib.MachineId, now_ms: int) -> float:
         """Returns how much longer a machine takes than a quick one.
 
--- a/citronmount/fleet_service/tests/test_worker_speeds.py
+++ b/citronmount/fleet_service/tests/test_worker_speeds.py
@@ -1,3 +1,5 @@
+from twisted.internet import defer
+
 from citronmount.core import ids
 from citronmount.fleet_service.tests import pool
 
@@ -5,7 +7,14 @@
 class WorkerSpeedsTest(pool.PoolCase):
     workers_per_rack = 4
 
-    def test_urgent_gangs_move_to_quick_workers_once_they_are_known(
+    def replace_owner(self) -> None:
+        number = self.owner()
+        stopped = defer.ensureDeferred(self.nodes[number].give_up())
+        self.wait_for(stopped)
+        self.run_for(1.0)
+        self.assertNotEqual(number, self.owner())
+
+    def test_urgent_gangs_take_quick_workers_also_under_the_next_owner(
         self,
     ) -> None:
         slow = {"w00", "w02", "w11"}
@@ -21,6 +30,7 @@
         for number in range(3):
             self.submit(f"wide{number}", wide)
             self.run_for(4.0)
+        self.replace_owner()
         gang = pool.one_task(
             tasks=5, accelerators=8, gang=True, estimate_ms=2_500
         )
--- a/citronmount/workflow/book.py
+++ b/citronmount/workflow/book.py
@@ -66,6 +66,7 @@
         jobs: Jobs without a final state.
         finished: Final states that callers may still ask for.
         owned: Who took the pool over last, if anyone did.
+        speeds: What owners have learned of the speeds of machines.
     """
 
     def __init__(self) -> None:
@@ -73,6 +74,7 @@
         self.jobs: dict[ids.JobId, JobEntry] = {}
         self.finished: dict[ids.JobId, records.Finished] = {}
         self.owned: records.Owned | None = None
+        self.speeds: dict[str, float] = {}
         self._offsets: dict[str, int] = {}
         self._early: dict[ids.JobId, list[tuple[int, records.Record]]] = {}
 
@@ -98,6 +100,9 @@
             case records.Owned():
                 self.owned = record
                 return True
+            case records.SpeedsLearned():
+                self.speeds = record.logs
+                return False
             case records.Cancelled():
                 return self._change(record.job, offset, record)
             case records.UnitChanged():
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -18,6 +18,7 @@
     "FinalState",
     "Place",
     "Record",
+    "SpeedsLearned",
     "Submitted",
     "UnitChanged",
     "UnitStatus",
@@ -138,12 +139,25 @@
     member: str
 
 
-Record = Submitted | Cancelled | UnitChanged | Finished | Owned
+class SpeedsLearned(msgspec.Struct, frozen=True, kw_only=True, tag="w"):
+    """What the owner has learned of the speeds of machines.
+
+    Attributes:
+        logs: Logarithm of the relative speed of each machine.
+    """
+
+    logs: dict[str, float]
+
+
+Record = Submitted | Cancelled | UnitChanged | Finished | Owned | SpeedsLearned
 
 OWNER_KEY = "o"
+SPEEDS_KEY = "w"
 
 _ENCODER = msgspec.msgpack.Encoder()
-_OBJECTS = msgspec.msgpack.Decoder(Submitted | Cancelled | Finished | Owned)
+_OBJECTS = msgspec.msgpack.Decoder(
+    Submitted | Cancelled | Finished | Owned | SpeedsLearned
+)
 _UNITS = msgspec.msgpack.Decoder(UnitChanged)
 _UNIT_PREFIX = "u/"
 _FINAL_PREFIX = "e/"
@@ -196,6 +210,8 @@
             return final_key(job)
         case Owned():
             return OWNER_KEY
+        case SpeedsLearned():
+            return SPEEDS_KEY
     typing.assert_never(record)
 
 
