--- a/citronmount/bench/domain_out.py
+++ b/citronmount/bench/domain_out.py
@@ -4,6 +4,7 @@
 from citronmount.bench import mixed
 from citronmount.bench import registry
 from citronmount.bench import replay
+from citronmount.bench import replay_events
 from citronmount.bench import report
 from citronmount.bench import sites
 from citronmount.bench import workload
@@ -40,9 +41,9 @@
     )
     back = sites.set_domain_state(out, OUT, states.FailureDomainState.IN)
     changes = (
-        (out_ms, replay.Configure(configuration=out)),
-        (out_ms + POWER_DOWN_AFTER_MS, replay.PowerDown(domain=OUT)),
-        (2 * out_ms, replay.Configure(configuration=back)),
+        (out_ms, replay_events.Configure(configuration=out)),
+        (out_ms + POWER_DOWN_AFTER_MS, replay_events.PowerDown(domain=OUT)),
+        (2 * out_ms, replay_events.Configure(configuration=back)),
     )
     trace = mixed.by_arrival(
         mixed.steady(
--- a/citronmount/bench/failing_workers.py
+++ b/citronmount/bench/failing_workers.py
@@ -6,6 +6,7 @@
 from citronmount.bench import mixed
 from citronmount.bench import registry
 from citronmount.bench import replay
+from citronmount.bench import replay_events
 from citronmount.bench import report
 from citronmount.bench import sites
 from citronmount.bench import workload
@@ -62,8 +63,8 @@
     changes = tuple(
         (at_ms, change(worker=worker))
         for at_ms, change in (
-            (BROKEN_FROM_MS, replay.BreakWorker),
-            (BROKEN_TO_MS, replay.HealWorker),
+            (BROKEN_FROM_MS, replay_events.BreakWorker),
+            (BROKEN_TO_MS, replay_events.HealWorker),
         )
         for worker in BROKEN
     )
--- a/citronmount/bench/metrics.py
+++ b/citronmount/bench/metrics.py
@@ -6,6 +6,7 @@
 
 from citronmount.bench import accounting
 from citronmount.bench import replay as replay_lib
+from citronmount.bench import replay_events
 from citronmount.bench import report
 from citronmount.core import ids
 
@@ -20,7 +21,7 @@
 MIN_DUE_S = 3_600.0
 
 
-def wait_s(job: replay_lib.JobTrace, horizon_ms: int) -> float:
+def wait_s(job: replay_events.JobTrace, horizon_ms: int) -> float:
     """Returns how long a job waited for its first start.
 
     Args:
@@ -37,12 +38,12 @@
     return (start_ms - job.job.arrival_ms) / 1_000
 
 
-def _completion_s(job: replay_lib.JobTrace, horizon_ms: int) -> float:
+def _completion_s(job: replay_events.JobTrace, horizon_ms: int) -> float:
     end_ms = horizon_ms if job.ended_ms is None else job.ended_ms
     return (end_ms - job.job.arrival_ms) / 1_000
 
 
-def _counted(job: replay_lib.JobTrace, horizon_ms: int) -> bool:
+def _counted(job: replay_events.JobTrace, horizon_ms: int) -> bool:
     """Whether the job is one that runs to its end if it can."""
     return (
         job.job.cancel_ms is None
@@ -165,7 +166,7 @@
 
 
 def _deadlines_missed(
-    counted: list[replay_lib.JobTrace], horizon_ms: int
+    counted: list[replay_events.JobTrace], horizon_ms: int
 ) -> float:
     bound = [
         job
