--- a/citronmount/fleet_service/tests/test_log_outages.py
+++ b/citronmount/fleet_service/tests/test_log_outages.py
@@ -24,6 +24,17 @@
             self.assertIs(front.Verdict.NOT_DONE, verdict)
             self.assertLess(took_s, 0.05)
 
+    def test_uncertain_submission_is_told_so_within_a_second(self) -> None:
+        for vm in range(self.vms):
+            name = ids.VmId(f"vm{vm}")
+            self.submit(f"first{vm}", pool.one_task(), at=vm)
+            self.log.faults[name] = pool_log.LogFault.SILENT
+            began_s = self.clock.seconds()
+            verdict = self.submit(f"j{vm}", pool.one_task(), at=vm)
+            took_s = self.clock.seconds() - began_s
+            self.assertIs(front.Verdict.UNCERTAIN, verdict)
+            self.assertLess(took_s, 1.1)
+
     def test_return_of_the_log_is_noticed_soon(self) -> None:
         for outage_s in (3.5, 4.0, 4.5, 5.0, 5.5):
             with self.subTest(outage_s=outage_s):
