Begin a gang again without a member that holds it up

Cause: workers that turn several times slower for some seconds are among the troubles of both sites. A gang of 2.5 s with one member at a fifth of the speed held all its room for 12 s and more, and its job was late.

How: members do equal work, so the quickest shows what a run without the slow one takes.

Ruled out: doing the same for single tasks, whose estimates scatter too much, and judging by estimates at all.

--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -1,8 +1,12 @@
 """Drives runs from their decision to their end."""
 
+from collections.abc import Iterable
+
+from citronmount.core import ids
 from citronmount.fleet import orders
 from citronmount.fleet import owner_state
 from citronmount.fleet import runs as runs_lib
+from citronmount.fleet import slow_members
 from citronmount.fleet import workers as workers_lib
 from citronmount.workflow import records
 from citronmount.workflow import units
@@ -14,6 +18,7 @@
 STALL_FLOOR_MS = 20_000
 STILL_FLOOR_MS = 2_000
 STILL_ESTIMATE_SHARE = 0.25
+MOST_MOVES = 2
 
 
 class RunDriver:
@@ -86,6 +91,7 @@
             elif run.phase is runs_lib.RunPhase.ACTIVE:
                 self._drive(run, now_ms)
                 self._end_if_still(run, now_ms)
+                self._end_if_held_up(run, now_ms)
                 self._end_if_hanging(run, now_ms)
                 self._move_off_leaving_workers(run, now_ms)
             elif run.phase is runs_lib.RunPhase.ENDING:
@@ -134,20 +140,48 @@
             for member in run.live_members
             if member.progress.still_ms >= limit_ms
         ]
-        if not still:
+        if still:
+            self._state.log.warning(
+                "run_stands_still",
+                unit=run.unit,
+                run=run.number,
+                workers=still,
+                limit_ms=int(limit_ms),
+            )
+            self._leave(run, still, runs_lib.EndCause.STALLED, now_ms)
+
+    def _end_if_held_up(self, run: runs_lib.Run, now_ms: int) -> None:
+        """Ends a gang that is done sooner if it begins again elsewhere."""
+        if run.phase is not runs_lib.RunPhase.ACTIVE or run.step.lasting:
+            return
+        if run.started_ms is None or len(run.members) < 2:
+            return
+        if self._state.stalls[run.unit] >= MOST_MOVES:
             return
+        slow = slow_members.slow_workers(run)
+        if slow:
+            self._state.log.warning(
+                "run_held_up",
+                unit=run.unit,
+                run=run.number,
+                workers=sorted(slow),
+                elapsed_ms=now_ms - run.started_ms,
+            )
+            self._leave(run, slow, runs_lib.EndCause.SLOW_MEMBER, now_ms)
+
+    def _leave(
+        self,
+        run: runs_lib.Run,
+        places: Iterable[ids.WorkerId],
+        cause: runs_lib.EndCause,
+        now_ms: int,
+    ) -> None:
+        """Ends a run whose unit shall avoid some workers from now on."""
         self._state.stalls[run.unit] += 1
-        self._state.failed_at.setdefault(run.unit, set()).update(still)
-        for worker in still:
+        self._state.failed_at.setdefault(run.unit, set()).update(places)
+        for worker in places:
             self._state.health.stands_still(worker, now_ms)
-        self._state.log.warning(
-            "run_stands_still",
-            unit=run.unit,
-            run=run.number,
-            workers=still,
-            limit_ms=int(limit_ms),
-        )
-        self._state.end_run(run, runs_lib.EndCause.STALLED)
+        self._state.end_run(run, cause)
 
     def _end_if_hanging(self, run: runs_lib.Run, now_ms: int) -> None:
         """Ends a run that stands still, so that it goes on elsewhere.
--- a/citronmount/fleet/runs.py
+++ b/citronmount/fleet/runs.py
@@ -43,6 +43,7 @@
     MEMBER_ENDED = "member_ended"
     WORKER_LEAVES = "worker_leaves"
     STALLED = "stalled"
+    SLOW_MEMBER = "slow_member"
     SUPERSEDED = "superseded"
 
 
--- a/citronmount/fleet/task_progress.py
+++ b/citronmount/fleet/task_progress.py
@@ -3,6 +3,7 @@
 __all__ = ["TaskProgress"]
 
 LEAST_CHANGE_PERCENT = 15.0
+ROUGH_RATE_MS = 800
 
 _WHOLE_PERCENT = 100.0
 _MS_PER_S = 1_000
@@ -47,6 +48,24 @@
             return None
         return change * _MS_PER_S / (self._last[0] - self._first[0])
 
+    @property
+    def percent(self) -> float:
+        """The newest share that is below the whole."""
+        return self._last[1] if self._last else 0.0
+
+    @property
+    def rough_percent_per_s(self) -> float | None:
+        """The rate as far as it shows by now, or None before that.
+
+        Good enough to tell a multiple, not to compare speeds.
+        """
+        if self._first is None or self._last is None:
+            return None
+        elapsed_ms = self._last[0] - self._first[0]
+        if elapsed_ms < ROUGH_RATE_MS:
+            return None
+        return (self._last[1] - self._first[1]) * _MS_PER_S / elapsed_ms
+
     @property
     def still_ms(self) -> int:
         """How long the share has not changed by the newest report."""
