--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Planner"]
 
-URGENCY_FACTOR = 2.5
+URGENCY_FACTOR = 1.5
 PATIENT_SLACK_FACTOR = 2.0
 _IDLE_POOL_SHARE = 0.5
 
