--- a/citronmount/agent/tests/test_agent.py
+++ b/citronmount/agent/tests/test_agent.py
@@ -7,6 +7,7 @@
 from citronmount.agent import agent as agent_lib
 from citronmount.agent import settings
 from citronmount.bench import harness
+from citronmount.bench import harness_services
 from citronmount.bench import harness_site
 from citronmount.core import codes
 from citronmount.core import ids
@@ -212,17 +213,17 @@
         self.assertEqual(found, {codes.ResultCode.DONE: 60})
 
     def test_jobs_are_accepted_at_peers_while_the_log_is_down(self):
-        self.harness.down.add(harness.LOG)
+        self.harness.services.down.add(harness_services.LOG)
         self.gang(0)
         self.clock.run_until_ms(10_000)
         durability = self.answers[0].status.durability
         self.assertIs(durability, states.Durability.PEERS)
         self.clock.run_until_ms(30_000)
-        self.harness.down.clear()
+        self.harness.services.down.clear()
         self.clock.run_until_ms(45_000)
         stream = records.job_stream(ids.FailureDomainId("fd-a"))
         kept = itertools.chain.from_iterable(
-            self.harness.log.history(records.job_stream(domain))
+            self.harness.services.log.history(records.job_stream(domain))
             for domain in self.site.failure_domains
         )
         names = {entry.record for _, entry in kept}
--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -10,6 +10,7 @@
 from citronmount.agent import homes
 from citronmount.bench import harness as harness_lib
 from citronmount.bench import harness_network
+from citronmount.bench import harness_process
 from citronmount.bench import harness_site
 from citronmount.bench.faults import callers as callers_lib
 from citronmount.bench.faults import evidence as evidence_lib
@@ -62,7 +63,7 @@
     """
 
     number: int
-    process: harness_lib.Process
+    process: harness_process.Process
     item: Any
     at_ms: int
 
@@ -94,7 +95,7 @@
         *,
         plan: tuple[tuple[registry.Fault, registry.Step], ...],
         seed: int,
-        make_agent: Callable[..., harness_lib.AgentLike],
+        make_agent: Callable[..., harness_process.AgentLike],
         site: harness_site.Site,
     ) -> None:
         """Initializes a cell.
@@ -210,7 +211,7 @@
             hit: Where the step was seen.
         """
         target = steps.target_of(hit.item)
-        if target in self.harness.workers:
+        if target in self.harness.services.workers:
             return str(target)
         domain = hit.process.vm.failure_domain
         return self.rng.choice(
@@ -275,7 +276,7 @@
         self._run_to_end()
         self.evidence.finish(self.callers, self.healed_ms)
 
-    def _watch(self, process: harness_lib.Process, item: Any) -> None:
+    def _watch(self, process: harness_process.Process, item: Any) -> None:
         triggered = self.harness.clock.now_ms >= TRIGGER_MS
         for strike in list(self._plan):
             late = strike.step.family in _TRIGGERED_FAMILIES
@@ -292,7 +293,7 @@
             self.harness.watchers.remove(self._watch)
 
     def _strike(
-        self, fault: registry.Fault, process: harness_lib.Process, item: Any
+        self, fault: registry.Fault, process: harness_process.Process, item: Any
     ) -> None:
         hit = Hit(
             number=len(self.hits),
--- a/citronmount/bench/faults/evidence.py
+++ b/citronmount/bench/faults/evidence.py
@@ -8,6 +8,7 @@
 from citronmount.agent import effects
 from citronmount.agent import events
 from citronmount.bench import harness as harness_lib
+from citronmount.bench import harness_process as process_lib
 from citronmount.bench.faults import callers as callers_lib
 from citronmount.config import configuration
 from citronmount.core import ids
@@ -121,7 +122,7 @@
             for impaired, begin, end in self.impaired
         )
 
-    def watch(self, process: harness_lib.Process, item: Any) -> None:
+    def watch(self, process: process_lib.Process, item: Any) -> None:
         """Takes in an event or effect of a process.
 
         Args:
@@ -186,7 +187,7 @@
         """
         accepted: list[AcceptedChange] = []
         seen: set[ids.RecordId] = set()
-        history = self.harness.log.history(records.CONFIG_STREAM)
+        history = self.harness.services.log.history(records.CONFIG_STREAM)
         for appended_ms, entry in history:
             change = records.decode(entry.data)
             if not isinstance(change, records.ConfigurationChange):
@@ -209,7 +210,7 @@
         return ids.Version(len(self.fold()))
 
     def _note_list(
-        self, process: harness_lib.Process, item: events.PlatformListed
+        self, process: process_lib.Process, item: events.PlatformListed
     ) -> None:
         if item.view is None:
             return
@@ -218,7 +219,7 @@
                 self._warn(process, target.name)
 
     def _note_report(
-        self, process: harness_lib.Process, item: events.WorkerAnswered
+        self, process: process_lib.Process, item: events.WorkerAnswered
     ) -> None:
         if item.answer is None:
             return
@@ -231,19 +232,18 @@
         if refused or (report is not None and report.state is leaving):
             self._warn(process, item.worker)
 
-    def _warn(self, process: harness_lib.Process, target: str) -> None:
+    def _warn(self, process: process_lib.Process, target: str) -> None:
         if self._leaves(target):
             key = (process.vm.vm, process.incarnation, str(target))
             self._warned.setdefault(key, self.harness.clock.now_ms)
 
     def _leaves(self, target: str) -> bool:
-        model = self.harness.workers.get(target) or self.harness.runners.get(
-            target
-        )
+        services = self.harness.services
+        model = services.workers.get(target) or services.runners.get(target)
         return model is not None and model.leaving
 
     def _note_acts(
-        self, process: harness_lib.Process, item: effects.CallWorker
+        self, process: process_lib.Process, item: effects.CallWorker
     ) -> None:
         for act in item.body.acts:
             if isinstance(act, messages.Start):
@@ -252,7 +252,7 @@
             elif isinstance(act, messages.Reserve):
                 self._note_new_work(process, item.worker)
 
-    def _note_new_work(self, process: harness_lib.Process, target: str) -> None:
+    def _note_new_work(self, process: process_lib.Process, target: str) -> None:
         key = (process.vm.vm, process.incarnation, str(target))
         if not self._leaves(target):
             self._warned.pop(key, None)
--- a/citronmount/bench/faults/fault_kinds.py
+++ b/citronmount/bench/faults/fault_kinds.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from citronmount.bench import harness as harness_lib
 from citronmount.bench import harness_network
+from citronmount.bench import harness_services
 from citronmount.bench import harness_site
 from citronmount.bench.faults import registry
 from citronmount.config import configuration
@@ -49,30 +49,30 @@
 
 @registry.fault("log-down")
 def _log_down(cell: Any, hit: Any) -> None:
-    cell.harness.down.add(harness_lib.LOG)
+    cell.harness.services.down.add(harness_services.LOG)
     cell.heal_after(
         cell.rng.randint(3_000, 20_000),
-        cell.harness.down.discard,
-        harness_lib.LOG,
+        cell.harness.services.down.discard,
+        harness_services.LOG,
     )
 
 
 @registry.fault("log-slow")
 def _log_slow(cell: Any, hit: Any) -> None:
-    cell.harness.log_delay_ms = cell.rng.choice([300, 900, 2_500])
+    cell.harness.services.log_delay_ms = cell.rng.choice([300, 900, 2_500])
 
     def heal() -> None:
-        cell.harness.log_delay_ms = 1
+        cell.harness.services.log_delay_ms = 1
 
     cell.heal_after(cell.rng.randint(3_000, 15_000), heal)
 
 
 @registry.fault("append-answer-lost")
 def _answer_lost(cell: Any, hit: Any) -> None:
-    cell.harness.lose_append_answers = True
+    cell.harness.services.lose_append_answers = True
 
     def heal() -> None:
-        cell.harness.lose_append_answers = False
+        cell.harness.services.lose_append_answers = False
 
     cell.heal_after(cell.rng.randint(300, 8_000), heal)
 
@@ -93,11 +93,11 @@
 
 @registry.fault("vm-list-stale")
 def _stale_list(cell: Any, hit: Any) -> None:
-    normal_ms = cell.harness.platform.lag_ms
-    cell.harness.platform.lag_ms = normal_ms + 15_000
+    normal_ms = cell.harness.services.platform.lag_ms
+    cell.harness.services.platform.lag_ms = normal_ms + 15_000
 
     def heal() -> None:
-        cell.harness.platform.lag_ms = normal_ms
+        cell.harness.services.platform.lag_ms = normal_ms
 
     cell.heal_after(cell.rng.randint(5_000, 15_000), heal)
 
@@ -105,15 +105,17 @@
 @registry.fault("target-dies")
 def _target_dies(cell: Any, hit: Any) -> None:
     name = cell.target_near(hit)
-    cell.harness.crash_target(name, refuses=cell.rng.random() < 0.5)
+    cell.harness.services.crash_target(name, refuses=cell.rng.random() < 0.5)
     cell.heal_after(
-        cell.rng.randint(3_000, 15_000), cell.harness.restore_target, name
+        cell.rng.randint(3_000, 15_000),
+        cell.harness.services.restore_target,
+        name,
     )
 
 
 @registry.fault("target-fails-starts")
 def _fails_starts(cell: Any, hit: Any) -> None:
-    model = cell.harness.workers[cell.worker_near(hit)]
+    model = cell.harness.services.workers[cell.worker_near(hit)]
     model.fail_every_start = True
 
     def heal() -> None:
@@ -125,9 +127,12 @@
 @registry.fault("target-leaving")
 def _leaving(cell: Any, hit: Any) -> None:
     name = cell.target_near(hit)
-    cell.harness.set_leaving(name, True)
+    cell.harness.services.set_leaving(name, True)
     cell.heal_after(
-        cell.rng.randint(6_000, 12_000), cell.harness.set_leaving, name, False
+        cell.rng.randint(6_000, 12_000),
+        cell.harness.services.set_leaving,
+        name,
+        False,
     )
 
 
--- a/citronmount/bench/faults/steps.py
+++ b/citronmount/bench/faults/steps.py
@@ -78,7 +78,7 @@
         return False
     return any(
         lease.state is states.LeaseState.RUNNING
-        for lease in cell.harness.workers[item.worker].report().leases
+        for lease in cell.harness.services.workers[item.worker].report().leases
     )
 
 
@@ -167,7 +167,7 @@
 def _fence(cell: Any, process: Any, item: Any) -> bool:
     if not _in_focus(cell, process) or not isinstance(item, effects.CallWorker):
         return False
-    seen = cell.harness.workers[item.worker].token
+    seen = cell.harness.services.workers[item.worker].token
     return item.body.token > seen
 
 
--- /dev/null
+++ b/citronmount/bench/harness_services.py
@@ -0,0 +1,296 @@
+"""The services that a harness's agents call: log, list, workers, runners."""
+
+from collections.abc import Callable
+
+from citronmount.agent import effects
+from citronmount.agent import events
+from citronmount.bench import harness_clock
+from citronmount.core import ids
+from citronmount.core import states
+from citronmount.services import messages
+from citronmount.standins import log
+from citronmount.standins import platform
+from citronmount.standins import runner
+from citronmount.standins import worker
+from citronmount.telemetry import events as timeline_events
+
+__all__ = ["EPOCH_MS", "LOG", "Services", "VM_LIST", "no_answer", "target_of"]
+
+EPOCH_MS = 1_800_000_000_000
+LOG = "log"
+VM_LIST = "vm-list"
+
+_SERVICE_MS = 1
+
+Respond = Callable[[events.Event], None]
+
+
+class Services:
+    """Models of the platform's services on the harness's clock.
+
+    Attributes:
+        log: The log service.
+        platform: The list of VMs and targets.
+        workers: The workers by id.
+        runners: The runners by id.
+        down: Services and targets that do not answer.
+        refusing: Those of them that refuse connections at once.
+        log_delay_ms: How long the log takes for each call.
+        lose_append_answers: Whether appends take effect without an answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: harness_clock.VirtualClock,
+        view: messages.PlatformView,
+        emit: Callable[[timeline_events.TimelineEvent], None],
+        retention_ms: int,
+        list_lag_ms: int,
+    ) -> None:
+        """Initializes services that all answer.
+
+        Args:
+            clock: The virtual clock.
+            view: The VMs and targets of the site.
+            emit: Takes in the events of targets.
+            retention_ms: How long the log keeps records.
+            list_lag_ms: How far the list lags.
+        """
+        self.log = log.LogModel(retention_ms=retention_ms, keep_history=True)
+        self.platform = platform.PlatformModel(lag_ms=list_lag_ms, view=view)
+        self.down: set[str] = set()
+        self.refusing: set[str] = set()
+        self.log_delay_ms = _SERVICE_MS
+        self.lose_append_answers = False
+        self._clock = clock
+        self._due_ms: dict[str, int] = {}
+        saved: dict[ids.JobId, float] = {}
+        self.workers = {
+            target.name: worker.WorkerModel(
+                target=target, emit=emit, epoch_ms=EPOCH_MS, saved=saved
+            )
+            for target in view.workers
+        }
+        self.runners = {
+            target.name: runner.RunnerModel(
+                target=target, emit=emit, epoch_ms=EPOCH_MS
+            )
+            for target in view.runners
+        }
+
+    def crash_target(self, name: str, *, refuses: bool = False) -> None:
+        """Ends a worker or runner with all that runs there.
+
+        Args:
+            name: The worker or runner.
+            refuses: Whether its machine lives on and refuses connections;
+                otherwise calls get no answer at all.
+        """
+        self.down.add(name)
+        if refuses:
+            self.refusing.add(name)
+        model = self.workers.get(name) or self.runners[name]
+        model.crash(self._clock.now_ms)
+
+    def restore_target(self, name: str) -> None:
+        """Lets a worker or runner answer again.
+
+        Args:
+            name: The worker or runner.
+        """
+        self.down.discard(name)
+        self.refusing.discard(name)
+
+    def set_leaving(self, name: str, leaving: bool) -> None:
+        """Lets a target start or stop leaving.
+
+        Args:
+            name: The worker or runner.
+            leaving: Whether it refuses new work.
+        """
+        state = states.TargetState.LEAVING if leaving else states.TargetState.UP
+        if name in self.workers:
+            self.workers[name].set_leaving(leaving)
+        else:
+            self.runners[name].leaving = leaving
+        self.platform.set_target_state(name, state, self._clock.now_ms)
+
+    def reached(
+        self, effect: effects.Effect, target: str, respond: Respond
+    ) -> bool:
+        """Returns whether a call reaches its target.
+
+        Args:
+            effect: The call.
+            target: The service or target.
+            respond: Told at once if the target refuses connections.
+
+        Returns:
+            Whether the call is to be served.
+        """
+        if target in self.refusing:
+            respond(no_answer(effect, sent=False))
+        return target not in self.down
+
+    def serve(self, effect: effects.Effect, respond: Respond) -> None:
+        """Serves a call.
+
+        Args:
+            effect: The call.
+            respond: Gets the answer, if there is one.
+        """
+        match effect:
+            case effects.AppendLog():
+                self._append(effect, respond)
+            case effects.ReadLog():
+                self._read(effect, respond)
+            case effects.ListPlatform():
+                self._list(effect, respond)
+            case effects.CallWorker():
+                self._work(effect, respond)
+            case effects.CallRunner():
+                self._run(effect, respond)
+
+    def _append(
+        self,
+        effect: effects.AppendLog,
+        respond: Respond,
+    ) -> None:
+        self._clock.after_ms(
+            self.log_delay_ms, self._append_now, effect, respond
+        )
+
+    def _append_now(
+        self,
+        effect: effects.AppendLog,
+        respond: Respond,
+    ) -> None:
+        if LOG in self.down:
+            return
+        offset = self.log.append(
+            effect.stream, effect.records, self._clock.now_ms
+        )
+        if not self.lose_append_answers:
+            respond(events.LogAppended(call=effect.call, offset=offset))
+
+    def _read(self, effect: effects.ReadLog, respond: Respond) -> None:
+        page = self.log.read(
+            effect.stream, effect.start, effect.limit, self._clock.now_ms
+        )
+        event = events.LogRead(call=effect.call, page=page)
+        self._clock.after_ms(self.log_delay_ms, respond, event)
+
+    def _list(
+        self,
+        effect: effects.ListPlatform,
+        respond: Respond,
+    ) -> None:
+        view = self.platform.view(self._clock.now_ms)
+        respond(events.PlatformListed(call=effect.call, view=view))
+
+    def _work(
+        self,
+        effect: effects.CallWorker,
+        respond: Respond,
+    ) -> None:
+        model = self.workers[effect.worker]
+        answer = model.call(effect.body, self._clock.now_ms)
+        self._wake_worker(effect.worker)
+        respond(
+            events.WorkerAnswered(
+                call=effect.call, worker=effect.worker, answer=answer
+            )
+        )
+
+    def _wake_worker(self, name: str) -> None:
+        due_ms = self.workers[name].next_change_ms()
+        if due_ms is None or self._due_ms.get(name, due_ms + 1) <= due_ms:
+            return
+        self._due_ms[name] = due_ms
+        self._clock.after_ms(
+            due_ms - self._clock.now_ms, self._advance_worker, name, due_ms
+        )
+
+    def _advance_worker(self, name: str, due_ms: int) -> None:
+        if self._due_ms.get(name) == due_ms:
+            del self._due_ms[name]
+        self.workers[name].advance(self._clock.now_ms)
+        self._wake_worker(name)
+
+    def _run(
+        self,
+        effect: effects.CallRunner,
+        respond: Respond,
+    ) -> None:
+        model = self.runners[effect.runner]
+        refusal = model.begin(effect.spec, self._clock.now_ms)
+        if refusal is not None:
+            respond(
+                events.RunnerAnswered(
+                    call=effect.call, runner=effect.runner, answer=refusal
+                )
+            )
+            return
+        self._clock.after_ms(
+            runner.service_ms(effect.spec), self._ran, effect, respond
+        )
+
+    def _ran(
+        self,
+        effect: effects.CallRunner,
+        respond: Respond,
+    ) -> None:
+        model = self.runners[effect.runner]
+        if not model.serving(effect.spec.request):
+            return
+        answer = model.finish(effect.spec.request, self._clock.now_ms)
+        respond(
+            events.RunnerAnswered(
+                call=effect.call, runner=effect.runner, answer=answer
+            )
+        )
+
+
+def target_of(effect: effects.Effect) -> str | None:
+    """Returns the service or target that an effect calls, if it calls one."""
+    match effect:
+        case effects.AppendLog() | effects.ReadLog():
+            return LOG
+        case effects.ListPlatform():
+            return VM_LIST
+        case effects.CallWorker():
+            return effect.worker
+        case effects.CallRunner():
+            return effect.runner
+    return None
+
+
+def no_answer(effect: effects.Effect, *, sent: bool = True) -> events.Event:
+    """Returns the event of a call that got no answer.
+
+    Args:
+        effect: The call.
+        sent: Whether any byte of it may have left.
+
+    Returns:
+        The event.
+    """
+    match effect:
+        case effects.AppendLog():
+            return events.LogAppended(call=effect.call, offset=None)
+        case effects.ReadLog():
+            return events.LogRead(call=effect.call, page=None)
+        case effects.ListPlatform():
+            return events.PlatformListed(call=effect.call, view=None)
+        case effects.CallWorker():
+            return events.WorkerAnswered(
+                call=effect.call, worker=effect.worker, answer=None
+            )
+        case _:
+            return events.RunnerAnswered(
+                call=effect.call,
+                runner=effect.runner,
+                answer=None,
+                sent=sent,
+            )
--- a/citronmount/bench/harness_traffic.py
+++ b/citronmount/bench/harness_traffic.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronmount.bench import harness as harness_lib
+from citronmount.bench import harness_process
 from citronmount.bench import harness_site
 from citronmount.services import messages
 
@@ -39,7 +40,7 @@
 
 
 def measure_traffic(
-    make_agent: Callable[[messages.ListedVm, int], harness_lib.AgentLike],
+    make_agent: Callable[[messages.ListedVm, int], harness_process.AgentLike],
     *,
     failure_domains: int,
     vms_each: int,
@@ -77,7 +78,7 @@
     harness.start_all()
     harness.run_until_ms(WARM_UP_MS)
     for process in harness.processes.values():
-        process.traffic = harness_lib.Traffic()
+        process.traffic = harness_process.Traffic()
     harness.run_until_ms(WARM_UP_MS + seconds * _MS_PER_S)
     traffic = [process.traffic for process in harness.processes.values()]
     byte_counts = [t.bytes.total() / seconds for t in traffic]
@@ -86,7 +87,7 @@
     return TrafficRow(
         vms=len(traffic),
         failure_domains=failure_domains,
-        workers=len(harness.workers),
+        workers=len(harness.services.workers),
         mean_bytes_per_s=sum(byte_counts) / len(traffic),
         most_bytes_per_s=max(byte_counts),
         mean_messages_per_s=sum(message_counts) / len(traffic),
--- a/citronmount/bench/tests/test_harness.py
+++ b/citronmount/bench/tests/test_harness.py
@@ -66,12 +66,12 @@
             stream=ids.StreamName("s"),
             records=((ids.RecordId("r"), b"x"),),
         )
-        self.harness.lose_append_answers = True
+        self.harness.services.lose_append_answers = True
         self.agent.todo = [append]
         self.run_ms(3_000)
         answers = self.agent.answers(events.LogAppended)
         self.assertEqual([None], [answer.offset for answer in answers])
-        history = self.harness.log.history(ids.StreamName("s"))
+        history = self.harness.services.log.history(ids.StreamName("s"))
         self.assertEqual(1, len(history))
 
     def test_cuts_and_doubled_messages(self):
@@ -143,7 +143,7 @@
                 ),
             ),
         ]
-        self.harness.down.add("fd-a.r000")
+        self.harness.services.down.add("fd-a.r000")
         self.run_ms(2_000)
         (worker,) = self.agent.answers(events.WorkerAnswered)
         self.assertEqual(7, worker.answer.token)
