--- a/citronmount/cli/explain_command.py
+++ b/citronmount/cli/explain_command.py
@@ -8,7 +8,6 @@
 
 from citronmount.cli import options
 from citronmount.cli import output
-from citronmount.core import errors
 from citronmount.telemetry import job_story
 
 __all__ = ["explain"]
@@ -50,7 +49,7 @@
     found = job_story.stories(line for log in logs for line in log)
     if job:
         if job not in found:
-            raise errors.InvalidInputError(f"no line names the job {job}")
+            raise click.BadParameter(f"no line names the job {job}")
         _tell(found[job], as_json)
         return
     late = [
