Hand the pool over at once, also while the log is slow

Causes: - A join on its way arrived after the call to leave and put the stopping VM back into the group for its time to live (1.1 s). The answer of an open join is awaited before the call to leave. - Calls to the group gave up after 0.4 s, so on a slow log no VM got as far as taking over; they may take 0.6 s now.

Ruled out: the deal of partitions; the candidate was known as soon as the former owner was out of the group.

The log's stand-in now lets calls time out that it is too slow to answer.

--- a/citronmount/cli/tests/test_explain.py
+++ b/citronmount/cli/tests/test_explain.py
@@ -19,9 +19,7 @@
 
     def run_command(self, *arguments: str) -> testing.Result:
         runner = testing.CliRunner()
-        return runner.invoke(
-            main.main, ["explain", str(self.path), *arguments]
-        )
+        return runner.invoke(main.main, ["explain", str(self.path), *arguments])
 
     def test_late_jobs_are_counted_by_their_main_loss(self) -> None:
         done = self.run_command("--priority", "0")
--- a/citronmount/fleet_service/candidacy.py
+++ b/citronmount/fleet_service/candidacy.py
@@ -17,7 +17,7 @@
 
 TTL_MS = 1_100
 JOIN_PERIOD_MS = 300
-JOIN_TIMEOUT_MS = 400
+JOIN_TIMEOUT_MS = 600
 YIELD_MS = 1_000
 ENOUGH_MEMBERS = 5
 LOOK_PERIOD_S = 1.5
@@ -81,6 +81,7 @@
         self._generation = 0
         self._in_group = False
         self._next_look_s = 0.0
+        self._turns = defer.DeferredLock()
         self._loop = task.LoopingCall(self._turn)
         self._loop.clock = clock
         self._trace = structlog.get_logger()
@@ -102,12 +103,20 @@
         self._yielded_until_s = self._clock.seconds() + YIELD_MS / _MS_PER_S
 
     async def stop(self) -> None:
-        """Leaves the group, so that another VM becomes candidate at once."""
+        """Leaves the group, so that another VM becomes candidate at once.
+
+        A join that is on its way would put this VM back into the group if it
+        arrived after the call to leave, so its answer is awaited first.
+        """
         if not self._loop.running:
             return
         self._loop.stop()
-        if self._in_group:
-            await self._leave()
+        await self._turns.acquire()
+        try:
+            if self._in_group:
+                await self._leave()
+        finally:
+            self._turns.release()
 
     async def _leave(self) -> None:
         self._in_group = False
@@ -117,7 +126,7 @@
             self._trace.warning("group_leave_failed", error=str(error))
 
     def _turn(self) -> defer.Deferred[None]:
-        return defer.ensureDeferred(self._take_turn())
+        return self._turns.run(lambda: defer.ensureDeferred(self._take_turn()))
 
     async def _take_turn(self) -> None:
         try:
--- a/citronmount/fleet_service/contact.py
+++ b/citronmount/fleet_service/contact.py
@@ -11,6 +11,9 @@
 
 __all__ = ["LogContact"]
 
+PATIENCE_FACTOR = 1.5
+MOST_PATIENCE_MS = 900
+
 _MS_PER_S = 1_000
 
 
@@ -26,14 +29,22 @@
         self._clock = clock
         self._answered_s = clock.seconds()
         self._failed = False
+        self._took_ms = 0
 
     @property
     def lost(self) -> bool:
         """Whether the newest call got no answer or was refused."""
         return self._failed
 
-    def answered(self) -> None:
-        """Notes an answer."""
+    def answered(self, took_ms: int | None = None) -> None:
+        """Notes an answer.
+
+        Args:
+            took_ms: How long a call took that did not have to wait for
+                anything, if it was one.
+        """
+        if took_ms is not None:
+            self._took_ms = took_ms
         self._answered_s = self._clock.seconds()
         self._failed = False
 
@@ -41,6 +52,21 @@
         """Notes a call that got no answer or was refused."""
         self._failed = True
 
+    def patience_ms(self, usual_ms: int) -> int:
+        """Returns how long to wait for an answer.
+
+        A log that is slow is not silent: its next answer may take as long as
+        its last one.
+
+        Args:
+            usual_ms: How long to wait for a log that was quick.
+
+        Returns:
+            Milliseconds.
+        """
+        slow_ms = min(int(self._took_ms * PATIENCE_FACTOR), MOST_PATIENCE_MS)
+        return max(usual_ms, slow_ms)
+
     def silent_ms(self) -> int:
         """Returns the time since the last answer."""
         return int((self._clock.seconds() - self._answered_s) * _MS_PER_S)
--- a/citronmount/fleet_service/front.py
+++ b/citronmount/fleet_service/front.py
@@ -200,7 +200,8 @@
         """
         if optional and self._contact.lost:
             return
-        timeout_ms = PROBE_TIMEOUT_MS if optional else log_tail.LOOK_UP_MS
+        probe_ms = self._contact.patience_ms(PROBE_TIMEOUT_MS)
+        timeout_ms = probe_ms if optional else log_tail.LOOK_UP_MS
         try:
             await self._jobs.catch_up(timeout_ms=timeout_ms)
         except errors.CitronmountError as error:
@@ -224,7 +225,8 @@
         if self._contact.silent_ms() < FRESH_CONTACT_MS:
             return True
         try:
-            await self._jobs.catch_up(timeout_ms=PROBE_TIMEOUT_MS)
+            timeout_ms = self._contact.patience_ms(PROBE_TIMEOUT_MS)
+            await self._jobs.catch_up(timeout_ms=timeout_ms)
         except errors.CitronmountError as error:
             self._contact.failed()
             self._trace.warning("log_does_not_answer", error=str(error))
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -19,9 +19,9 @@
 READ_MARGIN_MS = 700
 SNAPSHOT_TIMEOUT_MS = 2_500
 LOOK_UP_MS = 700
-LOST_READ_MS = 400
+LOST_READ_MS = 600
 FIRST_RETRY_MS = 50
-LAST_RETRY_MS = 400
+LAST_RETRY_MS = 200
 
 _MS_PER_S = 1_000
 
@@ -105,10 +105,7 @@
         if self.position is None:
             await self._read_snapshot()
         while end_offset is None or self.position < end_offset:
-            page = await self._log.read(
-                self._topic, self.position, 0, timeout_ms
-            )
-            self._take(page)
+            page = await self._read_now(timeout_ms)
             if page.next_offset >= page.end_offset:
                 return
 
@@ -133,13 +130,26 @@
         if self.position is None:
             await self._read_snapshot()
             return
-        wait_ms = 0 if self._lost else self.wait_ms
-        margin_ms = LOST_READ_MS if self._lost else READ_MARGIN_MS
+        if self._lost:
+            await self._read_now(LOST_READ_MS)
+            return
         page = await self._log.read(
-            self._topic, self.position, wait_ms, wait_ms + margin_ms
+            self._topic,
+            self.position,
+            self.wait_ms,
+            self.wait_ms + READ_MARGIN_MS,
         )
         self._take(page)
 
+    async def _read_now(self, timeout_ms: int) -> ports.Page:
+        """Reads what is there, without waiting for more."""
+        began_s = self._clock.seconds()
+        page = await self._log.read(self._topic, self.position, 0, timeout_ms)
+        took_ms = int((self._clock.seconds() - began_s) * _MS_PER_S)
+        self._take(page)
+        self._contact.answered(took_ms)
+        return page
+
     async def _read_snapshot(self) -> None:
         snapshot = await self._log.snapshot(self._topic, SNAPSHOT_TIMEOUT_MS)
         self._contact.answered()
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_hand_over.py
@@ -0,0 +1,50 @@
+from unittest import mock
+
+from twisted.internet import defer
+
+from citronmount.core import ids
+from citronmount.fleet_service.tests import pool
+from citronmount.standins import pool_log
+
+
+class HandOverTest(pool.PoolCase):
+    def owners(self) -> list[int]:
+        return [n for n, node in enumerate(self.nodes) if node.owns_pool]
+
+    def time_without_owner_s(self) -> float:
+        """Makes the owner stop as planned; the next one takes over."""
+        number = self.owner()
+        defer.ensureDeferred(self.nodes[number].give_up())
+        began_s = self.clock.seconds()
+        while not self.owners() and self.clock.seconds() < began_s + 10:
+            self.clock.advance(pool.STEP_S)
+        self.nodes[number].stop()
+        self.nodes[number] = self.make_node(number + self.vms)
+        self.run_for(3.0)
+        return self.clock.seconds() - 3.0 - began_s
+
+    def test_join_that_arrives_late_does_not_hold_up_the_hand_over(
+        self,
+    ) -> None:
+        self.log.join_s = 0.15
+        for _ in range(6):
+            self.run_for(0.065)
+            self.assertLess(self.time_without_owner_s(), 0.8)
+
+    def test_slow_log_does_not_keep_the_pool_without_owner(self) -> None:
+        with mock.patch.object(pool_log, "ANSWER_S", 0.45):
+            self.run_for(2.0)
+            self.assertLess(self.time_without_owner_s(), 5.0)
+
+    def test_slow_log_is_regained_and_takes_jobs(self) -> None:
+        self.log.faults = {
+            ids.VmId(f"vm{number}"): pool_log.LogFault.SILENT
+            for number in range(self.vms)
+        }
+        self.run_for(4.0)
+        self.log.faults = {}
+        with mock.patch.object(pool_log, "ANSWER_S", 0.45):
+            self.run_for(3.0)
+            for vm in range(self.vms):
+                verdict = self.submit(f"j{vm}", pool.one_task(), at=vm)
+                self.assertEqual("done", verdict.value)
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -43,6 +43,7 @@
         topics: The records of each topic.
         faults: How each VM is treated; those missing are served.
         silent_topics: Topics at which no call is answered.
+        join_s: How much longer a join takes on its way than other calls.
     """
 
     def __init__(self, *, clock: interfaces.IReactorTime) -> None:
@@ -57,6 +58,7 @@
         }
         self.faults: dict[ids.VmId, LogFault] = {}
         self.silent_topics: set[ports.Topic] = set()
+        self.join_s = 0.0
         self._first: dict[ports.Topic, int] = dict.fromkeys(ports.Topic, 0)
         self._waiting: list[defer.Deferred[None]] = []
         self._producer = _Producer()
@@ -239,6 +241,7 @@
     ) -> ports.Membership:
         """Joins the owners' group or stays in it."""
         await self._arrive(timeout_ms)
+        await task.deferLater(self._log.clock, self._log.join_s)
         return self._log.join(self.member, ttl_ms)
 
     async def members(self, timeout_ms: int) -> frozenset[str]:
@@ -255,6 +258,8 @@
         self, timeout_ms: int, topic: ports.Topic | None = None
     ) -> None:
         next(self.calls)
+        if timeout_ms < ANSWER_S * _MS_PER_S:
+            await self._time_out(timeout_ms)
         await task.deferLater(self._log.clock, ANSWER_S / 2)
         fault = self._log.faults.get(self._vm, LogFault.NONE)
         if fault is LogFault.REFUSES:
