--- a/citronmount/telemetry/job_story.py
+++ b/citronmount/telemetry/job_story.py
@@ -25,6 +25,7 @@
     """What a job spends its time on, in the order in which it happens."""
 
     INTAKE = "refused before it was accepted"
+    UNDECIDED = "accepted, but no owner decided on it"
     EARLIER = "earlier steps"
     WAITING = "waiting for room"
     REPEATING = "runs that came to nothing"
@@ -94,16 +95,17 @@
         unit = self._last_unit()
         of_unit = [x for x in self.lines if _is_of(x, unit)]
         placed = [x for x in of_unit if x.event == _PLACED]
-        started = [x for x in of_unit if x.event == _STARTED]
+        started = _starts_of_last_run(of_unit)
         ended = [x for x in of_unit if x.event == _ENDED]
         if placed and started and ended:
             waited_s = sum(_waited_s(line) for line in placed)
             ready_s = placed[0].time_s - _waited_s(placed[0])
             before_s = placed[-1].time_s - ready_s
-            marks[Phase.EARLIER] = max(ready_s - accepted_s, 0.0)
+            before = Phase.UNDECIDED if _is_first(unit) else Phase.EARLIER
+            marks[before] = max(ready_s - accepted_s, 0.0)
             marks[Phase.WAITING] = waited_s
             marks[Phase.REPEATING] = max(before_s - waited_s, 0.0)
-            begun_s = max(started[-1].time_s, placed[-1].time_s)
+            begun_s = max(started[0].time_s, placed[-1].time_s)
             marks[Phase.STARTING] = begun_s - placed[-1].time_s
             marks[Phase.WORKING] = ended[-1].time_s - begun_s
             marks[Phase.RECORDING] = finish.time_s - ended[-1].time_s
@@ -212,6 +214,21 @@
     return sum(spent.values()) - work_ms - slack_ms
 
 
+def _is_first(unit: str) -> bool:
+    """Returns whether a unit belongs to the first step of its job."""
+    return unit.split(".")[2:3] == ["0"]
+
+
+def _starts_of_last_run(lines: list[LogLine]) -> list[LogLine]:
+    """Returns the lines on the start of the newest run of a unit.
+
+    A new owner tells again that a run is at work, so the first one counts.
+    """
+    starts = [line for line in lines if line.event == _STARTED]
+    runs = [line.fields.get("run", 0) for line in starts]
+    return [x for x in starts if x.fields.get("run", 0) == max(runs)]
+
+
 def _waited_s(line: LogLine) -> float:
     return float(line.fields.get("waited_ms", 0)) / _MS_PER_S
 
--- a/citronmount/telemetry/tests/test_job_story.py
+++ b/citronmount/telemetry/tests/test_job_story.py
@@ -65,6 +65,21 @@
         self.assertIs(job_story.Phase.REPEATING, story.main_loss())
         self.assertEqual({"preempted": 1}, dict(story.causes()))
 
+    def test_run_that_a_new_owner_tells_again_began_when_first_told(
+        self,
+    ) -> None:
+        lines = gang(0.6, 0.7, 2.7, 2.8)
+        again = line(2.2, "run_started", unit=f"{JOB}.0.0")
+        story = self.story([*lines, again])
+        spent = story.spent_ms()
+        self.assertAlmostEqual(2_000, spent[job_story.Phase.WORKING], 3)
+        self.assertEqual([], job_story.late_jobs({JOB: story}))
+
+    def test_job_that_nobody_decided_on_lost_that_time(self) -> None:
+        found = job_story.stories(gang(3.5, 3.6, 5.6, 5.7))
+        late = job_story.late_jobs(found)
+        self.assertIs(job_story.Phase.UNDECIDED, late[0].main_loss())
+
     def test_refused_submissions_count_from_the_first(self) -> None:
         lines = [
             line(0.0, "job_submitted", job=JOB, verdict="not_done"),
