Ask the workers of a large pool a few at a time when taking over

The new owner sent its first hold to all workers at once; 1,500 connections and calls of some 2 ms of processor time each cannot be answered within 0.6 s, so most timed out and were sent again (769 new connections a second at the owner, 77 percent of its processor), and the pool was never usable again.

How: at most 64 first holds are on their way, those that may hold runs first. Each step looks only at workers of which something was heard, and at all of them every 50 ms; entries are compared only when one has changed.

Ruled out: planning; a pool of 1,500 workers with 624 tasks takes 0.7 s of processor time for 6 s in virtual time, stand-ins included.

--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -144,10 +144,10 @@
         Returns:
             The orders to send.
         """
-        self._sessions.follow_directory(now_ms)
         look = now_ms >= self._next_look_ms
         if look:
             self._next_look_ms = now_ms + LOOK_PERIOD_MS
+        self._sessions.follow_directory(now_ms, look)
         self._driver.settle(now_ms, look)
         if self._state.changed or look:
             self._state.changed = False
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -53,6 +53,7 @@
         table: The runs.
         sessions: What is known of each worker's life.
         strangers: Runs at each worker that are not in the table.
+        heard: Workers of which something was heard since the last step.
         suspended: Steady times until which workers get no work.
         ready_since: Steady times from which units could have started.
         clearing: The runs that each run waits for.
@@ -102,6 +103,7 @@
         self.table = run_table.RunTable()
         self.sessions: dict[ids.WorkerId, sessions_lib.Session] = {}
         self.strangers: dict[ids.WorkerId, int] = {}
+        self.heard: set[ids.WorkerId] = set()
         self.suspended: dict[ids.WorkerId, int] = {}
         self.ready_since: dict[units.UnitId, int] = {}
         self.clearing: dict[units.UnitId, list[runs_lib.Run]] = {}
@@ -156,6 +158,7 @@
         session = self.session_at(place)
         if session is not None:
             session.resolve_end(number, now_ms)
+            self.heard.add(place.worker)
 
     def member_gone(self, run: runs_lib.Run, member: runs_lib.Member) -> None:
         """Notes a task that its worker no longer has."""
--- a/citronmount/fleet/sessions.py
+++ b/citronmount/fleet/sessions.py
@@ -90,6 +90,11 @@
         """Whether the worker has answered this owner."""
         return self.answered_ms is not None
 
+    @property
+    def holding(self) -> bool:
+        """Whether a hold is on its way."""
+        return self._hold is HoldState.OPEN
+
     def clock_ms(self, now_ms: int) -> int:
         """Returns what the worker's clock has reached at least."""
         if self.answered_ms is None:
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -52,6 +52,7 @@
         now_ms: int,
     ) -> None:
         """Takes in what became of an order to start."""
+        self._state.heard.add(order.worker.worker)
         self._heard(order.worker, clock_ms, now_ms)
         if verdict is orders.StartVerdict.FENCED:
             self._state.fenced = True
@@ -121,6 +122,7 @@
         now_ms: int,
     ) -> None:
         """Takes in what became of an order to stop."""
+        self._state.heard.add(order.worker.worker)
         self._heard(order.worker, clock_ms, now_ms)
         if verdict is orders.StopVerdict.FENCED:
             self._state.fenced = True
@@ -150,6 +152,7 @@
         self, order: orders.Hold, fenced: bool, now_ms: int
     ) -> None:
         """Takes in that a hold brought no report."""
+        self._state.heard.add(order.worker.worker)
         if fenced:
             self._state.fenced = True
         session = self._state.session_of(order.worker)
@@ -181,6 +184,7 @@
             sent_ms: Steady time at which the hold was sent.
             now_ms: Steady time in milliseconds.
         """
+        self._state.heard.add(order.worker.worker)
         session = self._state.session_of(order.worker)
         if session is None:
             return
--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/worker_sessions.py
@@ -11,6 +11,8 @@
 
 SILENCE_MARGIN_MS = 600
 WITNESSES = 2
+MOST_PRIMING = 64
+SCAN_PERIOD_MS = 50
 
 
 class WorkerSessions:
@@ -23,9 +25,20 @@
             state: What it shares with the other parts.
         """
         self._state = state
+        self._directory_version = -1
+        self._next_scan_ms = 0
 
-    def follow_directory(self, now_ms: int) -> None:
-        """Opens and closes sessions as the entries tell."""
+    def follow_directory(self, now_ms: int, look: bool) -> None:
+        """Opens and closes sessions as the entries tell.
+
+        Args:
+            now_ms: Steady time in milliseconds.
+            look: Whether to look although no entry has changed.
+        """
+        version = self._state.directory.version
+        if version == self._directory_version and not look:
+            return
+        self._directory_version = version
         for worker in self._state.directory.newest_lives():
             session = self._state.sessions.get(worker.worker)
             if session is None:
@@ -73,12 +86,51 @@
         self._state.changed = True
 
     def due_holds(self, now_ms: int) -> None:
-        """Sends the holds that are due."""
-        for session in self._state.sessions.values():
+        """Sends the holds that are due.
+
+        Load pattern: an owner takes over more than a thousand workers. Each
+        step looks at those of which something was heard, and at all a few
+        times a second.
+        """
+        sessions = self._state.sessions
+        heard, self._state.heard = self._state.heard, set()
+        if now_ms < self._next_scan_ms:
+            due = [sessions[name] for name in heard if name in sessions]
+        else:
+            self._next_scan_ms = now_ms + SCAN_PERIOD_MS
+            due = list(sessions.values())
+            self._prime(now_ms)
+        for session in due:
             session.runs = self._state.table.count_on(session.worker.worker)
-            order = session.next_hold(now_ms)
-            if order is not None:
-                self._state.orders.append(order)
+            if session.primed:
+                self._hold(session, now_ms)
+
+    def _prime(self, now_ms: int) -> None:
+        """Asks workers for the first time, those that may hold runs first.
+
+        So many first calls at once would each be too late, and be repeated.
+        """
+        unprimed = [
+            session
+            for session in self._state.sessions.values()
+            if not session.primed
+        ]
+        free = MOST_PRIMING - sum(session.holding for session in unprimed)
+        for session in unprimed:
+            name = session.worker.worker
+            session.runs = self._state.table.count_on(name)
+        unprimed.sort(key=lambda session: not session.runs)
+        for session in unprimed:
+            if free <= 0:
+                return
+            free -= self._hold(session, now_ms)
+
+    def _hold(self, session: sessions_lib.Session, now_ms: int) -> bool:
+        """Sends a session's hold if it is due; returns whether it was."""
+        order = session.next_hold(now_ms)
+        if order is not None:
+            self._state.orders.append(order)
+        return order is not None
 
     def usable(self, now_ms: int) -> list[workers_lib.Worker]:
         """Returns the workers that may get work."""
--- a/citronmount/fleet/workers.py
+++ b/citronmount/fleet/workers.py
@@ -56,10 +56,15 @@
 
 
 class WorkerDirectory:
-    """The newest entry of each worker and the domains out of service."""
+    """The newest entry of each worker and the domains out of service.
+
+    Attributes:
+        version: Rises with each change of an entry.
+    """
 
     def __init__(self) -> None:
         """Initializes an empty directory."""
+        self.version = 0
         self._workers: dict[ids.WorkerId, Worker] = {}
         self._out: set[ids.FailureDomainId] = set()
 
@@ -88,14 +93,17 @@
     def put(self, worker: Worker) -> None:
         """Takes in an entry."""
         self._workers[worker.worker] = worker
+        self.version += 1
 
     def remove(self, worker: ids.WorkerId) -> None:
         """Takes in that a worker has no entry any more."""
         self._workers.pop(worker, None)
+        self.version += 1
 
     def replace(self, workers: tuple[Worker, ...]) -> None:
         """Takes in all entries anew."""
         self._workers = {worker.worker: worker for worker in workers}
+        self.version += 1
 
     def set_domain_out(self, domain: ids.FailureDomainId, out: bool) -> None:
         """Takes a failure domain out of service or back."""
--- a/citronmount/fleet_service/tests/test_big_pool.py
+++ b/citronmount/fleet_service/tests/test_big_pool.py
@@ -1,4 +1,5 @@
 from citronmount.core import states
+from citronmount.fleet import worker_sessions
 from citronmount.fleet_service.tests import pool
 
 
@@ -6,6 +7,15 @@
     workers_per_rack = 20
     racks = 8
 
+    def test_new_owner_asks_idle_workers_a_few_at_a_time(self) -> None:
+        self.assertLessEqual(
+            self.pool.most_open_holds, worker_sessions.MOST_PRIMING
+        )
+        gang = pool.one_task(tasks=160, accelerators=8, gang=True)
+        self.submit("all", gang)
+        self.run_for(0.3)
+        self.assertEqual(160, len(self.started("all")))
+
     def test_wide_steps_and_gangs_on_a_big_pool_all_complete(self) -> None:
         self.run_time_ms = lambda task, run: 2_000 + 97 * len(task) % 900
         for number in range(24):
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -84,6 +84,8 @@
         allowed: Workers for which tickets are given.
         tickets: The ticket of each task's last start.
         questions: Counts questions to the policies' service.
+        open_holds: Holds on their way.
+        most_open_holds: The most holds that were on their way at once.
     """
 
     def __init__(self, *, clock: interfaces.IReactorTime, plans: Plans) -> None:
@@ -98,6 +100,8 @@
         self.starts: list[tuple[units.TaskName, int, ids.WorkerId]] = []
         self.allowed: set[ids.WorkerId] = set()
         self.questions = 0
+        self.open_holds = 0
+        self.most_open_holds = 0
         self.tickets: dict[units.TaskName, str] = {}
         self.done: set[units.TaskName] = set()
         self.plans = plans
@@ -170,6 +174,16 @@
         self, order: orders.Hold, timeout_ms: int
     ) -> orders.HoldReport | orders.StopVerdict:
         """Renews leases and asks what runs."""
+        self.open_holds += 1
+        self.most_open_holds = max(self.most_open_holds, self.open_holds)
+        try:
+            return await self._hold(order, timeout_ms)
+        finally:
+            self.open_holds -= 1
+
+    async def _hold(
+        self, order: orders.Hold, timeout_ms: int
+    ) -> orders.HoldReport | orders.StopVerdict:
         worker = await self._reach(order)
         if worker is None:
             await self._time_out(timeout_ms)
