--- /dev/null
+++ b/citronmount/bench/day_losses.py
@@ -0,0 +1,88 @@
+"""Tells how much of the worth of scored days is lost to what."""
+
+import collections
+from collections.abc import Iterable
+import enum
+import statistics
+
+import msgspec
+
+__all__ = ["Cause", "Day", "losses", "table"]
+
+
+class Cause(enum.Enum):
+    """What a share of the worth is lost to."""
+
+    LATE = "late or unserved jobs"
+    VMS = "VMs in use"
+    MEMORY = "memory"
+    CALLS = "calls and processor"
+    RERUNS = "rerun work"
+    REFUSED = "refused"
+    OTHER = "other prices"
+
+
+class Day(msgspec.Struct, frozen=True, kw_only=True):
+    """One played day.
+
+    Attributes:
+        worth: Credit earned less prices over the credit owed.
+        kind: The kind of day.
+        parts: Weight and share earned of each part of the credit.
+        prices: Cause and worth of each price.
+    """
+
+    worth: float
+    kind: str
+    parts: list[tuple[float, float]]
+    prices: list[tuple[Cause, float]]
+
+
+def losses(day: Day) -> dict[Cause, float]:
+    """Returns what a day lost to each cause.
+
+    Args:
+        day: The day.
+
+    Returns:
+        Shares of the credit owed; with the worth they add up to 1.
+    """
+    weights = sum(weight for weight, _ in day.parts)
+    lost: dict[Cause, float] = collections.defaultdict(float)
+    lost[Cause.LATE] = sum(
+        weight / weights * (1 - share) for weight, share in day.parts
+    )
+    for cause, worth in day.prices:
+        lost[cause] += worth
+    return dict(lost)
+
+
+def table(days: Iterable[Day]) -> list[str]:
+    """Returns a Markdown table of the mean losses of each kind of day.
+
+    Args:
+        days: Days of one site.
+
+    Returns:
+        Lines.
+    """
+    by_kind: dict[str, list[Day]] = collections.defaultdict(list)
+    for day in days:
+        by_kind[day.kind].append(day)
+    titles = [cause.value for cause in Cause]
+    lines = [
+        f"| kind | days | worth | {' | '.join(titles)} |",
+        "|---" * (len(titles) + 3) + "|",
+    ]
+    return lines + [_row(kind, some) for kind, some in by_kind.items()]
+
+
+def _row(kind: str, days: list[Day]) -> str:
+    each = [losses(day) for day in days]
+    means = [
+        statistics.mean(lost.get(cause, 0.0) for lost in each)
+        for cause in Cause
+    ]
+    worth = statistics.mean(day.worth for day in days)
+    cells = " | ".join(f"{mean:.3f}" for mean in means)
+    return f"| {kind} | {len(days)} | {worth:.3f} | {cells} |"
--- a/citronmount/cli/main.py
+++ b/citronmount/cli/main.py
@@ -6,6 +6,7 @@
 from citronmount.cli import bench_command
 from citronmount.cli import explain_command
 from citronmount.cli import job_commands
+from citronmount.cli import losses_command
 from citronmount.cli import operate_commands
 from citronmount.cli import sheet_commands
 from citronmount.cli import timeline_command
@@ -19,6 +20,7 @@
     job_commands.request,
     job_commands.status,
     job_commands.submit,
+    losses_command.losses,
     operate_commands.codes,
     operate_commands.completion,
     operate_commands.drain,
