--- a/citronmount/bench/capacity.py
+++ b/citronmount/bench/capacity.py
@@ -210,7 +210,10 @@
     plan = capacity_plan.work_out(found)
     text = capacity_page.render(found, plan)
     if page is not None:
-        pathlib.Path(page).write_text(text, encoding="utf-8")
+        target = pathlib.Path(page)
+        before = target.read_text("utf-8") if target.exists() else ""
+        kept = capacity_page.kept_part(before)
+        target.write_text(text + kept, encoding="utf-8")
     if as_json:
         output = Output(
             size=capacity_plan.SIZE,
--- a/citronmount/bench/capacity_page.py
+++ b/citronmount/bench/capacity_page.py
@@ -4,7 +4,9 @@
 
 from citronmount.bench import capacity_plan
 
-__all__ = ["render"]
+__all__ = ["KEPT_TITLE", "kept_part", "render"]
+
+KEPT_TITLE = "## A pool on the users' platform"
 
 _HEAD = """\
 # Capacity
@@ -116,6 +118,19 @@
     return "".join(parts)
 
 
+def kept_part(page: str) -> str:
+    """Returns the part of an older page that other runs have measured.
+
+    Args:
+        page: The older page, or empty.
+
+    Returns:
+        Everything from the title of that part on, after an empty line.
+    """
+    _, title, rest = page.partition(KEPT_TITLE)
+    return f"\n{title}{rest}" if title else ""
+
+
 def _table(titles: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
     lines = [list(titles), *(list(row) for row in rows)]
     lines.insert(1, ["---"] * len(lines[0]))
--- a/citronmount/bench/tests/test_capacity.py
+++ b/citronmount/bench/tests/test_capacity.py
@@ -11,6 +11,13 @@
 from citronmount.bench import harness_traffic
 
 
+class KeptPartTest(unittest.TestCase):
+    def test_part_that_other_runs_measured_outlives_a_new_page(self) -> None:
+        part = f"\n{capacity_page.KEPT_TITLE}\n\nslopes\n"
+        self.assertEqual(part, capacity_page.kept_part("# Capacity\n" + part))
+        self.assertEqual("", capacity_page.kept_part("# Capacity\n"))
+
+
 def _state(workers: int, jobs: int, teams: int) -> capacity_agents.StateRow:
     return capacity_agents.StateRow(
         workers=workers,
--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -18,6 +18,7 @@
 
 import msgspec
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.web import server
@@ -33,6 +34,7 @@
 from citronmount.workflow import units
 
 USUAL_VMS = 4
+VM_PORTS = range(20_000, 32_000)
 WORKERS = 8
 SET_UP_S = 4.0
 SET_UP_S_PER_VM = 0.15
@@ -41,6 +43,7 @@
     4: "the soak took the status of its own signal for a bad end",
     20: "the soak took the status of its own signal for a bad end",
     23: "a gang in part: its owner frozen while starting it, a runner silent",
+    222: "the soak gave a VM a port that another connection took",
 }
 QUEUE = "/jobs/"
 KEY = {"X-Api-Key": "key", "Content-Type": "application/json"}
@@ -399,10 +402,17 @@
 
 
 def free_port() -> int:
-    port = reactor.listenTCP(0, server.Site(None), interface=site.HOST)
-    number = port.getHost().port
-    port.stopListening()
-    return number
+    """Returns a port that no outgoing connection is given."""
+    while True:
+        number = random.SystemRandom().choice(VM_PORTS)
+        try:
+            port = reactor.listenTCP(
+                number, server.Site(None), interface=site.HOST
+            )
+        except error.CannotListenError:
+            continue
+        port.stopListening()
+        return number
 
 
 def main() -> int:
