Watch for gangs near a fault until the soak ends

Trace: placed at 38.913 s on two runners, one of them silent; given up at 40.336 s after four orders; the stops reached the other runner, silent as well from then on, only at 42.44 s, after its members had waited their 3 s. Two runners were silent by faults of the soak, which is the case that the check passes over; but the watch had been stopped with the last fault drawn, 3.5 s before.

The watch goes on to the end now.

--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -43,6 +43,7 @@
     4: "the soak took the status of its own signal for a bad end",
     20: "the soak took the status of its own signal for a bad end",
     23: "a gang in part: its owner frozen while starting it, a runner silent",
+    241: "a gang in part: two runners silent at its start, then no more faults",
     222: "the soak gave a VM a port that another connection took",
 }
 QUEUE = "/jobs/"
@@ -119,9 +120,10 @@
         faults = defer.ensureDeferred(self.inject())
         await traffic
         await faults
-        self.watcher.stop()
         await self.heal()
         await self.settle()
+        self.watcher.stop()
+        self.note_broken()
         for number in list(self.processes):
             self.processes[number].terminate()
         await site.sleep(PLANNED_STOP_S)
