--- a/citronmount/telemetry/job_story.py
+++ b/citronmount/telemetry/job_story.py
@@ -203,11 +203,16 @@
 
 
 def _excess_ms(story: JobStory) -> float:
-    """Returns the time lost beyond the slack of the objective."""
+    """Returns the time lost beyond the slack of the objective.
+
+    Lines of an older version do not tell the slack; their objective counts.
+    """
     spent = story.spent_ms()
     if Phase.WORKING not in spent or story.finish is None:
         return 0.0
     fields = story.finish.fields
+    if "slack_factor" not in fields or "margin_ms" not in fields:
+        return float(fields["age_ms"]) - float(fields["objective_ms"])
     work_ms = sum(spent.get(phase, 0.0) for phase in _WORK)
     slack_ms = (float(fields["slack_factor"]) - 1) * work_ms
     slack_ms += float(fields["margin_ms"])
--- a/citronmount/telemetry/tests/test_job_story.py
+++ b/citronmount/telemetry/tests/test_job_story.py
@@ -80,6 +80,13 @@
         late = job_story.late_jobs(found)
         self.assertIs(job_story.Phase.UNDECIDED, late[0].main_loss())
 
+    def test_line_without_slack_is_judged_by_its_objective(self) -> None:
+        old = {"age_ms": 3_000, "objective_ms": 2_500}
+        lines = gang(0.6, 0.7, 2.7, 2.8)[:-1]
+        lines.append(line(2.8, "job_finished", job=JOB, **old))
+        late = job_story.late_jobs(job_story.stories(lines))
+        self.assertEqual([JOB], [story.job for story in late])
+
     def test_refused_submissions_count_from_the_first(self) -> None:
         lines = [
             line(0.0, "job_submitted", job=JOB, verdict="not_done"),
