Ask silent idle workers again, and let a new owner hear of jobs at once

- A silent worker whose runs had lapsed held nothing, so it was not asked any more and counted as usable: a task that had been lost there was placed there again (`test_slow_clock_does_not_let_a_lost_task_run_twice`: not done after 21 s, now it is).
A worker that left a hold unanswered is asked until it answers, and shunned after two.
- A new owner's tail went on with the follower's pause of up to 1 s, so a job handed in right after a change of owner waited that long (`test_big_pool` failed now and then, traced; `test_new_owner_hears_of_jobs_at _once` failed first).
The pause ends with the take-over.

Ruled out: priming of workers (done 0.15 s after the hand-over).

The workers' stand-in has clocks that run slow; the tests' clock moves a call that is made due earlier.

--- a/citronmount/fleet/sessions.py
+++ b/citronmount/fleet/sessions.py
@@ -238,7 +238,8 @@
     @property
     def _has_reason_to_hold(self) -> bool:
         untold = self._told_seen < self._last_seen
-        return not self.primed or bool(self.runs or self._unresolved) or untold
+        unclear = not self.primed or self.waits_unanswered > 0
+        return unclear or bool(self.runs or self._unresolved) or untold
 
     def _real_ms(self, worker_ms: int) -> int:
         return int(worker_ms / _SLOWEST_CLOCK)
--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/worker_sessions.py
@@ -11,6 +11,7 @@
 
 SILENCE_MARGIN_MS = 600
 WITNESSES = 2
+SILENT_HOLDS = 2
 MOST_PRIMING = 128
 SCAN_PERIOD_MS = 50
 
@@ -153,8 +154,10 @@
     def _is_silent(self, session: sessions_lib.Session, now_ms: int) -> bool:
         """Returns whether a worker should have answered by now.
 
-        One that holds nothing is not asked and so is never silent.
+        One that holds nothing is not asked, unless it did not answer before.
         """
+        if session.waits_unanswered >= SILENT_HOLDS:
+            return True
         policy = self._state.policy
         limit_ms = policy.wait_ms + policy.retry_ms + SILENCE_MARGIN_MS
         return bool(session.runs) and session.silent_ms(now_ms) >= limit_ms
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -6,7 +6,6 @@
 import structlog
 from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.internet import task
 from twisted.python import failure
 
 from citronmount.core import errors
@@ -65,6 +64,7 @@
         self.wait_ms = READ_WAIT_MS
         self._clock = clock
         self._log = log
+        self._resume: interfaces.IDelayedCall | None = None
         self._contact = contact
         self._topic = topic
         self._on_snapshot = on_snapshot
@@ -167,8 +167,27 @@
         if fresh:
             self._on_records(fresh)
 
-    def _pause(self, pause_ms: int) -> defer.Deferred[None]:
-        return task.deferLater(self._clock, pause_ms / _MS_PER_S)
+    def hurry(self, wait_ms: int) -> None:
+        """Reads without pauses from now on, and ends a pause at once.
+
+        Args:
+            wait_ms: How long a read waits for records.
+        """
+        self.pace_ms = 0
+        self.wait_ms = wait_ms
+        if self._resume is not None and self._resume.active():
+            self._resume.reset(0)
+
+    async def _pause(self, pause_ms: int) -> None:
+        paused: defer.Deferred[None] = defer.Deferred()
+        self._resume = self._clock.callLater(
+            pause_ms / _MS_PER_S, paused.callback, None
+        )
+        try:
+            await paused
+        finally:
+            if self._resume.active():
+                self._resume.cancel()
 
     def _note_lost(self, error: errors.UnreachableError) -> None:
         self._contact.failed()
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -181,8 +181,7 @@
         self._appending = False
         self.active = True
         self._workers.start()
-        self._jobs.pace_ms = 0
-        self._jobs.wait_ms = OWNER_READ_WAIT_MS
+        self._jobs.hurry(OWNER_READ_WAIT_MS)
         self._trace.info(
             "ownership_taken",
             token=epoch.epoch,
--- a/citronmount/fleet_service/tests/heap_clock.py
+++ b/citronmount/fleet_service/tests/heap_clock.py
@@ -31,7 +31,7 @@
             args,
             options,
             lambda cancelled: None,
-            lambda moved: None,
+            self._push,
             self.seconds,
         )
         self._push(call)
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -316,6 +316,27 @@
         self.assertLessEqual(len(self.started("j")), 3)
 
 
+class SlowClockTest(pool.PoolCase):
+    def test_leases_last_by_the_workers_own_slow_clock(self) -> None:
+        for worker in self.pool.workers.values():
+            worker.clock_rate = 0.98
+        self.run_time_ms = lambda task, run: 12_000
+        self.submit("j", pool.one_task(tasks=4, max_tasks_per_worker=1))
+        self.run_for(14.0)
+        self.assertEqual(4, len(self.started("j")))
+        self.assertIs(DONE, self.state("j"))
+
+    def test_slow_clock_does_not_let_a_lost_task_run_twice(self) -> None:
+        silent = self.pool.workers[ids.WorkerId("w00")]
+        silent.clock_rate = 0.98
+        self.run_time_ms = lambda task, run: 9_000
+        self.submit("j", pool.one_task(tasks=4, max_tasks_per_worker=1))
+        self.run_for(1.0)
+        silent.fault = pool_workers.WorkerFault.SILENT
+        self.run_for(20.0)
+        self.assertIs(DONE, self.state("j"))
+
+
 class WorkerFaultTest(pool.PoolCase):
     def setUp(self) -> None:
         super().setUp()
--- a/citronmount/fleet_service/tests/test_hand_over.py
+++ b/citronmount/fleet_service/tests/test_hand_over.py
@@ -11,7 +11,7 @@
     def owners(self) -> list[int]:
         return [n for n, node in enumerate(self.nodes) if node.owns_pool]
 
-    def time_without_owner_s(self) -> float:
+    def time_without_owner_s(self, settle_s: float = 3.0) -> float:
         """Makes the owner stop as planned; the next one takes over."""
         number = self.owner()
         defer.ensureDeferred(self.nodes[number].give_up())
@@ -20,8 +20,9 @@
             self.clock.advance(pool.STEP_S)
         self.nodes[number].stop()
         self.nodes[number] = self.make_node(number + self.vms)
-        self.run_for(3.0)
-        return self.clock.seconds() - 3.0 - began_s
+        took_s = self.clock.seconds() - began_s
+        self.run_for(settle_s)
+        return took_s
 
     def test_join_that_arrives_late_does_not_hold_up_the_hand_over(
         self,
@@ -31,6 +32,16 @@
             self.run_for(0.065)
             self.assertLess(self.time_without_owner_s(), 0.8)
 
+    def test_new_owner_hears_of_jobs_at_once(self) -> None:
+        for number in range(6):
+            self.run_for(0.13)
+            self.time_without_owner_s(settle_s=0.0)
+            at = (self.owners()[0] + 1) % self.vms
+            self.submit(f"j{number}", pool.one_task(), at=at)
+            self.run_for(0.25)
+            self.assertEqual(1, len(self.started(f"j{number}")))
+            self.run_for(3.0)
+
     def test_slow_log_does_not_keep_the_pool_without_owner(self) -> None:
         with mock.patch.object(pool_log, "ANSWER_S", 0.45):
             self.run_for(2.0)
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -143,7 +143,7 @@
             self.clock.callLater(worker.late_s, worker.start, order)
             await self._time_out(timeout_ms)
             return orders.StartVerdict.UNANSWERED, None
-        return worker.start(order), self.now_ms()
+        return worker.start(order), worker.now_ms()
 
     async def stop(
         self, order: orders.Stop, timeout_ms: int
@@ -153,7 +153,7 @@
         if worker is None:
             await self._time_out(timeout_ms)
             return orders.StopVerdict.UNANSWERED, None
-        return worker.stop(order), self.now_ms()
+        return worker.stop(order), worker.now_ms()
 
     async def ask(
         self, question: orders.Ask, timeout_ms: int
@@ -268,6 +268,7 @@
         late_s: How late it carries out orders with the fault LATE.
         slowdown: How much longer it takes than a plan says.
         stands_still: Whether what starts there never gets on.
+        clock_rate: How fast its own clock runs.
     """
 
     def __init__(self, *, pool: PoolWorkers, entry: workers_lib.Worker) -> None:
@@ -279,12 +280,17 @@
         self.late_s = 4.0
         self.slowdown = 1.0
         self.stands_still = False
+        self.clock_rate = 1.0
         self._pool = pool
         self._token = 0
         self._until_ms = 0
         self._barred: dict[units.TaskName, int] = {}
         self._numbers = itertools.count(1)
 
+    def now_ms(self) -> int:
+        """Returns the worker's own clock, on which leases are measured."""
+        return round(self._pool.now_ms() * self.clock_rate)
+
     def start(self, order: orders.Start) -> orders.StartVerdict:
         """Carries out an order to start."""
         if order.token < self._token:
@@ -296,7 +302,7 @@
             return orders.StartVerdict.STARTED
         if order.run <= self._barred.get(order.task, 0):
             return orders.StartVerdict.OLD_RUN
-        if order.until_ms <= self._pool.now_ms():
+        if order.until_ms <= self.now_ms():
             return orders.StartVerdict.LATE
         self._check_start(order)
         self._pool.tickets[order.task] = order.ticket
@@ -348,7 +354,7 @@
     def report(self) -> orders.HoldReport:
         """Returns what runs and what ended."""
         return orders.HoldReport(
-            clock_ms=self._pool.now_ms(),
+            clock_ms=self.now_ms(),
             life_ms=self.entry.life_ms,
             running=tuple(
                 orders.RunningTask(
@@ -435,7 +441,7 @@
     def _check_lease(self) -> None:
         if not self.running:
             return
-        if self._pool.now_ms() > self._until_ms:
+        if self.now_ms() > self._until_ms:
             for run in list(self.running.values()):
                 self.end(run, orders.EndKind.LAPSED)
             return
