Settle by a stop what an unanswered order may have done before a refusal

Cause: the answer to the first order got lost. The copy sent later was refused, since that run had already ended there; the member was taken as never started, its unit was placed again, and the end was then acknowledged as that of an unknown run. A refusal for want of room or a late lease left the first order just as open.

How: after an unanswered order a refusal ends the run, but the member stays until a stop is answered and the worker tells what became of it.

--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -86,7 +86,10 @@
             self._state.advice.drop(run.key.step_id, member.place.worker)
         if verdict in _LOST_ROOM:
             self._state.suspended[order.worker.worker] = now_ms + SUSPENSION_MS
-        self._state.table.gone(run, member)
+        same_life = verdict is not orders.StartVerdict.OTHER_LIFE
+        if not (member.start_uncertain and same_life):
+            self._state.table.gone(run, member)
+        # Else a stop settles what an earlier, unanswered order may have done.
         self._state.end_run(run, runs_lib.EndCause.MEMBER_NOT_STARTED)
 
     @staticmethod
--- a/citronmount/fleet_service/tests/test_lost_orders.py
+++ b/citronmount/fleet_service/tests/test_lost_orders.py
@@ -1,4 +1,5 @@
 from citronmount.core import ids
+from citronmount.core import states
 from citronmount.fleet_service.tests import pool
 from citronmount.standins import pool_workers
 
@@ -16,6 +17,23 @@
         self.run_for(0.3)
         self.assertEqual(6, len(self.started("j")))
 
+    def test_task_that_ended_before_its_order_was_repeated_runs_once(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 100
+        for name in self.pool.workers:
+            self.set_fault(name, pool_workers.WorkerFault.LOSES_ANSWERS)
+        self.submit("j", pool.one_task(tasks=6, accelerators=8))
+        self.run_for(0.02)
+        for name in self.pool.workers:
+            self.set_fault(name, pool_workers.WorkerFault.SILENT)
+        self.run_for(0.15)
+        for name in self.pool.workers:
+            self.set_fault(name, pool_workers.WorkerFault.NONE)
+        self.run_for(4.0)
+        self.assertEqual(6, len(self.started("j")))
+        self.assertIs(states.JobState.DONE, self.state("j"))
+
     def test_gang_leaves_a_worker_that_takes_no_connection_at_once(
         self,
     ) -> None:
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -30,13 +30,15 @@
     """How a worker treats orders.
 
     LATE carries out orders to start late and does not answer them, LOSES_ONE
-    loses the next such order, and REFUSING takes no connection.
+    loses the next such order, LOSES_ANSWERS carries out the next one without
+    an answer, and REFUSING takes no connection.
     """
 
     NONE = "none"
     SILENT = "silent"
     LATE = "late"
     LOSES_ONE = "loses_one"
+    LOSES_ANSWERS = "loses_answers"
     REFUSING = "refusing"
 
 
@@ -135,6 +137,11 @@
         if worker is None:
             await self._time_out(timeout_ms)
             return orders.StartVerdict.UNANSWERED, None
+        if worker.fault is WorkerFault.LOSES_ANSWERS:
+            worker.fault = WorkerFault.NONE
+            worker.start(order)
+            await self._time_out(timeout_ms)
+            return orders.StartVerdict.UNANSWERED, None
         if worker.fault is WorkerFault.LOSES_ONE:
             worker.fault = WorkerFault.NONE
             await self._time_out(timeout_ms)
