Say once what stood twice, and split the matrix's callers

- `Owner` and `OwnerState` took and documented the same six arguments; the owner gets its state now.
- Slots were ranked by the same key in two places of `fitting`.
- Four methods of the workers' stand-in looked for the members of a gang; events of one placement shared their fields by copy.
- `SILENT_HOLDS` was 2 in one module and 3 in another, with other meanings: told after three, shunned after two.

Left as they are: pairs that share only the shape of a declaration.

--- a/citronmount/bench/faults/callers.py
+++ b/citronmount/bench/faults/callers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from citronmount.bench import harness as harness_lib
+from citronmount.bench.faults import cases
 from citronmount.config import configuration
 from citronmount.core import codes
 from citronmount.core import ids
@@ -15,119 +16,14 @@
 from citronmount.peers import messages as peer_messages
 from citronmount.state import records
 
-__all__ = ["Callers", "JobCase", "PublishCase", "RequestCase", "Told", "key_of"]
+__all__ = ["Callers"]
 
 _RETRY_MS = 700
 _POLL_MS = 1_500
-_MAX_TRIES = 30
 _REQUEST_TRIES = 4
 _IMPATIENT_MS = 3
 
 
-def key_of(name: str) -> str:
-    """Returns the idempotency key of a job that must not be repeated.
-
-    Args:
-        name: Marks the job.
-    """
-    return f"key-{name}"
-
-
-class Told(msgspec.Struct, frozen=True, kw_only=True):
-    """One answer that a caller got, or the lack of one.
-
-    Attributes:
-        at_ms: True time of the answer.
-        sent_ms: True time of the call.
-        vm: The VM that was called.
-        request: The request id of the call, for short requests.
-        body: The answer, or None.
-    """
-
-    at_ms: int
-    sent_ms: int
-    vm: ids.VmId
-    body: peer_messages.Answer | None
-    request: str = ""
-
-
-class JobCase(msgspec.Struct, kw_only=True):
-    """One job as its caller sees it.
-
-    Attributes:
-        name: Marks the job in its command.
-        spec: The job as submitted.
-        submitted_ms: True time of the first submission.
-        job: The id, once accepted.
-        accepted_ms: When the acceptance arrived.
-        refused: A final refusal.
-        final: The first final status that was told.
-        told: Every answer to a submission or question.
-        must_run: Whether the system owes a start within the bound.
-        cancelled_ms: When the caller first asked for a cancellation.
-    """
-
-    name: str
-    spec: jobs.JobSpec
-    submitted_ms: int
-    job: ids.JobId | None = None
-    accepted_ms: int | None = None
-    refused: jobs.JobResult | None = None
-    final: jobs.JobStatus | None = None
-    told: list[Told] = msgspec.field(default_factory=list)
-    must_run: bool = False
-    cancelled_ms: int | None = None
-    tries: int = 0
-
-    @property
-    def settled(self) -> bool:
-        """Whether the caller waits for nothing more."""
-        return (
-            self.final is not None
-            or self.refused is not None
-            or (self.tries >= _MAX_TRIES and self.job is None)
-        )
-
-
-class RequestCase(msgspec.Struct, kw_only=True):
-    """One short request as its caller sees it.
-
-    Attributes:
-        name: The idempotency key, or a name for idempotent requests.
-        specs: The request of each try, by request id.
-        told: Every answer.
-        submitted_ms: True time of the first try.
-        open: Tries that are under way or will be made.
-    """
-
-    name: str
-    specs: dict[str, jobs.RequestSpec]
-    submitted_ms: int
-    told: list[Told] = msgspec.field(default_factory=list)
-    open: int = 0
-
-    @property
-    def done(self) -> bool:
-        """Whether the caller waits for nothing more."""
-        return not self.open
-
-
-class PublishCase(msgspec.Struct, kw_only=True):
-    """One published change as its operator sees it.
-
-    Attributes:
-        change: The change.
-        told: Every answer.
-        submitted_ms: True time of the first try.
-        done: Whether the operator waits for nothing more.
-    """
-
-    change: records.ConfigurationChange
-    submitted_ms: int
-    told: list[Told] = msgspec.field(default_factory=list)
-    done: bool = False
-
-
 class Callers:
     """Sends calls through any live VM and keeps what it is told.
 
@@ -144,9 +40,9 @@
             harness: The site.
             rng: Chooses VMs.
         """
-        self.jobs: dict[str, JobCase] = {}
-        self.requests: dict[str, RequestCase] = {}
-        self.publications: list[PublishCase] = []
+        self.jobs: dict[str, cases.JobCase] = {}
+        self.requests: dict[str, cases.RequestCase] = {}
+        self.publications: list[cases.PublishCase] = []
         self.content: configuration.Configuration | None = None
         self.version = ids.Version(1)
         self._harness = harness
@@ -190,7 +86,7 @@
         vm: ids.VmId | None = None,
         declared_s: float | None = None,
         urgent: bool = False,
-    ) -> JobCase:
+    ) -> cases.JobCase:
         """Submits a job and follows it to its end.
 
         Args:
@@ -225,11 +121,11 @@
             ),
             run_time_s=run_ms / 1_000 if declared_s is None else declared_s,
             idempotent=idempotent,
-            idempotency_key="" if idempotent else key_of(name),
+            idempotency_key="" if idempotent else cases.key_of(name),
             command=json.dumps(command),
             urgent=urgent,
         )
-        case = JobCase(
+        case = cases.JobCase(
             name=name,
             spec=spec,
             submitted_ms=self._harness.clock.now_ms,
@@ -248,7 +144,7 @@
         case = self.jobs[name]
         body = peer_messages.SubmitJob(spec=case.spec)
 
-        def told(told: Told) -> None:
+        def told(told: cases.Told) -> None:
             case.told.append(told)
 
         self._call(body, told)
@@ -268,7 +164,7 @@
         if case.cancelled_ms is None:
             case.cancelled_ms = self._harness.clock.now_ms
 
-        def told(told: Told) -> None:
+        def told(told: cases.Told) -> None:
             self._note_status(case, told)
             if not isinstance(told.body, peer_messages.JobAnswer):
                 self._later(_RETRY_MS, self.cancel, name)
@@ -299,7 +195,7 @@
         service_ms: int,
         twice: bool = False,
         vm: ids.VmId | None = None,
-    ) -> RequestCase:
+    ) -> cases.RequestCase:
         """Sends a short request.
 
         Args:
@@ -314,7 +210,7 @@
             What its caller sees.
         """
         name = f"r{next(self._names)}"
-        case = RequestCase(
+        case = cases.RequestCase(
             name=name, specs={}, submitted_ms=self._harness.clock.now_ms
         )
         self.requests[name] = case
@@ -338,7 +234,7 @@
         content: configuration.Configuration,
         base_version: ids.Version,
         vm: ids.VmId | None = None,
-    ) -> PublishCase:
+    ) -> cases.PublishCase:
         """Publishes a configuration until its outcome is known.
 
         Args:
@@ -355,7 +251,7 @@
             author="operator",
             content=content,
         )
-        case = PublishCase(
+        case = cases.PublishCase(
             change=change, submitted_ms=self._harness.clock.now_ms
         )
         self.publications.append(case)
@@ -370,7 +266,7 @@
     def _call(
         self,
         body: peer_messages.CallerCall,
-        tell: Callable[[Told], None],
+        tell: Callable[[cases.Told], None],
         *,
         vm: ids.VmId | None = None,
         avoid: ids.VmId | None = None,
@@ -387,7 +283,7 @@
 
         def answered(answer: peer_messages.Answer | None) -> None:
             tell(
-                Told(
+                cases.Told(
                     at_ms=self._harness.clock.now_ms,
                     sent_ms=sent_ms,
                     vm=chosen,
@@ -401,17 +297,20 @@
     def _call_again(
         self,
         body: peer_messages.CallerCall,
-        tell: Callable[[Told], None],
+        tell: Callable[[cases.Told], None],
         timeout_ms: int,
     ) -> None:
         self._call(body, tell, timeout_ms=timeout_ms)
 
     def _submit(
-        self, case: JobCase, vm: ids.VmId | None, avoid: ids.VmId | None = None
+        self,
+        case: cases.JobCase,
+        vm: ids.VmId | None,
+        avoid: ids.VmId | None = None,
     ) -> None:
         case.tries += 1
 
-        def told(told: Told) -> None:
+        def told(told: cases.Told) -> None:
             case.told.append(told)
             match told.body:
                 case peer_messages.JobAnswer(status=status):
@@ -433,22 +332,22 @@
             peer_messages.SubmitJob(spec=case.spec), told, vm=vm, avoid=avoid
         )
 
-    def _retry_submit(self, case: JobCase, avoid: ids.VmId) -> None:
-        if case.tries < _MAX_TRIES:
+    def _retry_submit(self, case: cases.JobCase, avoid: ids.VmId) -> None:
+        if case.tries < cases.MAX_TRIES:
             self._later(_RETRY_MS, self._submit, case, None, avoid)
 
-    def _poll(self, case: JobCase) -> None:
+    def _poll(self, case: cases.JobCase) -> None:
         if case.final is not None or case.job is None:
             return
 
-        def told(told: Told) -> None:
+        def told(told: cases.Told) -> None:
             self._note_status(case, told)
             self._later(_POLL_MS, self._poll, case)
 
         self._call(peer_messages.GetJob(job=case.job), told)
 
     def _note_status(
-        self, case: JobCase, told: Told, keep: bool = True
+        self, case: cases.JobCase, told: cases.Told, keep: bool = True
     ) -> None:
         if keep:
             case.told.append(told)
@@ -460,7 +359,7 @@
 
     def _request(
         self,
-        case: RequestCase,
+        case: cases.RequestCase,
         template: jobs.RequestSpec,
         avoid: ids.VmId | None,
         vm: ids.VmId | None = None,
@@ -472,7 +371,7 @@
         case.specs[spec.request] = spec
         case.open += 1
 
-        def told(told: Told) -> None:
+        def told(told: cases.Told) -> None:
             case.told.append(told)
             case.open -= 1
             if len(case.specs) < _REQUEST_TRIES and _worth_retry(told.body):
@@ -487,21 +386,21 @@
 
     def _request_again(
         self,
-        case: RequestCase,
+        case: cases.RequestCase,
         template: jobs.RequestSpec,
         avoid: ids.VmId | None,
     ) -> None:
         case.open -= 1
         self._request(case, template, avoid)
 
-    def _publish(self, case: PublishCase, vm: ids.VmId | None) -> None:
-        def told(told: Told) -> None:
+    def _publish(self, case: cases.PublishCase, vm: ids.VmId | None) -> None:
+        def told(told: cases.Told) -> None:
             case.told.append(told)
             known = isinstance(told.body, peer_messages.PublishAnswer) and (
                 told.body.result.code
                 is not codes.ResultCode.CONFIGURATION_OUTCOME_UNKNOWN
             )
-            if known or len(case.told) >= _MAX_TRIES:
+            if known or len(case.told) >= cases.MAX_TRIES:
                 case.done = True
             else:
                 self._later(_RETRY_MS, self._publish, case, None)
--- a/citronmount/bench/faults/cell.py
+++ b/citronmount/bench/faults/cell.py
@@ -13,6 +13,7 @@
 from citronmount.bench import harness_process
 from citronmount.bench import harness_site
 from citronmount.bench.faults import callers as callers_lib
+from citronmount.bench.faults import cases
 from citronmount.bench.faults import evidence as evidence_lib
 from citronmount.bench.faults import registry
 from citronmount.bench.faults import steps
@@ -248,7 +249,7 @@
             self._publish_if_stale(case, domain)
 
     def _publish_if_stale(
-        self, case: callers_lib.PublishCase, domain: ids.FailureDomainId
+        self, case: cases.PublishCase, domain: ids.FailureDomainId
     ) -> None:
         """Publishes again, as an operator does whose change has lost."""
         if not case.done:
@@ -434,7 +435,7 @@
             if homes.home_of_key(
                 self.site.configuration,
                 harness_site.PAYING,
-                callers_lib.key_of(name),
+                cases.key_of(name),
             )
             == self.focus
         )
--- a/citronmount/bench/faults/promises_of_answers.py
+++ b/citronmount/bench/faults/promises_of_answers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 import itertools
 
-from citronmount.bench.faults import callers as callers_lib
+from citronmount.bench.faults import cases
 from citronmount.bench.faults import evidence as evidence_lib
 from citronmount.bench.faults import promises
 from citronmount.core import codes
@@ -32,7 +32,7 @@
 
 
 def _foreign_status(
-    case: callers_lib.JobCase, told: callers_lib.Told
+    case: cases.JobCase, told: cases.Told
 ) -> Iterator[tuple[int, str]]:
     match told.body:
         case peer_messages.JobAnswer(status=status):
@@ -45,7 +45,7 @@
 
 
 def _foreign_answer(
-    case: callers_lib.RequestCase, told: callers_lib.Told
+    case: cases.RequestCase, told: cases.Told
 ) -> Iterator[tuple[int, str]]:
     if isinstance(told.body, peer_messages.Failure | None):
         return
@@ -101,7 +101,7 @@
 
 
 def _ran_though_refused(
-    case: callers_lib.JobCase, starts: list[int]
+    case: cases.JobCase, starts: list[int]
 ) -> Iterator[tuple[int, str]]:
     """Looks for starts before the first call that was not refused."""
     refused = list(
--- a/citronmount/bench/faults/promises_of_work.py
+++ b/citronmount/bench/faults/promises_of_work.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterator
 
-from citronmount.bench.faults import callers as callers_lib
+from citronmount.bench.faults import cases
 from citronmount.bench.faults import evidence as evidence_lib
 from citronmount.bench.faults import promises
 from citronmount.core import codes
@@ -138,7 +138,7 @@
 
 
 def _changed_result(
-    case: callers_lib.JobCase,
+    case: cases.JobCase,
 ) -> Iterator[tuple[int, str]]:
     for told in case.told:
         if not isinstance(told.body, peer_messages.JobAnswer):
@@ -156,7 +156,7 @@
 
 def _false_result(
     evidence: evidence_lib.Evidence,
-    case: callers_lib.JobCase,
+    case: cases.JobCase,
     attempts: list[tuple[str, dict[str, list[tuple[int, int, str]]]]],
 ) -> Iterator[tuple[int, str]]:
     result = case.final.result or jobs.JobResult(code=codes.ResultCode.INTERNAL)
--- a/citronmount/bench/replay_events.py
+++ b/citronmount/bench/replay_events.py
@@ -91,8 +91,8 @@
     number: int
 
 
-class Run(msgspec.Struct, frozen=True, kw_only=True):
-    """All tasks of a placement are ready to run.
+class _OfPlacement(msgspec.Struct, frozen=True, kw_only=True):
+    """What happens to one placement of a job.
 
     Attributes:
         number: Index of the job in the trace.
@@ -103,29 +103,21 @@
     attempt: int
 
 
-class Finish(msgspec.Struct, frozen=True, kw_only=True):
-    """A job has done its work.
+class Run(_OfPlacement, frozen=True, kw_only=True):
+    """All tasks of a placement are ready to run."""
 
-    Attributes:
-        number: Index of the job in the trace.
-        attempt: The placement that it belongs to.
-    """
 
-    number: int
-    attempt: int
+class Finish(_OfPlacement, frozen=True, kw_only=True):
+    """A job has done its work."""
 
 
-class Evicted(msgspec.Struct, frozen=True, kw_only=True):
+class Evicted(_OfPlacement, frozen=True, kw_only=True):
     """A job that was told to stop has saved its work and stopped.
 
     Attributes:
-        number: Index of the job in the trace.
-        attempt: The placement that it belongs to.
         progress: Share of its work that is saved.
     """
 
-    number: int
-    attempt: int
     progress: float
 
 
--- a/citronmount/fleet/fitting.py
+++ b/citronmount/fleet/fitting.py
@@ -143,9 +143,7 @@
         The room, which holds as long as nothing else takes or gives any.
     """
     slots = _slots(need, workers, free)
-    slots.sort(
-        key=lambda pair: (pair[0].worker in need.last, _left(pair[0], free))
-    )
+    slots = _ranked(need, slots, free)
     rack = need.step.data_rack
     if not rack:
         return Shelf(slots=slots)
@@ -208,16 +206,24 @@
 ) -> list[workers_lib.Worker] | None:
     if sum(count for _, count in slots) < need.tasks:
         return None
-    ranked = sorted(
-        slots,
-        key=lambda pair: (pair[0].worker in need.last, _left(pair[0], free)),
-    )
     chosen: list[workers_lib.Worker] = []
-    for worker, count in ranked:
+    for worker, count in _ranked(need, slots, free):
         chosen += [worker] * min(count, need.tasks - len(chosen))
     return chosen
 
 
+def _ranked(
+    need: Need,
+    slots: Sequence[tuple[workers_lib.Worker, int]],
+    free: FreeRoom,
+) -> list[tuple[workers_lib.Worker, int]]:
+    """Returns slots, the tightest first, those to be used last at the end."""
+    return sorted(
+        slots,
+        key=lambda pair: (pair[0].worker in need.last, _left(pair[0], free)),
+    )
+
+
 def _left(
     worker: workers_lib.Worker, free: FreeRoom
 ) -> tuple[float, ids.WorkerId]:
--- a/citronmount/fleet/owner.py
+++ b/citronmount/fleet/owner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-from citronmount.core import ids
 from citronmount.fleet import configuration as configuration_lib
 from citronmount.fleet import job_ends
 from citronmount.fleet import orders
@@ -10,7 +9,6 @@
 from citronmount.fleet import planning
 from citronmount.fleet import run_driver
 from citronmount.fleet import runs as runs_lib
-from citronmount.fleet import sessions as sessions_lib
 from citronmount.fleet import waiting as waiting_lib
 from citronmount.fleet import worker_reports
 from citronmount.fleet import worker_sessions
@@ -38,35 +36,15 @@
         reports: Takes in what workers answer.
     """
 
-    def __init__(
-        self,
-        *,
-        token: ids.FenceToken,
-        book: book_lib.Book,
-        directory: workers_lib.WorkerDirectory,
-        bounds: configuration_lib.Bounds,
-        policy: sessions_lib.LeasePolicy,
-        now_ms: int,
-    ) -> None:
+    def __init__(self, *, state: owner_state.OwnerState, now_ms: int) -> None:
         """Takes over what the book says is placed.
 
         Args:
-            token: The fencing token.
-            book: The fold of the job topic, up to date.
-            directory: The workers' entries.
-            bounds: Times that the site sets.
-            policy: How leases are renewed.
+            state: What its parts share; nothing runs in it yet.
             now_ms: Steady time in milliseconds.
         """
-        self.token = token
-        self._state = owner_state.OwnerState(
-            token=token,
-            book=book,
-            directory=directory,
-            bounds=bounds,
-            policy=policy,
-            now_ms=now_ms,
-        )
+        self.token = state.token
+        self._state = state
         self._sessions = worker_sessions.WorkerSessions(state=self._state)
         self._driver = run_driver.RunDriver(state=self._state)
         self._ends = job_ends.JobEnds(state=self._state, driver=self._driver)
@@ -76,7 +54,7 @@
         self._accounts: tuple[configuration_lib.Account, ...] = ()
         self._next_look_ms = 0
         self._next_keep_ms = now_ms + KEEP_SPEEDS_PERIOD_MS
-        self._kept_speeds = dict(book.speeds)
+        self._kept_speeds = dict(state.book.speeds)
         self._driver.restore(now_ms)
 
     @property
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/worker_reports.py
@@ -16,7 +16,7 @@
 
 ORDER_RETRY_MS = 100
 SUSPENSION_MS = 1_000
-SILENT_HOLDS = 3
+TOLD_AFTER_HOLDS = 3
 
 _LOST_ROOM = (
     orders.StartVerdict.NO_ROOM,
@@ -164,7 +164,7 @@
         if order.look:
             return
         session.hold_failed(now_ms)
-        if session.waits_unanswered == SILENT_HOLDS:
+        if session.waits_unanswered == TOLD_AFTER_HOLDS:
             self._state.log.warning(
                 "worker_silent",
                 worker=order.worker.worker,
@@ -195,7 +195,7 @@
             self._sessions.life_over(session, now_ms)
             return
         first = not session.primed
-        if session.waits_unanswered >= SILENT_HOLDS:
+        if session.waits_unanswered >= TOLD_AFTER_HOLDS:
             self._state.log.info("worker_answers", worker=order.worker.worker)
         if order.look:
             session.look_answered(report, now_ms)
--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/worker_sessions.py
@@ -11,7 +11,7 @@
 
 SILENCE_MARGIN_MS = 600
 WITNESSES = 2
-SILENT_HOLDS = 2
+SHUNNED_AFTER_HOLDS = 2
 MOST_PRIMING = 128
 SCAN_PERIOD_MS = 50
 
@@ -156,7 +156,7 @@
 
         One that holds nothing is not asked, unless it did not answer before.
         """
-        if session.waits_unanswered >= SILENT_HOLDS:
+        if session.waits_unanswered >= SHUNNED_AFTER_HOLDS:
             return True
         policy = self._state.policy
         limit_ms = policy.wait_ms + policy.retry_ms + SILENCE_MARGIN_MS
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -168,14 +168,16 @@
         await self._workers.catch_up()
         if not self._candidate:
             return
-        self._owner = owner_lib.Owner(
+        now_ms = self._now_ms()
+        state = owner_state.OwnerState(
             token=ids.FenceToken(epoch.epoch),
             book=self._book,
             directory=self._directory,
             bounds=self._bounds,
             policy=self._policy,
-            now_ms=self._now_ms(),
+            now_ms=now_ms,
         )
+        self._owner = owner_lib.Owner(state=state, now_ms=now_ms)
         self._owner.configure(self._accounts)
         self._sequence = 0
         self._appending = False
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -224,44 +224,34 @@
 
     def gang_present(self, name: units.TaskName, run: int, size: int) -> bool:
         """Returns whether all members of a gang's run are at workers."""
-        prefix = name.rpartition(".")[0]
-        there = [
-            each
-            for worker in self.workers.values()
-            for each in worker.running.values()
-            if each.task.rpartition(".")[0] == prefix and each.run == run
-        ]
-        return len(there) == size
+        return len(self._members(name, run)) == size
 
     def gang_finished(self, name: units.TaskName, run: int) -> bool:
         """Returns whether all members of a gang's run have done their work."""
-        prefix = name.rpartition(".")[0]
-        return all(
-            each.finished
-            for worker in self.workers.values()
-            for each in worker.running.values()
-            if each.task.rpartition(".")[0] == prefix and each.run == run
-        )
+        return all(each.finished for _, each in self._members(name, run))
 
     def gang_began_ms(self, name: units.TaskName, run: int) -> int:
         """Returns when the last member of a gang's run came."""
-        prefix = name.rpartition(".")[0]
-        return max(
-            each.began_ms
-            for worker in self.workers.values()
-            for each in worker.running.values()
-            if each.task.rpartition(".")[0] == prefix and each.run == run
-        )
+        return max(each.began_ms for _, each in self._members(name, run))
 
     def end_gang(
         self, name: units.TaskName, run: int, kind: orders.EndKind
     ) -> None:
         """Ends every member of a gang's run."""
+        for worker, each in self._members(name, run):
+            worker.end(each, kind)
+
+    def _members(
+        self, name: units.TaskName, run: int
+    ) -> list[tuple["PoolWorker", _Running]]:
+        """Returns the members of a gang's run and where they are."""
         prefix = name.rpartition(".")[0]
-        for worker in self.workers.values():
-            for each in list(worker.running.values()):
-                if each.task.rpartition(".")[0] == prefix and each.run == run:
-                    worker.end(each, kind)
+        return [
+            (worker, each)
+            for worker in self.workers.values()
+            for each in worker.running.values()
+            if each.task.rpartition(".")[0] == prefix and each.run == run
+        ]
 
 
 class PoolWorker:
