Let a large page of the log arrive over a slow link

Cause: after a refused or unanswered read, a log reader asks again with a limit of 0.6 s for the whole response.

Ruled out: a refusal by the store (it served the VM again from 32.5 s on); a longer limit for each read, which would delay the reader by that much after a connection went silent.

Change: a read of the store may exceed its limit while its response arrives; each part extends the limit by 0.6 s, up to 20 s in all.

--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -1,5 +1,6 @@
 """An HTTP client for the platform's services and the targets."""
 
+from collections.abc import Callable
 import typing
 
 import hyperlink
@@ -34,6 +35,7 @@
 IDLE_CONNECTION_S = 30
 MAX_IDLE_CONNECTIONS_PER_HOST = 8
 MAX_BODY_BYTES = 64 << 20
+MAX_TRANSFER_S = 20
 MAX_CACHED_URLS = 10_000
 
 _MS_PER_S = 1_000
@@ -266,6 +268,7 @@
         query: str = "",
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
+        stall_timeout_ms: int = 0,
     ) -> defer.Deferred[HttpResponse]:
         """Sends a request and returns the undecoded response.
 
@@ -277,6 +280,9 @@
             query: The encoded query, or empty.
             headers: Headers to add to those that HTTP requires.
             body: The body, or None to send none.
+            stall_timeout_ms: If positive, the call may exceed its time limit
+                while the response arrives: each part of it extends the limit to
+                at least this time from then.
 
         Returns:
             A Deferred that fires with the response, whatever its status, or
@@ -286,8 +292,16 @@
         if query:
             url = hyperlink.EncodedURL.from_text(f"{url.to_text()}?{query}")
         data = None if body is None else _BytesProducer(body)
-        request = self._request_undecoded(method, url, headers or {}, data)
-        return self._with_timeout(request, timeout_ms)
+        time_limit = _TimeLimit(
+            reactor=self._reactor,
+            timeout_ms=timeout_ms,
+            stall_timeout_ms=stall_timeout_ms,
+        )
+        request = self._request_undecoded(
+            method, url, headers or {}, data, time_limit.extend
+        )
+        answer = time_limit.apply(defer.ensureDeferred(request))
+        return answer.addErrback(_raise_no_answer)
 
     async def _request_undecoded(
         self,
@@ -295,6 +309,7 @@
         url: hyperlink.EncodedURL,
         headers: dict[str, str],
         data: _BytesProducer | None,
+        on_part: Callable[[], None],
     ) -> HttpResponse:
         response = await self._http.request(
             method,
@@ -305,7 +320,7 @@
             unbuffered=True,
         )
         return HttpResponse(
-            status=response.code, body=await _read_body(response)
+            status=response.code, body=await _read_body(response, on_part)
         )
 
     def close(self) -> defer.Deferred[None]:
@@ -379,13 +394,72 @@
         request: typing.Coroutine[defer.Deferred[object], object, _Body],
         timeout_ms: int,
     ) -> defer.Deferred[_Body]:
-        answer = defer.ensureDeferred(request)
-        answer.addTimeout(
-            timeout_ms / _MS_PER_S, self._reactor, onTimeoutCancel=_timed_out
-        )
+        time_limit = _TimeLimit(reactor=self._reactor, timeout_ms=timeout_ms)
+        answer = time_limit.apply(defer.ensureDeferred(request))
         return answer.addErrback(_raise_no_answer)
 
 
+class _TimeLimit:
+    """Time limit of one call, which the parts of its response may extend.
+
+    A link may be too slow to carry a large response within a limit that is
+    right for detecting a peer that does not answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        timeout_ms: int,
+        stall_timeout_ms: int = 0,
+    ) -> None:
+        self._reactor = reactor
+        self._timeout_ms = timeout_ms
+        self._stall_timeout_s = stall_timeout_ms / _MS_PER_S
+        self._last_end_s = reactor.seconds() + MAX_TRANSFER_S
+        self._expiry: interfaces.IDelayedCall | None = None
+        self._expired = False
+
+    def apply(self, answer: defer.Deferred[_Body]) -> defer.Deferred[_Body]:
+        """Cancels a call at the limit and replaces its result by an error."""
+
+        def expire() -> None:
+            self._expired = True
+            answer.cancel()
+
+        def finish(result: object) -> object:
+            if self._expiry.active():
+                self._expiry.cancel()
+            return self._timed_out(result) if self._expired else result
+
+        timeout_s = self._timeout_ms / _MS_PER_S
+        self._expiry = self._reactor.callLater(timeout_s, expire)
+        return answer.addBoth(finish)
+
+    def extend(self) -> None:
+        """Extends the limit because a part of the response has arrived."""
+        if self._expiry is None or not self._expiry.active():
+            return
+        end_s = self._reactor.seconds() + self._stall_timeout_s
+        end_s = min(end_s, self._last_end_s)
+        if end_s > self._expiry.getTime():
+            self._expiry.reset(end_s - self._reactor.seconds())
+
+    def _timed_out(self, result: object) -> object:
+        """Replaces the cancellation of a call by a timeout error."""
+        if not isinstance(result, failure.Failure):
+            return result
+        raise NoAnswerError(
+            f"no answer within {self._timeout_ms / _MS_PER_S} s",
+            code=codes.ResultCode.TIMED_OUT,
+            sent=not result.check(*NOT_SENT),
+        ) from result.value
+
+
+def _ignore_part() -> None:
+    """Does nothing when a part of a response arrives."""
+
+
 async def _decode_response(
     response: iweb.IResponse, answer_type: type[_Body]
 ) -> _Body:
@@ -399,12 +473,15 @@
     return wire_format.decode(data, answer_type)
 
 
-async def _read_body(response: iweb.IResponse) -> bytes:
+async def _read_body(
+    response: iweb.IResponse, on_part: Callable[[], None] = _ignore_part
+) -> bytes:
     chunks: list[bytes] = []
     size = 0
 
     def collect(chunk: bytes) -> None:
         nonlocal size
+        on_part()
         size += len(chunk)
         if size > MAX_BODY_BYTES:
             raise NoAnswerError(
@@ -418,17 +495,6 @@
     return b"".join(chunks)
 
 
-def _timed_out(result: object, timeout_s: float) -> object:
-    """Replaces the cancellation of a call by a timeout error."""
-    if isinstance(result, failure.Failure):
-        raise NoAnswerError(
-            f"no answer within {timeout_s} s",
-            code=codes.ResultCode.TIMED_OUT,
-            sent=not result.check(*NOT_SENT),
-        ) from result.value
-    return result
-
-
 def _raise_no_answer(reason: failure.Failure) -> typing.NoReturn:
     """Raises `NoAnswerError` for any failure of a call."""
     if reason.check(NoAnswerError):
--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -19,6 +19,7 @@
 PRODUCER = "owner"
 OWNERS_GROUP = "owners"
 MAX_READ_KB = 1_024
+STALL_TIMEOUT_MS = 600
 
 _PARTITION = 0
 TOPICS = {
@@ -229,6 +230,7 @@
                 timeout_ms,
                 query=parse.urlencode(query),
                 body=body,
+                stall_timeout_ms=STALL_TIMEOUT_MS,
             )
         except http_client.NoAnswerError as error:
             error_type = (
