Restore the tasks of a partly ended gang with their own names

Cause: the record of a waiting unit lists the workers of the members that may still run. A new owner paired them with the unit's first task names, so after the end of task 0 every member was restored under the name of another one.

Change: such a record also holds the positions of these tasks. Records without positions are read as before.

--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/run_driver.py
@@ -54,6 +54,7 @@
                     saved=change.saved,
                     restored=True,
                     now_ms=now_ms,
+                    task_positions=change.task_positions,
                 )
                 for member in run.members:
                     member.state = unit_runs.MemberState.STARTING
--- a/citronmount/fleet/unit_runs.py
+++ b/citronmount/fleet/unit_runs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import enum
+import itertools
 
 import msgspec
 
@@ -148,6 +149,7 @@
         saved: str = "",
         restored: bool = False,
         now_ms: int = 0,
+        task_positions: Sequence[int] = (),
     ) -> None:
         """Initializes a run.
 
@@ -162,6 +164,8 @@
             saved: Checkpoint to start from, or empty.
             restored: Whether an earlier owner started the run.
             now_ms: Monotonic time in milliseconds.
+            task_positions: Position among the unit's tasks of each place;
+                empty if there is a place for every task.
         """
         self.key = key
         self.unit = key.unit
@@ -178,8 +182,11 @@
         self.started_ms: int | None = None
         names = units.task_names(key, step)
         self.members = [
-            Member(place=place, task=task)
-            for place, task in zip(places, names, strict=False)
+            Member(place=place, task=names[position])
+            for place, position in zip(
+                places, task_positions or itertools.count(), strict=False
+            )
+            if position < len(names)
         ]
 
     @property
@@ -243,9 +250,16 @@
             records.UnitStatus.DONE,
             records.UnitStatus.FAILED,
         )
-        places = () if finished else tuple(m.place for m in self.members)
-        if status is records.UnitStatus.WAITING:
-            places = tuple(m.place for m in self.live_members)
+        waiting = status is records.UnitStatus.WAITING
+        members = self.live_members if waiting else self.members
+        places = () if finished else tuple(m.place for m in members)
+        positions: tuple[int, ...] = ()
+        if waiting and len(members) < len(
+            units.task_names(self.key, self.step)
+        ):
+            positions = tuple(
+                units.position_of(m.task, self.key) for m in members
+            )
         return records.UnitChanged(
             unit=self.unit,
             status=status,
@@ -253,4 +267,5 @@
             failures=self.failures,
             places=places,
             saved="" if finished else self.saved,
+            task_positions=positions,
         )
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -106,6 +106,8 @@
             of the tasks; those of a waiting unit cover only the tasks that may
             still run.
         saved: Newest checkpoint, or empty.
+        task_positions: Position among the unit's tasks of each entry of
+            `places`; empty if `places` covers all of them.
     """
 
     unit: units.UnitId
@@ -114,6 +116,7 @@
     failures: int = 0
     places: tuple[Place, ...] = ()
     saved: str = ""
+    task_positions: tuple[int, ...] = ()
 
 
 class Finished(msgspec.Struct, frozen=True, kw_only=True, tag="f"):
--- a/citronmount/workflow/units.py
+++ b/citronmount/workflow/units.py
@@ -8,7 +8,14 @@
 from citronmount.core import ids
 from citronmount.workflow import spec
 
-__all__ = ["TaskName", "UnitId", "UnitKey", "task_names", "units_of_step"]
+__all__ = [
+    "TaskName",
+    "UnitId",
+    "UnitKey",
+    "position_of",
+    "task_names",
+    "units_of_step",
+]
 
 TaskName = typing.NewType("TaskName", str)
 UnitId = typing.NewType("UnitId", str)
@@ -104,3 +111,17 @@
     indexes = range(step.tasks) if key.index == _WHOLE_GANG else (key.index,)
     prefix = f"{key.job}.{key.occurrence}.{key.step}"
     return [TaskName(f"{prefix}.{index}") for index in indexes]
+
+
+def position_of(task: TaskName, key: UnitKey) -> int:
+    """Returns the position of a task among the tasks of its unit.
+
+    Args:
+        task: A task of the unit.
+        key: The unit.
+
+    Returns:
+        The position, counted from 0, as in the result of `task_names`.
+    """
+    index = int(task.rpartition(".")[2])
+    return index if key.index == _WHOLE_GANG else 0
