Count no member for a partition that nobody has

Cause: the log lists partitions without a member under an empty name, which counted as one member.

Ruled out: a membership that outlives its time to live (a trial with logs shows the name disappear 1.1 s after the last renewal).

Change: rows without a member are left out.

--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -64,7 +64,7 @@
 
 
 class _OwnersResponse(msgspec.Struct):
-    # Topic, partition, member and offset.
+    # Topic, partition, member (empty if none has the partition) and offset.
     rows: list[tuple[str, int, str, int]] = msgspec.field(
         name="parts", default_factory=list
     )
@@ -191,7 +191,7 @@
             "GET", "/-/log-owners", {"group": OWNERS_GROUP}, timeout_ms
         )
         rows = _decode_response(response, _OwnersResponse).rows
-        return frozenset(member for _, _, member, _ in rows)
+        return frozenset(member for _, _, member, _ in rows if member)
 
     async def leave(self, timeout_ms: int) -> None:
         """Leaves the owners' group."""
