Treat an unreadable answer of the log like a lost one

Cause: an answer that is no JSON, a truncated page or a value that is no base64 raised errors that no caller expects. It ended a log reader for good (tail_failed), the election silently, and a submission with an internal error.

Change: all of them raise UnknownOutcomeError, which callers retry; a reader also retries after any other error of the package. A value with characters outside of base64 is refused; it was read as an empty one, a deletion.

The new tests fail before the change.

--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -122,7 +122,7 @@
             except ports.LogTruncatedError:
                 self._logger.warning("history_lost", position=self.position)
                 self.position = None
-            except errors.UnreachableError as error:
+            except errors.CitronmountError as error:
                 self._record_failure(error)
                 await self._pause(retry_ms)
                 retry_ms = min(retry_ms * 2, MAX_RETRY_DELAY_MS)
@@ -198,7 +198,7 @@
             if self._pause_end.active():
                 self._pause_end.cancel()
 
-    def _record_failure(self, error: errors.UnreachableError) -> None:
+    def _record_failure(self, error: errors.CitronmountError) -> None:
         self._health.record_failure()
         if not self._log_failing:
             self._log_failing = True
--- a/citronmount/platform/framing.py
+++ b/citronmount/platform/framing.py
@@ -8,17 +8,20 @@
 from collections.abc import Sequence
 import struct
 
-from citronmount.core import errors
+from citronmount.core import codes
 from citronmount.fleet_service import ports
 
-__all__ = ["InvalidPageError", "decode_page", "encode"]
+__all__ = ["decode_page", "encode", "unreadable"]
 
 _LENGTH_PREFIX = struct.Struct(">I")
 _PAGE_HEADER = struct.Struct(">QQ")
 
 
-class InvalidPageError(errors.InvalidInputError):
-    """The store sent bytes that are not a valid page of records."""
+def unreadable(what: str, error: Exception) -> ports.UnknownOutcomeError:
+    """Returns the error to raise for an answer that cannot be decoded."""
+    return ports.UnknownOutcomeError(
+        f"unreadable {what}: {error}", code=codes.ResultCode.UNREACHABLE
+    )
 
 
 def encode(records: Sequence[tuple[str, bytes | None]]) -> bytes:
@@ -36,15 +39,13 @@
     """Decodes the response to a read from `first_offset` on.
 
     The body is the topic's end offset and first retained offset (eight bytes
-    each, big-endian), then the records. Raises `InvalidPageError` if truncated.
+    each, big-endian), then the records. A truncated one is `unreadable`.
     """
     try:
         end_offset, _ = _PAGE_HEADER.unpack_from(body)
         records = _decode_records(body, first_offset)
     except (struct.error, IndexError) as error:
-        raise InvalidPageError(
-            f"page from offset {first_offset}: {error}"
-        ) from error
+        raise unreadable(f"page from offset {first_offset}", error) from error
     return ports.LogPage(
         records=tuple(records),
         next_offset=first_offset + len(records),
--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store, which holds the pool's log."""
 
 import base64
+import binascii
 from collections.abc import Sequence
 import http
 import typing
@@ -41,9 +42,7 @@
 
 
 class _ConflictResponse(msgspec.Struct):
-    reason: str = ""
     epoch: int | None = None  # The expected epoch
-    seq: int | None = None  # The expected sequence number
 
 
 class _NewestItem(msgspec.Struct):
@@ -88,7 +87,7 @@
 
     Calls fail with `ports.CallRefusedError` if nothing was sent or the answer
     is one of `_NO_EFFECT_STATUSES`, and with `ports.UnknownOutcomeError` after
-    `timeout_ms` without an answer or on another unexpected status.
+    `timeout_ms` without an answer, on another status or an unreadable answer.
     """
 
     def __init__(
@@ -127,10 +126,7 @@
     async def read(
         self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
     ) -> ports.LogPage:
-        """Reads at most `MAX_READ_KB` kilobytes of records from an offset on.
-
-        Raises `framing.InvalidPageError` if the response is not a valid page.
-        """
+        """Reads at most `MAX_READ_KB` kilobytes of records from an offset."""
         query = {
             **_partition_query(topic),
             "from": offset,
@@ -195,13 +191,11 @@
 
     async def leave(self, timeout_ms: int) -> None:
         """Leaves the owners' group."""
-        body = msgspec.json.encode(
-            _LeaveRequest(group=OWNERS_GROUP, member=self.member)
-        )
-        response = await self._call(
-            "POST", "/-/log-leave", {}, timeout_ms, body
+        body = _LeaveRequest(group=OWNERS_GROUP, member=self.member)
+        data = msgspec.json.encode(body)
+        _check_status(
+            await self._call("POST", "/-/log-leave", {}, timeout_ms, data)
         )
-        _check_status(response)
 
     async def _append(
         self, query: dict[str, object], body: bytes, timeout_ms: int
@@ -211,7 +205,8 @@
             "POST", "/-/log-append", {**partition, **query}, timeout_ms, body
         )
         if response.status == http.HTTPStatus.CONFLICT:
-            raise ports.FencedError(_decode_epoch(response))
+            conflict = _decode(response.body, _ConflictResponse)
+            raise ports.FencedError(conflict.epoch)
         return response
 
     async def _call(
@@ -246,10 +241,12 @@
 
 
 def _to_record(item: _NewestItem) -> ports.LogRecord:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except binascii.Error as error:
+        raise framing.unreadable(f"record {item.key}", error) from error
     return ports.LogRecord(
-        key=item.key,
-        value=base64.b64decode(item.value) or None,
-        offset=item.offset,
+        key=item.key, value=value or None, offset=item.offset
     )
 
 
@@ -270,8 +267,11 @@
 def _decode_response(
     response: http_client.HttpResponse, body_type: type[_Body]
 ) -> _Body:
-    return msgspec.json.decode(_check_status(response).body, type=body_type)
+    return _decode(_check_status(response).body, body_type)
 
 
-def _decode_epoch(response: http_client.HttpResponse) -> int | None:
-    return msgspec.json.decode(response.body, type=_ConflictResponse).epoch
+def _decode(body: bytes, body_type: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except msgspec.DecodeError as error:
+        raise framing.unreadable("body", error) from error
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -89,7 +89,7 @@
     def test_truncated_page_is_rejected(self) -> None:
         page = bytes(16) + framing.encode([("k", b"value")])
         for length in (0, 15, 18, len(page) - 1):
-            with self.assertRaises(framing.InvalidPageError):
+            with self.assertRaises(ports.UnknownOutcomeError):
                 framing.decode_page(page[:length], 0)
 
 
--- a/citronmount/platform/tests/test_store_log.py
+++ b/citronmount/platform/tests/test_store_log.py
@@ -1,34 +1,76 @@
+from collections.abc import Coroutine
 import unittest
 
 import msgspec
 from twisted.internet import defer
 
 from citronmount.clients import http_client
+from citronmount.fleet_service import ports
 from citronmount.platform import store_log
 
 
 class OneAnswerClient:
-    """Answers each call with the same body."""
+    """Answers each call with the same status and body."""
 
-    def __init__(self, body: object) -> None:
-        self.body = msgspec.json.encode(body)
+    def __init__(self, body: bytes, status: int = 200) -> None:
+        self.body = body
+        self.status = status
 
     async def call(
         self, *args: object, **options: object
     ) -> http_client.HttpResponse:
         del args, options
-        return http_client.HttpResponse(status=200, body=self.body)
+        return http_client.HttpResponse(status=self.status, body=self.body)
+
+
+def result_of(call: Coroutine) -> object:
+    """Returns the result of a call that ends at once, or its error."""
+    results: list[object] = []
+    defer.ensureDeferred(call).addBoth(results.append)
+    (result,) = results
+    return result
+
+
+def make_log(body: bytes, status: int = 200) -> store_log.StoreLog:
+    return store_log.StoreLog(
+        client=OneAnswerClient(body, status), address="", member="me"
+    )
+
+
+class UnreadableAnswerTest(unittest.TestCase):
+    """Callers handle an unreadable answer like a lost one."""
+
+    def assert_unknown_outcome(
+        self, body: bytes, method: str, *args: object, status: int = 200
+    ) -> None:
+        call = getattr(make_log(body, status), method)
+        result = result_of(call(*args, 1_000))
+        self.assertIsInstance(result.value, ports.UnknownOutcomeError)
+
+    def test_answers_that_are_not_json(self) -> None:
+        for body in (b"", b"<html>", b"[]", b"\xff"):
+            self.assert_unknown_outcome(body, "join", 0, 1_000)
+            self.assert_unknown_outcome(body, "members")
+            self.assert_unknown_outcome(body, "append", [("k", b"v")])
+            self.assert_unknown_outcome(body, "snapshot", ports.Topic.JOBS)
+            self.assert_unknown_outcome(
+                body, "append_as_owner", [("k", b"v")], 1, 1, status=409
+            )
+
+    def test_truncated_page(self) -> None:
+        body = b"\0" * 16 + b"\0\0\0\x09k"
+        self.assert_unknown_outcome(body, "read", ports.Topic.JOBS, 0, 0)
+
+    def test_value_that_is_not_base64(self) -> None:
+        item = {"key": "k", "offset": 1, "value": "?"}
+        body = msgspec.json.encode({"items": [item], "end_offset": 2})
+        self.assert_unknown_outcome(body, "snapshot", ports.Topic.JOBS)
 
 
 class MembersTest(unittest.TestCase):
     def members(self, *rows: list[object]) -> frozenset[str]:
-        log = store_log.StoreLog(
-            client=OneAnswerClient({"parts": rows}), address="", member="me"
-        )
-        results: list[frozenset[str]] = []
-        call = defer.ensureDeferred(log.members(1_000))
-        call.addCallback(results.append)
-        return results[0]
+        log = make_log(msgspec.json.encode({"parts": rows}))
+        return result_of(log.members(1_000))
 
     def test_partition_without_a_member_names_no_member(self) -> None:
         rows = [["keyed.jobs", part, "", 0] for part in range(3)]
