Search for runs to preempt by worker, and share those that are ending

Cause: the search added runs in the order of their cost, wherever they ran, and placed the unit anew after each: 330 placements over all workers for a burst of ten gangs on 30 full workers. At 270 workers and 2,000 runs that keeps the owner busy while the burst lasts. Capacity that a stopped gang frees was counted only once the gang had ended, so each further unit of the burst stopped other runs meanwhile.

Ruled out: a limit on searches per round, which delays the burst instead.

Change: runs are indexed by worker once a round. The search takes the cheapest slot that stopping runs on one worker frees, until all tasks fit, then spares what is not needed. Runs that are being stopped cost nothing and may serve several units.

--- a/citronmount/fleet/fitting.py
+++ b/citronmount/fleet/fitting.py
@@ -25,7 +25,9 @@
     "TaskSlots",
     "choose_workers",
     "suits",
+    "task_limit",
     "task_slots",
+    "worker_groups",
 ]
 
 FreeCapacity = Callable[[worker_directory.Worker], spec.Demand]
@@ -171,26 +173,67 @@
     free: FreeCapacity,
 ) -> list[tuple[worker_directory.Worker, int]]:
     """Returns each usable worker with the number of tasks that fit on it."""
-    demand = worker_allocations.allocated_demand(requirements.step)
     slots = [
-        (worker, _task_limit(requirements, worker, free(worker), demand))
+        (worker, task_limit(requirements, worker, free(worker)))
         for worker in workers
         if suits(requirements, worker)
     ]
     return [pair for pair in slots if pair[1] > 0]
 
 
-def _task_limit(
+def task_limit(
     requirements: Requirements,
     worker: worker_directory.Worker,
     free: spec.Demand,
-    demand: spec.Demand,
 ) -> int:
+    """Returns how many tasks of a unit fit into free capacity of a worker.
+
+    Args:
+        requirements: Placement requirements of the unit.
+        worker: The worker.
+        free: Its free capacity.
+
+    Returns:
+        A number from 0 to the number of tasks of the unit.
+    """
+    demand = worker_allocations.allocated_demand(requirements.step)
     count = worker_allocations.max_task_count(free, demand, requirements.tasks)
     limit = requirements.step.max_tasks_per_worker
     if not limit:
         return count
-    return min(count, limit - requirements.taken.get(worker.worker, 0))
+    taken = requirements.taken.get(worker.worker, 0)
+    return max(min(count, limit - taken), 0)
+
+
+def worker_groups(
+    requirements: Requirements,
+    workers: Sequence[worker_directory.Worker],
+    spread: Spread,
+) -> list[list[worker_directory.Worker]]:
+    """Returns the sets of workers of which one has to hold the whole unit.
+
+    Args:
+        requirements: Placement requirements of the unit.
+        workers: The workers that may receive tasks.
+        spread: Whether the unit may leave its preferred rack.
+
+    Returns:
+        The workers of each rack if the unit must stay in one, those of the rack
+        of its data if it must use that one, otherwise all workers.
+    """
+    if spread is Spread.ANYWHERE:
+        return [list(workers)]
+    step = requirements.step
+    if step.data_rack:
+        return [[w for w in workers if w.rack == step.data_rack]]
+    if not step.one_rack:
+        return [list(workers)]
+    by_rack: dict[ids.RackId, list[worker_directory.Worker]] = (
+        collections.defaultdict(list)
+    )
+    for worker in workers:
+        by_rack[worker.rack].append(worker)
+    return [by_rack[rack] for rack in sorted(by_rack)]
 
 
 def _fill_one_rack(
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -111,7 +111,6 @@
         self._bounds = bounds
         self._now_ms = now_ms
         self._guarantees = guarantees.Guarantees(accounts=accounts, runs=table)
-        self._victim_units: set[units.UnitId] = set()
         self._unplaceable: set[_Shape] = set()
         self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
             collections.defaultdict(collections.Counter)
@@ -129,6 +128,7 @@
         )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._preferred_rack_fits: dict[tuple, bool] = {}
+        self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
         self._objective_ends_ms: dict[ids.JobId, int] = {}
 
     def decide(
@@ -185,8 +185,10 @@
                 within_guarantee=guaranteed,
                 spread=spread,
             )
-        self._unplaceable.add(shape)
-        return self._preempt(unit, spread, guaranteed)
+        decision = self._preempt(unit, spread, guaranteed)
+        if decision is None:
+            self._unplaceable.add(shape)
+        return decision
 
     def _shape(
         self,
@@ -281,13 +283,8 @@
             for each in self._trusted_workers
             if self._is_compatible(unit, each)
         ]
-        found = preemption.find(
-            self._requirements(unit),
-            workers,
-            self._free_capacity,
-            self._revocable(guaranteed),
-            self._cost,
-            spread,
+        found = self._preemption_search(guaranteed).find(
+            self._requirements(unit), workers, self._free_capacity, spread
         )
         if found is None:
             return None
@@ -303,6 +300,24 @@
             lost_core_s=found.cost_core_s,
         )
 
+    def _preemption_search(
+        self, guaranteed: bool
+    ) -> preemption.PreemptionSearch:
+        """Returns the search of this round."""
+        search = self._preemption_searches.get(guaranteed)
+        if search is None:
+            search = preemption.PreemptionSearch(
+                revocable=self._revocable(guaranteed),
+                ending=[
+                    run
+                    for run in self._table
+                    if run.phase is unit_runs.RunPhase.ENDING
+                ],
+                cost=self._cost,
+            )
+            self._preemption_searches[guaranteed] = search
+        return search
+
     def _revocable(self, guaranteed: bool) -> list[unit_runs.Run]:
         """Returns the runs to preempt, lasting ones only for a guarantee."""
         highest = guarantees.HIGHEST_PRIORITY
@@ -310,7 +325,6 @@
             run
             for run in self._table
             if run.unit not in self._guarantees.guaranteed_units
-            and run.unit not in self._victim_units
             and run.phase is unit_runs.RunPhase.ACTIVE
             and (guaranteed or run.submission.terms.priority > highest)
             and not run.step.lasting
@@ -340,7 +354,8 @@
         if decision.victims or unit.tasks > 1:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
-        self._victim_units.update(run.unit for run in decision.victims)
+        for search in self._preemption_searches.values():
+            search.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
         worker_ids = {worker.worker for worker in decision.workers}
         if unit.step.goal_ms:
--- a/citronmount/fleet/waiting_units.py
+++ b/citronmount/fleet/waiting_units.py
@@ -10,7 +10,13 @@
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
-__all__ = ["Decision", "WaitingUnit", "has_capacity_for", "objective_end_ms"]
+__all__ = [
+    "Decision",
+    "WaitingUnit",
+    "has_capacity_for",
+    "objective_end_ms",
+    "slack_ms",
+]
 
 
 class WaitingUnit(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,6 +97,19 @@
     return submission.accepted_ms + int(allowed_ms)
 
 
+def slack_ms(unit: WaitingUnit) -> int:
+    """Returns how long a unit's job may wait without missing its objective.
+
+    Args:
+        unit: The unit.
+
+    Returns:
+        Milliseconds; the objective less the unit's estimated run time.
+    """
+    allowed_ms = objective_end_ms(unit.submission) - unit.submission.accepted_ms
+    return max(allowed_ms - unit.step.estimate_ms, 0)
+
+
 def has_capacity_for(
     unit: WaitingUnit,
     worker: worker_directory.Worker,
