Reserve workers for gangs that have used part of their slack

Cause: gangs that need many workers at once started by chance only.

Ruled out: preemption by gangs of middle priority, which throws work away.

Change: a gang that has waited a quarter of its slack reserves the workers that will have room for it first, by the progress of their runs. Later units use them only if they are expected to end before (backfill).

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -11,6 +11,7 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import guarantees
 from citronmount.fleet import preemption
+from citronmount.fleet import reservations
 from citronmount.fleet import run_table
 from citronmount.fleet import unit_runs
 from citronmount.fleet import waiting_units
@@ -25,6 +26,8 @@
 
 MAX_LOSS_FACTOR = 1.5
 RELAXED_SLACK_FACTOR = 2.0
+# Share of its slack that a gang waits for capacity by chance.
+RESERVATION_SLACK_SHARE = 0.25
 _IDLE_POOL_MAX_USE = 0.5
 
 # All that determines where a unit fits; units of equal shape fit alike.
@@ -129,6 +132,8 @@
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._preferred_rack_fits: dict[tuple, bool] = {}
         self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
+        self._reservations = reservations.Reservations()
+        self._releases: reservations.Releases | None = None
         self._objective_ends_ms: dict[ids.JobId, int] = {}
 
     def decide(
@@ -188,8 +193,37 @@
         decision = self._preempt(unit, spread, guaranteed)
         if decision is None:
             self._unplaceable.add(shape)
+            self._reserve_if_due(unit, spread, guaranteed)
         return decision
 
+    def _reserve_if_due(
+        self,
+        unit: waiting_units.WaitingUnit,
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> None:
+        """Reserves workers for a gang that has waited long enough."""
+        if unit.tasks < 2 or self._reservations.is_full:
+            return
+        slack_ms = waiting_units.slack_ms(unit)
+        if self._now_ms - unit.since_ms < slack_ms * RESERVATION_SLACK_SHARE:
+            return
+        if self._releases is None:
+            self._releases = reservations.Releases(
+                runs=self._table, now_ms=self._now_ms
+            )
+        requirements = self._requirements(unit)
+        workers = self._acceptable_workers(unit, guaranteed)
+        reserved = self._reservations.reserve(
+            requirements,
+            fitting.worker_groups(requirements, workers, spread),
+            self._free_capacity,
+            self._releases,
+            self._now_ms,
+        )
+        if reserved:
+            self._slots_of_shape = None
+
     def _shape(
         self,
         unit: waiting_units.WaitingUnit,
@@ -257,6 +291,9 @@
         advised = unit.submission.terms.needs_advice
         if advised and not self._allowed(unit.key, worker):
             return False
+        estimate_ms = unit.step.estimate_ms
+        if not self._reservations.allows(worker, estimate_ms, self._now_ms):
+            return False
         if unit.step.fills:
             return worker.worker not in self._serving_workers
         if unit.step.goal_ms:
