Keep units in their preferred rack while the pool is busy

Cause: after waiting for twice its estimated run time, a gang that prefers one rack was spread over several, where it takes three times as long.

Ruled out as what keeps these gangs waiting: work of lower priority.

Change: only in a mostly idle pool, inside a guarantee or for lasting tasks do units leave their preferred rack.

--- a/citronmount/fleet/delay_scheduling.py
+++ b/citronmount/fleet/delay_scheduling.py
@@ -4,6 +4,10 @@
 Waiting pays off as long as the wait is shorter than the time that the run would
 lose on worse workers. The wait is capped for units inside a guarantee and in a
 mostly idle pool. See Zaharia et al., "Delay Scheduling", EuroSys 2010.
+
+In a busy pool a unit does not leave its preferred rack. Elsewhere it would take
+several times the capacity from others, and after such a wait it would end late
+all the same. Lasting units do leave it, since they have to be restored soon.
 """
 
 import msgspec
@@ -59,6 +63,8 @@
 
         The limit is the additional run time on other racks.
         """
+        if not (self.idle_pool or guaranteed or unit.step.lasting):
+            return False
         extra_factor = self.bounds.spread_factor - 1
         limit_ms = self._capped(
             int(extra_factor * unit.step.estimate_ms), guaranteed
