Start first what can still be on time, and preempt for it

Cause: within a priority the unit with the earliest deadline came first, also long after that deadline, so in an overload every job became late. Scheduled occurrences counted as late from the acceptance of their job. Two of the constants of the queue were out of balance: six reservations at a time kept more workers idle than the gangs gained, and urgent work could cause too little loss to start in time.

Change: units that are almost certain to be late come after the others of their priority and preempt nothing beyond their guarantee. Two reservations instead of six; losses of up to three times the work. Which runs may be stopped is decided in a module of its own.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -12,6 +12,7 @@
 from citronmount.fleet import guarantees
 from citronmount.fleet import preemption
 from citronmount.fleet import reservations
+from citronmount.fleet import revocable_runs
 from citronmount.fleet import run_table
 from citronmount.fleet import unit_runs
 from citronmount.fleet import waiting_units
@@ -24,8 +25,9 @@
 
 __all__ = ["Planner"]
 
-MAX_LOSS_FACTOR = 1.5
+MAX_LOSS_FACTOR = 3.0
 RELAXED_SLACK_FACTOR = 2.0
+MIN_RUN_TIME_SHARE = 0.5
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
 _IDLE_POOL_MAX_USE = 0.5
@@ -66,6 +68,7 @@
         accounts: Iterable[fleet_configuration.Account],
         bounds: fleet_configuration.Bounds,
         now_ms: int,
+        wall_ms: int = 0,
         assess: Callable[
             [worker_directory.Worker], worker_health.Assessment
         ] = _assume_healthy,
@@ -82,6 +85,7 @@
             accounts: The client accounts with their guarantees.
             bounds: Time bounds and factors of the site.
             now_ms: Monotonic time in milliseconds.
+            wall_ms: Unix time in milliseconds.
             assess: Returns the assessment of a worker.
             slowdown: Returns by which factor a worker is slower than a fast
                 one.
@@ -113,6 +117,7 @@
         self._allocations = table.allocations.copy()
         self._bounds = bounds
         self._now_ms = now_ms
+        self._wall_ms = wall_ms
         self._guarantees = guarantees.Guarantees(accounts=accounts, runs=table)
         self._unplaceable: set[_Shape] = set()
         self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
@@ -134,7 +139,7 @@
         self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
         self._reservations = reservations.Reservations()
         self._releases: reservations.Releases | None = None
-        self._objective_ends_ms: dict[ids.JobId, int] = {}
+        self._objective_ends_ms: dict[tuple[ids.JobId, int], int] = {}
 
     def decide(
         self, waiting: Iterable[waiting_units.WaitingUnit]
@@ -157,9 +162,16 @@
         return decisions
 
     def _rank(self, unit: waiting_units.WaitingUnit) -> tuple:
+        """Returns the sort key of a unit, the most urgent first.
+
+        Within a priority the earliest deadline comes first, but in an overload
+        that order alone makes every job late: units that cannot meet their
+        objective any more come after those that can.
+        """
         return (
             not self._guarantees.covers(unit),
             unit.submission.terms.priority,
+            self._is_late(unit),
             self._objective_end_ms(unit),
             unit.key.job,
             unit.key.occurrence,
@@ -167,11 +179,25 @@
             unit.key.index,
         )
 
+    def _is_late(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether a unit's job is almost certain to miss its objective.
+
+        Run times are rough estimates, so only part of the estimate counts. A
+        lasting unit has no time by which it should end.
+        """
+        if unit.step.lasting:
+            return False
+        least_ms = int(unit.step.estimate_ms * MIN_RUN_TIME_SHARE)
+        return self._wall_ms + least_ms > self._objective_end_ms(unit)
+
     def _objective_end_ms(self, unit: waiting_units.WaitingUnit) -> int:
-        cached = self._objective_ends_ms.get(unit.key.job)
+        occurrence = unit.key.job, unit.key.occurrence
+        cached = self._objective_ends_ms.get(occurrence)
         if cached is None:
-            cached = waiting_units.objective_end_ms(unit.submission)
-            self._objective_ends_ms[unit.key.job] = cached
+            cached = waiting_units.objective_end_ms(
+                unit.submission, unit.key.occurrence
+            )
+            self._objective_ends_ms[occurrence] = cached
         return cached
 
     def _decide_one(
@@ -239,7 +265,7 @@
             unit.submission.terms.slack_factor,
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
-            _step_key(unit.key) if _has_step_limits(unit) else None,
+            unit.key.step_key if _has_step_limits(unit) else None,
         )
 
     def _fit(
@@ -291,8 +317,7 @@
         advised = unit.submission.terms.needs_advice
         if advised and not self._allowed(unit.key, worker):
             return False
-        estimate_ms = unit.step.estimate_ms
-        if not self._reservations.allows(worker, estimate_ms, self._now_ms):
+        if not self._reservations.allows(worker, unit.step, self._now_ms):
             return False
         if unit.step.fills:
             return worker.worker not in self._serving_workers
@@ -311,10 +336,13 @@
         Inside its guarantee, a unit may preempt runs outside a guarantee.
         Beyond it, a unit may preempt only runs of lower priority, and only if
         they lose at most `MAX_LOSS_FACTOR` times the work of the unit: a burst
-        of urgent jobs is then served at the cost of young runs.
+        of urgent jobs is then served at the cost of young runs. A unit that
+        will be late anyway waits instead.
         """
         if unit.submission.terms.priority != guarantees.HIGHEST_PRIORITY:
             return None
+        if not guaranteed and self._is_late(unit):
+            return None
         workers = [
             each
             for each in self._trusted_workers
@@ -344,7 +372,11 @@
         search = self._preemption_searches.get(guaranteed)
         if search is None:
             search = preemption.PreemptionSearch(
-                revocable=self._revocable(guaranteed),
+                revocable=revocable_runs.revocable_runs(
+                    self._table,
+                    self._guarantees.guaranteed_units,
+                    for_guarantee=guaranteed,
+                ),
                 ending=[
                     run
                     for run in self._table
@@ -355,34 +387,6 @@
             self._preemption_searches[guaranteed] = search
         return search
 
-    def _revocable(self, guaranteed: bool) -> list[unit_runs.Run]:
-        """Returns the runs to preempt, lasting ones only for a guarantee."""
-        highest = guarantees.HIGHEST_PRIORITY
-        revocable = [
-            run
-            for run in self._table
-            if run.unit not in self._guarantees.guaranteed_units
-            and run.phase is unit_runs.RunPhase.ACTIVE
-            and (guaranteed or run.submission.terms.priority > highest)
-            and not run.step.lasting
-        ]
-        return revocable + (
-            self._stoppable_lasting_runs() if guaranteed else []
-        )
-
-    def _stoppable_lasting_runs(self) -> list[unit_runs.Run]:
-        """Returns the lasting runs that their steps can spare now."""
-        runs_by_step = collections.defaultdict(list)
-        for run in self._table:
-            if (
-                run.step.lasting
-                and run.unit not in self._guarantees.guaranteed_units
-            ):
-                runs_by_step[_step_key(run.key)].append(run)
-        return [
-            run for runs in runs_by_step.values() for run in _stoppable(runs)
-        ]
-
     def _cost(self, run: unit_runs.Run) -> float:
         return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
 
@@ -401,7 +405,7 @@
             self._filling_workers |= worker_ids
         for worker in decision.workers:
             self._allocations.allocate(worker.worker, demand)
-            self._placed_counts[_step_key(unit.key)][worker.worker] += 1
+            self._placed_counts[unit.key.step_key][worker.worker] += 1
 
     def _free_capacity(self, worker: worker_directory.Worker) -> spec.Demand:
         return worker_allocations.subtract_demands(
@@ -453,11 +457,11 @@
     def _tasks_per_worker(
         self, unit: waiting_units.WaitingUnit
     ) -> collections.Counter[ids.WorkerId]:
-        step = _step_key(unit.key)
+        step = unit.key.step_key
         running = collections.Counter(
             member.place.worker
             for run in self._table.runs_of_job(unit.key.job)
-            if _step_key(run.key) == step
+            if run.key.step_key == step
             for member in run.live_members
         )
         return running + self._placed_counts[step]
@@ -520,29 +524,6 @@
     return advised or unit.step.max_tasks_per_worker > 0
 
 
-def _step_key(key: units.UnitKey) -> tuple[ids.JobId, int, int]:
-    """Returns the key that the units of one step and occurrence share."""
-    return key.job, key.occurrence, key.step
-
-
 def _workers_of(runs: Iterable[unit_runs.Run]) -> set[ids.WorkerId]:
     """Returns the workers that hold tasks of the runs."""
     return {member.place.worker for run in runs for member in run.live_members}
-
-
-def _stoppable(runs: list[unit_runs.Run]) -> list[unit_runs.Run]:
-    """Returns the runs of one lasting step that may be stopped.
-
-    All running ones may be stopped if the step does not limit the number of
-    unavailable tasks.
-    """
-    active = [
-        run
-        for run in runs
-        if run.started_ms is not None and run.phase is unit_runs.RunPhase.ACTIVE
-    ]
-    step = runs[0].step
-    if not step.max_unavailable:
-        return active
-    unavailable = step.tasks - len(active)
-    return active[: max(step.max_unavailable - unavailable, 0)]
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -174,6 +174,7 @@
                 self._state.advice.ticket(key.step_id, worker, now_ms)
             ),
             now_ms=now_ms,
+            wall_ms=wall_ms,
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
--- a/citronmount/fleet/reservations.py
+++ b/citronmount/fleet/reservations.py
@@ -25,7 +25,7 @@
 
 __all__ = ["MAX_RESERVATIONS", "Releases", "Reservations", "remaining_ms"]
 
-MAX_RESERVATIONS = 6
+MAX_RESERVATIONS = 2
 # Run times are rough estimates, so backfilled units need some margin.
 BACKFILL_MARGIN_FACTOR = 1.25
 # An overdue run may end at any time; it is taken to need this share of its
@@ -135,23 +135,24 @@
         return self._count >= MAX_RESERVATIONS
 
     def allows(
-        self, worker: worker_directory.Worker, estimate_ms: int, now_ms: int
+        self, worker: worker_directory.Worker, step: spec.Step, now_ms: int
     ) -> bool:
         """Returns whether a unit may start on a worker.
 
         Args:
             worker: The worker.
-            estimate_ms: Estimated run time of the unit.
+            step: The unit's step.
             now_ms: Monotonic time in milliseconds.
 
         Returns:
-            True if the worker is not reserved, or if the unit is expected to
-            end before the reservation starts.
+            True if the worker is not reserved, if the unit is expected to end
+            before the reservation starts, or if it is a lasting one, which has
+            to be restored wherever it fits.
         """
         start_ms = self._starts_ms.get(worker.worker)
-        if start_ms is None:
+        if start_ms is None or step.lasting:
             return True
-        return now_ms + estimate_ms * BACKFILL_MARGIN_FACTOR <= start_ms
+        return now_ms + step.estimate_ms * BACKFILL_MARGIN_FACTOR <= start_ms
 
     def reserve(
         self,
--- a/citronmount/fleet/tests/test_planning.py
+++ b/citronmount/fleet/tests/test_planning.py
@@ -1,57 +1,14 @@
 import unittest
 from unittest import mock
 
-import msgspec
-
-from citronmount.core import ids
 from citronmount.fleet import fitting
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import planning
 from citronmount.fleet import run_table
 from citronmount.fleet import waiting_units
 from citronmount.fleet import worker_directory
+from citronmount.fleet.tests import planning_fixture
 from citronmount.workflow import spec
-from citronmount.workflow import units
-
-SERVICE = spec.ServiceName("s")
-CAPACITY = spec.Demand(millicores=8_000, memory_mb=8_000, accelerators=8)
-TERMS = spec.QueueTerms(
-    queue=spec.QueueName("batch"), service=SERVICE, priority=1
-)
-TASK_DEMAND = spec.Demand(millicores=1_000, memory_mb=1_000, accelerators=1)
-
-
-def make_worker(name: str, rack: str = "r0") -> worker_directory.Worker:
-    return worker_directory.Worker(
-        worker=ids.WorkerId(name),
-        life_ms=1,
-        machine=f"m-{name}",
-        address="",
-        failure_domain=ids.FailureDomainId("fd"),
-        service=SERVICE,
-        state=worker_directory.WorkerState.READY,
-        capacity=CAPACITY,
-        labels=frozenset(),
-        rack=ids.RackId(rack),
-    )
-
-
-def make_waiting_units(
-    job: str, step: spec.Step, slack_factor: float = 3.0
-) -> list[waiting_units.WaitingUnit]:
-    workflow = spec.Workflow(job=ids.JobId(job), payload="", steps=(step,))
-    submission = spec.Submission(
-        workflow=workflow,
-        account=ids.AccountId("a"),
-        terms=msgspec.structs.replace(TERMS, slack_factor=slack_factor),
-        accepted_ms=ord(job),
-    )
-    return [
-        waiting_units.WaitingUnit(
-            key=key, step=step, submission=submission, since_ms=0
-        )
-        for key in units.units_of_step(workflow.job, 0, 0, step)
-    ]
 
 
 class PlanningTest(unittest.TestCase):
@@ -73,9 +30,9 @@
         return planner.decide(waiting)
 
     def test_equal_tasks_do_not_examine_each_worker_repeatedly(self) -> None:
-        pool = [make_worker(f"w{n}") for n in range(60)]
-        waiting = make_waiting_units(
-            "a", spec.Step(tasks=600, demand=TASK_DEMAND)
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(60)]
+        waiting = planning_fixture.make_waiting_units(
+            "a", spec.Step(tasks=600, demand=planning_fixture.TASK_DEMAND)
         )
         with mock.patch.object(
             fitting, "suits", wraps=fitting.suits
@@ -85,9 +42,9 @@
         self.assertLessEqual(suits_mock.call_count, 2 * len(pool))
 
     def test_equal_tasks_fill_one_worker_before_the_next(self) -> None:
-        pool = [make_worker(f"w{n}") for n in range(3)]
-        waiting = make_waiting_units(
-            "a", spec.Step(tasks=16, demand=TASK_DEMAND)
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(3)]
+        waiting = planning_fixture.make_waiting_units(
+            "a", spec.Step(tasks=16, demand=planning_fixture.TASK_DEMAND)
         )
         decisions = self.decide(pool, waiting)
         self.assertEqual(
@@ -98,13 +55,15 @@
     def test_gang_between_equal_tasks_does_not_share_their_capacity(
         self,
     ) -> None:
-        pool = [make_worker(f"w{n}") for n in range(3)]
-        single = spec.Step(tasks=6, demand=TASK_DEMAND)
-        gang = spec.Step(tasks=18, demand=TASK_DEMAND, gang=True)
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(3)]
+        single = spec.Step(tasks=6, demand=planning_fixture.TASK_DEMAND)
+        gang = spec.Step(
+            tasks=18, demand=planning_fixture.TASK_DEMAND, gang=True
+        )
         waiting = [
-            *make_waiting_units("a", single),
-            *make_waiting_units("b", gang),
-            *make_waiting_units("c", single),
+            *planning_fixture.make_waiting_units("a", single),
+            *planning_fixture.make_waiting_units("b", gang),
+            *planning_fixture.make_waiting_units("c", single),
         ]
         decisions = self.decide(pool, waiting)
         self.assertEqual(
@@ -113,9 +72,13 @@
         )
 
     def test_equal_tasks_respect_the_limit_per_worker(self) -> None:
-        pool = [make_worker(f"w{n}") for n in range(3)]
-        step = spec.Step(tasks=9, demand=TASK_DEMAND, max_tasks_per_worker=2)
-        decisions = self.decide(pool, make_waiting_units("a", step))
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(3)]
+        step = spec.Step(
+            tasks=9, demand=planning_fixture.TASK_DEMAND, max_tasks_per_worker=2
+        )
+        decisions = self.decide(
+            pool, planning_fixture.make_waiting_units("a", step)
+        )
         self.assertEqual(
             ["w0", "w0", "w1", "w1", "w2", "w2"],
             [d.workers[0].worker for d in decisions],
@@ -124,11 +87,17 @@
     def test_tasks_leave_the_rack_of_their_data_only_after_a_delay(
         self,
     ) -> None:
-        pool = [make_worker("w0"), make_worker("w1", rack="r1")]
+        pool = [
+            planning_fixture.make_worker("w0"),
+            planning_fixture.make_worker("w1", rack="r1"),
+        ]
         step = spec.Step(
-            tasks=12, demand=TASK_DEMAND, estimate_ms=5_000, data_rack="r1"
+            tasks=12,
+            demand=planning_fixture.TASK_DEMAND,
+            estimate_ms=5_000,
+            data_rack="r1",
         )
-        waiting = make_waiting_units("a", step)
+        waiting = planning_fixture.make_waiting_units("a", step)
         in_rack = self.decide(pool, waiting)
         self.assertEqual({"w1"}, {d.workers[0].worker for d in in_rack})
         self.assertEqual(8, len(in_rack))
@@ -140,11 +109,15 @@
     def test_urgent_gang_gets_fast_workers_and_other_work_slow_ones(
         self,
     ) -> None:
-        pool = [make_worker(f"w{n}") for n in range(4)]
-        gang = spec.Step(tasks=16, demand=TASK_DEMAND, gang=True)
-        urgent = make_waiting_units("a", gang, slack_factor=1.5)
-        relaxed = make_waiting_units(
-            "b", spec.Step(tasks=8, demand=TASK_DEMAND)
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(4)]
+        gang = spec.Step(
+            tasks=16, demand=planning_fixture.TASK_DEMAND, gang=True
+        )
+        urgent = planning_fixture.make_waiting_units(
+            "a", gang, slack_factor=1.5
+        )
+        relaxed = planning_fixture.make_waiting_units(
+            "b", spec.Step(tasks=8, demand=planning_fixture.TASK_DEMAND)
         )
         decisions = self.decide(pool, urgent + relaxed, slow="w0 w2")
         chosen = {
@@ -157,19 +130,33 @@
     def test_urgent_gang_starts_on_slow_workers_if_there_are_no_others(
         self,
     ) -> None:
-        pool = [make_worker(f"w{n}") for n in range(3)]
-        gang = spec.Step(tasks=24, demand=TASK_DEMAND, gang=True)
-        urgent = make_waiting_units("a", gang, slack_factor=1.5)
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(3)]
+        gang = spec.Step(
+            tasks=24, demand=planning_fixture.TASK_DEMAND, gang=True
+        )
+        urgent = planning_fixture.make_waiting_units(
+            "a", gang, slack_factor=1.5
+        )
         decisions = self.decide(pool, urgent, slow="w0 w2")
         self.assertEqual(1, len(decisions))
 
     def test_gang_finds_the_rack_with_enough_fast_workers(self) -> None:
         pool = [
-            *(make_worker(f"a{n}") for n in range(2)),
-            *(make_worker(f"b{n}", rack="r1") for n in range(4)),
+            *(planning_fixture.make_worker(f"a{n}") for n in range(2)),
+            *(
+                planning_fixture.make_worker(f"b{n}", rack="r1")
+                for n in range(4)
+            ),
         ]
-        gang = spec.Step(tasks=16, demand=TASK_DEMAND, gang=True, one_rack=True)
-        urgent = make_waiting_units("a", gang, slack_factor=1.5)
+        gang = spec.Step(
+            tasks=16,
+            demand=planning_fixture.TASK_DEMAND,
+            gang=True,
+            one_rack=True,
+        )
+        urgent = planning_fixture.make_waiting_units(
+            "a", gang, slack_factor=1.5
+        )
         decisions = self.decide(pool, urgent, slow="a0 b1")
         names = {w.worker for w in decisions[0].workers}
         self.assertEqual(2, len(names))
--- a/citronmount/fleet/waiting_units.py
+++ b/citronmount/fleet/waiting_units.py
@@ -73,14 +73,16 @@
     lost_core_s: float = 0.0
 
 
-def objective_end_ms(submission: spec.Submission) -> int:
-    """Returns the Unix time by which a job should complete.
+def objective_end_ms(submission: spec.Submission, occurrence: int = 0) -> int:
+    """Returns the Unix time by which an occurrence of a job should complete.
 
     The objective allows the estimated critical path times the queue's slack
-    factor, plus the queue's fixed allowance.
+    factor, plus the queue's fixed allowance, from the acceptance of the job or
+    from the time at which a scheduled occurrence is due.
 
     Args:
         submission: The job.
+        occurrence: Index of the occurrence, counted from 0.
 
     Returns:
         Milliseconds.
@@ -94,7 +96,9 @@
     critical_path_ms = max(earliest_ends_ms, default=0)
     terms = submission.terms
     allowed_ms = terms.slack_factor * critical_path_ms + terms.objective_ms
-    return submission.accepted_ms + int(allowed_ms)
+    due_ms = submission.workflow.due_ms(occurrence)
+    begin_ms = submission.accepted_ms if due_ms is None else due_ms
+    return begin_ms + int(allowed_ms)
 
 
 def slack_ms(unit: WaitingUnit) -> int:
--- a/citronmount/workflow/units.py
+++ b/citronmount/workflow/units.py
@@ -46,6 +46,11 @@
             return UnitId(text)
         return UnitId(f"{text}.{self.index}")
 
+    @property
+    def step_key(self) -> tuple[ids.JobId, int, int]:
+        """Job, occurrence and step, which the units of a step share."""
+        return self.job, self.occurrence, self.step
+
     @functools.cached_property
     def step_id(self) -> str:
         """Id of the unit's step: ``JOB.OCCURRENCE.STEP``."""
