Rank waiting units in a module of their own, and let guarantees pass

A gang inside a guarantee that fits nowhere could reserve workers against later units inside a guarantee, which have to start within a fixed time; these now use reserved workers too. The new test fails without that.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -15,6 +15,7 @@
 from citronmount.fleet import revocable_runs
 from citronmount.fleet import run_table
 from citronmount.fleet import unit_runs
+from citronmount.fleet import urgency
 from citronmount.fleet import waiting_units
 from citronmount.fleet import worker_allocations
 from citronmount.fleet import worker_directory
@@ -27,7 +28,6 @@
 
 MAX_LOSS_FACTOR = 3.0
 RELAXED_SLACK_FACTOR = 2.0
-MIN_RUN_TIME_SHARE = 0.5
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
 _IDLE_POOL_MAX_USE = 0.5
@@ -117,8 +117,10 @@
         self._allocations = table.allocations.copy()
         self._bounds = bounds
         self._now_ms = now_ms
-        self._wall_ms = wall_ms
         self._guarantees = guarantees.Guarantees(accounts=accounts, runs=table)
+        self._urgency = urgency.Urgency(
+            guaranteed=self._guarantees, wall_ms=wall_ms
+        )
         self._unplaceable: set[_Shape] = set()
         self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
             collections.defaultdict(collections.Counter)
@@ -132,14 +134,16 @@
         self._delay_policy = delay_scheduling.DelayPolicy(
             now_ms=now_ms,
             bounds=bounds,
-            idle_pool=self._used_fraction() < _IDLE_POOL_MAX_USE,
+            idle_pool=worker_allocations.used_share(
+                self._trusted_workers, self._allocations
+            )
+            < _IDLE_POOL_MAX_USE,
         )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._preferred_rack_fits: dict[tuple, bool] = {}
         self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
         self._reservations = reservations.Reservations()
         self._releases: reservations.Releases | None = None
-        self._objective_ends_ms: dict[tuple[ids.JobId, int], int] = {}
 
     def decide(
         self, waiting: Iterable[waiting_units.WaitingUnit]
@@ -152,7 +156,7 @@
         Returns:
             Decisions, the most urgent first.
         """
-        ranked = sorted(waiting, key=self._rank)
+        ranked = sorted(waiting, key=self._urgency.rank)
         decisions = []
         for unit in ranked:
             decision = self._decide_one(unit)
@@ -161,45 +165,6 @@
                 decisions.append(decision)
         return decisions
 
-    def _rank(self, unit: waiting_units.WaitingUnit) -> tuple:
-        """Returns the sort key of a unit, the most urgent first.
-
-        Within a priority the earliest deadline comes first, but in an overload
-        that order alone makes every job late: units that cannot meet their
-        objective any more come after those that can.
-        """
-        return (
-            not self._guarantees.covers(unit),
-            unit.submission.terms.priority,
-            self._is_late(unit),
-            self._objective_end_ms(unit),
-            unit.key.job,
-            unit.key.occurrence,
-            unit.key.step,
-            unit.key.index,
-        )
-
-    def _is_late(self, unit: waiting_units.WaitingUnit) -> bool:
-        """Returns whether a unit's job is almost certain to miss its objective.
-
-        Run times are rough estimates, so only part of the estimate counts. A
-        lasting unit has no time by which it should end.
-        """
-        if unit.step.lasting:
-            return False
-        least_ms = int(unit.step.estimate_ms * MIN_RUN_TIME_SHARE)
-        return self._wall_ms + least_ms > self._objective_end_ms(unit)
-
-    def _objective_end_ms(self, unit: waiting_units.WaitingUnit) -> int:
-        occurrence = unit.key.job, unit.key.occurrence
-        cached = self._objective_ends_ms.get(occurrence)
-        if cached is None:
-            cached = waiting_units.objective_end_ms(
-                unit.submission, unit.key.occurrence
-            )
-            self._objective_ends_ms[occurrence] = cached
-        return cached
-
     def _decide_one(
         self, unit: waiting_units.WaitingUnit
     ) -> waiting_units.Decision | None:
@@ -304,12 +269,32 @@
             workers = self._trusted_workers
         if self._delay_policy.accepts_distrusted(unit):
             workers = self._all_workers
-        return [each for each in workers if self._is_compatible(unit, each)]
+        return self._compatible_workers(unit, workers)
+
+    def _compatible_workers(
+        self,
+        unit: waiting_units.WaitingUnit,
+        workers: Iterable[worker_directory.Worker],
+    ) -> list[worker_directory.Worker]:
+        """Returns the workers on which a unit may be placed, capacity aside.
+
+        Units inside a guarantee may use reserved workers as well.
+        """
+        compatible = [
+            each for each in workers if self._is_compatible(unit, each)
+        ]
+        if self._guarantees.covers(unit):
+            return compatible
+        return [
+            each
+            for each in compatible
+            if self._reservations.allows(each, unit.step, self._now_ms)
+        ]
 
     def _is_compatible(
         self, unit: waiting_units.WaitingUnit, worker: worker_directory.Worker
     ) -> bool:
-        """Returns whether a unit may be placed on a worker, capacity aside.
+        """Returns whether a unit may share a worker with what runs on it.
 
         Filling tasks increase the response times of serving tasks, so the two
         never share a worker.
@@ -317,8 +302,6 @@
         advised = unit.submission.terms.needs_advice
         if advised and not self._allowed(unit.key, worker):
             return False
-        if not self._reservations.allows(worker, unit.step, self._now_ms):
-            return False
         if unit.step.fills:
             return worker.worker not in self._serving_workers
         if unit.step.goal_ms:
@@ -341,13 +324,9 @@
         """
         if unit.submission.terms.priority != guarantees.HIGHEST_PRIORITY:
             return None
-        if not guaranteed and self._is_late(unit):
+        if not guaranteed and self._urgency.is_late(unit):
             return None
-        workers = [
-            each
-            for each in self._trusted_workers
-            if self._is_compatible(unit, each)
-        ]
+        workers = self._compatible_workers(unit, self._trusted_workers)
         found = self._preemption_search(guaranteed).find(
             self._requirements(unit), workers, self._free_capacity, spread
         )
@@ -492,20 +471,6 @@
             self._preferred_rack_fits[shape] = cached
         return cached
 
-    def _used_fraction(self) -> float:
-        worker_ids = [worker.worker for worker in self._trusted_workers]
-        used = self._allocations.total(worker_ids)
-        accelerators = sum(
-            worker.capacity.accelerators for worker in self._trusted_workers
-        )
-        millicores = sum(
-            worker.capacity.millicores for worker in self._trusted_workers
-        )
-        return max(
-            used.accelerators / accelerators if accelerators else 0.0,
-            used.millicores / millicores if millicores else 0.0,
-        )
-
 
 def _basic_requirements(
     unit: waiting_units.WaitingUnit,
--- a/citronmount/fleet/tests/planning_fixture.py
+++ b/citronmount/fleet/tests/planning_fixture.py
@@ -101,8 +101,11 @@
         step: spec.Step,
         *workers: worker_directory.Worker,
         started_ms: int,
+        urgent: bool = False,
     ) -> unit_runs.Run:
         (unit,) = make_waiting_units(job, step)
+        if urgent:
+            unit = make_urgent(job, step)
         run = unit_runs.Run(
             key=unit.key,
             step=step,
--- a/citronmount/fleet/tests/test_overload.py
+++ b/citronmount/fleet/tests/test_overload.py
@@ -160,3 +160,29 @@
         )
         (decision,) = self.decide(late, second)
         self.assertEqual(1, decision.waiting.key.occurrence)
+
+
+class GuaranteeTest(planning_fixture.PlanningTestCase):
+    def test_guaranteed_unit_uses_reserved_workers(self) -> None:
+        self.pool = self.pool[:6]
+        for job, worker in zip("pq", self.pool, strict=False):
+            self.add_run(
+                job,
+                planning_fixture.make_gang(1),
+                worker,
+                started_ms=planning_fixture.NOW_MS - 500,
+                urgent=True,
+            )
+        large, small = (
+            accepted(
+                planning_fixture.make_urgent(
+                    job, planning_fixture.make_gang(tasks)
+                ),
+                planning_fixture.WALL_MS - 2_000,
+                waited_ms=2_000,
+            )
+            for job, tasks in (("a", 5), ("b", 4))
+        )
+        self.assertEqual([], self.decide(large, small, guaranteed=16))
+        (decision,) = self.decide(large, small, guaranteed=100)
+        self.assertEqual("b", decision.waiting.key.job)
--- a/citronmount/fleet/worker_allocations.py
+++ b/citronmount/fleet/worker_allocations.py
@@ -2,8 +2,10 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from citronmount.core import ids
+from citronmount.fleet import worker_directory
 from citronmount.workflow import spec
 
 __all__ = [
@@ -13,6 +15,7 @@
     "allocated_demand",
     "max_task_count",
     "subtract_demands",
+    "used_share",
 ]
 
 NO_DEMAND = spec.Demand()
@@ -112,3 +115,24 @@
         for worker in workers:
             total = add_demands(total, self.used(worker))
         return total
+
+
+def used_share(
+    workers: Sequence[worker_directory.Worker], allocations: WorkerAllocations
+) -> float:
+    """Returns the used share of the scarcer of accelerators and processors.
+
+    Args:
+        workers: The workers.
+        allocations: Resources allocated on them.
+
+    Returns:
+        A number from 0 to 1.
+    """
+    used = allocations.total(worker.worker for worker in workers)
+    accelerators = sum(worker.capacity.accelerators for worker in workers)
+    millicores = sum(worker.capacity.millicores for worker in workers)
+    return max(
+        used.accelerators / accelerators if accelerators else 0.0,
+        used.millicores / millicores if millicores else 0.0,
+    )
