--- a/citronmount/core/policies.py
+++ b/citronmount/core/policies.py
@@ -8,7 +8,7 @@
 from citronmount.core import placement
 from citronmount.core import ranking
 
-__all__ = ["Backfill", "Order", "Policy", "get", "names", "register"]
+__all__ = ["Backfill", "Order", "Policy", "get", "register"]
 
 
 class Backfill(enum.Enum):
@@ -67,11 +67,6 @@
     return _POLICIES[name]
 
 
-def names() -> tuple[str, ...]:
-    """Returns the names of all registered policies."""
-    return tuple(_POLICIES)
-
-
 @register
 def _citron() -> Policy:
     return Policy(
--- a/citronmount/fleet/unit_runs.py
+++ b/citronmount/fleet/unit_runs.py
@@ -55,7 +55,6 @@
     WORKER_LEAVES = "worker_leaves"
     STALLED = "stalled"
     SLOW_MEMBER = "slow_member"
-    SUPERSEDED = "superseded"
 
 
 class Member(msgspec.Struct, kw_only=True):
@@ -217,10 +216,6 @@
             if member.state is not MemberState.GONE
         ]
 
-    def member_of(self, task: units.TaskName) -> Member | None:
-        """Returns the member of a task, or None if the run has no such task."""
-        return next((m for m in self.members if m.task == task), None)
-
     def end(self, cause: EndCause) -> None:
         """Moves the run to the phase ENDING, so that its members are stopped.
 
--- a/citronmount/workflow/job_views.py
+++ b/citronmount/workflow/job_views.py
@@ -24,20 +24,17 @@
 
     Attributes:
         submission: The job and the queue terms that apply to it.
-        offset: Log offset of the submission record that was folded first.
         cancelled: Whether a caller cancelled the job.
         progress: State of the job's units.
     """
 
-    def __init__(self, *, submission: spec.Submission, offset: int) -> None:
+    def __init__(self, *, submission: spec.Submission) -> None:
         """Initializes a job that has not started.
 
         Args:
             submission: The job and the queue terms that apply to it.
-            offset: Log offset of the submission record.
         """
         self.submission = submission
-        self.offset = offset
         self.cancelled = False
         self.progress = progress.JobProgress(workflow=submission.workflow)
 
@@ -96,7 +93,7 @@
         self._offsets[key] = offset
         match record:
             case records.Submitted():
-                return self._apply_submission(offset, record.submission)
+                return self._apply_submission(record.submission)
             case records.Finished():
                 return self._apply_final_state(record)
             case records.OwnershipTaken():
@@ -166,13 +163,11 @@
             if final.finished_ms < before_ms
         ]
 
-    def _apply_submission(
-        self, offset: int, submission: spec.Submission
-    ) -> bool:
+    def _apply_submission(self, submission: spec.Submission) -> bool:
         job = submission.workflow.job
         if job in self.jobs or job in self.finished:
             return False
-        self.jobs[job] = JobEntry(submission=submission, offset=offset)
+        self.jobs[job] = JobEntry(submission=submission)
         self._apply_deferred(self._deferred.pop(job, ()))
         return True
 
