Share only preempted runs among the units of a burst

A run may also be ending because its worker refused or did not answer. Such runs cost nothing in the search either, which led urgent units to workers with faults, where they waited for the end of a lease. The new test fails before the change.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -360,6 +360,7 @@
                     run
                     for run in self._table
                     if run.phase is unit_runs.RunPhase.ENDING
+                    and run.cause is unit_runs.EndCause.PREEMPTED
                 ],
                 cost=self._cost,
             )
--- a/citronmount/fleet/preemption.py
+++ b/citronmount/fleet/preemption.py
@@ -110,9 +110,10 @@
 
         Args:
             revocable: Runs that may be stopped.
-            ending: Runs that are being stopped. Waiting for their end costs
-                nothing, so that the units of a burst share the capacity of a
-                stopped gang.
+            ending: Preempted runs that are being stopped. Waiting for their
+                end costs nothing, so that the units of a burst share the
+                capacity of a stopped gang. Runs that end for another cause may
+                be on workers that do not answer.
             cost: Returns the cost of stopping a run.
         """
         self._costs = {run.unit: cost(run) for run in revocable}
--- a/citronmount/fleet/tests/test_preemption.py
+++ b/citronmount/fleet/tests/test_preemption.py
@@ -82,6 +82,26 @@
         )
         self.assertEqual(["g"], [str(run.job) for run in decision.victims])
 
+    def test_burst_does_not_wait_for_runs_that_end_by_a_fault(self) -> None:
+        ending = self.add_run(
+            "g",
+            planning_fixture.make_gang(15),
+            *self.pool[:15],
+            started_ms=planning_fixture.NOW_MS - 3_000,
+        )
+        ending.end(unit_runs.EndCause.MEMBER_NOT_STARTED)
+        self.add_run(
+            "h",
+            planning_fixture.make_gang(15),
+            *self.pool[15:],
+            started_ms=planning_fixture.NOW_MS - 100,
+        )
+        urgent = planning_fixture.make_urgent(
+            "a", planning_fixture.make_gang(3)
+        )
+        (decision,) = self.decide(urgent)
+        self.assertEqual(["h"], [str(run.job) for run in decision.victims])
+
     def test_runs_that_are_not_needed_are_spared(self) -> None:
         self.pool = self.pool[:1]
         self.add_run(
