Keep small VMs out of the group while its partitions are reassigned

A VM with less than one core that looked then joined the group and could become the owner; commands then took 137 ms in the middle and 962 ms at p90 instead of 25 and 42, and workers were given up as unreachable.

Change: a small VM joins only after two checks in succession, 0.9 s apart, that find no member. The new test fails before the change.

--- a/citronmount/fleet_service/owner_election.py
+++ b/citronmount/fleet_service/owner_election.py
@@ -23,6 +23,9 @@
 MEMBER_CHECK_PERIOD_S = 1.5
 FIRST_CHECK_JITTER_S = 0.6
 SMALL_VM_DELAY_S = 1.5
+# The members join again within this time after the log has reassigned all
+# partitions, in which the group looks empty.
+EMPTY_GROUP_CHECK_S = 0.9
 
 _MS_PER_S = 1_000
 
@@ -84,6 +87,7 @@
         self._generation = 0
         self._joined = False
         self._next_check_s = 0.0
+        self._group_was_empty = False
         self._membership_lock = defer.DeferredLock()
         self._loop = task.LoopingCall(self._run_update)
         self._loop.clock = clock
@@ -153,16 +157,20 @@
         answer is False.
 
         The log assigns a fixed number of partitions, and a member without a
-        partition is invisible to the others; so only a few VMs are members.
+        partition is invisible to the others; so only a few VMs are members. A
+        small VM joins only if two checks in succession find no member.
         """
         if self._clock.seconds() < self._next_check_s:
             return False
         self._next_check_s = self._clock.seconds() + MEMBER_CHECK_PERIOD_S
         members = await self._log.members(JOIN_TIMEOUT_MS)
         self._health.record_answer()
-        return len(members) < (
-            TARGET_MEMBERS if self._sized_for_ownership else 1
-        )
+        if self._sized_for_ownership:
+            return len(members) < TARGET_MEMBERS
+        was_empty, self._group_was_empty = self._group_was_empty, not members
+        if self._group_was_empty and not was_empty:
+            self._next_check_s = self._clock.seconds() + EMPTY_GROUP_CHECK_S
+        return was_empty and self._group_was_empty
 
     async def _join(self) -> None:
         membership = await self._log.join(
--- a/citronmount/fleet_service/tests/test_faults.py
+++ b/citronmount/fleet_service/tests/test_faults.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 from twisted.internet import defer
 
@@ -195,6 +196,22 @@
         self.assertTrue(small_vm.owns_pool)
 
 
+class ReassignmentTest(pool_fixture.PoolTestCase):
+    def test_small_vms_stay_out_while_partitions_are_reassigned(self) -> None:
+        small_vms = [
+            self.make_vm(self.vm_count + number, sized_for_ownership=False)
+            for number in range(6)
+        ]
+        self.run_for(4.0)
+        for _ in range(8):
+            with mock.patch.object(self.log, "members", return_value=set()):
+                self.run_for(0.5)
+            self.assertFalse(any(vm.owns_pool for vm in small_vms))
+            names = {name.partition("/")[0] for name in self.log.members()}
+            self.assertLessEqual(names, {"vm0", "vm1", "vm2"})
+            self.run_for(1.3)
+
+
 class LogFaultTest(pool_fixture.PoolTestCase):
     def test_submission_during_a_log_outage_is_refused_at_once(self) -> None:
         self.log.faults[ids.VmId("vm1")] = SILENT
