--- a/citronmount/bench/pool_replay.py
+++ b/citronmount/bench/pool_replay.py
@@ -138,7 +138,11 @@
         self._numbers = {
             each.worker: number for number, each in self._workers.items()
         }
-        self._changes: list[tuple[int, worker_directory.WorkerState, int]] = []
+        # Time, new state (None for a worker that is gone) and number of the
+        # worker, the next change last.
+        self._changes: list[
+            tuple[int, worker_directory.WorkerState | None, int]
+        ] = []
         self._plan_losses()
         self._accounts = [
             fleet_configuration.Account(
