Let soaks that run side by side draw different ports

Cause: a soak picks a port, releases it, and the VM binds it later.

Change: a soak draws from the part of the range that belongs to its process id, and never the same port twice. No check changes.

The soak test was run once with the change and held.

--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -35,6 +35,7 @@
 
 DEFAULT_VMS = 4
 CLOCK_RATES = (1.0, 0.99, 0.98)
+PORT_SLICES = 64
 VM_PORTS = range(20_000, 32_000)
 WORKER_COUNT = 8
 START_S = 4.0
@@ -441,10 +442,20 @@
     )
 
 
+_used_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a free port outside the range for outgoing connections."""
+    """Returns a free port outside the range for outgoing connections.
+
+    The VM binds it only later, so soaks that run side by side draw from
+    separate parts of the range.
+    """
+    own_ports = VM_PORTS[os.getpid() % PORT_SLICES :: PORT_SLICES]
     while True:
-        number = random.SystemRandom().choice(VM_PORTS)
+        number = random.SystemRandom().choice(own_ports)
+        if number in _used_ports:
+            continue
         try:
             port = reactor.listenTCP(
                 number, server.Site(None), interface=loopback_site.HOST
@@ -452,6 +463,7 @@
         except error.CannotListenError:
             continue
         port.stopListening()
+        _used_ports.add(number)
         return number
 
 
