--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -19,6 +19,7 @@
 from zope.interface import implementer
 
 from citronmount.clients import byte_counting
+from citronmount.clients import call_time_limit
 from citronmount.clients import wire_format
 from citronmount.core import codes
 from citronmount.core import errors
@@ -35,7 +36,6 @@
 IDLE_CONNECTION_S = 30
 MAX_IDLE_CONNECTIONS_PER_HOST = 8
 MAX_BODY_BYTES = 64 << 20
-MAX_TRANSFER_S = 20
 MAX_CACHED_URLS = 10_000
 
 _MS_PER_S = 1_000
@@ -292,10 +292,11 @@
         if query:
             url = hyperlink.EncodedURL.from_text(f"{url.to_text()}?{query}")
         data = None if body is None else _BytesProducer(body)
-        time_limit = _TimeLimit(
+        time_limit = call_time_limit.CallTimeLimit(
             reactor=self._reactor,
             timeout_ms=timeout_ms,
             stall_timeout_ms=stall_timeout_ms,
+            on_timeout=_raise_timed_out,
         )
         request = self._request_undecoded(
             method, url, headers or {}, data, time_limit.extend
@@ -394,68 +395,15 @@
         request: typing.Coroutine[defer.Deferred[object], object, _Body],
         timeout_ms: int,
     ) -> defer.Deferred[_Body]:
-        time_limit = _TimeLimit(reactor=self._reactor, timeout_ms=timeout_ms)
+        time_limit = call_time_limit.CallTimeLimit(
+            reactor=self._reactor,
+            timeout_ms=timeout_ms,
+            on_timeout=_raise_timed_out,
+        )
         answer = time_limit.apply(defer.ensureDeferred(request))
         return answer.addErrback(_raise_no_answer)
 
 
-class _TimeLimit:
-    """Time limit of one call, which the parts of its response may extend.
-
-    A link may be too slow to carry a large response within a limit that is
-    right for detecting a peer that does not answer.
-    """
-
-    def __init__(
-        self,
-        *,
-        reactor: interfaces.IReactorTime,
-        timeout_ms: int,
-        stall_timeout_ms: int = 0,
-    ) -> None:
-        self._reactor = reactor
-        self._timeout_ms = timeout_ms
-        self._stall_timeout_s = stall_timeout_ms / _MS_PER_S
-        self._last_end_s = reactor.seconds() + MAX_TRANSFER_S
-        self._expiry: interfaces.IDelayedCall | None = None
-        self._expired = False
-
-    def apply(self, answer: defer.Deferred[_Body]) -> defer.Deferred[_Body]:
-        """Cancels a call at the limit and replaces its result by an error."""
-
-        def expire() -> None:
-            self._expired = True
-            answer.cancel()
-
-        def finish(result: object) -> object:
-            if self._expiry.active():
-                self._expiry.cancel()
-            return self._timed_out(result) if self._expired else result
-
-        timeout_s = self._timeout_ms / _MS_PER_S
-        self._expiry = self._reactor.callLater(timeout_s, expire)
-        return answer.addBoth(finish)
-
-    def extend(self) -> None:
-        """Extends the limit because a part of the response has arrived."""
-        if self._expiry is None or not self._expiry.active():
-            return
-        end_s = self._reactor.seconds() + self._stall_timeout_s
-        end_s = min(end_s, self._last_end_s)
-        if end_s > self._expiry.getTime():
-            self._expiry.reset(end_s - self._reactor.seconds())
-
-    def _timed_out(self, result: object) -> object:
-        """Replaces the cancellation of a call by a timeout error."""
-        if not isinstance(result, failure.Failure):
-            return result
-        raise NoAnswerError(
-            f"no answer within {self._timeout_ms / _MS_PER_S} s",
-            code=codes.ResultCode.TIMED_OUT,
-            sent=not result.check(*NOT_SENT),
-        ) from result.value
-
-
 def _ignore_part() -> None:
     """Does nothing when a part of a response arrives."""
 
@@ -495,6 +443,17 @@
     return b"".join(chunks)
 
 
+def _raise_timed_out(
+    reason: failure.Failure, timeout_ms: int
+) -> typing.NoReturn:
+    """Raises `NoAnswerError` for a call that was cancelled at its limit."""
+    raise NoAnswerError(
+        f"no answer within {timeout_ms / _MS_PER_S} s",
+        code=codes.ResultCode.TIMED_OUT,
+        sent=not reason.check(*NOT_SENT),
+    ) from reason.value
+
+
 def _raise_no_answer(reason: failure.Failure) -> typing.NoReturn:
     """Raises `NoAnswerError` for any failure of a call."""
     if reason.check(NoAnswerError):
