Measure the slack of scheduled jobs from their due time

Cause: since the objective of an occurrence counts from its due time, but the slack was still taken from the acceptance of the job. It held the time until the first occurrence, so a scheduled gang reserved workers too late, and the log line job_finished named too long an objective.

Change: the time that a job may take is a function of its own, used by both. The new test fails before the change.

--- a/citronmount/fleet/job_completion.py
+++ b/citronmount/fleet/job_completion.py
@@ -88,8 +88,7 @@
             account=record.account,
             state=final.name.lower(),
             age_ms=wall_ms - entry.submission.accepted_ms,
-            objective_ms=waiting_units.objective_end_ms(entry.submission)
-            - entry.submission.accepted_ms,
+            objective_ms=waiting_units.objective_ms(entry.submission),
             slack_factor=entry.submission.terms.slack_factor,
             margin_ms=entry.submission.terms.objective_ms,
         )
--- a/citronmount/fleet/tests/test_overload.py
+++ b/citronmount/fleet/tests/test_overload.py
@@ -186,3 +186,17 @@
         self.assertEqual([], self.decide(large, small, guaranteed=16))
         (decision,) = self.decide(large, small, guaranteed=100)
         self.assertEqual("b", decision.waiting.key.job)
+
+    def test_slack_does_not_depend_on_the_time_until_an_occurrence(
+        self,
+    ) -> None:
+        step = planning_fixture.make_gang(2)
+        (unit,) = planning_fixture.make_waiting_units("s", step)
+        workflow = msgspec.structs.replace(
+            unit.submission.workflow, occurrences=2, first_due_ms=90_000
+        )
+        submission = msgspec.structs.replace(unit.submission, workflow=workflow)
+        scheduled = msgspec.structs.replace(unit, submission=submission)
+        self.assertEqual(
+            waiting_units.slack_ms(unit), waiting_units.slack_ms(scheduled)
+        )
--- a/citronmount/fleet/waiting_units.py
+++ b/citronmount/fleet/waiting_units.py
@@ -15,6 +15,7 @@
     "WaitingUnit",
     "has_capacity_for",
     "objective_end_ms",
+    "objective_ms",
     "slack_ms",
 ]
 
@@ -76,9 +77,8 @@
 def objective_end_ms(submission: spec.Submission, occurrence: int = 0) -> int:
     """Returns the Unix time by which an occurrence of a job should complete.
 
-    The objective allows the estimated critical path times the queue's slack
-    factor, plus the queue's fixed allowance, from the acceptance of the job or
-    from the time at which a scheduled occurrence is due.
+    The time of `objective_ms` begins with the acceptance of the job, or when a
+    scheduled occurrence is due.
 
     Args:
         submission: The job.
@@ -87,18 +87,9 @@
     Returns:
         Milliseconds.
     """
-    earliest_ends_ms: list[int] = []
-    for step in submission.workflow.steps:
-        start_ms = max(
-            (earliest_ends_ms[earlier] for earlier in step.after), default=0
-        )
-        earliest_ends_ms.append(start_ms + step.estimate_ms)
-    critical_path_ms = max(earliest_ends_ms, default=0)
-    terms = submission.terms
-    allowed_ms = terms.slack_factor * critical_path_ms + terms.objective_ms
     due_ms = submission.workflow.due_ms(occurrence)
     begin_ms = submission.accepted_ms if due_ms is None else due_ms
-    return begin_ms + int(allowed_ms)
+    return begin_ms + objective_ms(submission)
 
 
 def slack_ms(unit: WaitingUnit) -> int:
@@ -110,8 +101,31 @@
     Returns:
         Milliseconds; the objective less the unit's estimated run time.
     """
-    allowed_ms = objective_end_ms(unit.submission) - unit.submission.accepted_ms
-    return max(allowed_ms - unit.step.estimate_ms, 0)
+    return max(objective_ms(unit.submission) - unit.step.estimate_ms, 0)
+
+
+def objective_ms(submission: spec.Submission) -> int:
+    """Returns the time that a job may take, or each of its occurrences.
+
+    The estimated critical path times the queue's slack factor, plus the queue's
+    fixed allowance.
+
+    Args:
+        submission: The job.
+
+    Returns:
+        Milliseconds.
+    """
+    earliest_ends_ms: list[int] = []
+    for step in submission.workflow.steps:
+        start_ms = max(
+            (earliest_ends_ms[earlier] for earlier in step.after), default=0
+        )
+        earliest_ends_ms.append(start_ms + step.estimate_ms)
+    critical_path_ms = max(earliest_ends_ms, default=0)
+    terms = submission.terms
+    allowed_ms = terms.slack_factor * critical_path_ms + terms.objective_ms
+    return int(allowed_ms)
 
 
 def has_capacity_for(
