--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -18,7 +18,6 @@
 
 import msgspec
 from twisted.internet import defer
-from twisted.internet import error
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.web import server
@@ -27,6 +26,7 @@
 from citronmount.core import ids
 from citronmount.fleet import worker_directory
 from citronmount.fleet_service import ports
+from citronmount.platform.tests import loopback_ports
 from citronmount.platform.tests import loopback_site
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
@@ -35,8 +35,6 @@
 
 DEFAULT_VMS = 4
 CLOCK_RATES = (1.0, 0.99, 0.98)
-PORT_SLICES = 64
-VM_PORTS = range(20_000, 32_000)
 WORKER_COUNT = 8
 START_S = 4.0
 START_S_PER_EXTRA_VM = 0.15
@@ -146,9 +144,9 @@
 
     def set_up(self) -> None:
         store = loopback_site.StoreResource(log=self.log).app.resource()
-        store_port = listen(server.Site(store))
+        store_port = loopback_ports.listen(server.Site(store))
         runners = loopback_site.RunnerResource(pool=self.pool).app.resource()
-        runner_port = listen(server.Site(runners))
+        runner_port = loopback_ports.listen(server.Site(runners))
         for number in range(WORKER_COUNT):
             self.add_worker(number, runner_port)
         route = {
@@ -167,7 +165,8 @@
         for number in range(self.vm_count):
             proxy = loopback_site.FaultyProxy(port=store_port)
             self.proxies.append(proxy)
-            self.write_settings(number, listen(proxy))
+            port = loopback_ports.listen(proxy)
+            self.write_settings(number, port)
             self.start(number)
 
     def add_worker(self, number: int, port: int) -> None:
@@ -204,7 +203,9 @@
         self.log.append_records(ports.Topic.WORKERS, [record])
 
     def write_settings(self, number: int, store_port: int) -> None:
-        client_port, ready_port, metrics_port = (free_port() for _ in range(3))
+        client_port, ready_port, metrics_port = (
+            loopback_ports.free_port() for _ in range(3)
+        )
         self.client_addresses.append(f"{loopback_site.HOST}:{client_port}")
         text = SETTINGS_TEMPLATE.format(
             n=number,
@@ -434,39 +435,6 @@
     return sum(map(ord, text)) * 7_919
 
 
-def listen(factory: object) -> int:
-    return (
-        reactor.listenTCP(0, factory, interface=loopback_site.HOST)
-        .getHost()
-        .port
-    )
-
-
-_used_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Returns a free port outside the range for outgoing connections.
-
-    The VM binds it only later, so soaks that run side by side draw from
-    separate parts of the range.
-    """
-    own_ports = VM_PORTS[os.getpid() % PORT_SLICES :: PORT_SLICES]
-    while True:
-        number = random.SystemRandom().choice(own_ports)
-        if number in _used_ports:
-            continue
-        try:
-            port = reactor.listenTCP(
-                number, server.Site(None), interface=loopback_site.HOST
-            )
-        except error.CannotListenError:
-            continue
-        port.stopListening()
-        _used_ports.add(number)
-        return number
-
-
 def main() -> int:
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, required=True)
