--- a/citronmount/clients/call_time_limit.py
+++ b/citronmount/clients/call_time_limit.py
@@ -13,7 +13,7 @@
 
 _MS_PER_S = 1_000
 _Body = typing.TypeVar("_Body")
-OnTimeout = Callable[[failure.Failure, int], typing.NoReturn]
+OnTimeout = Callable[[failure.Failure, int, int], typing.NoReturn]
 
 
 class CallTimeLimit:
@@ -37,7 +37,8 @@
             reactor: The reactor for the timeout.
             timeout_ms: The time limit of the call.
             on_timeout: Raises the error of a call that was cancelled at its
-                limit, from the failure of the cancelled call and `timeout_ms`.
+                limit, from the failure of the cancelled call, its duration in
+                milliseconds and the received size of the response in bytes.
             stall_timeout_ms: By how much a part of the response extends the
                 limit from its arrival on, or 0 for not at all.
         """
@@ -45,7 +46,8 @@
         self._reactor = reactor
         self._timeout_ms = timeout_ms
         self._stall_timeout_s = stall_timeout_ms / _MS_PER_S
-        self._last_end_s = reactor.seconds() + MAX_TRANSFER_S
+        self._start_s = reactor.seconds()
+        self._received_bytes = 0
         self._expiry: interfaces.IDelayedCall | None = None
         self._expired = False
 
@@ -60,18 +62,26 @@
             if self._expiry.active():
                 self._expiry.cancel()
             if self._expired and isinstance(result, failure.Failure):
-                self._on_timeout(result, self._timeout_ms)
+                elapsed_s = self._reactor.seconds() - self._start_s
+                self._on_timeout(
+                    result, int(elapsed_s * _MS_PER_S), self._received_bytes
+                )
             return result
 
         timeout_s = self._timeout_ms / _MS_PER_S
         self._expiry = self._reactor.callLater(timeout_s, expire)
         return answer.addBoth(finish)
 
-    def extend(self) -> None:
-        """Extends the limit because a part of the response has arrived."""
+    def extend(self, size_bytes: int) -> None:
+        """Extends the limit because a part of the response has arrived.
+
+        Args:
+            size_bytes: The size of the part.
+        """
+        self._received_bytes += size_bytes
         if self._expiry is None or not self._expiry.active():
             return
         end_s = self._reactor.seconds() + self._stall_timeout_s
-        end_s = min(end_s, self._last_end_s)
+        end_s = min(end_s, self._start_s + MAX_TRANSFER_S)
         if end_s > self._expiry.getTime():
             self._expiry.reset(end_s - self._reactor.seconds())
--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -46,6 +46,8 @@
     web_client.RequestNotSent,
 )
 _Body = typing.TypeVar("_Body", bound=msgspec.Struct)
+# Called with the size in bytes of each part of a response body.
+OnPart = Callable[[int], None]
 
 
 class NoAnswerError(errors.UnreachableError):
@@ -155,10 +157,12 @@
     Attributes:
         status: The HTTP status.
         body: The undecoded body.
+        transfer_ms: Time from the first part of the response to the last.
     """
 
     status: int
     body: bytes
+    transfer_ms: int = 0
 
 
 class _CachedResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -310,7 +314,7 @@
         url: hyperlink.EncodedURL,
         headers: dict[str, str],
         data: _BytesProducer | None,
-        on_part: Callable[[], None],
+        on_part: OnPart,
     ) -> HttpResponse:
         response = await self._http.request(
             method,
@@ -320,8 +324,13 @@
             allow_redirects=False,
             unbuffered=True,
         )
+        start_s = self._reactor.seconds()
+        body = await _read_body(response, on_part)
+        transfer_s = self._reactor.seconds() - start_s
         return HttpResponse(
-            status=response.code, body=await _read_body(response, on_part)
+            status=response.code,
+            body=body,
+            transfer_ms=int(transfer_s * _MS_PER_S),
         )
 
     def close(self) -> defer.Deferred[None]:
@@ -404,8 +413,9 @@
         return answer.addErrback(_raise_no_answer)
 
 
-def _ignore_part() -> None:
+def _ignore_part(size_bytes: int) -> None:
     """Does nothing when a part of a response arrives."""
+    del size_bytes
 
 
 async def _decode_response(
@@ -422,14 +432,14 @@
 
 
 async def _read_body(
-    response: iweb.IResponse, on_part: Callable[[], None] = _ignore_part
+    response: iweb.IResponse, on_part: OnPart = _ignore_part
 ) -> bytes:
     chunks: list[bytes] = []
     size = 0
 
     def collect(chunk: bytes) -> None:
         nonlocal size
-        on_part()
+        on_part(len(chunk))
         size += len(chunk)
         if size > MAX_BODY_BYTES:
             raise NoAnswerError(
@@ -444,11 +454,17 @@
 
 
 def _raise_timed_out(
-    reason: failure.Failure, timeout_ms: int
+    reason: failure.Failure, elapsed_ms: int, received_bytes: int
 ) -> typing.NoReturn:
     """Raises `NoAnswerError` for a call that was cancelled at its limit."""
+    elapsed_s = elapsed_ms / _MS_PER_S
+    message = (
+        f"answer incomplete after {elapsed_s} s, got {received_bytes} bytes"
+        if received_bytes
+        else f"no answer within {elapsed_s} s"
+    )
     raise NoAnswerError(
-        f"no answer within {timeout_ms / _MS_PER_S} s",
+        message,
         code=codes.ResultCode.TIMED_OUT,
         sent=not reason.check(*NOT_SENT),
     ) from reason.value
--- a/citronmount/clients/tests/test_http_client.py
+++ b/citronmount/clients/tests/test_http_client.py
@@ -76,6 +76,16 @@
         self.clock.advance(0.6)
         self.assertIsInstance(self.results[0].value, http_client.NoAnswerError)
 
+    def test_error_tells_a_slow_transfer_from_a_silent_peer(self) -> None:
+        self.call(stall_timeout_ms=STALL_TIMEOUT_MS)
+        self.receive(parts=3)
+        self.clock.advance(0.6)
+        self.assertIn("got 15 bytes", str(self.results[0].value))
+        self.results.clear()
+        self.call(stall_timeout_ms=STALL_TIMEOUT_MS)
+        self.clock.advance(0.61)
+        self.assertIn("no answer within", str(self.results[0].value))
+
     def test_response_without_a_body_times_out_as_before(self) -> None:
         self.call(stall_timeout_ms=STALL_TIMEOUT_MS)
         self.clock.advance(0.61)
--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -21,6 +21,8 @@
 OUTAGE_READ_TIMEOUT_MS = 600
 MIN_RETRY_DELAY_MS = 50
 MAX_RETRY_DELAY_MS = 200
+# Pages of at least this size are logged.
+LARGE_PAGE_BYTES = 65_536
 
 _MS_PER_S = 1_000
 
@@ -75,7 +77,8 @@
         self._on_records = on_records
         self._running: defer.Deferred[None] | None = None
         self._stopped = True
-        self._log_failing = False
+        self._failed_reads = 0
+        self._first_failure_s = 0.0
         self._logger = structlog.get_logger().bind(topic=topic.value)
 
     def start(self) -> None:
@@ -135,7 +138,7 @@
         if self.position is None:
             await self._read_snapshot()
             return
-        if self._log_failing:
+        if self._failed_reads:
             await self._read_available(OUTAGE_READ_TIMEOUT_MS)
             return
         page = await self._log.read(
@@ -150,15 +153,22 @@
         """Reads the available records without waiting for more."""
         started_s = self._clock.seconds()
         page = await self._log.read(self._topic, self.position, 0, timeout_ms)
-        latency_ms = int((self._clock.seconds() - started_s) * _MS_PER_S)
+        latency_ms = self._elapsed_ms(started_s)
         self._handle_page(page)
         self._health.record_answer(latency_ms)
         return page
 
     async def _read_snapshot(self) -> None:
+        started_s = self._clock.seconds()
         snapshot = await self._log.snapshot(self._topic, SNAPSHOT_TIMEOUT_MS)
         self._health.record_answer()
         self.position = snapshot.end_offset
+        self._logger.info(
+            "snapshot_read",
+            position=self.position,
+            records=len(snapshot.records),
+            took_ms=self._elapsed_ms(started_s),
+        )
         self._on_snapshot(snapshot.records)
 
     def _handle_page(self, page: ports.LogPage) -> None:
@@ -173,6 +183,15 @@
             if self.position is not None and record.offset >= self.position
         ]
         self.position = max(self.position or 0, page.next_offset)
+        if page.size_bytes >= LARGE_PAGE_BYTES:
+            self._logger.info(
+                "large_page_read",
+                position=self.position,
+                records=len(page.records),
+                records_behind=page.end_offset - page.next_offset,
+                size_bytes=page.size_bytes,
+                took_ms=page.transfer_ms,
+            )
         if new_records:
             self._on_records(new_records)
 
@@ -199,15 +218,31 @@
                 self._pause_end.cancel()
 
     def _record_failure(self, error: errors.CitronmountError) -> None:
+        """Logs the failures 1, 2, 4, 8 and so on of an outage."""
         self._health.record_failure()
-        if not self._log_failing:
-            self._log_failing = True
+        self._failed_reads += 1
+        if self._failed_reads == 1:
+            self._first_failure_s = self._clock.seconds()
             self._logger.warning("log_lost", error=str(error))
+        elif self._failed_reads.bit_count() == 1:
+            self._logger.warning(
+                "log_still_lost",
+                failed_reads=self._failed_reads,
+                error=str(error),
+            )
 
     def _record_recovery(self) -> None:
-        if self._log_failing:
-            self._log_failing = False
-            self._logger.info("log_regained", position=self.position)
+        if self._failed_reads:
+            self._logger.info(
+                "log_regained",
+                position=self.position,
+                failed_reads=self._failed_reads,
+                took_ms=self._elapsed_ms(self._first_failure_s),
+            )
+            self._failed_reads = 0
+
+    def _elapsed_ms(self, start_s: float) -> int:
+        return int((self._clock.seconds() - start_s) * _MS_PER_S)
 
     def _on_loop_failure(self, reason: failure.Failure) -> None:
         if not self._stopped:
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -26,6 +26,8 @@
 LOG_SILENCE_LIMIT_MS = 1_000
 WORKERS_READ_INTERVAL_MS = 400
 
+_MS_PER_S = 1_000
+
 Decoder = Callable[[ports.Topic, ports.LogRecord], ports.LogEvent | None]
 
 
@@ -62,6 +64,7 @@
                 own the pool.
             wall_clock: Returns the Unix time in milliseconds.
         """
+        self._clock = clock
         self._decode = decode
         self._logger = structlog.get_logger()
         self._job_view = job_views.JobView()
@@ -219,19 +222,22 @@
     def _apply_configuration(
         self, log_records: Sequence[ports.LogRecord]
     ) -> None:
+        started_s = self._clock.seconds()
         for event in self._decode_events(
             ports.Topic.CONFIGURATION, log_records
         ):
             match event:
                 case ports.ConfigurationChanged(configuration=configuration):
-                    self._activate_configuration(configuration)
+                    self._activate_configuration(configuration, started_s)
                 case ports.DomainServiceChanged(domain=domain, out=out):
                     self._directory.set_domain_out_of_service(domain, out)
                     self._logger.info("domain_switched", domain=domain, out=out)
         self._owner.mark_changed()
 
     def _activate_configuration(
-        self, configuration: fleet_configuration.FleetConfiguration
+        self,
+        configuration: fleet_configuration.FleetConfiguration,
+        received_s: float,
     ) -> None:
         previous = self.job_service.configuration
         if previous is not None and previous.version > configuration.version:
@@ -243,8 +249,12 @@
             return
         self.job_service.configuration = configuration
         self._owner.set_accounts(configuration.accounts)
+        elapsed_s = self._clock.seconds() - received_s
         self._logger.info(
-            "configuration_in_force", version=configuration.version
+            "configuration_in_force",
+            version=configuration.version,
+            queues=len(configuration.queues),
+            took_ms=int(elapsed_s * _MS_PER_S),
         )
 
     def _replace_workers(self, log_records: Sequence[ports.LogRecord]) -> None:
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -98,11 +98,15 @@
         records: The records, sorted by offset.
         next_offset: The offset at which the next read starts.
         end_offset: The end of the topic at the time of the read.
+        size_bytes: The size of the response that held the page.
+        transfer_ms: Time from the first part of this response to the last.
     """
 
     records: tuple[LogRecord, ...]
     next_offset: int
     end_offset: int
+    size_bytes: int = 0
+    transfer_ms: int = 0
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/citronmount/fleet_service/tests/test_log_tail.py
@@ -0,0 +1,92 @@
+from collections.abc import Sequence
+import unittest
+
+import structlog
+from twisted.internet import task
+
+from citronmount.core import codes
+from citronmount.fleet_service import log_health
+from citronmount.fleet_service import log_tail
+from citronmount.fleet_service import ports
+
+ANSWER_S = 0.01
+EMPTY_PAGE = ports.LogPage(records=(), next_offset=0, end_offset=0)
+
+
+class ScriptedLog:
+    """Answers each read with the next page or error, the last one forever."""
+
+    def __init__(
+        self, clock: task.Clock, answers: Sequence[ports.LogPage | Exception]
+    ) -> None:
+        self.clock = clock
+        self.answers = list(answers)
+
+    async def snapshot(
+        self, topic: ports.Topic, timeout_ms: int
+    ) -> ports.Snapshot:
+        del topic, timeout_ms
+        return ports.Snapshot(records=(), end_offset=0)
+
+    async def read(
+        self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
+    ) -> ports.LogPage:
+        del topic, offset, wait_ms, timeout_ms
+        await task.deferLater(self.clock, ANSWER_S)
+        answer = self.answers[0]
+        if len(self.answers) > 1:
+            self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def no_answer() -> ports.UnknownOutcomeError:
+    return ports.UnknownOutcomeError("lost", code=codes.ResultCode.TIMED_OUT)
+
+
+class ReadLoggingTest(unittest.TestCase):
+    def events_of(
+        self, answers: Sequence[ports.LogPage | Exception]
+    ) -> list[dict[str, object]]:
+        clock = task.Clock()
+        tail = log_tail.LogTail(
+            clock=clock,
+            log=ScriptedLog(clock, answers),
+            health=log_health.LogHealth(clock=clock),
+            topic=ports.Topic.CONFIGURATION,
+            on_snapshot=lambda records: None,
+            on_records=lambda records: None,
+        )
+        with structlog.testing.capture_logs() as events:
+            tail.start()
+            clock.pump([0.05] * 200)
+            tail.stop()
+        return events
+
+    def test_an_outage_logs_its_start_its_doublings_and_its_end(self) -> None:
+        events = self.events_of([no_answer()] * 9 + [EMPTY_PAGE])
+        names = [each["event"] for each in events]
+        self.assertEqual(
+            ["snapshot_read", "log_lost"]
+            + ["log_still_lost"] * 3
+            + ["log_regained"],
+            names,
+        )
+        self.assertEqual(9, events[-1]["failed_reads"])
+        self.assertGreaterEqual(events[-1]["took_ms"], 1_000)
+
+    def test_a_large_page_is_logged_with_what_is_left_to_read(self) -> None:
+        page = ports.LogPage(
+            records=(),
+            next_offset=3,
+            end_offset=5,
+            size_bytes=100_000,
+            transfer_ms=900,
+        )
+        events = self.events_of([page, EMPTY_PAGE])
+        (event,) = (e for e in events if e["event"] == "large_page_read")
+        self.assertEqual(
+            (100_000, 2, 900),
+            (event["size_bytes"], event["records_behind"], event["took_ms"]),
+        )
--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -136,7 +136,12 @@
         response = await self._call("GET", "/-/log-read", query, timeout_ms)
         if response.status == http.HTTPStatus.GONE:
             raise ports.LogTruncatedError
-        return framing.decode_page(_check_status(response).body, offset)
+        page = framing.decode_page(_check_status(response).body, offset)
+        return msgspec.structs.replace(
+            page,
+            size_bytes=len(response.body),
+            transfer_ms=response.transfer_ms,
+        )
 
     async def snapshot(
         self, topic: ports.Topic, timeout_ms: int
