--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -19,6 +19,7 @@
 ANSWER_S = 0.006
 # Partitions that are assigned to the members of the owners' group.
 PARTITION_COUNT = 12
+MAX_PAGE_BYTES = 1 << 20
 
 _MS_PER_S = 1_000
 # Give each client the member name of a new process.
@@ -59,6 +60,8 @@
         faults: Fault of each VM; a VM without an entry has none.
         silent_topics: Topics on which every call times out without effect.
         extra_join_delay_s: Delay of a join request beyond that of other calls.
+        link_bytes_per_s: Rate at which a VM receives records; a VM without an
+            entry receives them at once.
     """
 
     def __init__(self, *, clock: interfaces.IReactorTime) -> None:
@@ -74,6 +77,7 @@
         self.faults: dict[ids.VmId, LogFault] = {}
         self.silent_topics: set[ports.Topic] = set()
         self.extra_join_delay_s = 0.0
+        self.link_bytes_per_s: dict[ids.VmId, int] = {}
         self._first_offsets: dict[ports.Topic, int] = dict.fromkeys(
             ports.Topic, 0
         )
@@ -105,16 +109,24 @@
         self._first_offsets[topic] = len(self.topics[topic])
 
     def read_page(self, topic: ports.Topic, offset: int) -> ports.LogPage:
-        """Returns all records from an offset on.
+        """Returns the records from an offset on that fit in a page.
+
+        A page holds at least one record, and others up to `MAX_PAGE_BYTES`.
 
         Raises:
             LogTruncatedError: The record at the offset was dropped.
         """
         if offset < self._first_offsets[topic]:
             raise ports.LogTruncatedError
-        records = tuple(self.topics[topic][offset:])
-        end = len(self.topics[topic])
-        return ports.LogPage(records=records, next_offset=end, end_offset=end)
+        available = self.topics[topic][offset:]
+        ends_bytes = itertools.accumulate(map(_size_bytes, available))
+        fitting = sum(1 for end in ends_bytes if end <= MAX_PAGE_BYTES)
+        records = tuple(available[: max(fitting, 1)])
+        return ports.LogPage(
+            records=records,
+            next_offset=offset + len(records),
+            end_offset=len(self.topics[topic]),
+        )
 
     def snapshot(self, topic: ports.Topic) -> ports.Snapshot:
         """Returns the newest record of each key that was not deleted."""
@@ -262,6 +274,7 @@
             await self._send_request(timeout_ms, topic)
             page = self._log.read_page(topic, offset)
         await task.deferLater(self._log.clock, ANSWER_S / 2)
+        await self._receive_records(page.records)
         return page
 
     async def snapshot(
@@ -269,7 +282,9 @@
     ) -> ports.Snapshot:
         """Reads the newest record of each key."""
         await self._send_request(timeout_ms, topic)
-        return self._log.snapshot(topic)
+        snapshot = self._log.snapshot(topic)
+        await self._receive_records(snapshot.records)
+        return snapshot
 
     async def join(
         self, generation: int, ttl_ms: int, timeout_ms: int
@@ -304,6 +319,15 @@
         if fault is LogFault.SILENT or topic in self._log.silent_topics:
             await self._wait_for_timeout(timeout_ms)
 
+    async def _receive_records(
+        self, records: Sequence[ports.LogRecord]
+    ) -> None:
+        """Waits for the transfer, which no time limit cuts off."""
+        rate = self._log.link_bytes_per_s.get(self._vm)
+        if rate:
+            size_bytes = sum(map(_size_bytes, records))
+            await task.deferLater(self._log.clock, size_bytes / rate)
+
     async def _receive_answer(self, timeout_ms: int) -> None:
         await task.deferLater(self._log.clock, ANSWER_S / 2)
         fault = self._log.faults.get(self._vm, LogFault.NONE)
@@ -315,3 +339,7 @@
         raise ports.UnknownOutcomeError(
             "no answer", code=codes.ResultCode.TIMED_OUT
         )
+
+
+def _size_bytes(record: ports.LogRecord) -> int:
+    return len(record.key) + len(record.value or b"")
