--- a/citronmount/fleet/fleet_configuration.py
+++ b/citronmount/fleet/fleet_configuration.py
@@ -76,6 +76,22 @@
         owners = (each.account for each in self.accounts if key in each.keys)
         return next(owners, None)
 
+    def authenticate(self, queue: Queue, key: str) -> ids.AccountId | None:
+        """Returns the client account of a call.
+
+        Args:
+            queue: The queue that the call is routed to.
+            key: The API key of the call, or empty without one.
+
+        Returns:
+            The client account, empty for a call without a known key to a
+            public queue, or None if the call is unauthorized.
+        """
+        account = self.account_of(key) if key else None
+        if account is None and queue.public:
+            return ids.AccountId("")
+        return account
+
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Time bounds and factors of the site.
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -22,9 +22,8 @@
 class PlatformAdapter:
     """The platform's formats, names and protocols; see `vm_process.Adapter`."""
 
-    def load(self, path: str) -> vm_settings.VmSettings:
-        """Reads and decodes a settings file."""
-        return settings_file.load(path)
+    load = staticmethod(settings_file.load)
+    decode = staticmethod(topic_records.decode)
 
     def log(
         self,
@@ -49,12 +48,6 @@
             client=client, advice_address=settings.advice_address
         )
 
-    def decode(
-        self, topic: ports.Topic, record: ports.LogRecord
-    ) -> ports.LogEvent | None:
-        """Decodes a record that operators or runners have written."""
-        return topic_records.decode(topic, record)
-
     def api(self, service: job_service.JobService) -> vm_process.Api:
         """Returns the HTTP interface for the platform's clients."""
         return job_api.JobApi(service=service)
--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -86,7 +86,8 @@
         queue = configuration.queue_at(_host_name(request), path)
         if queue is None:
             return _refuse(request, http.NOT_FOUND)
-        account = self._authenticate(request, configuration, queue)
+        key = request.getHeader(API_KEY_HEADER) or ""
+        account = configuration.authenticate(queue, key)
         if account is None:
             return _refuse(request, http.UNAUTHORIZED)
         name = path.removeprefix(queue.path_prefix)
@@ -158,22 +159,6 @@
             return _refuse(request, http.GONE)
         return job_bodies.encode_state(state)
 
-    def _authenticate(
-        self,
-        request: iweb.IRequest,
-        configuration: fleet_configuration.FleetConfiguration,
-        queue: fleet_configuration.Queue,
-    ) -> ids.AccountId | None:
-        """Returns the client account, or None if the call is unauthorized.
-
-        The account is empty for a call without a known key to a public queue.
-        """
-        key = request.getHeader(API_KEY_HEADER)
-        account = configuration.account_of(key) if key else None
-        if account is None and queue.public:
-            return ids.AccountId("")
-        return account
-
 
 def close_after_response(request: iweb.IRequest) -> None:
     """Closes a call's connection after the response, if it is still open."""
--- a/citronmount/platform/runner_client.py
+++ b/citronmount/platform/runner_client.py
@@ -31,6 +31,11 @@
     "room": commands.StartOutcome.NO_CAPACITY,
     "ticket": commands.StartOutcome.NO_TICKET,
 }
+_STOP_OUTCOMES = {
+    http.HTTPStatus.OK: commands.StopOutcome.STOPPED,
+    http.HTTPStatus.MISDIRECTED_REQUEST: commands.StopOutcome.OTHER_INCARNATION,
+    http.HTTPStatus.CONFLICT: commands.StopOutcome.FENCED,
+}
 # A report with this many ended tasks may lack others.
 _MAX_REPORTED_ENDS = 500
 
@@ -174,13 +179,8 @@
             workers=[worker.worker for worker in advice_request.workers],
         )
         try:
-            response = await self._client.call(
-                "POST",
-                self._advice_address,
-                "/-/advise",
-                timeout_ms,
-                headers={"Content-Type": "application/json"},
-                body=msgspec.json.encode(body),
+            response = await self._post(
+                self._advice_address, "/-/advise", {}, body, timeout_ms
             )
             if response.status != http.HTTPStatus.OK:
                 return None
@@ -213,16 +213,26 @@
         command: commands.Command,
         body: msgspec.Struct,
         timeout_ms: int,
+    ) -> defer.Deferred[http_client.HttpResponse]:
+        headers = {EXPECTED_INSTANCE_HEADER: command.worker.worker}
+        return self._post(
+            command.worker.address, path, headers, body, timeout_ms
+        )
+
+    def _post(
+        self,
+        address: str,
+        path: str,
+        headers: dict[str, str],
+        body: msgspec.Struct,
+        timeout_ms: int,
     ) -> defer.Deferred[http_client.HttpResponse]:
         return self._client.call(
             "POST",
-            command.worker.address,
+            address,
             path,
             timeout_ms,
-            headers={
-                "Content-Type": "application/json",
-                EXPECTED_INSTANCE_HEADER: command.worker.worker,
-            },
+            headers={"Content-Type": "application/json", **headers},
             body=msgspec.json.encode(body),
         )
 
@@ -246,13 +256,7 @@
 
 
 def _stop_outcome(status: int) -> commands.StopOutcome:
-    if status == http.HTTPStatus.OK:
-        return commands.StopOutcome.STOPPED
-    if status == http.HTTPStatus.MISDIRECTED_REQUEST:
-        return commands.StopOutcome.OTHER_INCARNATION
-    if status == http.HTTPStatus.CONFLICT:
-        return commands.StopOutcome.FENCED
-    return commands.StopOutcome.UNKNOWN
+    return _STOP_OUTCOMES.get(status, commands.StopOutcome.UNKNOWN)
 
 
 def _to_lease_report(report: _LeaseReport) -> commands.LeaseReport:
