--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -23,6 +23,8 @@
 MAX_RETRY_DELAY_MS = 200
 # Pages of at least this size are logged.
 LARGE_PAGE_BYTES = 65_536
+# A single record is cheaper to read than a snapshot.
+MIN_SKIPPED_RECORDS = 2
 
 _MS_PER_S = 1_000
 
@@ -49,6 +51,7 @@
         on_snapshot: OnRecords,
         on_records: OnRecords,
         read_interval_ms: int = 0,
+        skips_superseded: bool = False,
     ) -> None:
         """Initializes a reader that is not started.
 
@@ -64,6 +67,10 @@
             on_records: Called with the records after those, in order.
             read_interval_ms: Pause between two reads, in which records
                 accumulate.
+            skips_superseded: Whether only the newest record of each key
+                matters. A reader that is behind then continues from a
+                snapshot, which holds no superseded records: on a slow link
+                these may take longer than new ones are published.
         """
         self.position: int | None = None
         self.read_interval_ms = read_interval_ms
@@ -73,6 +80,7 @@
         self._pause_end: interfaces.IDelayedCall | None = None
         self._health = health
         self._topic = topic
+        self._skips_superseded = skips_superseded
         self._on_snapshot = on_snapshot
         self._on_records = on_records
         self._running: defer.Deferred[None] | None = None
@@ -139,7 +147,7 @@
             await self._read_snapshot()
             return
         if self._failed_reads:
-            await self._read_available(OUTAGE_READ_TIMEOUT_MS)
+            await self._resume()
             return
         page = await self._log.read(
             self._topic,
@@ -148,6 +156,23 @@
             self.read_wait_ms + READ_TIMEOUT_MARGIN_MS,
         )
         self._handle_page(page)
+        if self._is_far_behind(page.end_offset):
+            await self._read_snapshot()
+
+    async def _resume(self) -> None:
+        """Reads what was missed during an outage."""
+        if self._skips_superseded:
+            end_offset = await self._log.end_offset(
+                self._topic, OUTAGE_READ_TIMEOUT_MS
+            )
+            if self._is_far_behind(end_offset):
+                await self._read_snapshot()
+                return
+        await self._read_available(OUTAGE_READ_TIMEOUT_MS)
+
+    def _is_far_behind(self, end_offset: int) -> bool:
+        records_behind = end_offset - self.position
+        return self._skips_superseded and records_behind >= MIN_SKIPPED_RECORDS
 
     async def _read_available(self, timeout_ms: int) -> ports.LogPage:
         """Reads the available records without waiting for more."""
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -88,6 +88,7 @@
             topic=ports.Topic.CONFIGURATION,
             on_snapshot=self._replace_configuration,
             on_records=self._apply_configuration,
+            skips_superseded=True,
         )
         self._worker_tail = log_tail.LogTail(
             clock=clock,
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -225,6 +225,9 @@
         This may take several requests; `timeout_ms` applies to each of them.
         """
 
+    def end_offset(self, topic: Topic, timeout_ms: int) -> defer.Deferred[int]:
+        """Returns the offset after the last record of a topic."""
+
     def join(
         self, generation: int, ttl_ms: int, timeout_ms: int
     ) -> defer.Deferred[Membership]:
--- a/citronmount/platform/framing.py
+++ b/citronmount/platform/framing.py
@@ -35,7 +35,9 @@
     return _LENGTH_PREFIX.pack(len(content)) + content
 
 
-def decode_page(body: bytes, first_offset: int) -> ports.LogPage:
+def decode_page(
+    body: bytes, first_offset: int, transfer_ms: int = 0
+) -> ports.LogPage:
     """Decodes the response to a read from `first_offset` on.
 
     The body is the topic's end offset and first retained offset (eight bytes
@@ -50,6 +52,8 @@
         records=tuple(records),
         next_offset=first_offset + len(records),
         end_offset=end_offset,
+        size_bytes=len(body),
+        transfer_ms=transfer_ms,
     )
 
 
--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -23,6 +23,8 @@
 STALL_TIMEOUT_MS = 600
 
 _PARTITION = 0
+# Keys are ASCII text without this character.
+_AFTER_ALL_KEYS = "~"
 TOPICS = {
     ports.Topic.JOBS: JOBS_TOPIC,
     ports.Topic.CONFIGURATION: "keyed.op",
@@ -106,8 +108,7 @@
         self, records: Sequence[tuple[str, bytes | None]], timeout_ms: int
     ) -> int:
         """Appends to the job topic without an epoch; see `ports.Log`."""
-        response = await self._append({}, framing.encode(records), timeout_ms)
-        return _decode_response(response, _AppendResponse).offset
+        return await self._append({}, records, timeout_ms)
 
     async def append_as_owner(
         self,
@@ -118,10 +119,7 @@
     ) -> int:
         """Appends as the owner; a wrong sequence also raises `FencedError`."""
         query = {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
-        response = await self._append(
-            query, framing.encode(records), timeout_ms
-        )
-        return _decode_response(response, _AppendResponse).offset
+        return await self._append(query, records, timeout_ms)
 
     async def read(
         self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
@@ -136,12 +134,8 @@
         response = await self._call("GET", "/-/log-read", query, timeout_ms)
         if response.status == http.HTTPStatus.GONE:
             raise ports.LogTruncatedError
-        page = framing.decode_page(_check_status(response).body, offset)
-        return msgspec.structs.replace(
-            page,
-            size_bytes=len(response.body),
-            transfer_ms=response.transfer_ms,
-        )
+        body = _check_status(response).body
+        return framing.decode_page(body, offset, response.transfer_ms)
 
     async def snapshot(
         self, topic: ports.Topic, timeout_ms: int
@@ -151,10 +145,7 @@
         end_offset: int | None = None
         query = _partition_query(topic)
         while True:
-            response = await self._call(
-                "GET", "/-/log-newest", query, timeout_ms
-            )
-            page = _decode_response(response, _NewestResponse)
+            page = await self._read_newest(query, timeout_ms)
             # Records may be appended between the requests: keep the first end.
             end_offset = page.end_offset if end_offset is None else end_offset
             items += page.items
@@ -164,6 +155,11 @@
         records = sorted(map(_to_record, items), key=lambda each: each.offset)
         return ports.Snapshot(records=tuple(records), end_offset=end_offset)
 
+    async def end_offset(self, topic: ports.Topic, timeout_ms: int) -> int:
+        """Returns the end of a topic, from a snapshot without records."""
+        query = {**_partition_query(topic), "after": _AFTER_ALL_KEYS}
+        return (await self._read_newest(query, timeout_ms)).end_offset
+
     async def join(
         self, generation: int, ttl_ms: int, timeout_ms: int
     ) -> ports.Membership:
@@ -202,17 +198,27 @@
             await self._call("POST", "/-/log-leave", {}, timeout_ms, data)
         )
 
+    async def _read_newest(
+        self, query: dict[str, object], timeout_ms: int
+    ) -> _NewestResponse:
+        response = await self._call("GET", "/-/log-newest", query, timeout_ms)
+        return _decode_response(response, _NewestResponse)
+
     async def _append(
-        self, query: dict[str, object], body: bytes, timeout_ms: int
-    ) -> http_client.HttpResponse:
-        partition = _partition_query(ports.Topic.JOBS)
+        self,
+        query: dict[str, object],
+        records: Sequence[tuple[str, bytes | None]],
+        timeout_ms: int,
+    ) -> int:
+        query = {**_partition_query(ports.Topic.JOBS), **query}
+        body = framing.encode(records)
         response = await self._call(
-            "POST", "/-/log-append", {**partition, **query}, timeout_ms, body
+            "POST", "/-/log-append", query, timeout_ms, body
         )
         if response.status == http.HTTPStatus.CONFLICT:
             conflict = _decode(response.body, _ConflictResponse)
             raise ports.FencedError(conflict.epoch)
-        return response
+        return _decode_response(response, _AppendResponse).offset
 
     async def _call(
         self,
--- a/citronmount/platform/tests/loopback_site.py
+++ b/citronmount/platform/tests/loopback_site.py
@@ -82,6 +82,7 @@
     @app.route("/-/log-newest", methods=["GET"])
     def newest(self, request: iweb.IRequest) -> bytes:
         topic = _TOPICS[request.args[b"topic"][0].decode()]
+        after = request.args.get(b"after", [b""])[0].decode()
         snapshot = self.log.snapshot(topic)
         items = [
             {
@@ -90,6 +91,7 @@
                 "offset": each.offset,
             }
             for each in snapshot.records
+            if each.key > after
         ]
         return _encode_json({"items": items, "end_offset": snapshot.end_offset})
 
--- a/citronmount/platform/tests/test_store_log.py
+++ b/citronmount/platform/tests/test_store_log.py
@@ -67,6 +67,13 @@
         self.assert_unknown_outcome(body, "snapshot", ports.Topic.JOBS)
 
 
+class EndOffsetTest(unittest.TestCase):
+    def test_end_of_a_topic_is_read_without_its_records(self) -> None:
+        log = make_log(msgspec.json.encode({"items": [], "end_offset": 7}))
+        call = log.end_offset(ports.Topic.CONFIGURATION, 1_000)
+        self.assertEqual(7, result_of(call))
+
+
 class MembersTest(unittest.TestCase):
     def members(self, *rows: list[object]) -> frozenset[str]:
         log = make_log(msgspec.json.encode({"parts": rows}))
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -286,6 +286,11 @@
         await self._receive_records(snapshot.records)
         return snapshot
 
+    async def end_offset(self, topic: ports.Topic, timeout_ms: int) -> int:
+        """Returns the offset after the last record."""
+        await self._send_request(timeout_ms, topic)
+        return len(self._log.topics[topic])
+
     async def join(
         self, generation: int, ttl_ms: int, timeout_ms: int
     ) -> ports.Membership:
