--- a/citronmount/clients/call_time_limit.py
+++ b/citronmount/clients/call_time_limit.py
@@ -7,9 +7,10 @@
 from twisted.internet import interfaces
 from twisted.python import failure
 
-__all__ = ["CallTimeLimit"]
+__all__ = ["STALL_TIMEOUT_MS", "CallTimeLimit"]
 
 MAX_TRANSFER_S = 20
+STALL_TIMEOUT_MS = 600
 
 _MS_PER_S = 1_000
 _Body = typing.TypeVar("_Body")
--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -45,6 +45,7 @@
     error.ConnectingCancelledError,
     web_client.RequestNotSent,
 )
+_Answer = typing.TypeVar("_Answer")
 _Body = typing.TypeVar("_Body", bound=msgspec.Struct)
 # Called with the size in bytes of each part of a response body.
 OnPart = Callable[[int], None]
@@ -210,6 +211,7 @@
         params: dict[str, str] | None = None,
         *,
         revalidate: bool = False,
+        stall_timeout_ms: int = 0,
     ) -> defer.Deferred[_Body]:
         """Sends a GET request.
 
@@ -221,19 +223,22 @@
             params: The query parameters; not sent if `revalidate` is true.
             revalidate: Whether to cache the answer with its ETag and to make
                 the next request conditional (RFC 9110, section 13).
+            stall_timeout_ms: As for `call`.
 
         Returns:
             A Deferred that fires with the answer or fails with
             `NoAnswerError`.
         """
+        time_limit = self._time_limit(timeout_ms, stall_timeout_ms)
+        on_part = time_limit.extend
         request = (
-            self._get_revalidated(address, path, answer_type)
+            self._get_revalidated(address, path, answer_type, on_part)
             if revalidate
             else self._request_decoded(
-                "GET", address, path, answer_type, params=params
+                "GET", address, path, answer_type, on_part, params=params
             )
         )
-        return self._with_timeout(request, timeout_ms)
+        return _within(time_limit, request)
 
     def post(
         self,
@@ -257,10 +262,11 @@
             `NoAnswerError`.
         """
         data = _BytesProducer(wire_format.encode(body))
+        time_limit = self._time_limit(timeout_ms)
         request = self._request_decoded(
-            "POST", address, path, answer_type, data=data
+            "POST", address, path, answer_type, time_limit.extend, data=data
         )
-        return self._with_timeout(request, timeout_ms)
+        return _within(time_limit, request)
 
     def call(
         self,
@@ -296,17 +302,11 @@
         if query:
             url = hyperlink.EncodedURL.from_text(f"{url.to_text()}?{query}")
         data = None if body is None else _BytesProducer(body)
-        time_limit = call_time_limit.CallTimeLimit(
-            reactor=self._reactor,
-            timeout_ms=timeout_ms,
-            stall_timeout_ms=stall_timeout_ms,
-            on_timeout=_raise_timed_out,
-        )
+        time_limit = self._time_limit(timeout_ms, stall_timeout_ms)
         request = self._request_undecoded(
             method, url, headers or {}, data, time_limit.extend
         )
-        answer = time_limit.apply(defer.ensureDeferred(request))
-        return answer.addErrback(_raise_no_answer)
+        return _within(time_limit, request)
 
     async def _request_undecoded(
         self,
@@ -356,21 +356,26 @@
         address: str,
         path: str,
         answer_type: type[_Body],
+        on_part: OnPart,
         **options: object,
     ) -> _Body:
         response = await self._send(method, address, path, **options)
-        return await _decode_response(response, answer_type)
+        return await _decode_response(response, answer_type, on_part)
 
     async def _get_revalidated(
-        self, address: str, path: str, answer_type: type[_Body]
+        self,
+        address: str,
+        path: str,
+        answer_type: type[_Body],
+        on_part: OnPart,
     ) -> _Body:
         cached = self._cache.get((address, path))
         headers = {"If-None-Match": cached.etag} if cached else {}
         response = await self._send("GET", address, path, headers)
         if cached and response.code == http.NOT_MODIFIED:
-            await _read_body(response)
+            await _read_body(response, on_part)
             return cached.body
-        body = await _decode_response(response, answer_type)
+        body = await _decode_response(response, answer_type, on_part)
         etags = response.headers.getRawHeaders("ETag", [])
         self._cache.pop((address, path), None)
         if etags:
@@ -399,29 +404,29 @@
             **options,
         )
 
-    def _with_timeout(
-        self,
-        request: typing.Coroutine[defer.Deferred[object], object, _Body],
-        timeout_ms: int,
-    ) -> defer.Deferred[_Body]:
-        time_limit = call_time_limit.CallTimeLimit(
+    def _time_limit(
+        self, timeout_ms: int, stall_timeout_ms: int = 0
+    ) -> call_time_limit.CallTimeLimit:
+        return call_time_limit.CallTimeLimit(
             reactor=self._reactor,
             timeout_ms=timeout_ms,
+            stall_timeout_ms=stall_timeout_ms,
             on_timeout=_raise_timed_out,
         )
-        answer = time_limit.apply(defer.ensureDeferred(request))
-        return answer.addErrback(_raise_no_answer)
 
 
-def _ignore_part(size_bytes: int) -> None:
-    """Does nothing when a part of a response arrives."""
-    del size_bytes
+def _within(
+    time_limit: call_time_limit.CallTimeLimit,
+    request: typing.Coroutine[defer.Deferred[object], object, _Answer],
+) -> defer.Deferred[_Answer]:
+    answer = time_limit.apply(defer.ensureDeferred(request))
+    return answer.addErrback(_raise_no_answer)
 
 
 async def _decode_response(
-    response: iweb.IResponse, answer_type: type[_Body]
+    response: iweb.IResponse, answer_type: type[_Body], on_part: OnPart
 ) -> _Body:
-    data = await _read_body(response)
+    data = await _read_body(response, on_part)
     if response.code != http.OK:
         raise NoAnswerError(
             f"expected HTTP status 200, got {response.code}",
@@ -431,9 +436,7 @@
     return wire_format.decode(data, answer_type)
 
 
-async def _read_body(
-    response: iweb.IResponse, on_part: OnPart = _ignore_part
-) -> bytes:
+async def _read_body(response: iweb.IResponse, on_part: OnPart) -> bytes:
     chunks: list[bytes] = []
     size = 0
 
--- a/citronmount/clients/platform_api.py
+++ b/citronmount/clients/platform_api.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from citronmount.clients import call_time_limit
 from citronmount.clients import http_client
 from citronmount.clients import messages
 from citronmount.clients import wire_format
@@ -66,7 +67,8 @@
         stream: The stream.
         start: The offset of the first record to read.
         limit: The largest number of records to return.
-        timeout_ms: The time limit of the call.
+        timeout_ms: The time limit of the call, which an answer that is still
+            arriving extends.
 
     Returns:
         A Deferred that fires with a page of records.
@@ -77,6 +79,7 @@
         messages.LogPage,
         timeout_ms,
         params={"start": str(start), "limit": str(limit)},
+        stall_timeout_ms=call_time_limit.STALL_TIMEOUT_MS,
     )
 
 
@@ -91,7 +94,8 @@
     Args:
         http: The HTTP client.
         address: ``ip:port`` of the VM list.
-        timeout_ms: The time limit of the call.
+        timeout_ms: The time limit of the call, which an answer that is still
+            arriving extends.
 
     Returns:
         A Deferred that fires with the list.
@@ -102,6 +106,7 @@
         messages.PlatformView,
         timeout_ms,
         revalidate=True,
+        stall_timeout_ms=call_time_limit.STALL_TIMEOUT_MS,
     )
 
 
--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from citronmount.clients import call_time_limit
 from citronmount.clients import http_client
 from citronmount.core import codes
 from citronmount.fleet_service import ports
@@ -20,7 +21,6 @@
 PRODUCER = "owner"
 OWNERS_GROUP = "owners"
 MAX_READ_KB = 1_024
-STALL_TIMEOUT_MS = 600
 
 _PARTITION = 0
 # Keys are ASCII text without this character.
@@ -236,7 +236,7 @@
                 timeout_ms,
                 query=parse.urlencode(query),
                 body=body,
-                stall_timeout_ms=STALL_TIMEOUT_MS,
+                stall_timeout_ms=call_time_limit.STALL_TIMEOUT_MS,
             )
         except http_client.NoAnswerError as error:
             error_type = (
