--- a/citronmount/core/cell_selection.py
+++ b/citronmount/core/cell_selection.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
-from citronmount.core import cells
 from citronmount.core import domain_state
+from citronmount.core import guarantee_cell
 from citronmount.core import ids
 from citronmount.core import job_queue
 from citronmount.core import jobs
@@ -24,7 +24,7 @@
     entry: job_queue.JobEntry,
     avoid: Collection[ids.WorkerId],
     now_ms: int,
-) -> tuple[cells.CellUse, ...] | None:
+) -> tuple[guarantee_cell.CellUse, ...] | None:
     """Finds cells for a job, moving free cells to avoid costly evictions.
 
     A free cell moves to the best-ranked free capacity. If there is none, it
@@ -58,7 +58,9 @@
     return uses
 
 
-def _needed_part(cell: cells.Cell, shape: shapes.Shape) -> shapes.Shape | None:
+def _needed_part(
+    cell: guarantee_cell.Cell, shape: shapes.Shape
+) -> shapes.Shape | None:
     """Returns the shape of the slots of a cell that a gang would use.
 
     Returns None if a slot holds no task of the gang, unless all slots of the
@@ -83,7 +85,7 @@
 
 def _move_to_least_cost(
     domain: domain_state.DomainState,
-    cell: cells.Cell,
+    cell: guarantee_cell.Cell,
     part: shapes.Shape,
     avoid: Collection[ids.WorkerId],
     now_ms: int,
@@ -139,7 +141,7 @@
     remaining = part.tasks
     groups = []
     for worker in workers:
-        available = domain.plan.capacity_outside_occupied(worker)
+        available = domain.plan.slots.capacity_outside_occupied(worker)
         tasks = min(
             resources.task_capacity(available, part.per_task), remaining
         )
--- a/citronmount/core/cells.py
+++ b/citronmount/core/cells.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from citronmount.core import cell_slots
+from citronmount.core import guarantee_cell
 from citronmount.core import ids
 from citronmount.core import jobs
 from citronmount.core import placement
@@ -22,134 +24,38 @@
 from citronmount.core import shapes
 from citronmount.core import states
 
-__all__ = ["Cell", "CellPlan", "CellUse"]
-
-
-class Cell:
-    """One copy of a guarantee.
-
-    Attributes:
-        account: The paying account that owns the cell.
-        shape: Shape of the guaranteed gang.
-        slots: Number of the gang's tasks planned on each worker; empty while
-            the cell is unplanned, because no capacity was found for it.
-        unused: Resources of the slots on each worker that no job in the cell
-            uses.
-        jobs: The jobs that run in the cell.
-    """
-
-    __slots__ = ("account", "jobs", "shape", "slots", "unused")
-
-    def __init__(self, *, account: ids.AccountId, shape: shapes.Shape) -> None:
-        """Initializes an unplanned cell.
-
-        Args:
-            account: The paying account that owns the cell.
-            shape: Shape of the guaranteed gang.
-        """
-        self.account = account
-        self.shape = shape
-        self.slots: dict[ids.WorkerId, int] = {}
-        self.unused: dict[ids.WorkerId, jobs.Resources] = {}
-        self.jobs: set[ids.JobId] = set()
-
-    @property
-    def occupied(self) -> bool:
-        """Whether jobs run in the cell; an occupied cell cannot move."""
-        return bool(self.jobs)
-
-    @property
-    def unused_accelerators(self) -> int:
-        """Number of accelerators that no job in the cell uses."""
-        return sum(unused.accelerators for unused in self.unused.values())
-
-
-class CellUse(msgspec.Struct, frozen=True, kw_only=True):
-    """The tasks of a job that run in one cell on one worker.
-
-    Attributes:
-        cell: The cell.
-        worker: The worker.
-        tasks: Number of tasks of the job.
-        per_task: Resources of each task.
-    """
-
-    cell: Cell
-    worker: ids.WorkerId
-    tasks: int
-    per_task: jobs.Resources
+__all__ = ["CellPlan"]
 
 
 class CellPlan:
     """The cells of one failure domain and their slots on workers.
 
     Attributes:
-        uncommitted: Capacity of usable workers that belongs to no cell.
+        slots: The slots of the cells, and the capacity outside of them.
     """
 
     def __init__(self) -> None:
         """Initializes a plan without workers and cells."""
-        self.uncommitted = pool.CapacityIndex()
-        self._capacity: dict[ids.WorkerId, jobs.Resources] = {}
-        self._committed: dict[ids.WorkerId, jobs.Resources] = {}
-        self._occupied_capacity: dict[ids.WorkerId, jobs.Resources] = {}
-        self._cells_on: dict[ids.WorkerId, dict[Cell, None]] = {}
-        self._cells: dict[ids.AccountId, list[Cell]] = {}
-        self._uses: dict[ids.JobId, tuple[CellUse, ...]] = {}
-        self._undo_log: dict[Cell, dict[ids.WorkerId, int]] | None = None
-        self._unplanned: dict[Cell, None] = {}
-
-    def cells(self, account: ids.AccountId) -> list[Cell]:
+        self.slots = cell_slots.CellSlots()
+        self._cells: dict[ids.AccountId, list[guarantee_cell.Cell]] = {}
+        self._uses: dict[ids.JobId, tuple[guarantee_cell.CellUse, ...]] = {}
+
+    def cells(self, account: ids.AccountId) -> list[guarantee_cell.Cell]:
         """Returns the cells of an account."""
         return self._cells.get(account, [])
 
-    def all_cells(self) -> list[Cell]:
+    def all_cells(self) -> list[guarantee_cell.Cell]:
         """Returns the cells of all accounts."""
         return [cell for cells in self._cells.values() for cell in cells]
 
-    def unplanned(self) -> list[Cell]:
+    def unplanned(self) -> list[guarantee_cell.Cell]:
         """Returns the cells for which no capacity was found."""
-        return list(self._unplanned)
+        return list(self.slots.unplanned)
 
     def runs_in_cells(self, job: ids.JobId) -> bool:
         """Returns whether a job runs in cells and is thus not revocable."""
         return job in self._uses
 
-    def capacity_outside_occupied(self, worker: ids.WorkerId) -> jobs.Resources:
-        """Returns the capacity of a worker minus that of occupied cells."""
-        if worker not in self.uncommitted:
-            return resources.ZERO
-        occupied = self._occupied_capacity.get(worker, resources.ZERO)
-        return resources.minus(self._capacity[worker], occupied)
-
-    def set_worker(
-        self,
-        worker: ids.WorkerId,
-        rack: ids.RackId,
-        capacity: jobs.Resources,
-    ) -> None:
-        """Adds a usable worker or updates its rack and capacity.
-
-        The worker's free cells lose their slots if its rack has changed or
-        its cells exceed the new capacity.
-        """
-        moved = (
-            worker in self.uncommitted and self.uncommitted.rack(worker) != rack
-        )
-        self._capacity[worker] = capacity
-        self.uncommitted.put(worker, rack, self._uncommitted_on(worker))
-        if moved or _has_negative(self._uncommitted_on(worker)):
-            self._clear_free_cells(self._cells_on.get(worker, ()))
-
-    def drop_worker(self, worker: ids.WorkerId) -> None:
-        """Removes a worker that may not get new tasks.
-
-        Its free cells lose their slots; occupied ones keep them until their
-        jobs have ended.
-        """
-        self.uncommitted.drop(worker)
-        self._clear_free_cells(self._cells_on.get(worker, ()))
-
     def set_required(
         self, required: Mapping[tuple[ids.AccountId, shapes.Shape], int]
     ) -> list[ids.JobId]:
@@ -163,7 +69,9 @@
         Returns:
             The jobs whose cell was deleted; they are revocable from now on.
         """
-        cells_by_kind: dict[tuple[ids.AccountId, shapes.Shape], list[Cell]] = {}
+        cells_by_kind: dict[
+            tuple[ids.AccountId, shapes.Shape], list[guarantee_cell.Cell]
+        ] = {}
         for cell in self.all_cells():
             cells_by_kind.setdefault((cell.account, cell.shape), []).append(
                 cell
@@ -177,16 +85,16 @@
         for (account, shape), copies in required.items():
             missing = copies - len(cells_by_kind.get((account, shape), ()))
             for _ in range(missing):
-                cell = Cell(account=account, shape=shape)
+                cell = guarantee_cell.Cell(account=account, shape=shape)
                 self._cells.setdefault(account, []).append(cell)
-                self._unplanned[cell] = None
+                self.slots.unplanned[cell] = None
         return unbound
 
     def plan_cells(self) -> None:
         """Finds slots for unplanned cells, moving free cells if needed."""
-        for cell in _hardest_first(self._unplanned):
+        for cell in _hardest_first(self.slots.unplanned):
             self._plan_cell(cell)
-        if self._unplanned:
+        if self.slots.unplanned:
             self._replan_all()
 
     def find_uses(
@@ -195,7 +103,7 @@
         shape: shapes.Shape,
         free: pool.CapacityIndex,
         avoid: Collection[ids.WorkerId] = (),
-    ) -> tuple[CellUse, ...] | None:
+    ) -> tuple[guarantee_cell.CellUse, ...] | None:
         """Finds capacity for a job in the cells of its account.
 
         Minimizes, in this order: the number of free cells used, the number of
@@ -225,11 +133,13 @@
             default=None,
         )
 
-    def bind(self, job: ids.JobId, uses: tuple[CellUse, ...]) -> None:
+    def bind(
+        self, job: ids.JobId, uses: tuple[guarantee_cell.CellUse, ...]
+    ) -> None:
         """Binds a job to cells, which become occupied."""
         for use in uses:
             if not use.cell.occupied:
-                self._add_occupied(use.cell, 1)
+                self.slots.mark_occupied(use.cell)
             use.cell.jobs.add(job)
             need = resources.scaled(use.per_task, use.tasks)
             unused = use.cell.unused[use.worker]
@@ -249,14 +159,16 @@
         for cell in dict.fromkeys(use.cell for use in uses):
             cell.jobs.discard(job)
             if not cell.occupied:
-                self._add_occupied(cell, -1)
-                self._clear_if_unusable(cell)
+                self.slots.mark_free(cell)
+                self.slots.clear_if_unusable(cell)
 
-    def uses(self, job: ids.JobId) -> tuple[CellUse, ...]:
+    def uses(self, job: ids.JobId) -> tuple[guarantee_cell.CellUse, ...]:
         """Returns the cell uses of a job, empty if it runs in no cell."""
         return self._uses.get(job, ())
 
-    def move(self, cell: Cell, slots: Mapping[ids.WorkerId, int]) -> bool:
+    def move(
+        self, cell: guarantee_cell.Cell, slots: Mapping[ids.WorkerId, int]
+    ) -> bool:
         """Moves a free cell, displacing other free cells if needed.
 
         Args:
@@ -267,19 +179,14 @@
             Whether the cell was moved and all displaced cells found new
             slots; if not, every cell is left as it was.
         """
-        outer_log = self._undo_log
-        self._undo_log = {}
-        self._clear_slots(cell)
-        if self._vacate(cell, slots) and self._set_slots_and_replan_displaced(
+        self.slots.begin()
+        self.slots.clear_slots(cell)
+        if self.slots.vacate(
             cell, slots
-        ):
-            undo_log, self._undo_log = self._undo_log, outer_log
-            if outer_log is not None:
-                for moved, before in undo_log.items():
-                    outer_log.setdefault(moved, before)
+        ) and self._set_slots_and_replan_displaced(cell, slots):
+            self.slots.commit()
             return True
-        self._roll_back(self._undo_log)
-        self._undo_log = outer_log
+        self.slots.roll_back()
         return False
 
     def cover_placed(
@@ -288,7 +195,7 @@
         shape: shapes.Shape,
         groups: tuple[jobs.TaskGroup, ...],
         max_free_cell_accelerators: int | None = None,
-    ) -> tuple[CellUse, ...] | None:
+    ) -> tuple[guarantee_cell.CellUse, ...] | None:
         """Moves cells of an account onto the workers of a placed gang.
 
         Args:
@@ -302,13 +209,14 @@
             The cell uses to bind, or None if the cells cannot cover the gang;
             every cell is then left as it was.
         """
-        self._undo_log = {}
+        self.slots.begin()
         uses = self._cover_placed(
             account, shape, groups, max_free_cell_accelerators
         )
         if uses is None:
-            self._roll_back(self._undo_log)
-        self._undo_log = None
+            self.slots.roll_back()
+        else:
+            self.slots.commit()
         return uses
 
     def could_fit(
@@ -325,7 +233,9 @@
             remaining_jobs: Jobs that keep their slots; all others count as
                 ended.
         """
-        used_by_remaining: dict[tuple[Cell, ids.WorkerId], jobs.Resources] = {}
+        used_by_remaining: dict[
+            tuple[guarantee_cell.Cell, ids.WorkerId], jobs.Resources
+        ] = {}
         for job in remaining_jobs:
             for use in self._uses.get(job, ()):
                 location = (use.cell, use.worker)
@@ -340,14 +250,14 @@
                     resources.scaled(cell.shape.per_task, slots),
                     used_by_remaining.get((cell, worker), resources.ZERO),
                 )
-                scope = self._scope(worker, shape.adjacency)
+                scope = self.slots.scope(worker, shape.adjacency)
                 tasks = resources.task_capacity(unused, shape.per_task)
                 tasks_by_scope[scope] = tasks_by_scope.get(scope, 0) + tasks
         return any(tasks >= shape.tasks for tasks in tasks_by_scope.values())
 
     def move_to_free_capacity(
         self,
-        cell: Cell,
+        cell: guarantee_cell.Cell,
         shape: shapes.Shape,
         free: pool.CapacityIndex,
         key: placement.WorkerKey,
@@ -369,7 +279,7 @@
             free,
             shape,
             key=key,
-            limit=self.capacity_outside_occupied,
+            limit=self.slots.capacity_outside_occupied,
             avoid=avoid,
         )
         if groups is None or all(
@@ -378,7 +288,9 @@
             return False
         return self.move_onto(cell, groups)
 
-    def move_onto(self, cell: Cell, groups: tuple[jobs.TaskGroup, ...]) -> bool:
+    def move_onto(
+        self, cell: guarantee_cell.Cell, groups: tuple[jobs.TaskGroup, ...]
+    ) -> bool:
         """Moves a free cell so that it has slots on the given workers.
 
         Args:
@@ -398,13 +310,15 @@
         shape: shapes.Shape,
         free: pool.CapacityIndex,
         avoid: Collection[ids.WorkerId],
-    ) -> dict[object, list[tuple[tuple, CellUse]]]:
+    ) -> dict[object, list[tuple[tuple, guarantee_cell.CellUse]]]:
         """Returns cell uses with their ranks.
 
         The keys are scopes and (cell, scope) pairs, so that the use of one
         cell alone can be compared with that of several cells in a scope.
         """
-        candidates: dict[object, list[tuple[tuple, CellUse]]] = {}
+        candidates: dict[
+            object, list[tuple[tuple, guarantee_cell.CellUse]]
+        ] = {}
         for cell in self.cells(account):
             unused_accelerators = cell.unused_accelerators
             for worker, unused in cell.unused.items():
@@ -412,10 +326,10 @@
                 if (
                     not tasks
                     or worker in avoid
-                    or worker not in self.uncommitted
+                    or worker not in self.slots.uncommitted
                 ):
                     continue
-                use = CellUse(
+                use = guarantee_cell.CellUse(
                     cell=cell,
                     worker=worker,
                     tasks=min(tasks, shape.tasks),
@@ -432,29 +346,19 @@
                     unused.accelerators,
                     worker,
                 )
-                scope = self._scope(worker, shape.adjacency)
+                scope = self.slots.scope(worker, shape.adjacency)
                 candidates.setdefault(scope, []).append((rank, use))
                 candidates.setdefault((cell, scope), []).append((rank, use))
         return candidates
 
-    def _scope(
-        self, worker: ids.WorkerId, adjacency: states.Adjacency
-    ) -> object:
-        """Returns the worker, its rack or None for the failure domain."""
-        if adjacency is states.Adjacency.WORKER:
-            return worker
-        if adjacency is states.Adjacency.RACK:
-            return self.uncommitted.rack(worker)
-        return None
-
     def _cover_placed(
         self,
         account: ids.AccountId,
         shape: shapes.Shape,
         groups: tuple[jobs.TaskGroup, ...],
         max_free_cell_accelerators: int | None,
-    ) -> tuple[CellUse, ...] | None:
-        uses: list[CellUse] = []
+    ) -> tuple[guarantee_cell.CellUse, ...] | None:
+        uses: list[guarantee_cell.CellUse] = []
         usable = [
             cell
             for cell in self.cells(account)
@@ -463,23 +367,25 @@
             or cell.shape.accelerators <= max_free_cell_accelerators
         ]
         remaining = {group.worker: group.tasks for group in groups}
-        chosen: set[Cell] = set()
+        chosen: set[guarantee_cell.Cell] = set()
         while True:
             self._use_unused(usable, shape, remaining, chosen, uses)
             if not remaining:
                 return tuple(uses)
-            if any(worker not in self.uncommitted for worker in remaining):
+            if any(
+                worker not in self.slots.uncommitted for worker in remaining
+            ):
                 return None
             if not self._move_free_cell(usable, shape, remaining, chosen):
                 return None
 
     def _use_unused(
         self,
-        cells: list[Cell],
+        cells: list[guarantee_cell.Cell],
         shape: shapes.Shape,
         remaining: dict[ids.WorkerId, int],
-        chosen: set[Cell],
-        uses: list[CellUse],
+        chosen: set[guarantee_cell.Cell],
+        uses: list[guarantee_cell.CellUse],
     ) -> None:
         """Assigns tasks in `remaining` to unused capacity of cells.
 
@@ -498,7 +404,7 @@
                     continue
                 chosen.add(cell)
                 uses.append(
-                    CellUse(
+                    guarantee_cell.CellUse(
                         cell=cell,
                         worker=worker,
                         tasks=tasks,
@@ -511,10 +417,10 @@
 
     def _move_free_cell(
         self,
-        cells: list[Cell],
+        cells: list[guarantee_cell.Cell],
         shape: shapes.Shape,
         remaining: dict[ids.WorkerId, int],
-        chosen: set[Cell],
+        chosen: set[guarantee_cell.Cell],
     ) -> bool:
         tried: set[shapes.Shape] = set()
         for cell in cells:
@@ -529,9 +435,9 @@
 
     def _move_keeping(
         self,
-        cell: Cell,
+        cell: guarantee_cell.Cell,
         slots: Mapping[ids.WorkerId, int],
-        chosen: set[Cell],
+        chosen: set[guarantee_cell.Cell],
     ) -> bool:
         """Moves a free cell without displacing the cells in `chosen`.
 
@@ -548,7 +454,7 @@
 
     def _slots_for(
         self,
-        cell: Cell,
+        cell: guarantee_cell.Cell,
         shape: shapes.Shape,
         remaining: Mapping[ids.WorkerId, int],
     ) -> tuple[jobs.TaskGroup, ...]:
@@ -566,7 +472,7 @@
         unassigned = cell.shape.tasks
         scope: object = None
         for worker, tasks in remaining.items():
-            worker_scope = self._scope(worker, cell.shape.adjacency)
+            worker_scope = self.slots.scope(worker, cell.shape.adjacency)
             if groups and worker_scope != scope:
                 continue
             slots = min(-(-tasks // tasks_per_slot), unassigned)
@@ -577,7 +483,7 @@
         return tuple(groups)
 
     def _complete_slots(
-        self, cell: Cell, groups: Iterable[jobs.TaskGroup]
+        self, cell: guarantee_cell.Cell, groups: Iterable[jobs.TaskGroup]
     ) -> dict[ids.WorkerId, int] | None:
         """Returns slots for all tasks of a cell, those in `groups` included.
 
@@ -588,7 +494,7 @@
         per_task = cell.shape.per_task
         if any(
             resources.task_capacity(
-                self.capacity_outside_occupied(worker), per_task
+                self.slots.capacity_outside_occupied(worker), per_task
             )
             < tasks
             for worker, tasks in slots.items()
@@ -596,10 +502,10 @@
             return None
         if not remaining:
             return slots
-        for worker in self._workers_in_scope(
+        for worker in self.slots.workers_in_scope(
             next(iter(slots)), cell.shape.adjacency
         ):
-            available = self.capacity_outside_occupied(worker)
+            available = self.slots.capacity_outside_occupied(worker)
             used = slots.get(worker, 0)
             extra = min(
                 resources.task_capacity(available, per_task) - used, remaining
@@ -611,55 +517,22 @@
                 return slots
         return None
 
-    def _workers_in_scope(
-        self, worker: ids.WorkerId, adjacency: states.Adjacency
-    ) -> Iterable[ids.WorkerId]:
-        if adjacency is states.Adjacency.WORKER:
-            return (worker,)
-        if adjacency is states.Adjacency.RACK:
-            return self.uncommitted.workers_of_rack(
-                self.uncommitted.rack(worker)
-            )
-        return iter(self.uncommitted)
-
-    def _vacate(self, cell: Cell, slots: Mapping[ids.WorkerId, int]) -> bool:
-        for worker, tasks in slots.items():
-            need = resources.scaled(cell.shape.per_task, tasks)
-            while not resources.covers(
-                self.uncommitted.available(worker), need
-            ):
-                others = [
-                    other
-                    for other in self._cells_on.get(worker, ())
-                    if not other.occupied
-                ]
-                if not others:
-                    return False
-                self._clear_slots(
-                    min(others, key=lambda other: other.shape.accelerators)
-                )
-        return True
-
     def _set_slots_and_replan_displaced(
-        self, cell: Cell, slots: Mapping[ids.WorkerId, int]
+        self, cell: guarantee_cell.Cell, slots: Mapping[ids.WorkerId, int]
     ) -> bool:
-        self._set_slots(cell, slots)
-        displaced = [
-            other
-            for other, before in self._undo_log.items()
-            if before and not other.slots
-        ]
-        return all(
-            self._plan_cell(other) for other in _hardest_first(displaced)
-        )
+        self.slots.set_slots(cell, slots)
+        displaced = _hardest_first(self.slots.displaced())
+        return all(self._plan_cell(other) for other in displaced)
 
-    def _plan_cell(self, cell: Cell) -> bool:
+    def _plan_cell(self, cell: guarantee_cell.Cell) -> bool:
         groups = placement.find(
-            self.uncommitted, cell.shape, key=placement.best_fit
+            self.slots.uncommitted, cell.shape, key=placement.best_fit
         )
         if groups is None:
             return False
-        self._set_slots(cell, {group.worker: group.tasks for group in groups})
+        self.slots.set_slots(
+            cell, {group.worker: group.tasks for group in groups}
+        )
         return True
 
     def _replan_all(self) -> None:
@@ -668,110 +541,39 @@
         Keeps a result only if it leaves fewer cells unplanned, and stops when
         none is left.
         """
-        unplanned_count = len(self._unplanned)
+        unplanned_count = len(self.slots.unplanned)
         free = [cell for cell in self.all_cells() if not cell.occupied]
         for sort_key in _PLANNING_ORDERS:
-            self._undo_log = {}
+            self.slots.begin()
             for cell in free:
-                self._clear_slots(cell)
+                self.slots.clear_slots(cell)
             for cell in sorted(free, key=sort_key):
                 self._plan_cell(cell)
-            if len(self._unplanned) < unplanned_count:
-                self._undo_log = None
-                unplanned_count = len(self._unplanned)
+            if len(self.slots.unplanned) < unplanned_count:
+                self.slots.commit()
+                unplanned_count = len(self.slots.unplanned)
             else:
-                self._roll_back(self._undo_log)
-                self._undo_log = None
+                self.slots.roll_back()
             if not unplanned_count:
                 return
 
-    def _roll_back(self, undo_log: dict[Cell, dict[ids.WorkerId, int]]) -> None:
-        self._undo_log = None
-        for cell in undo_log:
-            self._clear_slots(cell)
-        for cell, slots in undo_log.items():
-            if slots:
-                self._set_slots(cell, slots)
-
-    def _record_undo(self, cell: Cell) -> None:
-        if self._undo_log is not None:
-            self._undo_log.setdefault(cell, dict(cell.slots))
-
-    def _clear_slots(self, cell: Cell) -> None:
-        self._record_undo(cell)
-        for worker, tasks in cell.slots.items():
-            self._add_committed(
-                worker, resources.scaled(cell.shape.per_task, -tasks)
-            )
-            del self._cells_on[worker][cell]
-        cell.slots = {}
-        cell.unused = {}
-        self._unplanned[cell] = None
-
-    def _set_slots(self, cell: Cell, slots: Mapping[ids.WorkerId, int]) -> None:
-        self._record_undo(cell)
-        for worker, tasks in slots.items():
-            amount = resources.scaled(cell.shape.per_task, tasks)
-            self._add_committed(worker, amount)
-            self._cells_on.setdefault(worker, {})[cell] = None
-            cell.unused[worker] = amount
-        cell.slots = dict(slots)
-        self._unplanned.pop(cell, None)
-
-    def _clear_free_cells(self, cells: Iterable[Cell]) -> None:
-        for cell in [cell for cell in cells if not cell.occupied]:
-            self._clear_slots(cell)
-
-    def _clear_if_unusable(self, cell: Cell) -> None:
-        scopes = {
-            self._scope(worker, cell.shape.adjacency) for worker in cell.slots
-        }
-        if len(scopes) > 1 or any(
-            worker not in self.uncommitted
-            or _has_negative(self._uncommitted_on(worker))
-            for worker in cell.slots
-        ):
-            self._clear_slots(cell)
-
-    def _delete_cell(self, cell: Cell) -> list[ids.JobId]:
+    def _delete_cell(self, cell: guarantee_cell.Cell) -> list[ids.JobId]:
         unbound = list(cell.jobs)
         for job in unbound:
             self.unbind(job)
-        self._clear_slots(cell)
-        del self._unplanned[cell]
+        self.slots.clear_slots(cell)
+        del self.slots.unplanned[cell]
         self._cells[cell.account].remove(cell)
         return unbound
 
-    def _add_occupied(self, cell: Cell, sign: int) -> None:
-        for worker, tasks in cell.slots.items():
-            amount = resources.scaled(cell.shape.per_task, sign * tasks)
-            occupied = self._occupied_capacity.get(worker, resources.ZERO)
-            self._occupied_capacity[worker] = resources.plus(occupied, amount)
-
-    def _add_committed(
-        self, worker: ids.WorkerId, amount: jobs.Resources
-    ) -> None:
-        committed = self._committed.get(worker, resources.ZERO)
-        self._committed[worker] = resources.plus(committed, amount)
-        self.uncommitted.set_available(worker, self._uncommitted_on(worker))
-
-    def _uncommitted_on(self, worker: ids.WorkerId) -> jobs.Resources:
-        committed = self._committed.get(worker, resources.ZERO)
-        capacity = self._capacity.get(worker, resources.ZERO)
-        return resources.minus(capacity, committed)
-
 
 # Marks a free cell as occupied while another one moves.
 _PIN_JOB = ids.JobId("")
 
 
-def _has_negative(available: jobs.Resources) -> bool:
-    return min(available.accelerators, available.cores, available.memory_gb) < 0
-
-
 def _select_uses(
-    ranked: list[tuple[tuple, CellUse]], shape: shapes.Shape
-) -> tuple[CellUse, ...]:
+    ranked: list[tuple[tuple, guarantee_cell.CellUse]], shape: shapes.Shape
+) -> tuple[guarantee_cell.CellUse, ...]:
     uses = []
     remaining = shape.tasks
     for _, use in ranked:
@@ -784,7 +586,9 @@
 
 
 def _cost_of_uses(
-    uses: tuple[CellUse, ...], shape: shapes.Shape, free: pool.CapacityIndex
+    uses: tuple[guarantee_cell.CellUse, ...],
+    shape: shapes.Shape,
+    free: pool.CapacityIndex,
 ) -> tuple:
     not_free = sum(
         resources.task_capacity(free.available(use.worker), use.per_task)
@@ -800,11 +604,13 @@
     return (free_cells_used, other_shapes, unused, not_free)
 
 
-def _hardest_first(cells: Iterable[Cell]) -> list[Cell]:
+def _hardest_first(
+    cells: Iterable[guarantee_cell.Cell],
+) -> list[guarantee_cell.Cell]:
     return sorted(cells, key=_by_scope)
 
 
-def _by_scope(cell: Cell) -> tuple:
+def _by_scope(cell: guarantee_cell.Cell) -> tuple:
     return (
         cell.shape.adjacency is states.Adjacency.FAILURE_DOMAIN,
         -cell.shape.accelerators,
@@ -812,13 +618,13 @@
     )
 
 
-def _by_single_worker_need(cell: Cell) -> tuple:
+def _by_single_worker_need(cell: guarantee_cell.Cell) -> tuple:
     single_worker = cell.shape.adjacency is states.Adjacency.WORKER
     need = cell.shape.total if single_worker else cell.shape.per_task
     return (-need.accelerators, -cell.shape.accelerators)
 
 
-def _by_size(cell: Cell) -> tuple:
+def _by_size(cell: guarantee_cell.Cell) -> tuple:
     return (-cell.shape.accelerators, -cell.shape.per_task.accelerators)
 
 
--- a/citronmount/core/domain_state.py
+++ b/citronmount/core/domain_state.py
@@ -11,6 +11,7 @@
 from citronmount.core import cells
 from citronmount.core import estimates
 from citronmount.core import fragmentation
+from citronmount.core import guarantee_cell
 from citronmount.core import guarantee_feasibility
 from citronmount.core import ids
 from citronmount.core import job_queue
@@ -208,12 +209,12 @@
         self.pool.set_closed(worker, not self.quarantine.accepts_jobs(worker))
         self.cells_planned = False
         if self.pool.usable(worker):
-            self.plan.set_worker(
+            self.plan.slots.set_worker(
                 worker, self.pool.rack(worker), self.pool.capacity(worker)
             )
             self.accounts_to_bind.update(self._account_classes)
             return
-        self.plan.drop_worker(worker)
+        self.plan.slots.drop_worker(worker)
         for job in list(self.pool.jobs_on(worker)):
             if job in self.pending_placements:
                 self.cancel_pending(job, now_ms)
@@ -223,7 +224,7 @@
         entry: job_queue.JobEntry,
         groups: tuple[jobs.TaskGroup, ...],
         now_ms: int,
-        uses: tuple[cells.CellUse, ...] = (),
+        uses: tuple[guarantee_cell.CellUse, ...] = (),
     ) -> None:
         """Places a queued job, in cells if `uses` is not empty."""
         job = entry.spec.job
@@ -239,7 +240,7 @@
         entry: job_queue.JobEntry,
         groups: tuple[jobs.TaskGroup, ...],
         now_ms: int,
-        uses: tuple[cells.CellUse, ...],
+        uses: tuple[guarantee_cell.CellUse, ...],
         victims: set[ids.JobId],
     ) -> None:
         """Allocates resources to a queued job that waits for its victims."""
@@ -394,7 +395,7 @@
         entry: job_queue.JobEntry,
         groups: tuple[jobs.TaskGroup, ...],
         now_ms: int,
-        uses: tuple[cells.CellUse, ...],
+        uses: tuple[guarantee_cell.CellUse, ...],
     ) -> None:
         spec = entry.spec
         entry.placed_before = True
--- a/citronmount/core/guarantee_feasibility.py
+++ b/citronmount/core/guarantee_feasibility.py
@@ -54,7 +54,7 @@
         plan = cells.CellPlan()
         for worker in workers:
             if worker.failure_domain == domain:
-                plan.set_worker(
+                plan.slots.set_worker(
                     ids.WorkerId(worker.name), worker.rack, worker.capacity
                 )
         plan.set_required(required_cells(share))
--- a/citronmount/core/guaranteed_placement.py
+++ b/citronmount/core/guaranteed_placement.py
@@ -5,9 +5,9 @@
 
 from citronmount.core import backfill
 from citronmount.core import cell_selection
-from citronmount.core import cells
 from citronmount.core import decisions
 from citronmount.core import domain_state
+from citronmount.core import guarantee_cell
 from citronmount.core import ids
 from citronmount.core import job_queue
 from citronmount.core import jobs
@@ -197,7 +197,7 @@
 
 def _find_uses(
     domain: domain_state.DomainState, entry: job_queue.JobEntry, now_ms: int
-) -> tuple[cells.CellUse, ...] | None:
+) -> tuple[guarantee_cell.CellUse, ...] | None:
     tries = (
         cell_selection.find(domain, entry, avoid, now_ms)
         for avoid in entry.avoided_worker_sets(now_ms)
@@ -207,14 +207,14 @@
 
 def _find_by_unbinding(
     domain: domain_state.DomainState, entry: job_queue.JobEntry, now_ms: int
-) -> tuple[cells.CellUse, ...] | None:
+) -> tuple[guarantee_cell.CellUse, ...] | None:
     """Finds cells for an urgent job by unbinding other jobs of its account.
 
     The jobs submitted last are unbound first. They keep running but become
     revocable. If no cells are found, those whose slots still exist are bound
     again.
     """
-    unbound: list[tuple[ids.JobId, tuple[cells.CellUse, ...]]] = []
+    unbound: list[tuple[ids.JobId, tuple[guarantee_cell.CellUse, ...]]] = []
     for job in _unbindable_jobs(domain, entry)[:_MAX_UNBOUND_JOBS]:
         unbound.append((job, domain.plan.uses(job)))
         domain.plan.unbind(job)
@@ -265,9 +265,9 @@
     )
 
 
-def _uses_larger_free_cell(uses: tuple[cells.CellUse, ...]) -> bool:
+def _uses_larger_free_cell(uses: tuple[guarantee_cell.CellUse, ...]) -> bool:
     """Returns whether the job would use a free cell larger than it needs."""
-    accelerators_used: dict[cells.Cell, int] = {}
+    accelerators_used: dict[guarantee_cell.Cell, int] = {}
     for use in uses:
         accelerators = use.tasks * use.per_task.accelerators
         accelerators_used[use.cell] = (
@@ -280,7 +280,7 @@
 
 
 def _need_by_worker(
-    uses: tuple[cells.CellUse, ...],
+    uses: tuple[guarantee_cell.CellUse, ...],
 ) -> dict[ids.WorkerId, jobs.Resources]:
     need: dict[ids.WorkerId, jobs.Resources] = {}
     for use in uses:
@@ -303,7 +303,7 @@
 def _reclaim(
     domain: domain_state.DomainState,
     entry: job_queue.JobEntry,
-    uses: tuple[cells.CellUse, ...],
+    uses: tuple[guarantee_cell.CellUse, ...],
     now_ms: int,
 ) -> list[decisions.Decision] | None:
     """Evicts other work from cells that a job will use; the job is pending.
@@ -337,7 +337,7 @@
 
 def _choose_victims(
     domain: domain_state.DomainState,
-    uses: tuple[cells.CellUse, ...],
+    uses: tuple[guarantee_cell.CellUse, ...],
     now_ms: int,
 ) -> list[ids.JobId] | None:
     shortage = preemption.find_shortage(domain, _need_by_worker(uses))
@@ -351,7 +351,9 @@
     return {account for account in accounts if not domain.is_trial(account)}
 
 
-def _task_groups(uses: tuple[cells.CellUse, ...]) -> tuple[jobs.TaskGroup, ...]:
+def _task_groups(
+    uses: tuple[guarantee_cell.CellUse, ...],
+) -> tuple[jobs.TaskGroup, ...]:
     tasks: dict[ids.WorkerId, int] = {}
     for use in uses:
         tasks[use.worker] = tasks.get(use.worker, 0) + use.tasks
