--- a/citronmount/core/request_router.py
+++ b/citronmount/core/request_router.py
@@ -6,7 +6,6 @@
 """
 
 import heapq
-import math
 import zlib
 
 import msgspec
@@ -15,6 +14,8 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import request_admission
+from citronmount.core import request_attempts
 from citronmount.core import request_decisions
 from citronmount.core import request_hedging
 from citronmount.core import request_peers
@@ -24,9 +25,6 @@
 
 __all__ = ["RequestRouter"]
 
-MAX_QUEUED_PER_ACCOUNT = 256
-RATE_PER_S = 1_000.0
-RATE_BURST = 500.0
 RETRY_SHARE = 0.1
 RETRY_BURST = 10.0
 HEDGE_SHARE = 0.05
@@ -36,18 +34,6 @@
 MAX_RUNS = 3
 MAX_OFFERS = 8
 DEADLINE_HEAP_SLACK = 1_024
-RETRY_AFTER_MIN_MS = 50
-RETRY_AFTER_MAX_MS = 5_000
-
-
-class _Attempt(msgspec.Struct, kw_only=True):
-    """Sending of a request to a runner; holds a slot until it is answered."""
-
-    request: ids.RequestId
-    runner: ids.RunnerId
-    account: ids.AccountId
-    number: int
-    sent_ms: int
 
 
 class _LiveRequest(msgspec.Struct, kw_only=True):
@@ -100,17 +86,16 @@
                 hedging.
         """
         self._slots = request_slots.RunnerSlots(seed=zlib.crc32(vm.encode()))
-        self._queue = request_queue.FairQueue(max_queued=MAX_QUEUED_PER_ACCOUNT)
+        self._queue = request_queue.FairQueue(
+            max_queued=request_admission.MAX_QUEUED_PER_ACCOUNT
+        )
+        self._limits = request_admission.AccountLimits(queue=self._queue)
         self._peers = request_peers.PeerSlotTable()
         self._live: dict[ids.RequestId, _LiveRequest] = {}
-        self._attempts: dict[ids.RequestId, list[_Attempt]] = {}
-        self._outstanding = 0
+        self._attempts = request_attempts.AttemptTable()
         self._deadlines: list[tuple[int, ids.RequestId]] = []
         self._hedge_times: list[tuple[int, ids.RequestId]] = []
         self._finished: list[jobs.RequestResult] = []
-        self._token_buckets: dict[
-            ids.AccountId, request_hedging.TokenBucket
-        ] = {}
         self._hedge_delays: dict[ids.AccountId, request_hedging.HedgeDelay] = {}
         self._retry_budget = request_hedging.RetryBudget(
             share=RETRY_SHARE, burst=RETRY_BURST
@@ -257,9 +242,10 @@
                 request in flight at the runner is meant.
         """
         self._now_ms = now_ms
-        ended = self._end_attempt(request, runner, attempt)
+        ended = self._attempts.remove(request, runner, attempt)
         if ended is None:
             return
+        self._slots.release(runner)
         # An answer to another request proves nothing about this one.
         if answer is not None and answer.request != request:
             answer = None
@@ -341,7 +327,7 @@
 
     def outstanding_count(self) -> int:
         """Returns the number of attempts that hold a slot."""
-        return self._outstanding
+        return self._attempts.count
 
     def next_wake_ms(self) -> int | None:
         """Returns when to call `decide` if no other event happens before.
@@ -372,37 +358,15 @@
             return jobs.RequestResult(
                 request=spec.request,
                 code=codes.ResultCode.NO_SLOT,
-                retry_after_ms=RETRY_AFTER_MIN_MS,
+                retry_after_ms=request_admission.RETRY_AFTER_MIN_MS,
             )
         if not self._in_service:
             return jobs.RequestResult(
                 request=spec.request,
                 code=codes.ResultCode.FAILURE_DOMAIN_OUT,
-                retry_after_ms=RETRY_AFTER_MAX_MS,
-            )
-        if self._queue.queued_count(spec.account) >= MAX_QUEUED_PER_ACCOUNT:
-            return jobs.RequestResult(
-                request=spec.request,
-                code=codes.ResultCode.QUEUE_FULL,
-                retry_after_ms=self._queue_drain_ms(spec.account),
-            )
-        wait_ms = self._token_bucket(spec.account).try_take(now_ms)
-        if wait_ms:
-            return jobs.RequestResult(
-                request=spec.request,
-                code=codes.ResultCode.RATE_LIMITED,
-                retry_after_ms=wait_ms,
-            )
-        return None
-
-    def _token_bucket(
-        self, account: ids.AccountId
-    ) -> request_hedging.TokenBucket:
-        if account not in self._token_buckets:
-            self._token_buckets[account] = request_hedging.TokenBucket(
-                rate_per_s=RATE_PER_S, burst=RATE_BURST
+                retry_after_ms=request_admission.RETRY_AFTER_MAX_MS,
             )
-        return self._token_buckets[account]
+        return self._limits.check(spec, now_ms, self._attempts.count)
 
     def _hedge_delay(
         self, account: ids.AccountId
@@ -411,13 +375,6 @@
             self._hedge_delays[account] = request_hedging.HedgeDelay()
         return self._hedge_delays[account]
 
-    def _queue_drain_ms(self, account: ids.AccountId) -> int:
-        work_ms = self._queue.queued_count(account) * self._queue.cost_ms(
-            account
-        )
-        drain_ms = math.ceil(work_ms / max(1, self._outstanding))
-        return min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, drain_ms))
-
     def _expire(self, now_ms: int) -> None:
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             deadline_ms, request = heapq.heappop(self._deadlines)
@@ -488,9 +445,8 @@
         live.runners |= {runner}
         spec = live.spec
         self._slots.acquire(runner)
-        self._outstanding += 1
-        self._attempts.setdefault(spec.request, []).append(
-            _Attempt(
+        self._attempts.add(
+            request_attempts.Attempt(
                 request=spec.request,
                 runner=runner,
                 account=spec.account,
@@ -561,33 +517,9 @@
             )
         return offers
 
-    def _end_attempt(
-        self,
-        request: ids.RequestId,
-        runner: ids.RunnerId,
-        number: int | None,
-    ) -> _Attempt | None:
-        in_flight = self._attempts.get(request, [])
-        ended = next(
-            (
-                attempt
-                for attempt in in_flight
-                if attempt.runner == runner and number in (None, attempt.number)
-            ),
-            None,
-        )
-        if ended is None:
-            return None
-        in_flight.remove(ended)
-        if not in_flight:
-            del self._attempts[request]
-        self._outstanding -= 1
-        self._slots.release(runner)
-        return ended
-
     def _update_runner(
         self,
-        attempt: _Attempt,
+        attempt: request_attempts.Attempt,
         answer: messages.RunnerAnswer | None,
         sent: bool,
         now_ms: int,
@@ -607,7 +539,9 @@
         else:
             self._slots.record_leaving(attempt.runner, now_ms)
 
-    def _handle_not_run(self, live: _LiveRequest, attempt: _Attempt) -> None:
+    def _handle_not_run(
+        self, live: _LiveRequest, attempt: request_attempts.Attempt
+    ) -> None:
         if live.active:
             return
         if live.sends >= MAX_SENDS:
@@ -619,7 +553,7 @@
         self._queue.push_front(attempt.request, attempt.account)
 
     def _handle_lost_answer(
-        self, live: _LiveRequest, attempt: _Attempt, sent: bool
+        self, live: _LiveRequest, attempt: request_attempts.Attempt, sent: bool
     ) -> None:
         if not sent:
             self._handle_not_run(live, attempt)
@@ -634,7 +568,10 @@
             self._finish(live, codes.ResultCode.OUTCOME_UNKNOWN)
 
     def _handle_failed_run(
-        self, live: _LiveRequest, attempt: _Attempt, payload: str
+        self,
+        live: _LiveRequest,
+        attempt: request_attempts.Attempt,
+        payload: str,
     ) -> None:
         live.may_have_run = True
         live.failed_runs += 1
@@ -670,7 +607,11 @@
             code=code,
             payload=payload,
             retry_after_ms=(
-                self._queue_drain_ms(live.spec.account) if not_run else None
+                self._limits.queue_drain_ms(
+                    live.spec.account, self._attempts.count
+                )
+                if not_run
+                else None
             ),
         )
         self._complete(live, result)
--- a/citronmount/core/tests/test_request_router.py
+++ b/citronmount/core/tests/test_request_router.py
@@ -11,6 +11,7 @@
 from citronmount.core import codes
 from citronmount.core import ids
 from citronmount.core import jobs
+from citronmount.core import request_admission
 from citronmount.core import request_decisions
 from citronmount.core import request_router
 from citronmount.core import request_slots
@@ -338,7 +339,7 @@
         results = [router.submit(_spec(f"b{i}", "b"), 0) for i in range(300)]
         refused = [r for r in results if r is not None]
         self.assertEqual(
-            len(refused), 300 - request_router.MAX_QUEUED_PER_ACCOUNT
+            len(refused), 300 - request_admission.MAX_QUEUED_PER_ACCOUNT
         )
         self.assertTrue(all(r.retry_after_ms for r in refused))
         self.assertTrue(all(codes.info(r.code).proves_not_run for r in refused))
