--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -134,6 +134,8 @@
                 self._logger.warning("history_lost", position=self.position)
                 self.position = None
             except errors.CitronmountError as error:
+                if self._stopped:
+                    return
                 self._record_failure(error)
                 await self._pause(retry_ms)
                 retry_ms = min(retry_ms * 2, MAX_RETRY_DELAY_MS)
--- a/citronmount/fleet_service/tests/test_log_tail.py
+++ b/citronmount/fleet_service/tests/test_log_tail.py
@@ -2,6 +2,7 @@
 import unittest
 
 import structlog
+from twisted.internet import defer
 from twisted.internet import task
 
 from citronmount.core import codes
@@ -32,7 +33,10 @@
         self, topic: ports.Topic, offset: int, wait_ms: int, timeout_ms: int
     ) -> ports.LogPage:
         del topic, offset, wait_ms, timeout_ms
-        await task.deferLater(self.clock, ANSWER_S)
+        try:
+            await task.deferLater(self.clock, ANSWER_S)
+        except defer.CancelledError as error:
+            raise no_answer() from error
         answer = self.answers[0]
         if len(self.answers) > 1:
             self.answers.pop(0)
@@ -76,6 +80,10 @@
         self.assertEqual(9, events[-1]["failed_reads"])
         self.assertGreaterEqual(events[-1]["took_ms"], 1_000)
 
+    def test_a_stopped_reader_logs_no_lost_log(self) -> None:
+        events = self.events_of([EMPTY_PAGE])
+        self.assertEqual(["snapshot_read"], [each["event"] for each in events])
+
     def test_a_large_page_is_logged_with_what_is_left_to_read(self) -> None:
         page = ports.LogPage(
             records=(),
