--- a/citronmount/platform/tests/loopback_site.py
+++ b/citronmount/platform/tests/loopback_site.py
@@ -212,6 +212,7 @@
 
     Attributes:
         delay_s: Delay of each piece of data in both directions.
+        link_bytes_per_s: Rate of the link to the VM, or 0 for no limit.
         drops_requests: Whether data to the store is discarded.
         drops_responses: Whether data from the store is discarded.
         connections: The open connections from the VM.
@@ -222,6 +223,8 @@
     def __init__(self, *, port: int) -> None:
         self.port = port
         self.delay_s = 0.0
+        self.link_bytes_per_s = 0
+        self.link_free_s = 0.0
         self.drops_requests = False
         self.drops_responses = False
         self.connections: set[_VmConnection] = set()
@@ -233,6 +236,15 @@
         for vm_connection in list(self.connections):
             vm_connection.transport.abortConnection()
 
+    def transfer_s(self, size_bytes: int) -> float:
+        """Returns the time until the link has carried data that arrives now."""
+        if not self.link_bytes_per_s:
+            return 0.0
+        now_s = reactor.seconds()
+        self.link_free_s = max(self.link_free_s, now_s)
+        self.link_free_s += size_bytes / self.link_bytes_per_s
+        return self.link_free_s - now_s
+
     def heal(self) -> None:
         self.delay_s = 0.0
         self.drops_requests = self.drops_responses = False
@@ -258,7 +270,7 @@
         if self.store_connection is None:
             self.pending.append(data)
         else:
-            _forward(self.proxy, self.store_connection, data)
+            _forward(self.store_connection, data, self.proxy.delay_s)
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         self.proxy.connections.discard(self)
@@ -281,18 +293,18 @@
         self.vm_connection = vm_connection
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if not self.vm_connection.proxy.drops_responses:
-            _forward(self.vm_connection.proxy, self.vm_connection, data)
+        proxy = self.vm_connection.proxy
+        if not proxy.drops_responses:
+            delay_s = proxy.delay_s + proxy.transfer_s(len(data))
+            _forward(self.vm_connection, data, delay_s)
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         self.vm_connection.transport.loseConnection()
 
 
-def _forward(
-    proxy: FaultyProxy, receiver: protocol.Protocol, data: bytes
-) -> None:
-    if proxy.delay_s:
-        reactor.callLater(proxy.delay_s, receiver.transport.write, data)
+def _forward(receiver: protocol.Protocol, data: bytes, delay_s: float) -> None:
+    if delay_s:
+        reactor.callLater(delay_s, receiver.transport.write, data)
     else:
         receiver.transport.write(data)
 
--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -1,6 +1,7 @@
 """Soak test of real VM processes on loopback with seeded random faults.
 
 python -m citronmount.platform.tests.soak --seed 1 --seconds 20 [--vms 4]
+    [--large-configuration]
 
 Exit status 0: no violation; 1: prints the violations, the injected faults and
 the folder with the logs of the VMs.
@@ -8,6 +9,7 @@
 
 import argparse
 from collections.abc import Awaitable
+from collections.abc import Callable
 import os
 import pathlib
 import random
@@ -28,12 +30,14 @@
 from citronmount.fleet_service import ports
 from citronmount.platform.tests import loopback_ports
 from citronmount.platform.tests import loopback_site
+from citronmount.platform.tests import soak_configuration
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
 DEFAULT_VMS = 4
+FAULT_GAP_S = (0.3, 2.0)
 CLOCK_RATES = (1.0, 0.99, 0.98)
 WORKER_COUNT = 8
 START_S = 4.0
@@ -92,7 +96,11 @@
         duration_s: float,
         folder: str,
         vm_count: int = DEFAULT_VMS,
+        large_configuration: bool = False,
     ) -> None:
+        self.seed = seed
+        self.large_configuration = large_configuration
+        self.configuration: soak_configuration.ConfigurationSoak | None = None
         self.rng = random.Random(seed)
         self.duration_s = duration_s
         self.vm_count = vm_count
@@ -129,6 +137,9 @@
         self.violation_filter.start(CHECK_PERIOD_S)
         jobs = defer.ensureDeferred(self.submit_jobs())
         faults = defer.ensureDeferred(self.inject_faults())
+        if self.configuration is not None:
+            await self.configuration.run(self.duration_s)
+            self.violations += self.configuration.violations
         await jobs
         await faults
         await self.heal()
@@ -168,6 +179,19 @@
             port = loopback_ports.listen(proxy)
             self.write_settings(number, port)
             self.start(number)
+        if self.large_configuration:
+            self.set_up_configurations(content)
+
+    def set_up_configurations(self, content: dict[str, list[object]]) -> None:
+        self.configuration = soak_configuration.ConfigurationSoak(
+            seed=self.seed,
+            log=self.log,
+            http=self.http,
+            addresses=self.client_addresses,
+            base=content,
+        )
+        for proxy in self.proxies:
+            proxy.link_bytes_per_s = soak_configuration.LINK_BYTES_PER_S
 
     def add_worker(self, number: int, port: int) -> None:
         rack = f"rack-{number // 4}"
@@ -283,18 +307,35 @@
 
     async def inject_faults(self) -> None:
         end_s = reactor.seconds() + self.duration_s
+        gap_s = FAULT_GAP_S
+        if self.large_configuration:
+            gap_s = soak_configuration.FAULT_GAP_S
         while reactor.seconds() < end_s:
-            await loopback_site.sleep(loopback_site.draw(self.rng, 0.3, 2.0))
+            await loopback_site.sleep(loopback_site.draw(self.rng, *gap_s))
             fault = self.rng.choice(FAULTS)
             number = self.rng.randrange(self.vm_count)
             time_s = loopback_site.draw(self.rng, 0.5, 4.0)
             self.faults.append(f"{fault.__name__} vm-{number} {time_s:.1f} s")
-            defer.ensureDeferred(self.run_fault(fault(self, number, time_s)))
+            vms = self.affected_vms(fault, number)
+            defer.ensureDeferred(
+                self.run_fault(fault(self, number, time_s), vms)
+            )
 
-    async def run_fault(self, fault: Awaitable[None]) -> None:
+    def affected_vms(
+        self, fault: Callable[..., Awaitable[None]], number: int
+    ) -> list[int]:
+        if fault is quiet_worker:
+            return []
+        return [*range(self.vm_count)] if fault is outage else [number]
+
+    async def run_fault(self, fault: Awaitable[None], vms: list[int]) -> None:
         self.open_faults += 1
+        if self.configuration is not None:
+            self.configuration.fault_times.begin(vms)
         await fault
         self.open_faults -= 1
+        if self.configuration is not None:
+            self.configuration.fault_times.end(vms)
         self.fault_end_s = reactor.seconds()
 
     def filter_violations(self) -> None:
@@ -440,6 +481,7 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--vms", type=int, default=DEFAULT_VMS)
+    parser.add_argument("--large-configuration", action="store_true")
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix=f"soak-{args.seed}-")
     soak = Soak(
@@ -447,6 +489,7 @@
         duration_s=args.seconds,
         folder=folder,
         vm_count=args.vms,
+        large_configuration=args.large_configuration,
     )
     results: list[object] = []
 
@@ -465,6 +508,12 @@
     (result,) = results
     jobs = sum(not state for state in soak.submissions.values())
     print(f"seed {args.seed}: {jobs} jobs accepted, {len(soak.faults)} faults")
+    if soak.configuration is not None:
+        published, checks = (
+            soak.configuration.versions,
+            soak.configuration.checks,
+        )
+        print(f"{published} configurations published, {checks} checks")
     if result == []:
         print("no violations")
         return 0
--- a/citronmount/platform/tests/test_soak.py
+++ b/citronmount/platform/tests/test_soak.py
@@ -7,15 +7,20 @@
 SEED = 7
 DURATION_S = 8
 TIMEOUT_S = 150
+CONFIGURATION_SEED = 701
+CONFIGURATION_DURATION_S = 15
 
 
-def start_soak(seed: int) -> subprocess.Popen:
+def start_soak(
+    seed: int, duration_s: int = DURATION_S, *options: str
+) -> subprocess.Popen:
     command = [
         sys.executable,
         "-m",
         "citronmount.platform.tests.soak",
         f"--seed={seed}",
-        f"--seconds={DURATION_S}",
+        f"--seconds={duration_s}",
+        *options,
     ]
     return subprocess.Popen(
         command,
@@ -32,3 +37,12 @@
             with self.subTest(seed=seed), process:
                 output, _ = process.communicate(timeout=TIMEOUT_S)
                 self.assertEqual(0, process.returncode, output)
+
+    def test_old_configuration_is_not_used_on_slow_links(self) -> None:
+        with start_soak(
+            CONFIGURATION_SEED,
+            CONFIGURATION_DURATION_S,
+            "--large-configuration",
+        ) as process:
+            output, _ = process.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(0, process.returncode, output)
