--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -31,6 +31,7 @@
 from citronmount.platform.tests import loopback_ports
 from citronmount.platform.tests import loopback_site
 from citronmount.platform.tests import soak_configuration
+from citronmount.platform.tests import soak_faults
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
 from citronmount.workflow import spec
@@ -312,7 +313,7 @@
             gap_s = soak_configuration.FAULT_GAP_S
         while reactor.seconds() < end_s:
             await loopback_site.sleep(loopback_site.draw(self.rng, *gap_s))
-            fault = self.rng.choice(FAULTS)
+            fault = self.rng.choice(soak_faults.FAULTS)
             number = self.rng.randrange(self.vm_count)
             time_s = loopback_site.draw(self.rng, 0.5, 4.0)
             self.faults.append(f"{fault.__name__} vm-{number} {time_s:.1f} s")
@@ -324,9 +325,11 @@
     def affected_vms(
         self, fault: Callable[..., Awaitable[None]], number: int
     ) -> list[int]:
-        if fault is quiet_worker:
+        if fault is soak_faults.quiet_worker:
             return []
-        return [*range(self.vm_count)] if fault is outage else [number]
+        return (
+            [*range(self.vm_count)] if fault is soak_faults.outage else [number]
+        )
 
     async def run_fault(self, fault: Awaitable[None], vms: list[int]) -> None:
         self.open_faults += 1
@@ -411,67 +414,6 @@
                 process.kill()
 
 
-async def kill(soak: Soak, number: int, time_s: float) -> None:
-    soak.processes[number].kill()
-    await restart_after(soak, number, time_s)
-
-
-async def stop(soak: Soak, number: int, time_s: float) -> None:
-    soak.processes[number].terminate()
-    await restart_after(soak, number, time_s + 3.0)
-
-
-async def restart_after(soak: Soak, number: int, time_s: float) -> None:
-    await loopback_site.sleep(time_s)
-    if soak.processes[number].poll() is not None and not soak.healing:
-        soak.start(number)
-
-
-async def freeze(soak: Soak, number: int, time_s: float) -> None:
-    process = soak.processes[number]
-    process.send_signal(signal.SIGSTOP)
-    await loopback_site.sleep(time_s)
-    process.send_signal(signal.SIGCONT)
-
-
-async def silence(soak: Soak, number: int, time_s: float) -> None:
-    proxy = soak.proxies[number]
-    proxy.drops_requests = soak.rng.random() < 0.7
-    proxy.drops_responses = not proxy.drops_requests or soak.rng.random() < 0.5
-    await loopback_site.sleep(time_s)
-    proxy.heal()
-
-
-async def delay(soak: Soak, number: int, time_s: float) -> None:
-    soak.proxies[number].delay_s = loopback_site.draw(soak.rng, 0.05, 0.6)
-    await loopback_site.sleep(time_s)
-    soak.proxies[number].heal()
-
-
-async def reset(soak: Soak, number: int, time_s: float) -> None:
-    soak.proxies[number].reset()
-
-
-async def outage(soak: Soak, number: int, time_s: float) -> None:
-    for proxy in soak.proxies:
-        proxy.drops_requests = True
-    await loopback_site.sleep(time_s)
-    for proxy in soak.proxies:
-        proxy.heal()
-
-
-async def quiet_worker(soak: Soak, number: int, time_s: float) -> None:
-    worker = soak.rng.choice(list(soak.pool.workers.values()))
-    faults = (pool_workers.WorkerFault.SILENT, pool_workers.WorkerFault.LATE)
-    worker.fault = soak.rng.choice(faults)
-    worker.start_delay_s = time_s
-    await loopback_site.sleep(time_s)
-    worker.fault = pool_workers.WorkerFault.NONE
-
-
-FAULTS = (kill, stop, freeze, silence, delay, reset, outage, quiet_worker)
-
-
 def hash_text(text: str) -> int:
     return sum(map(ord, text)) * 7_919
 
