--- a/citronmount/platform/tests/loopback_ports.py
+++ b/citronmount/platform/tests/loopback_ports.py
@@ -1,7 +1,10 @@
 """Ports on loopback for the processes of a soak."""
 
+import fcntl
 import os
+import pathlib
 import random
+import tempfile
 
 from twisted.internet import error
 from twisted.internet import protocol
@@ -9,13 +12,10 @@
 
 from citronmount.platform.tests import loopback_site
 
-__all__ = ["free_port", "listen"]
+__all__ = ["free_port", "listen", "lock_port"]
 
 # Below the range from which the kernel takes ports of outgoing connections.
 VM_PORTS = range(20_000, 32_000)
-PORT_SLICES = 16
-
-_used_ports: set[int] = set()
 
 
 def listen(factory: protocol.ServerFactory) -> int:
@@ -27,18 +27,27 @@
 def free_port() -> int:
     """Returns a port that a VM started by this process can listen on.
 
-    The VM binds it only later, so a port is never returned twice, and soaks
-    that run side by side draw from separate parts of the range.
+    The VM binds it only later, and again after each restart, so this process
+    keeps a lock on it against soaks that run side by side.
     """
-    own_ports = set(VM_PORTS[os.getpid() % PORT_SLICES :: PORT_SLICES])
-    unused_ports = sorted(own_ports - _used_ports)
     while True:
-        number = random.SystemRandom().choice(unused_ports)
-        if _is_free(number):
-            _used_ports.add(number)
+        number = random.SystemRandom().choice(VM_PORTS)
+        if lock_port(number) and _is_free(number):
             return number
 
 
+def lock_port(number: int) -> bool:
+    """Locks a port until this process ends; returns False if it is locked."""
+    path = pathlib.Path(tempfile.gettempdir(), f"citronmount-port-{number}")
+    descriptor = os.open(path, os.O_CREAT | os.O_RDWR)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(descriptor)
+        return False
+    return True
+
+
 def _is_free(number: int) -> bool:
     try:
         port = reactor.listenTCP(
