Give the modules of fleet rooms by subject

Cause: 28 modules lay side by side in fleet, so that a part of scheduling was hard to find and new parts had no home.

Change: accounts, queueing, placement, runs and workers hold the modules by subject, with their tests beside them.

Result: 44 tests of fleet pass.

--- a/citronmount/fleet/guarantees.py
+++ b/citronmount/fleet/accounts/guarantees.py
@@ -4,8 +4,8 @@
 
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import unit_runs
-from citronmount.fleet import waiting_units
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import units
 
 __all__ = ["HIGHEST_PRIORITY", "Guarantees"]
--- a/citronmount/fleet/commands.py
+++ b/citronmount/fleet/commands.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from citronmount.core import ids
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import units
 
 __all__ = [
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -6,15 +6,15 @@
 import structlog
 
 from citronmount.core import ids
-from citronmount.fleet import advice_cache
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import lease_sessions
-from citronmount.fleet import run_table
-from citronmount.fleet import unit_runs
-from citronmount.fleet import worker_directory
-from citronmount.fleet import worker_health
-from citronmount.fleet import worker_speeds
+from citronmount.fleet.placement import advice_cache
+from citronmount.fleet.runs import run_table
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import worker_directory
+from citronmount.fleet.workers import worker_health
+from citronmount.fleet.workers import worker_speeds
 from citronmount.workflow import job_views
 from citronmount.workflow import records
 from citronmount.workflow import units
--- a/citronmount/fleet/advice_cache.py
+++ b/citronmount/fleet/placement/advice_cache.py
@@ -13,7 +13,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 
 __all__ = ["AdviceCache"]
 
--- a/citronmount/fleet/fitting.py
+++ b/citronmount/fleet/placement/fitting.py
@@ -15,8 +15,8 @@
 import msgspec
 
 from citronmount.core import ids
-from citronmount.fleet import worker_allocations
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_allocations
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
 __all__ = [
--- a/citronmount/fleet/preemption.py
+++ b/citronmount/fleet/placement/preemption.py
@@ -16,10 +16,10 @@
 import msgspec
 
 from citronmount.core import ids
-from citronmount.fleet import fitting
-from citronmount.fleet import unit_runs
-from citronmount.fleet import worker_allocations
-from citronmount.fleet import worker_directory
+from citronmount.fleet.placement import fitting
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_allocations
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
--- a/citronmount/fleet/revocable_runs.py
+++ b/citronmount/fleet/placement/revocable_runs.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 
 from citronmount.core import ids
-from citronmount.fleet import guarantees
-from citronmount.fleet import unit_runs
+from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import units
 
 __all__ = ["revocable_runs"]
--- a/citronmount/fleet/tests/test_advice_cache.py
+++ b/citronmount/fleet/placement/tests/test_advice_cache.py
@@ -1,9 +1,9 @@
 import unittest
 
 from citronmount.core import ids
-from citronmount.fleet import advice_cache
 from citronmount.fleet import commands
-from citronmount.fleet import worker_directory
+from citronmount.fleet.placement import advice_cache
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
 STEP = advice_cache.StepId("j.0.0")
--- a/citronmount/fleet/tests/test_preemption.py
+++ b/citronmount/fleet/placement/tests/test_preemption.py
@@ -1,7 +1,7 @@
 from unittest import mock
 
-from citronmount.fleet import fitting
-from citronmount.fleet import unit_runs
+from citronmount.fleet.placement import fitting
+from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.tests import planning_fixture
 from citronmount.workflow import spec
 
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -6,21 +6,21 @@
 from collections.abc import Sequence
 
 from citronmount.core import ids
-from citronmount.fleet import delay_scheduling
-from citronmount.fleet import fitting
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import guarantees
-from citronmount.fleet import preemption
-from citronmount.fleet import reservations
-from citronmount.fleet import revocable_runs
-from citronmount.fleet import run_table
-from citronmount.fleet import unit_runs
-from citronmount.fleet import urgency
-from citronmount.fleet import waiting_units
-from citronmount.fleet import worker_allocations
-from citronmount.fleet import worker_directory
-from citronmount.fleet import worker_health
-from citronmount.fleet import worker_speeds
+from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.placement import fitting
+from citronmount.fleet.placement import preemption
+from citronmount.fleet.placement import revocable_runs
+from citronmount.fleet.queueing import delay_scheduling
+from citronmount.fleet.queueing import reservations
+from citronmount.fleet.queueing import urgency
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_table
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_allocations
+from citronmount.fleet.workers import worker_directory
+from citronmount.fleet.workers import worker_health
+from citronmount.fleet.workers import worker_speeds
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -4,15 +4,15 @@
 
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import job_completion
 from citronmount.fleet import owner_state
 from citronmount.fleet import planning
-from citronmount.fleet import run_driver
-from citronmount.fleet import unit_runs
-from citronmount.fleet import waiting_units
-from citronmount.fleet import worker_directory
-from citronmount.fleet import worker_reports
-from citronmount.fleet import worker_sessions
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import job_completion
+from citronmount.fleet.runs import run_driver
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_directory
+from citronmount.fleet.workers import worker_reports
+from citronmount.fleet.workers import worker_sessions
 from citronmount.workflow import job_views
 from citronmount.workflow import records
 from citronmount.workflow import units
--- /dev/null
+++ b/citronmount/fleet/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Waiting units: their order, reservations and delays."""
--- a/citronmount/fleet/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import waiting_units
+from citronmount.fleet.queueing import waiting_units
 
 __all__ = ["DelayPolicy"]
 
--- a/citronmount/fleet/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -17,10 +17,10 @@
 from collections.abc import Sequence
 
 from citronmount.core import ids
-from citronmount.fleet import fitting
-from citronmount.fleet import unit_runs
-from citronmount.fleet import worker_allocations
-from citronmount.fleet import worker_directory
+from citronmount.fleet.placement import fitting
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_allocations
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
 __all__ = ["MAX_RESERVATIONS", "Releases", "Reservations", "remaining_ms"]
--- a/citronmount/fleet/urgency.py
+++ b/citronmount/fleet/queueing/urgency.py
@@ -8,8 +8,8 @@
 """
 
 from citronmount.core import ids
-from citronmount.fleet import guarantees
-from citronmount.fleet import waiting_units
+from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.queueing import waiting_units
 
 __all__ = ["Urgency"]
 
--- /dev/null
+++ b/citronmount/fleet/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of units from their placement to their end."""
--- a/citronmount/fleet/job_completion.py
+++ b/citronmount/fleet/runs/job_completion.py
@@ -3,9 +3,9 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
-from citronmount.fleet import run_driver
-from citronmount.fleet import unit_runs
-from citronmount.fleet import waiting_units
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_driver
+from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import job_views
 from citronmount.workflow import records
 
--- a/citronmount/fleet/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -5,9 +5,9 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
-from citronmount.fleet import slow_members
-from citronmount.fleet import unit_runs
-from citronmount.fleet import worker_directory
+from citronmount.fleet.runs import slow_members
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
 from citronmount.workflow import units
 
--- a/citronmount/fleet/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 
 from citronmount.core import ids
-from citronmount.fleet import unit_runs
-from citronmount.fleet import worker_allocations
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import units
 
 __all__ = ["RunTable"]
--- a/citronmount/fleet/slow_members.py
+++ b/citronmount/fleet/runs/slow_members.py
@@ -5,7 +5,7 @@
 """
 
 from citronmount.core import ids
-from citronmount.fleet import unit_runs
+from citronmount.fleet.runs import unit_runs
 
 __all__ = ["slow_workers"]
 
--- a/citronmount/fleet/tests/test_unit_runs.py
+++ b/citronmount/fleet/runs/tests/test_unit_runs.py
@@ -1,7 +1,7 @@
 import unittest
 
 from citronmount.core import ids
-from citronmount.fleet import unit_runs
+from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import records
 from citronmount.workflow import spec
 from citronmount.workflow import units
--- a/citronmount/fleet/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -8,7 +8,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
-from citronmount.fleet import task_progress
+from citronmount.fleet.runs import task_progress
 from citronmount.workflow import records
 from citronmount.workflow import spec
 from citronmount.workflow import units
--- a/citronmount/fleet/tests/planning_fixture.py
+++ b/citronmount/fleet/tests/planning_fixture.py
@@ -7,10 +7,10 @@
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import planning
-from citronmount.fleet import run_table
-from citronmount.fleet import unit_runs
-from citronmount.fleet import waiting_units
-from citronmount.fleet import worker_directory
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_table
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
 from citronmount.workflow import spec
 from citronmount.workflow import units
--- a/citronmount/fleet/tests/test_overload.py
+++ b/citronmount/fleet/tests/test_overload.py
@@ -1,7 +1,7 @@
 import msgspec
 
-from citronmount.fleet import run_table
-from citronmount.fleet import waiting_units
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_table
 from citronmount.fleet.tests import planning_fixture
 from citronmount.workflow import spec
 
--- a/citronmount/fleet/tests/test_planning.py
+++ b/citronmount/fleet/tests/test_planning.py
@@ -1,13 +1,13 @@
 import unittest
 from unittest import mock
 
-from citronmount.fleet import fitting
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import planning
-from citronmount.fleet import run_table
-from citronmount.fleet import waiting_units
-from citronmount.fleet import worker_directory
+from citronmount.fleet.placement import fitting
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_table
 from citronmount.fleet.tests import planning_fixture
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
 
--- /dev/null
+++ b/citronmount/fleet/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers: their directory, sessions, capacity, health and speeds."""
--- a/citronmount/fleet/tests/test_worker_health.py
+++ b/citronmount/fleet/workers/tests/test_worker_health.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from citronmount.core import ids
-from citronmount.fleet import worker_directory
-from citronmount.fleet import worker_health
+from citronmount.fleet.workers import worker_directory
+from citronmount.fleet.workers import worker_health
 from citronmount.workflow import spec
 
 WORKER = ids.WorkerId("w")
--- a/citronmount/fleet/tests/test_worker_speeds.py
+++ b/citronmount/fleet/workers/tests/test_worker_speeds.py
@@ -1,8 +1,8 @@
 import itertools
 import unittest
 
-from citronmount.fleet import task_progress
-from citronmount.fleet import worker_speeds
+from citronmount.fleet.runs import task_progress
+from citronmount.fleet.workers import worker_speeds
 
 FAST = ("a", "b", "c", "d", "e", "f")
 SLOW = ("x", "y", "z")
--- a/citronmount/fleet/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from citronmount.core import ids
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
 __all__ = [
--- a/citronmount/fleet/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -4,11 +4,11 @@
 import statistics
 
 from citronmount.fleet import commands
-from citronmount.fleet import lease_sessions
 from citronmount.fleet import owner_state
-from citronmount.fleet import unit_runs
-from citronmount.fleet import worker_directory
-from citronmount.fleet import worker_sessions
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import worker_directory
+from citronmount.fleet.workers import worker_sessions
 from citronmount.workflow import records
 from citronmount.workflow import units
 
--- a/citronmount/fleet/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -3,9 +3,9 @@
 import collections
 
 from citronmount.core import ids
-from citronmount.fleet import lease_sessions
 from citronmount.fleet import owner_state
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import worker_directory
 
 __all__ = ["WorkerSessions"]
 
--- a/citronmount/fleet/worker_speeds.py
+++ b/citronmount/fleet/workers/worker_speeds.py
@@ -10,7 +10,7 @@
 import math
 import statistics
 
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 
 __all__ = ["SLOWER_FACTOR", "WorkerSpeeds"]
 
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -13,10 +13,10 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import lease_sessions
 from citronmount.fleet import owner_state
 from citronmount.fleet import pool_owner
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import ports
 from citronmount.workflow import job_views
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -10,8 +10,8 @@
 from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import lease_sessions
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import log_health
 from citronmount.fleet_service import log_tail
--- a/citronmount/fleet_service/ports.py
+++ b/citronmount/fleet_service/ports.py
@@ -12,7 +12,7 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 
 __all__ = [
     "CallRefusedError",
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -12,8 +12,8 @@
 from citronmount.core import ids
 from citronmount.core import states
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import lease_sessions
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import pool_vm
 from citronmount.fleet_service import ports
--- a/citronmount/fleet_service/tests/test_large_pool.py
+++ b/citronmount/fleet_service/tests/test_large_pool.py
@@ -1,7 +1,7 @@
 from twisted.internet import defer
 
 from citronmount.core import states
-from citronmount.fleet import worker_sessions
+from citronmount.fleet.workers import worker_sessions
 from citronmount.fleet_service.tests import pool_fixture
 from citronmount.standins import pool_workers
 
--- a/citronmount/fleet_service/tests/test_worker_faults.py
+++ b/citronmount/fleet_service/tests/test_worker_faults.py
@@ -2,7 +2,7 @@
 
 from citronmount.core import ids
 from citronmount.core import states
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
 from citronmount.fleet_service.tests import pool_fixture
 from citronmount.standins import pool_workers
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -20,7 +20,7 @@
 from twisted.web import server
 
 from citronmount.clients import http_client
-from citronmount.fleet import lease_sessions
+from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import pool_vm
 from citronmount.fleet_service import ports
--- a/citronmount/platform/tests/loopback_site.py
+++ b/citronmount/platform/tests/loopback_site.py
@@ -12,7 +12,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
 from citronmount.platform import framing
 from citronmount.platform import store_log
--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -26,7 +26,7 @@
 
 from citronmount.clients import http_client
 from citronmount.core import ids
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
 from citronmount.platform.tests import loopback_ports
 from citronmount.platform.tests import loopback_site
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from citronmount.core import ids
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
 from citronmount.fleet_service import vm_settings
 from citronmount.platform import framing
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -5,7 +5,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
 from citronmount.workflow import spec
 
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -10,8 +10,8 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
-from citronmount.fleet import worker_allocations
-from citronmount.fleet import worker_directory
+from citronmount.fleet.workers import worker_allocations
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
