Let a deployment enable parts of scheduling by name

Cause: new decisions under load must leave earlier deployments as they are; a pool had no switch for a part of scheduling.

Nothing depends on them yet.

--- a/citronmount/fleet/fleet_configuration.py
+++ b/citronmount/fleet/fleet_configuration.py
@@ -1,11 +1,28 @@
 """The published configuration of a pool, in the form the owner uses."""
 
+import enum
+
 import msgspec
 
 from citronmount.core import ids
 from citronmount.workflow import spec
 
-__all__ = ["Account", "Bounds", "FleetConfiguration", "Queue"]
+__all__ = ["Account", "Bounds", "Feature", "FleetConfiguration", "Queue"]
+
+
+class Feature(enum.Enum):
+    """A part of scheduling that a deployment enables by its name.
+
+    FAIR_SHARING: accounts below their share go first while the pool is full.
+    PREEMPTION_WORTH: reservations and preemptions follow the worth of work.
+    RUN_TIME_ESTIMATES: run times are learned from finished runs. WORKER_SPEEDS:
+    gangs run on workers of like speed.
+    """
+
+    FAIR_SHARING = "fair-sharing"
+    PREEMPTION_WORTH = "preemption-worth"
+    RUN_TIME_ESTIMATES = "run-time-estimates"
+    WORKER_SPEEDS = "worker-speeds"
 
 
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -50,6 +50,7 @@
         job_view: State of the jobs, folded from the job topic.
         directory: Directory entries of the workers.
         bounds: Time bounds and factors of the site.
+        features: Enabled parts of scheduling.
         policy: Timing of leases and their renewal.
         table: The runs.
         sessions: Session of each worker's current incarnation.
@@ -90,6 +91,7 @@
         bounds: fleet_configuration.Bounds,
         policy: lease_sessions.LeasePolicy,
         now_ms: int,
+        features: frozenset[fleet_configuration.Feature] = frozenset(),
     ) -> None:
         """Initializes without runs.
 
@@ -100,6 +102,7 @@
             bounds: Time bounds and factors of the site.
             policy: Timing of leases and their renewal.
             now_ms: Monotonic time in milliseconds.
+            features: Enabled parts of scheduling.
         """
         self.token = token
         self.fenced = False
@@ -107,6 +110,7 @@
         self.job_view = job_view
         self.directory = directory
         self.bounds = bounds
+        self.features = features
         self.policy = policy
         self.table = run_table.RunTable()
         self.sessions: dict[ids.WorkerId, lease_sessions.LeaseSession] = {}
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -69,6 +69,7 @@
         policy: lease_sessions.LeasePolicy,
         on_step_down: Callable[[], None],
         wall_clock: WallClock = wall_ms,
+        features: frozenset[fleet_configuration.Feature] = frozenset(),
     ) -> None:
         """Initializes a VM that does not own the pool.
 
@@ -85,6 +86,7 @@
             on_step_down: Called when this VM releases the pool because a
                 newer owner has fenced it or after an internal error.
             wall_clock: Returns the Unix time in milliseconds.
+            features: Enabled parts of scheduling.
         """
         self.active = False
         self._clock = clock
@@ -95,6 +97,7 @@
         self._worker_tail = worker_tail
         self._directory = directory
         self._bounds = bounds
+        self._features = features
         self._policy = policy
         self._on_step_down = on_step_down
         self._wall_clock = wall_clock
@@ -181,6 +184,7 @@
             job_view=self._job_view,
             directory=self._directory,
             bounds=self._bounds,
+            features=self._features,
             policy=self._policy,
             now_ms=now_ms,
         )
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -49,6 +49,7 @@
         policy: lease_sessions.LeasePolicy,
         sized_for_ownership: bool = True,
         wall_clock: Callable[[], int] = owner_loop.wall_ms,
+        features: frozenset[fleet_configuration.Feature] = frozenset(),
     ) -> None:
         """Connects the parts without starting them.
 
@@ -63,6 +64,7 @@
             sized_for_ownership: Whether the VM has enough processor time to
                 own the pool.
             wall_clock: Returns the Unix time in milliseconds.
+            features: Enabled parts of scheduling.
         """
         self._clock = clock
         self._decode = decode
@@ -117,6 +119,7 @@
             worker_tail=self._worker_tail,
             directory=self._directory,
             bounds=bounds,
+            features=features,
             policy=policy,
             on_step_down=self._on_step_down,
             wall_clock=wall_clock,
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -20,6 +20,7 @@
 from twisted.web import server
 
 from citronmount.clients import http_client
+from citronmount.fleet import fleet_configuration
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import pool_vm
@@ -107,6 +108,7 @@
     path: str,
     settings: vm_settings.VmSettings,
     registry: metrics_registry.MetricsRegistry,
+    features: frozenset[fleet_configuration.Feature],
 ) -> None:
     """Runs one VM until SIGTERM, then shuts it down gracefully.
 
@@ -121,6 +123,7 @@
         path: The settings file.
         settings: The settings.
         registry: The metrics of the process.
+        features: Enabled parts of scheduling.
 
     Raises:
         ExceptionGroup: Some resources could not be closed.
@@ -128,7 +131,7 @@
     client = http_client.HttpClient(reactor=reactor)
     member = f"{settings.vm}/{secrets.token_hex(PROCESS_NONCE_BYTES)}"
     log = adapter.log(settings, client, member)
-    vm = _make_pool_vm(reactor, adapter, settings, client, log)
+    vm = _make_pool_vm(reactor, adapter, settings, client, log, features)
     reloader = settings_reloader.SettingsReloader(
         path=path,
         load=adapter.load,
@@ -180,6 +183,7 @@
     settings: vm_settings.VmSettings,
     client: http_client.HttpClient,
     log: ports.Log,
+    features: frozenset[fleet_configuration.Feature],
 ) -> pool_vm.PoolVm:
     lease_ms = min(LEASE_MS, settings.bounds.max_lease_ms - LEASE_MARGIN_MS)
     policy = lease_sessions.LeasePolicy(
@@ -193,6 +197,7 @@
         worker_commands=adapter.worker_commands(settings, client),
         decode=adapter.decode,
         bounds=settings.bounds,
+        features=features,
         policy=policy,
         sized_for_ownership=settings.processor_share >= OWNER_PROCESSOR_SHARE,
     )
@@ -304,12 +309,17 @@
     return EXIT_OK
 
 
-def run(adapter: Adapter, path: str) -> int:
+def run(
+    adapter: Adapter,
+    path: str,
+    features: frozenset[fleet_configuration.Feature] = frozenset(),
+) -> int:
     """Runs the process of one VM until it is stopped.
 
     Args:
         adapter: The parts that are specific to the site.
         path: The settings file.
+        features: Enabled parts of scheduling.
 
     Returns:
         The exit status: 0 after SIGTERM, 1 after an internal error and 2 if
@@ -333,5 +343,7 @@
         event_processor=event_metrics.EventMetrics(metrics=registry),
     ):
         return _run_reactor(
-            lambda reactor: serve(reactor, adapter, path, settings, registry)
+            lambda reactor: serve(
+                reactor, adapter, path, settings, registry, features
+            )
         )
--- a/citronmount/platform/daemon.py
+++ b/citronmount/platform/daemon.py
@@ -6,6 +6,7 @@
 import click
 
 from citronmount.clients import http_client
+from citronmount.fleet import fleet_configuration
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import ports
 from citronmount.fleet_service import vm_process
@@ -58,13 +59,16 @@
     return vm_process.check(PlatformAdapter(), path)
 
 
-def run(path: str | None) -> int:
+def run(
+    path: str | None,
+    features: frozenset[fleet_configuration.Feature] = frozenset(),
+) -> int:
     """Runs the process of one VM; see `vm_process.run` for the exit status.
 
     The default path is in an environment variable that the platform sets.
     """
     default_path = os.environ.get(settings_file.SETTINGS_VARIABLE, "")
-    return vm_process.run(PlatformAdapter(), path or default_path)
+    return vm_process.run(PlatformAdapter(), path or default_path, features)
 
 
 @click.command()
@@ -80,10 +84,21 @@
     type=click.Path(),
     help="Check this settings file, print its errors and exit.",
 )
-def main(path: str | None, check_path: str | None) -> None:
+@click.option(
+    "--enable",
+    "enabled",
+    multiple=True,
+    type=click.Choice([each.value for each in fleet_configuration.Feature]),
+    help="Enable a part of scheduling; may be repeated.",
+)
+def main(
+    path: str | None, check_path: str | None, enabled: tuple[str, ...]
+) -> None:
     """Runs the process of one VM on the users' platform.
 
     Exits with status 0 after a planned stop, 1 after a failure and 2 if the
     settings are invalid.
     """
-    sys.exit(check(check_path) if check_path else run(path))
+    if check_path:
+        sys.exit(check(check_path))
+    sys.exit(run(path, frozenset(map(fleet_configuration.Feature, enabled))))
