Give waiting units and runs a run time with quantiles

Cause: eight modules read the declared estimate of a step, so a learned run time had no single place to come from.

Change: RunTime holds a low, a median and a high quantile; units and runs return the learned one or else the declared one. Nothing sets a learned one yet.

--- /dev/null
+++ b/citronmount/fleet/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""Estimates of run times."""
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from citronmount.core import ids
+from citronmount.fleet.estimates import run_time
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
@@ -32,6 +33,8 @@
         failures: Number of failed runs.
         saved: Newest checkpoint, or empty.
         avoid: Workers on which the unit failed, stalled or was slow.
+        learned_run_time: Run time of a task as learned from finished runs, or
+            None without an estimate.
     """
 
     key: units.UnitKey
@@ -42,6 +45,12 @@
     failures: int = 0
     saved: str = ""
     avoid: frozenset[ids.WorkerId] = frozenset()
+    learned_run_time: run_time.RunTime | None = None
+
+    @property
+    def run_time(self) -> run_time.RunTime:
+        """Expected run time of a task: the learned or the declared one."""
+        return self.learned_run_time or run_time.declared(self.step)
 
     @property
     def tasks(self) -> int:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -8,6 +8,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
+from citronmount.fleet.estimates import run_time
 from citronmount.fleet.runs import task_progress
 from citronmount.workflow import records
 from citronmount.workflow import spec
@@ -130,6 +131,8 @@
         failures: Number of failed runs of the unit, including this one.
         saved: Checkpoint that the run started from, or a newer one.
         restored: Whether an earlier owner started the run.
+        learned_run_time: Run time of a task as learned from finished runs, or
+            None without an estimate.
         placed_ms: Monotonic time of the placement.
         started_ms: Monotonic time at which this owner first saw all members
             running, or None.
@@ -149,6 +152,7 @@
         restored: bool = False,
         now_ms: int = 0,
         task_positions: Sequence[int] = (),
+        learned_run_time: run_time.RunTime | None = None,
     ) -> None:
         """Initializes a run.
 
@@ -165,6 +169,7 @@
             now_ms: Monotonic time in milliseconds.
             task_positions: Position among the unit's tasks of each place;
                 empty if there is a place for every task.
+            learned_run_time: Learned run time of a task, or None.
         """
         self.key = key
         self.unit = key.unit
@@ -177,6 +182,7 @@
         self.failures = failures
         self.saved = saved
         self.restored = restored
+        self.learned_run_time = learned_run_time
         self.placed_ms = now_ms
         self.started_ms: int | None = None
         names = units.task_names(key, step)
@@ -193,6 +199,11 @@
         """Id of the unit's job."""
         return self.key.job
 
+    @property
+    def run_time(self) -> run_time.RunTime:
+        """Expected run time of a task: the learned or the declared one."""
+        return self.learned_run_time or run_time.declared(self.step)
+
     @property
     def is_working(self) -> bool:
         """Whether all members are running and no end was reported."""
