--- a/citronmount/service/daemon.py
+++ b/citronmount/service/daemon.py
@@ -17,6 +17,7 @@
 from citronmount.service import http_server
 from citronmount.service import listening
 from citronmount.service import settings as settings_lib
+from citronmount.service import settings_file
 from citronmount.service import wiring
 from citronmount.telemetry import logs
 
@@ -164,7 +165,7 @@
     if settings_path is None:
         raise click.UsageError("expected --settings FILE or --check FILE")
     try:
-        settings = settings_lib.load(settings_path)
+        settings = settings_file.load(settings_path)
     except ExceptionGroup as group:
         _print_errors(group)
         sys.exit(EXIT_BAD_SETTINGS)
@@ -194,7 +195,7 @@
 
 
 def _check(path: str) -> int:
-    faults = settings_lib.check(path)
+    faults = settings_file.check(path)
     for fault in faults:
         click.echo(str(fault), err=True)
     if faults:
--- a/citronmount/service/settings.py
+++ b/citronmount/service/settings.py
@@ -1,15 +1,11 @@
 """The settings of a daemon, read from a TOML file."""
 
 import enum
-import os
 from typing import Annotated
 
 import msgspec
 
 from citronmount.core import ids
-from citronmount.service import settings_faults
-from citronmount.service import settings_reader
-from citronmount.service import settings_rules
 
 __all__ = [
     "CurveSettings",
@@ -22,8 +18,6 @@
     "Settings",
     "TimingSettings",
     "VmSettings",
-    "check",
-    "load",
 ]
 
 _MAX_MS = 86_400_000
@@ -217,48 +211,3 @@
     timing: TimingSettings = TimingSettings()
     logging: LoggingSettings = LoggingSettings()
     retention: RetentionSettings = RetentionSettings()
-
-
-def check(
-    path: str | os.PathLike[str],
-) -> tuple[settings_faults.SettingFault, ...]:
-    """Returns every fault of a settings file.
-
-    Args:
-        path: The TOML file.
-
-    Returns:
-        The faults, sorted by key; empty if the daemon can start.
-    """
-    return _read(path)[1]
-
-
-def load(path: str | os.PathLike[str]) -> Settings:
-    """Loads the settings of a daemon.
-
-    Args:
-        path: The TOML file.
-
-    Returns:
-        The validated settings.
-
-    Raises:
-        ExceptionGroup: The file has faults; the group holds one
-            `settings_faults.SettingError` for each.
-    """
-    settings, faults = _read(path)
-    if settings is None or faults:
-        raise ExceptionGroup(
-            f"{os.fspath(path)}: {len(faults)} faults",
-            [settings_faults.SettingError(fault) for fault in faults],
-        )
-    return settings
-
-
-def _read(
-    path: str | os.PathLike[str],
-) -> tuple[Settings | None, tuple[settings_faults.SettingFault, ...]]:
-    settings, faults = settings_reader.read(path, Settings)
-    if settings is None:
-        return None, faults
-    return settings, settings_rules.faults_of(settings, os.fspath(path))
--- a/citronmount/service/settings_rules.py
+++ b/citronmount/service/settings_rules.py
@@ -1,26 +1,21 @@
 """Validation rules across settings and against the file system."""
 
-from __future__ import annotations
-
 from collections.abc import Callable
 from collections.abc import Iterator
 import os
-import typing
 
 import zmq
 
 from citronmount.core import codes
+from citronmount.service import settings as settings_lib
 from citronmount.service import settings_faults
 from citronmount.service import settings_formats
 
-if typing.TYPE_CHECKING:
-    from citronmount.service import settings as settings_lib
-
 __all__ = ["faults_of"]
 
 # Dotted key, result code and description of the expected value.
 FaultRow = tuple[str, codes.ResultCode, str]
-Rule = Callable[["settings_lib.Settings"], Iterator[FaultRow]]
+Rule = Callable[[settings_lib.Settings], Iterator[FaultRow]]
 
 _FILE = codes.ResultCode.SETTING_FILE
 _MISSING = codes.ResultCode.SETTING_MISSING
--- a/citronmount/service/tests/test_settings.py
+++ b/citronmount/service/tests/test_settings.py
@@ -11,6 +11,7 @@
 from citronmount.core import codes
 from citronmount.service import settings
 from citronmount.service import settings_faults
+from citronmount.service import settings_file
 
 _EXAMPLE = pathlib.Path("examples/settings/citronmountd.toml")
 _COMMENTED_DEFAULT = re.compile(r"^# (?=[a-z_]+ = )", re.MULTILINE)
@@ -29,7 +30,7 @@
     def faults(self, text):
         data = text if isinstance(text, bytes) else text.encode()
         self.path.write_bytes(data)
-        return settings.check(self.path)
+        return settings_file.check(self.path)
 
     def keys_and_codes(self, text):
         return {(f.key, f.code) for f in self.faults(text)}
@@ -39,7 +40,7 @@
         return self.example.replace(old, new)
 
     def test_example_settings_load(self):
-        loaded = settings.load(_EXAMPLE)
+        loaded = settings_file.load(_EXAMPLE)
         self.assertEqual(loaded.vm.failure_domain_id, "kr-a")
         self.assertEqual(loaded.timing, settings.TimingSettings())
 
@@ -48,7 +49,7 @@
         without_paths = "\n".join(ln for ln in lines if "_path" not in ln)
         uncommented = _COMMENTED_DEFAULT.sub("", without_paths)
         self.path.write_text(uncommented, encoding="utf-8")
-        loaded = settings.load(self.path)
+        loaded = settings_file.load(self.path)
         for section in ("limits", "timing", "logging", "retention"):
             default = type(getattr(loaded, section))()
             self.assertEqual(getattr(loaded, section), default)
@@ -111,13 +112,13 @@
     def test_load_raises_a_group_of_setting_errors(self):
         self.path.write_text("", encoding="utf-8")
         with self.assertRaises(ExceptionGroup) as caught:
-            settings.load(self.path)
+            settings_file.load(self.path)
         for error in caught.exception.exceptions:
             self.assertIsInstance(error, settings_faults.SettingError)
 
     def test_unreadable_file_is_one_fault(self):
         for path in ("/nonexistent/x.toml", "a\0b", "."):
-            (fault,) = settings.check(path)
+            (fault,) = settings_file.check(path)
             self.assertEqual(fault.code, _CODES.SETTING_FILE)
 
     def test_public_key_that_does_not_match_is_refused(self):
@@ -125,7 +126,7 @@
         self.assertIn("curve.public_key", {f.key for f in self.faults(text)})
 
     def test_repr_does_not_contain_the_secret_key(self):
-        loaded = settings.load(_EXAMPLE)
+        loaded = settings_file.load(_EXAMPLE)
         self.assertNotIn(loaded.curve.secret_key, repr(loaded))
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
--- a/citronmount/testing/tests/test_tutorial.py
+++ b/citronmount/testing/tests/test_tutorial.py
@@ -10,7 +10,7 @@
 from citronmount.config import pool_file
 from citronmount.config import sheet
 from citronmount.config import sheet_feasibility
-from citronmount.service import settings
+from citronmount.service import settings_file
 from citronmount.standins import http_servers
 
 _TUTORIAL_FILES = pathlib.Path("examples/tutorial")
@@ -36,7 +36,7 @@
         standins = msgspec.toml.decode(data, type=http_servers.StandinSettings)
         peer_addresses = {vm.vm: vm.peer_address for vm in standins.vms}
         for vm, peer_address in peer_addresses.items():
-            loaded = settings.load(_TUTORIAL_FILES / f"{vm}.toml")
+            loaded = settings_file.load(_TUTORIAL_FILES / f"{vm}.toml")
             self.assertEqual(loaded.listen.peer_address, peer_address)
             self.assertEqual(loaded.platform.log_address, standins.log_address)
         pool = pool_file.load(_TUTORIAL_FILES / "pool.toml")
