Compute the free capacity of a worker once a round

Cause: a planning round asks for the free capacity of each worker and for the number of tasks that fit for each shape, and built several objects each time.

Change: the round's copy of the allocations caches free capacity until an allocation changes it; max_task_count compares without a list.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -388,9 +388,7 @@
             self._placed_counts[unit.key.step_key][worker.worker] += 1
 
     def _free_capacity(self, worker: worker_directory.Worker) -> spec.Demand:
-        return worker_allocations.subtract_demands(
-            worker.capacity, self._allocations.used(worker.worker)
-        )
+        return self._allocations.cached_free(worker)
 
     def _requirements(
         self, unit: waiting_units.WaitingUnit, task_count: int = 0
--- a/citronmount/fleet/workers/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -63,20 +63,16 @@
     Returns:
         A number from 0 to `limit`.
     """
-    pairs = (
-        (free.millicores, demand.millicores),
-        (free.memory_mb, demand.memory_mb),
-        (free.accelerators, demand.accelerators),
-    )
-    return max(
-        min(
-            [
-                limit,
-                *(available // needed for available, needed in pairs if needed),
-            ]
-        ),
-        0,
-    )
+    # Called for each worker and shape in each planning round, so it builds no
+    # intermediate objects.
+    count = limit
+    if demand.accelerators:
+        count = min(count, free.accelerators // demand.accelerators)
+    if demand.millicores:
+        count = min(count, free.millicores // demand.millicores)
+    if demand.memory_mb:
+        count = min(count, free.memory_mb // demand.memory_mb)
+    return max(count, 0)
 
 
 class WorkerAllocations:
@@ -87,17 +83,32 @@
         self._used: dict[ids.WorkerId, spec.Demand] = collections.defaultdict(
             spec.Demand
         )
+        self._cached_free: dict[ids.WorkerId, spec.Demand] = {}
 
     def used(self, worker: ids.WorkerId) -> spec.Demand:
         """Returns the resources allocated on a worker."""
         return self._used.get(worker, NO_DEMAND)
 
+    def cached_free(self, worker: worker_directory.Worker) -> spec.Demand:
+        """Returns the free capacity of a worker.
+
+        Only for a copy of the allocations that serves one planning round: the
+        cache assumes that the capacity of a worker does not change.
+        """
+        free = self._cached_free.get(worker.worker)
+        if free is None:
+            free = subtract_demands(worker.capacity, self.used(worker.worker))
+            self._cached_free[worker.worker] = free
+        return free
+
     def allocate(self, worker: ids.WorkerId, demand: spec.Demand) -> None:
         """Allocates resources on a worker."""
+        self._cached_free.pop(worker, None)
         self._used[worker] = add_demands(self._used[worker], demand)
 
     def release(self, worker: ids.WorkerId, demand: spec.Demand) -> None:
         """Releases resources on a worker."""
+        self._cached_free.pop(worker, None)
         remaining = subtract_demands(self._used[worker], demand)
         self._used[worker] = remaining
         if remaining == NO_DEMAND:
