Limit what a client account may have running by its quota

Cause: nothing limits what an account runs; an account ran 562,700 millicores with a quota of 517,466.

Change: Account has a typed quota and a weight. The planner counts the full demand of every live member of every run and skips a unit that its account's quota forbids, before it looks for capacity, so the unit gets no reservation and blocks no other account. A job inside its guarantee preempts the cheapest runs of its own account. Placed runs whose start was not sent are withdrawn when the quota is lowered. A submission with a gang larger than the quota is answered by status 429 after the topic was read to its end, and nothing is appended. An owner that has read no configuration starts nothing. Log lines: account_limited, account_not_limited, unit_exceeds_quota, submission_exceeds_quota; gauges: quota.used and quota.limit by account and resource.

The tests fail if restored runs, runs being stopped or members without an answer are not counted.

--- a/citronmount/fleet/fleet_configuration.py
+++ b/citronmount/fleet/fleet_configuration.py
@@ -7,7 +7,15 @@
 from citronmount.core import ids
 from citronmount.workflow import spec
 
-__all__ = ["Account", "Bounds", "Feature", "FleetConfiguration", "Queue"]
+__all__ = [
+    "Account",
+    "Bounds",
+    "Feature",
+    "FleetConfiguration",
+    "NO_QUOTA",
+    "Queue",
+    "Quota",
+]
 
 
 class Feature(enum.Enum):
@@ -43,6 +51,23 @@
     public: bool = False
 
 
+class Quota(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits on what an account may have running; 0 is no limit.
+
+    Attributes:
+        max_millicores: Thousandths of a processor core.
+        max_memory_mb: Memory in megabytes.
+        max_accelerators: Number of whole accelerators.
+    """
+
+    max_millicores: int = 0
+    max_memory_mb: int = 0
+    max_accelerators: int = 0
+
+
+NO_QUOTA = Quota()
+
+
 class Account(msgspec.Struct, frozen=True, kw_only=True):
     """A client account.
 
@@ -51,11 +76,16 @@
         keys: API keys of the account's callers.
         guaranteed_accelerators: Number of accelerators guaranteed to the
             account's jobs of priority 0.
+        quota: Limits on what the account may have running in the pool.
+        weight: Share of the account while the pool is full, relative to the
+            other accounts, or 0 if the configuration gives none.
     """
 
     account: ids.AccountId
     keys: frozenset[str]
     guaranteed_accelerators: int = 0
+    quota: Quota = NO_QUOTA
+    weight: float = 0.0
 
 
 class FleetConfiguration(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,6 +123,13 @@
         owners = (each.account for each in self.accounts if key in each.keys)
         return next(owners, None)
 
+    def quota_of(self, account: ids.AccountId) -> Quota:
+        """Returns the quota of an account; an unknown account has none."""
+        quotas = (
+            each.quota for each in self.accounts if each.account == account
+        )
+        return next(quotas, NO_QUOTA)
+
     def authenticate(self, queue: Queue, key: str) -> ids.AccountId | None:
         """Returns the client account of a call.
 
--- a/citronmount/fleet/placement/preemption.py
+++ b/citronmount/fleet/placement/preemption.py
@@ -97,6 +97,9 @@
 
     Runs are indexed by worker once per round, because a burst of urgent units
     may search while more than a thousand runs may be stopped.
+
+    Attributes:
+        runs: Runs that may be stopped or are being stopped.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
                 be on workers that do not answer.
             cost: Returns the cost of stopping a run.
         """
+        self.runs = (*ending, *revocable)
         self._costs = {run.unit: cost(run) for run in revocable}
         self._costs |= {run.unit: 0.0 for run in ending}
         self._runs_by_worker: dict[ids.WorkerId, list[unit_runs.Run]] = (
--- a/citronmount/fleet/placement/revocable_runs.py
+++ b/citronmount/fleet/placement/revocable_runs.py
@@ -8,7 +8,17 @@
 from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import units
 
-__all__ = ["revocable_runs"]
+__all__ = ["preempted_runs", "revocable_runs"]
+
+
+def preempted_runs(runs: Iterable[unit_runs.Run]) -> list[unit_runs.Run]:
+    """Returns the preempted runs that are being stopped."""
+    return [
+        run
+        for run in runs
+        if run.phase is unit_runs.RunPhase.ENDING
+        and run.cause is unit_runs.EndCause.PREEMPTED
+    ]
 
 
 def revocable_runs(
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -8,6 +8,7 @@
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.accounts import quotas
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import preemption
 from citronmount.fleet.placement import revocable_runs
@@ -58,6 +59,9 @@
 
     Decisions allocate resources in a copy of the table's allocations, so that
     no two decisions of a round use the same capacity.
+
+    Attributes:
+        quotas: Quotas and usage of the client accounts in this round.
     """
 
     def __init__(
@@ -118,6 +122,7 @@
         self._bounds = bounds
         self._now_ms = now_ms
         self._guarantees = guarantees.Guarantees(accounts=accounts, runs=table)
+        self.quotas = quotas.Quotas(accounts=accounts, runs=table)
         self._urgency = urgency.Urgency(
             guaranteed=self._guarantees, wall_ms=wall_ms
         )
@@ -125,10 +130,10 @@
         self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._serving_workers = _workers_of(
+        self._serving_workers = run_table.workers_of(
             run for run in table if run.step.goal_ms
         )
-        self._filling_workers = _workers_of(
+        self._filling_workers = run_table.workers_of(
             run for run in table if run.step.fills
         )
         self._delay_policy = delay_scheduling.DelayPolicy(
@@ -159,16 +164,34 @@
         ranked = sorted(waiting, key=self._urgency.rank)
         decisions = []
         for unit in ranked:
-            decision = self._decide_one(unit)
+            decision = self._decide_within_quota(unit)
             if decision is not None:
                 self._allocate(decision)
                 decisions.append(decision)
         return decisions
 
-    def _decide_one(
+    def _decide_within_quota(
         self, unit: waiting_units.WaitingUnit
     ) -> waiting_units.Decision | None:
+        """Decides on a unit that its account's quota allows to start."""
         guaranteed = self._guarantees.covers(unit)
+        victims: Sequence[unit_runs.Run] | None = ()
+        if not self.quotas.admits(unit.submission.account, unit.demand):
+            search = self._preemption_search(True) if guaranteed else None
+            victims = self.quotas.victims_for(
+                unit, search.runs if search else (), self._cost
+            )
+            if victims is None or search is None:
+                return None
+            search.mark_stopped(victims)
+        decision = self._decide_one(unit, guaranteed)
+        if not victims or decision is None:
+            return decision
+        return self.quotas.with_victims(decision, victims, self._cost)
+
+    def _decide_one(
+        self, unit: waiting_units.WaitingUnit, guaranteed: bool
+    ) -> waiting_units.Decision | None:
         spread = self._spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
         if shape in self._unplaceable and not guaranteed:
@@ -230,7 +253,7 @@
             unit.submission.terms.slack_factor,
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
-            unit.key.step_key if _has_step_limits(unit) else None,
+            unit.key.step_key if unit.has_step_limits else None,
         )
 
     def _fit(
@@ -356,12 +379,7 @@
                     self._guarantees.guaranteed_units,
                     for_guarantee=guaranteed,
                 ),
-                ending=[
-                    run
-                    for run in self._table
-                    if run.phase is unit_runs.RunPhase.ENDING
-                    and run.cause is unit_runs.EndCause.PREEMPTED
-                ],
+                ending=revocable_runs.preempted_runs(self._table),
                 cost=self._cost,
             )
             self._preemption_searches[guaranteed] = search
@@ -375,6 +393,7 @@
         if decision.victims or unit.tasks > 1:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
+        self.quotas.consume(decision)
         for search in self._preemption_searches.values():
             search.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
@@ -426,7 +445,7 @@
         """Returns the workers to avoid, or none if no others are suitable."""
         if not unit.avoid:
             return unit.avoid
-        requirements = _basic_requirements(unit)
+        requirements = waiting_units.basic_requirements(unit)
         suitable = {
             worker.worker
             for worker in self._all_workers
@@ -463,7 +482,7 @@
         cached = self._preferred_rack_fits.get(shape)
         if cached is None:
             chosen = fitting.choose_workers(
-                _basic_requirements(unit),
+                waiting_units.basic_requirements(unit),
                 self._trusted_workers,
                 lambda worker: worker.capacity,
                 fitting.Spread.PREFERRED,
@@ -471,25 +490,3 @@
             cached = chosen is not None
             self._preferred_rack_fits[shape] = cached
         return cached
-
-
-def _basic_requirements(
-    unit: waiting_units.WaitingUnit,
-) -> fitting.Requirements:
-    """Returns a unit's requirements without workers to avoid or use last."""
-    return fitting.Requirements(
-        tasks=unit.tasks,
-        step=unit.step,
-        service=unit.submission.terms.service,
-    )
-
-
-def _has_step_limits(unit: waiting_units.WaitingUnit) -> bool:
-    """Returns whether tickets or a limit of tasks per worker apply."""
-    advised = unit.submission.terms.needs_advice
-    return advised or unit.step.max_tasks_per_worker > 0
-
-
-def _workers_of(runs: Iterable[unit_runs.Run]) -> set[ids.WorkerId]:
-    """Returns the workers that hold tasks of the runs."""
-    return {member.place.worker for run in runs for member in run.live_members}
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -6,6 +6,8 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet import planning
+from citronmount.fleet.accounts import quota_monitor
+from citronmount.fleet.accounts import quotas
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
@@ -54,7 +56,10 @@
         self.reports = worker_reports.WorkerReports(
             state=self._state, sessions=self._sessions
         )
-        self._accounts: tuple[fleet_configuration.Account, ...] = ()
+        self._configuration: fleet_configuration.FleetConfiguration | None = (
+            None
+        )
+        self._quota_monitor = quota_monitor.QuotaMonitor(state=self._state)
         self._next_full_scan_ms = 0
         self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
         self._recorded_speeds = dict(state.job_view.speeds)
@@ -65,12 +70,36 @@
         """Whether a worker has seen a newer owner."""
         return self._state.fenced
 
-    def set_accounts(
-        self, accounts: tuple[fleet_configuration.Account, ...]
+    def set_configuration(
+        self, configuration: fleet_configuration.FleetConfiguration, now_ms: int
     ) -> None:
-        """Sets the client accounts of the configuration in force."""
-        self._accounts = accounts
+        """Sets the configuration in force.
+
+        Placed runs that a lowered quota no longer allows are withdrawn unless
+        their `Start` commands may have been sent. Without a configuration,
+        nothing starts, because the accounts' quotas are unknown.
+
+        Args:
+            configuration: The configuration.
+            now_ms: Monotonic time in milliseconds.
+        """
+        self._configuration = configuration
         self._state.needs_planning = True
+        for run in quotas.runs_beyond_quota(
+            configuration.accounts,
+            self._state.table,
+            self._state.victims_by_unit,
+        ):
+            self._state.end_run(run, unit_runs.EndCause.QUOTA_LOWERED)
+            self._driver.send_due_stops(run, now_ms)
+
+    def account_gauges(self) -> dict[str, float]:
+        """Returns what accounts with a quota use, and their quotas."""
+        if self._configuration is None:
+            return {}
+        return quota_monitor.gauges(
+            self._configuration.accounts, self._state.table
+        )
 
     def mark_changed(self) -> None:
         """Requests planning after a change of the job view or directory."""
@@ -156,15 +185,19 @@
             self._state.append_record(records.SpeedsLearned(logs=speeds))
 
     def _plan(self, now_ms: int, wall_ms: int) -> None:
+        if self._configuration is None:
+            return
+        version = self._configuration.version
         waiting = self._waiting_units(now_ms, wall_ms)
         if not waiting:
+            self._quota_monitor.update(None, version, now_ms)
             return
         usable_workers = self._sessions.usable_workers(now_ms)
         self._request_advice(waiting, usable_workers, now_ms)
         planner = planning.Planner(
             workers=usable_workers,
             table=self._state.table,
-            accounts=self._accounts,
+            accounts=self._configuration.accounts,
             bounds=self._state.bounds,
             assess=lambda worker: self._state.health.assess(worker, now_ms),
             slowdown=lambda worker: self._state.speeds.slowdown(
@@ -178,6 +211,7 @@
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
+        self._quota_monitor.update(planner.quotas, version, now_ms)
 
     def _request_advice(
         self,
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -14,6 +14,7 @@
 __all__ = [
     "Decision",
     "WaitingUnit",
+    "basic_requirements",
     "has_capacity_for",
     "objective_end_ms",
     "objective_ms",
@@ -57,6 +58,17 @@
         """Number of tasks that start together."""
         return self.step.tasks if self.step.gang else 1
 
+    @property
+    def demand(self) -> spec.Demand:
+        """Full demand of all tasks of the unit."""
+        return worker_allocations.multiply_demand(self.step.demand, self.tasks)
+
+    @property
+    def has_step_limits(self) -> bool:
+        """Whether tickets or a limit of tasks per worker apply."""
+        advised = self.submission.terms.needs_advice
+        return advised or self.step.max_tasks_per_worker > 0
+
     @property
     def accelerators(self) -> int:
         """Number of accelerators of all tasks of the unit."""
@@ -83,6 +95,15 @@
     lost_core_s: float = 0.0
 
 
+def basic_requirements(unit: WaitingUnit) -> fitting.Requirements:
+    """Returns a unit's requirements without workers to avoid or use last."""
+    return fitting.Requirements(
+        tasks=unit.tasks,
+        step=unit.step,
+        service=unit.submission.terms.service,
+    )
+
+
 def objective_end_ms(submission: spec.Submission, occurrence: int = 0) -> int:
     """Returns the Unix time by which an occurrence of a job should complete.
 
--- a/citronmount/fleet/runs/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -1,6 +1,7 @@
 """Index of all runs of an owner and the resources they allocate."""
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from citronmount.core import ids
@@ -8,7 +9,12 @@
 from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import units
 
-__all__ = ["RunTable"]
+__all__ = ["RunTable", "workers_of"]
+
+
+def workers_of(runs: Iterable[unit_runs.Run]) -> set[ids.WorkerId]:
+    """Returns the workers that hold live tasks of the runs."""
+    return {member.place.worker for run in runs for member in run.live_members}
 
 
 class RunTable:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -10,6 +10,7 @@
 from citronmount.fleet import commands
 from citronmount.fleet.estimates import run_time
 from citronmount.fleet.runs import task_progress
+from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import records
 from citronmount.workflow import spec
 from citronmount.workflow import units
@@ -56,6 +57,7 @@
     WORKER_LEAVES = "worker_leaves"
     STALLED = "stalled"
     SLOW_MEMBER = "slow_member"
+    QUOTA_LOWERED = "quota_lowered"
 
 
 class Member(msgspec.Struct, kw_only=True):
@@ -227,6 +229,14 @@
             if member.state is not MemberState.GONE
         ]
 
+    @property
+    def live_demand(self) -> spec.Demand:
+        """Full demand of all members that are running or can still start."""
+        count = sum(
+            member.state is not MemberState.GONE for member in self.members
+        )
+        return worker_allocations.multiply_demand(self.step.demand, count)
+
     def end(self, cause: EndCause) -> None:
         """Moves the run to the phase ENDING, so that its members are stopped.
 
--- a/citronmount/fleet/workers/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -14,6 +14,7 @@
     "add_demands",
     "allocated_demand",
     "max_task_count",
+    "multiply_demand",
     "subtract_demands",
     "used_share",
 ]
@@ -39,6 +40,15 @@
     )
 
 
+def multiply_demand(demand: spec.Demand, count: int) -> spec.Demand:
+    """Returns the resources of several equal tasks."""
+    return spec.Demand(
+        millicores=demand.millicores * count,
+        memory_mb=demand.memory_mb * count,
+        accelerators=demand.accelerators * count,
+    )
+
+
 def allocated_demand(step: spec.Step) -> spec.Demand:
     """Returns the resources that a task of a step allocates on a worker.
 
--- a/citronmount/fleet_service/job_service.py
+++ b/citronmount/fleet_service/job_service.py
@@ -12,6 +12,7 @@
 from citronmount.core import ids
 from citronmount.core import states
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet.accounts import quota_limits
 from citronmount.fleet_service import log_health
 from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import ports
@@ -44,13 +45,15 @@
     """The outcome of a call that changes a job.
 
     NOT_DONE means that the call certainly had no effect, UNCERTAIN that it may
-    still have one.
+    still have one. EXCEEDS_QUOTA means that a job was not accepted, because a
+    gang of it can never start within the quota of its account.
     """
 
     DONE = "done"
     UNKNOWN_JOB = "unknown_job"
     NOT_DONE = "not_done"
     UNCERTAIN = "uncertain"
+    EXCEEDS_QUOTA = "exceeds_quota"
 
 
 class RequestResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,10 +63,12 @@
         verdict: The outcome of the call.
         retry_after_s: Seconds after which the client should retry a call whose
             outcome is NOT_DONE or UNCERTAIN; otherwise 0.
+        reason: Why a job exceeds a quota, or empty.
     """
 
     verdict: RequestOutcome
     retry_after_s: int = 0
+    reason: str = ""
 
 
 class JobService:
@@ -131,11 +136,16 @@
             timeout_ms: How long the client waits.
 
         Returns:
-            DONE if the job is stored, NOT_DONE if it certainly is not, and
-            UNCERTAIN otherwise.
+            DONE if the job is stored, NOT_DONE or EXCEEDS_QUOTA if it certainly
+            is not, and UNCERTAIN otherwise.
         """
         if self._job_view.state_of(workflow.job) is not None:
             return RequestResult(verdict=RequestOutcome.DONE)
+        limit = quota_limits.never_fitting_gang(
+            self._quota_of(account), workflow
+        )
+        if limit is not None:
+            return await self._refuse_beyond_quota(workflow, account, limit)
         submission = spec.Submission(
             workflow=workflow,
             account=account,
@@ -155,6 +165,50 @@
         )
         return result
 
+    def _quota_of(self, account: ids.AccountId) -> fleet_configuration.Quota:
+        if self.configuration is None:
+            return fleet_configuration.NO_QUOTA
+        return self.configuration.quota_of(account)
+
+    async def _refuse_beyond_quota(
+        self,
+        workflow: spec.Workflow,
+        account: ids.AccountId,
+        limit: quota_limits.Limit,
+    ) -> RequestResult:
+        """Refuses a job with a gang that is larger than its account's quota.
+
+        The job may have been accepted under an earlier quota, at another VM as
+        well, so the topic is read to its end first.
+        """
+        try:
+            await self._catch_up(allow_stale=False)
+        except errors.CitronmountError as error:
+            self._logger.warning("log_does_not_answer", error=str(error))
+            return RequestResult(
+                verdict=RequestOutcome.NOT_DONE,
+                retry_after_s=OUTAGE_RETRY_AFTER_S,
+            )
+        if self._job_view.state_of(workflow.job) is not None:
+            return RequestResult(verdict=RequestOutcome.DONE)
+        resource = limit.resource.value
+        self._logger.info(
+            "submission_exceeds_quota",
+            job=workflow.job,
+            account=account,
+            resource=resource,
+            needed=limit.needed,
+            quota=limit.quota,
+            version=self.configuration.version if self.configuration else None,
+        )
+        return RequestResult(
+            verdict=RequestOutcome.EXCEEDS_QUOTA,
+            reason=(
+                f"a gang needs {limit.needed} {resource}, the quota of the "
+                f"account is {limit.quota}"
+            ),
+        )
+
     async def cancel(
         self, queue: fleet_configuration.Queue, job: ids.JobId, timeout_ms: int
     ) -> RequestResult:
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -101,7 +101,9 @@
         self._policy = policy
         self._on_step_down = on_step_down
         self._wall_clock = wall_clock
-        self._accounts: tuple[fleet_configuration.Account, ...] = ()
+        self._configuration: fleet_configuration.FleetConfiguration | None = (
+            None
+        )
         self._candidate = False
         self._taking_over = False
         self._last_epoch = 0
@@ -126,20 +128,21 @@
         elif not candidate:
             self._release_pool("no_longer_candidate")
 
-    def set_accounts(
-        self, accounts: tuple[fleet_configuration.Account, ...]
+    def set_configuration(
+        self, configuration: fleet_configuration.FleetConfiguration
     ) -> None:
-        """Sets the client accounts of the configuration in force."""
-        self._accounts = accounts
+        """Sets the configuration in force."""
+        self._configuration = configuration
         if self._owner is not None:
-            self._owner.set_accounts(accounts)
+            self._owner.set_configuration(configuration, self._now_ms())
             self.schedule_step()
 
-    def mark_changed(self) -> None:
-        """Makes the owner plan again after a change of its inputs.
+    def account_gauges(self) -> dict[str, float]:
+        """Returns gauges of the client accounts, none without the pool."""
+        return {} if self._owner is None else self._owner.account_gauges()
 
-        To be called after a change of the job view or the directory.
-        """
+    def mark_changed(self) -> None:
+        """Makes the owner plan again after a change of jobs or workers."""
         if self._owner is not None:
             self._owner.mark_changed()
             self.schedule_step()
@@ -189,7 +192,8 @@
             now_ms=now_ms,
         )
         self._owner = pool_owner.PoolOwner(state=state, now_ms=now_ms)
-        self._owner.set_accounts(self._accounts)
+        if self._configuration is not None:
+            self._owner.set_configuration(self._configuration, now_ms)
         self._sequence = 0
         self._appending = False
         self.active = True
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -154,6 +154,10 @@
         """Whether this VM currently decides for the whole pool."""
         return self._owner.active
 
+    def account_gauges(self) -> dict[str, float]:
+        """Returns gauges of the client accounts, none without the pool."""
+        return self._owner.account_gauges()
+
     def start(self) -> None:
         """Starts to read the log and to take part in the election.
 
@@ -252,7 +256,7 @@
             )
             return
         self.job_service.configuration = configuration
-        self._owner.set_accounts(configuration.accounts)
+        self._owner.set_configuration(configuration)
         elapsed_s = self._clock.seconds() - received_s
         self._logger.info(
             "configuration_in_force",
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -89,6 +89,7 @@
         )
         self.entries: dict[str, worker_directory.Worker] = {}
         self.guaranteed_accelerators: dict[str, int] = {}
+        self.quotas: dict[str, fleet_configuration.Quota] = {}
         for rack in range(self.racks):
             for number in range(self.workers_per_rack):
                 self.add_worker(f"w{rack}{number}", rack=f"rack{rack}")
@@ -159,9 +160,12 @@
             fleet_configuration.Account(
                 account=ids.AccountId(name),
                 keys=frozenset({f"key-{name}"}),
-                guaranteed_accelerators=count,
+                guaranteed_accelerators=self.guaranteed_accelerators.get(
+                    name, 0
+                ),
+                quota=self.quotas.get(name, fleet_configuration.NO_QUOTA),
             )
-            for name, count in self.guaranteed_accelerators.items()
+            for name in {**self.guaranteed_accelerators, **self.quotas}
         )
         self.configuration = fleet_configuration.FleetConfiguration(
             version=version,
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -132,6 +132,7 @@
     member = f"{settings.vm}/{secrets.token_hex(PROCESS_NONCE_BYTES)}"
     log = adapter.log(settings, client, member)
     vm = _make_pool_vm(reactor, adapter, settings, client, log, features)
+    registry.register_gauge_group(vm.account_gauges)
     reloader = settings_reloader.SettingsReloader(
         path=path,
         load=adapter.load,
--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -22,12 +22,14 @@
 MAX_LOGGED_PATH_LENGTH = 200
 
 _MS_PER_S = 1_000
+_TOO_MANY_REQUESTS = 429
 
 _STATUSES = {
     job_service.RequestOutcome.DONE: http.OK,
     job_service.RequestOutcome.UNKNOWN_JOB: http.GONE,
     job_service.RequestOutcome.NOT_DONE: http.SERVICE_UNAVAILABLE,
     job_service.RequestOutcome.UNCERTAIN: http.GATEWAY_TIMEOUT,
+    job_service.RequestOutcome.EXCEEDS_QUOTA: _TOO_MANY_REQUESTS,
 }
 
 
@@ -186,7 +188,7 @@
     request.setResponseCode(_STATUSES[result.verdict])
     if result.verdict is job_service.RequestOutcome.NOT_DONE:
         request.setHeader("retry-after", str(result.retry_after_s))
-    return b"{}"
+    return job_bodies.encode_refusal(result.reason) if result.reason else b"{}"
 
 
 def _refuse(request: iweb.IRequest, status: int, reason: str = "") -> bytes:
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronmount.core import ids
+from citronmount.fleet import fleet_configuration
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
 from citronmount.fleet_service import vm_settings
@@ -162,6 +163,34 @@
         self.assertIsNone(configuration.account_of("x"))
         self.assertEqual(32, configuration.accounts[0].guaranteed_accelerators)
 
+    def test_weight_and_maximum_of_a_tenant_become_its_account_quota(
+        self,
+    ) -> None:
+        limits = {"cpu": 517_466, "mem_mb": 894_008, "gpu": 256}
+        tenants = [
+            {"name": "t", "weight": 2, "max_count": limits},
+            {"name": "partial", "max_count": {"gpu": 3}},
+            {"name": "unlimited"},
+        ]
+        published = {"version": 7, "tenants": tenants}
+        configuration = self.decode("config", published).configuration
+        self.assertEqual(
+            [2.0, 0.0, 0.0], [a.weight for a in configuration.accounts]
+        )
+        quota = configuration.quota_of(ids.AccountId("t"))
+        self.assertEqual(
+            (517_466, 894_008, 256),
+            (quota.max_millicores, quota.max_memory_mb, quota.max_accelerators),
+        )
+        partial = configuration.quota_of(ids.AccountId("partial"))
+        self.assertEqual(
+            (0, 3), (partial.max_millicores, partial.max_accelerators)
+        )
+        self.assertEqual(
+            fleet_configuration.NO_QUOTA,
+            configuration.quota_of(ids.AccountId("unlimited")),
+        )
+
     def test_invalid_configuration_and_unknown_keys_are_ignored(self) -> None:
         self.assertIsNone(self.decode("config", b"{"))
         self.assertIsNone(self.decode("unknown", {}))
--- a/citronmount/platform/tests/test_job_api.py
+++ b/citronmount/platform/tests/test_job_api.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from citronmount.core import ids
+from citronmount.fleet import fleet_configuration
 from citronmount.fleet_service.tests import pool_fixture
 from citronmount.platform import job_api
 from citronmount.standins import pool_log
@@ -82,6 +83,19 @@
                 self.assertEqual(status, code)
         self.assertEqual([], self.pool_workers.starts)
 
+    def test_gang_above_the_quota_is_refused_without_retry_after(self) -> None:
+        # Waiting does not help, so the client must not be told to retry.
+        self.quotas = {"acme": fleet_configuration.Quota(max_accelerators=3)}
+        self.publish_configuration(version=3)
+        self.run_for(0.5)
+        phase = {"count": 4, "gpu": 1, "gang": True}
+        body = msgspec.json.encode({"spec": "x", "phases": [phase]})
+        code, answer = self.call("POST", f"/batch/{JOB}", body)
+        self.assertEqual(429, code)
+        self.assertIn("accelerators", str(answer))
+        self.assertIsNone(self.headers.getRawHeaders("retry-after"))
+        self.assertEqual(410, self.call("GET", f"/batch/{JOB}")[0])
+
     def test_refusal_by_the_log_sets_retry_after(self) -> None:
         self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.REFUSES
         self.assertEqual(503, self.call("POST", f"/batch/{JOB}", BODY)[0])
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -68,6 +68,8 @@
     name: str
     api_keys: list[str] = []
     guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
+    weight: float = 0.0
+    max_count: _Resources = msgspec.field(default_factory=_Resources)
 
 
 class _Configuration(msgspec.Struct):
@@ -184,4 +186,10 @@
         account=ids.AccountId(tenant.name),
         keys=frozenset(tenant.api_keys),
         guaranteed_accelerators=tenant.guaranteed.gpu,
+        quota=fleet_configuration.Quota(
+            max_millicores=tenant.max_count.cpu,
+            max_memory_mb=tenant.max_count.mem_mb,
+            max_accelerators=tenant.max_count.gpu,
+        ),
+        weight=tenant.weight,
     )
--- a/citronmount/telemetry/metrics_registry.py
+++ b/citronmount/telemetry/metrics_registry.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from hdrh import histogram
 import msgspec
@@ -16,6 +17,7 @@
 _US_PER_MS = 1_000
 
 Gauge = Callable[[], float]
+GaugeGroup = Callable[[], Mapping[str, float]]
 
 
 class HistogramSummary(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,6 +90,7 @@
         self._histograms: dict[tuple[str, str], _HistogramWithSum] = {}
         self._counters: collections.Counter[str] = collections.Counter()
         self._gauges: dict[str, Gauge] = {}
+        self._gauge_groups: list[GaugeGroup] = []
 
     def record_duration(
         self, work_class: str, stage: str, duration_ms: float
@@ -123,6 +126,14 @@
         """
         self._gauges[name] = read
 
+    def register_gauge_group(self, read: GaugeGroup) -> None:
+        """Registers gauges whose names depend on the configuration.
+
+        Args:
+            read: Returns the current values by name; called at each snapshot.
+        """
+        self._gauge_groups.append(read)
+
     def snapshot(self) -> MetricsSnapshot:
         """Returns the current values of all metrics."""
         return MetricsSnapshot(
@@ -133,9 +144,16 @@
                 )
             ),
             counters=dict(sorted(self._counters.items())),
-            gauges={name: read() for name, read in self._gauges.items()},
+            gauges={
+                name: value
+                for group in (self._read_gauges, *self._gauge_groups)
+                for name, value in group().items()
+            },
         )
 
+    def _read_gauges(self) -> dict[str, float]:
+        return {name: read() for name, read in self._gauges.items()}
+
 
 def _summary(
     work_class: str, stage: str, durations: _HistogramWithSum
