Order accounts by weight while more work waits than fits

Cause: one account with ten times its usual demand has most of the early objectives, so the usual work of the other accounts is served behind it.

Change: with the feature fair-sharing and with weights in the configuration, units of accounts under their dominant share go before those of accounts above it, among the units of one priority that can be on time. Without contention, weights or the feature the order stays as it was.

--- a/citronmount/fleet/accounts/quota_monitor.py
+++ b/citronmount/fleet/accounts/quota_monitor.py
@@ -7,15 +7,12 @@
 from citronmount.fleet import owner_state
 from citronmount.fleet.accounts import quota_limits
 from citronmount.fleet.accounts import quotas
+from citronmount.fleet.accounts import transitions
 from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import units
 
 __all__ = ["QuotaMonitor", "gauges"]
 
-# An account whose units just fit would otherwise be logged at each end of a
-# task.
-LIMIT_END_DELAY_MS = 1_000
-
 
 def gauges(
     accounts: Iterable[fleet_configuration.Account],
@@ -58,8 +55,9 @@
             state: State shared by the parts of the owner.
         """
         self._state = state
-        self._limits: dict[ids.AccountId, quota_limits.Limit] = {}
-        self._limited_ms: dict[ids.AccountId, int] = {}
+        self._limited: transitions.Transitions[quota_limits.Limit] = (
+            transitions.Transitions()
+        )
         self._never_fitting: frozenset[units.UnitId] = frozenset()
 
     def update(
@@ -72,17 +70,13 @@
             version: Version of the configuration in force.
             now_ms: Monotonic time in milliseconds.
         """
-        limits = round_quotas.limits if round_quotas else {}
-        for account, limit in limits.items():
-            self._limited_ms[account] = now_ms
-            if account not in self._limits:
-                self._log("account_limited", account, limit, version)
-            self._limits[account] = limit
-        for account, limited_ms in list(self._limited_ms.items()):
-            if now_ms - limited_ms >= LIMIT_END_DELAY_MS:
-                del self._limited_ms[account]
-                limit = self._limits.pop(account)
-                self._log("account_not_limited", account, limit, version)
+        began, ended = self._limited.update(
+            round_quotas.limits if round_quotas else {}, now_ms
+        )
+        for account, limit in began.items():
+            self._log("account_limited", account, limit, version)
+        for account, limit in ended.items():
+            self._log("account_not_limited", account, limit, version)
         never_fitting = round_quotas.never_fitting if round_quotas else {}
         for unit in never_fitting.keys() - self._never_fitting:
             self._state.log.warning(
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -7,6 +7,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet.accounts import fair_shares
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.accounts import quotas
 from citronmount.fleet.placement import fitting
@@ -22,7 +23,6 @@
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_health
 from citronmount.fleet.workers import worker_speeds
-from citronmount.workflow import spec
 from citronmount.workflow import units
 
 __all__ = ["Planner"]
@@ -80,6 +80,7 @@
         allowed: Callable[
             [units.UnitKey, worker_directory.Worker], bool
         ] = _any_worker,
+        shares: fair_shares.FairShares | None = None,
     ) -> None:
         """Initializes a round.
 
@@ -95,6 +96,7 @@
                 one.
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
+            shares: Orders the accounts while the pool is full, or None.
         """
         self._allowed = allowed
         assessments = {each.worker: assess(each) for each in workers}
@@ -119,6 +121,8 @@
         self._faster_ids = frozenset(slowdowns) - self._slower_ids
         self._table = table
         self._allocations = table.allocations.copy()
+        self._free_capacity = self._allocations.free
+        self._shares = shares
         self._bounds = bounds
         self._now_ms = now_ms
         self._guarantees = guarantees.Guarantees(accounts=accounts, runs=table)
@@ -162,6 +166,14 @@
             Decisions, the most urgent first.
         """
         ranked = sorted(waiting, key=self._urgency.rank)
+        if self._shares is not None:
+            ranked = self._shares.order(
+                ranked,
+                rank=self._urgency.rank,
+                workers=self._all_workers,
+                allocations=self._allocations,
+                round_quotas=self.quotas,
+            )
         decisions = []
         for unit in ranked:
             decision = self._decide_within_quota(unit)
@@ -175,18 +187,16 @@
     ) -> waiting_units.Decision | None:
         """Decides on a unit that its account's quota allows to start."""
         guaranteed = self._guarantees.covers(unit)
-        victims: Sequence[unit_runs.Run] | None = ()
-        if not self.quotas.admits(unit.submission.account, unit.demand):
-            search = self._preemption_search(True) if guaranteed else None
-            victims = self.quotas.victims_for(
-                unit, search.runs if search else (), self._cost
-            )
-            if victims is None or search is None:
-                return None
-            search.mark_stopped(victims)
+        if self.quotas.admits(unit.submission.account, unit.demand):
+            return self._decide_one(unit, guaranteed)
+        stoppable = self._preemption_search(True).runs if guaranteed else ()
+        victims = self.quotas.victims_for(unit, stoppable, self._cost)
+        if victims is None:
+            return None
+        self._preemption_search(True).mark_stopped(victims)
         decision = self._decide_one(unit, guaranteed)
-        if not victims or decision is None:
-            return decision
+        if decision is None:
+            return None
         return self.quotas.with_victims(decision, victims, self._cost)
 
     def _decide_one(
@@ -406,11 +416,6 @@
             self._allocations.allocate(worker.worker, demand)
             self._placed_counts[unit.key.step_key][worker.worker] += 1
 
-    def _free_capacity(self, worker: worker_directory.Worker) -> spec.Demand:
-        return worker_allocations.subtract_demands(
-            worker.capacity, self._allocations.used(worker.worker)
-        )
-
     def _requirements(
         self, unit: waiting_units.WaitingUnit, task_count: int = 0
     ) -> fitting.Requirements:
@@ -456,14 +461,8 @@
     def _tasks_per_worker(
         self, unit: waiting_units.WaitingUnit
     ) -> collections.Counter[ids.WorkerId]:
-        step = unit.key.step_key
-        running = collections.Counter(
-            member.place.worker
-            for run in self._table.runs_of_job(unit.key.job)
-            if run.key.step_key == step
-            for member in run.live_members
-        )
-        return running + self._placed_counts[step]
+        running = self._table.tasks_per_worker(unit.key)
+        return running + self._placed_counts[unit.key.step_key]
 
     def _spread(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -6,8 +6,10 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet import planning
+from citronmount.fleet.accounts import fair_shares
 from citronmount.fleet.accounts import quota_monitor
 from citronmount.fleet.accounts import quotas
+from citronmount.fleet.accounts import share_monitor
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
@@ -60,6 +62,9 @@
             None
         )
         self._quota_monitor = quota_monitor.QuotaMonitor(state=self._state)
+        fair = fleet_configuration.Feature.FAIR_SHARING in state.features
+        self._shares = fair_shares.FairShares() if fair else None
+        self._share_monitor = share_monitor.ShareMonitor(state=self._state)
         self._next_full_scan_ms = 0
         self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
         self._recorded_speeds = dict(state.job_view.speeds)
@@ -94,12 +99,12 @@
             self._driver.send_due_stops(run, now_ms)
 
     def account_gauges(self) -> dict[str, float]:
-        """Returns what accounts with a quota use, and their quotas."""
+        """Returns what the accounts use, their quotas and their shares."""
         if self._configuration is None:
             return {}
         return quota_monitor.gauges(
             self._configuration.accounts, self._state.table
-        )
+        ) | share_monitor.gauges(self._shares)
 
     def mark_changed(self) -> None:
         """Requests planning after a change of the job view or directory."""
@@ -187,17 +192,21 @@
     def _plan(self, now_ms: int, wall_ms: int) -> None:
         if self._configuration is None:
             return
+        accounts = self._configuration.accounts
         version = self._configuration.version
+        if self._shares is not None:
+            self._shares.observe(accounts, self._state.table, now_ms)
         waiting = self._waiting_units(now_ms, wall_ms)
         if not waiting:
             self._quota_monitor.update(None, version, now_ms)
+            self._share_monitor.update(self._shares, version, now_ms)
             return
         usable_workers = self._sessions.usable_workers(now_ms)
         self._request_advice(waiting, usable_workers, now_ms)
         planner = planning.Planner(
             workers=usable_workers,
             table=self._state.table,
-            accounts=self._configuration.accounts,
+            accounts=accounts,
             bounds=self._state.bounds,
             assess=lambda worker: self._state.health.assess(worker, now_ms),
             slowdown=lambda worker: self._state.speeds.slowdown(
@@ -208,10 +217,12 @@
             ),
             now_ms=now_ms,
             wall_ms=wall_ms,
+            shares=self._shares,
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
         self._quota_monitor.update(planner.quotas, version, now_ms)
+        self._share_monitor.update(self._shares, version, now_ms)
 
     def _request_advice(
         self,
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -176,9 +176,7 @@
     requirements = fitting.Requirements(
         tasks=1, step=unit.step, service=unit.submission.terms.service
     )
-    free = worker_allocations.subtract_demands(
-        worker.capacity, allocations.used(worker.worker)
-    )
+    free = allocations.free(worker)
     demand = worker_allocations.allocated_demand(unit.step)
     return fitting.suits(requirements, worker) and bool(
         worker_allocations.max_task_count(free, demand, 1)
--- a/citronmount/fleet/runs/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -80,6 +80,17 @@
         """Returns the number of tasks that a worker may hold."""
         return len(self._on_worker.get(worker, ()))
 
+    def tasks_per_worker(
+        self, key: units.UnitKey
+    ) -> collections.Counter[ids.WorkerId]:
+        """Returns how many live tasks of a unit's step each worker holds."""
+        return collections.Counter(
+            member.place.worker
+            for run in self.runs_of_job(key.job)
+            if run.key.step_key == key.step_key
+            for member in run.live_members
+        )
+
     def add(self, run: unit_runs.Run) -> None:
         """Adds a run and allocates the resources of its members."""
         self._by_unit[run.unit] = run
--- a/citronmount/fleet/workers/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -102,6 +102,10 @@
         """Returns the resources allocated on a worker."""
         return self._used.get(worker, NO_DEMAND)
 
+    def free(self, worker: worker_directory.Worker) -> spec.Demand:
+        """Returns the capacity of a worker that is not allocated."""
+        return subtract_demands(worker.capacity, self.used(worker.worker))
+
     def allocate(self, worker: ids.WorkerId, demand: spec.Demand) -> None:
         """Allocates resources on a worker."""
         self._used[worker] = add_demands(self._used[worker], demand)
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -67,6 +67,7 @@
     vm_count = 3
     workers_per_rack = 2
     racks = 2
+    features: frozenset[fleet_configuration.Feature] = frozenset()
 
     def setUp(self) -> None:
         structlog.configure(
@@ -90,6 +91,7 @@
         self.entries: dict[str, worker_directory.Worker] = {}
         self.guaranteed_accelerators: dict[str, int] = {}
         self.quotas: dict[str, fleet_configuration.Quota] = {}
+        self.weights: dict[str, float] = {}
         for rack in range(self.racks):
             for number in range(self.workers_per_rack):
                 self.add_worker(f"w{rack}{number}", rack=f"rack{rack}")
@@ -115,6 +117,7 @@
             ),
             sized_for_ownership=sized_for_ownership,
             wall_clock=self.wall_ms,
+            features=self.features,
         )
         vm.start()
         return vm
@@ -164,8 +167,13 @@
                     name, 0
                 ),
                 quota=self.quotas.get(name, fleet_configuration.NO_QUOTA),
+                weight=self.weights.get(name, 0.0),
             )
-            for name in {**self.guaranteed_accelerators, **self.quotas}
+            for name in {
+                **self.guaranteed_accelerators,
+                **self.quotas,
+                **self.weights,
+            }
         )
         self.configuration = fleet_configuration.FleetConfiguration(
             version=version,
