--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -7,7 +7,9 @@
 
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet.accounts import fair_shares
 from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.accounts import quotas
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import preemption
 from citronmount.fleet.placement import revocable_runs
@@ -21,7 +23,6 @@
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_health
 from citronmount.fleet.workers import worker_speeds
-from citronmount.workflow import spec
 from citronmount.workflow import units
 
 __all__ = ["Planner"]
@@ -58,6 +59,9 @@
 
     Decisions allocate resources in a copy of the table's allocations, so that
     no two decisions of a round use the same capacity.
+
+    Attributes:
+        quotas: Quotas and usage of the client accounts in this round.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         allowed: Callable[
             [units.UnitKey, worker_directory.Worker], bool
         ] = _any_worker,
+        shares: fair_shares.FairShares | None = None,
     ) -> None:
         """Initializes a round.
 
@@ -91,6 +96,7 @@
                 one.
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
+            shares: Orders the accounts while the pool is full, or None.
         """
         self._allowed = allowed
         assessments = {each.worker: assess(each) for each in workers}
@@ -115,9 +121,12 @@
         self._faster_ids = frozenset(slowdowns) - self._slower_ids
         self._table = table
         self._allocations = table.allocations.copy()
+        self._free_capacity = self._allocations.cached_free
+        self._shares = shares
         self._bounds = bounds
         self._now_ms = now_ms
         self._guarantees = guarantees.Guarantees(accounts=accounts, runs=table)
+        self.quotas = quotas.Quotas(accounts=accounts, runs=table)
         self._urgency = urgency.Urgency(
             guaranteed=self._guarantees, wall_ms=wall_ms
         )
@@ -125,10 +134,10 @@
         self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._serving_workers = _workers_of(
+        self._serving_workers = run_table.workers_of(
             run for run in table if run.step.goal_ms
         )
-        self._filling_workers = _workers_of(
+        self._filling_workers = run_table.workers_of(
             run for run in table if run.step.fills
         )
         self._delay_policy = delay_scheduling.DelayPolicy(
@@ -157,18 +166,42 @@
             Decisions, the most urgent first.
         """
         ranked = sorted(waiting, key=self._urgency.rank)
+        if self._shares is not None:
+            ranked = self._shares.order(
+                ranked,
+                rank=self._urgency.rank,
+                workers=self._all_workers,
+                allocations=self._allocations,
+                round_quotas=self.quotas,
+            )
         decisions = []
         for unit in ranked:
-            decision = self._decide_one(unit)
+            decision = self._decide_within_quota(unit)
             if decision is not None:
                 self._allocate(decision)
                 decisions.append(decision)
         return decisions
 
-    def _decide_one(
+    def _decide_within_quota(
         self, unit: waiting_units.WaitingUnit
     ) -> waiting_units.Decision | None:
+        """Decides on a unit that its account's quota allows to start."""
         guaranteed = self._guarantees.covers(unit)
+        if self.quotas.admits(unit.submission.account, unit.demand):
+            return self._decide_one(unit, guaranteed)
+        stoppable = self._preemption_search(True).runs if guaranteed else ()
+        victims = self.quotas.victims_for(unit, stoppable, self._cost)
+        if victims is None:
+            return None
+        self._preemption_search(True).mark_stopped(victims)
+        decision = self._decide_one(unit, guaranteed)
+        if decision is None:
+            return None
+        return self.quotas.with_victims(decision, victims, self._cost)
+
+    def _decide_one(
+        self, unit: waiting_units.WaitingUnit, guaranteed: bool
+    ) -> waiting_units.Decision | None:
         spread = self._spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
         if shape in self._unplaceable and not guaranteed:
@@ -230,7 +263,7 @@
             unit.submission.terms.slack_factor,
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
-            unit.key.step_key if _has_step_limits(unit) else None,
+            unit.key.step_key if unit.has_step_limits else None,
         )
 
     def _fit(
@@ -356,12 +389,7 @@
                     self._guarantees.guaranteed_units,
                     for_guarantee=guaranteed,
                 ),
-                ending=[
-                    run
-                    for run in self._table
-                    if run.phase is unit_runs.RunPhase.ENDING
-                    and run.cause is unit_runs.EndCause.PREEMPTED
-                ],
+                ending=revocable_runs.preempted_runs(self._table),
                 cost=self._cost,
             )
             self._preemption_searches[guaranteed] = search
@@ -375,6 +403,7 @@
         if decision.victims or unit.tasks > 1:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
+        self.quotas.consume(decision)
         for search in self._preemption_searches.values():
             search.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
@@ -387,9 +416,6 @@
             self._allocations.allocate(worker.worker, demand)
             self._placed_counts[unit.key.step_key][worker.worker] += 1
 
-    def _free_capacity(self, worker: worker_directory.Worker) -> spec.Demand:
-        return self._allocations.cached_free(worker)
-
     def _requirements(
         self, unit: waiting_units.WaitingUnit, task_count: int = 0
     ) -> fitting.Requirements:
@@ -424,7 +450,7 @@
         """Returns the workers to avoid, or none if no others are suitable."""
         if not unit.avoid:
             return unit.avoid
-        requirements = _basic_requirements(unit)
+        requirements = waiting_units.basic_requirements(unit)
         suitable = {
             worker.worker
             for worker in self._all_workers
@@ -435,14 +461,8 @@
     def _tasks_per_worker(
         self, unit: waiting_units.WaitingUnit
     ) -> collections.Counter[ids.WorkerId]:
-        step = unit.key.step_key
-        running = collections.Counter(
-            member.place.worker
-            for run in self._table.runs_of_job(unit.key.job)
-            if run.key.step_key == step
-            for member in run.live_members
-        )
-        return running + self._placed_counts[step]
+        running = self._table.tasks_per_worker(unit.key)
+        return running + self._placed_counts[unit.key.step_key]
 
     def _spread(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
@@ -461,7 +481,7 @@
         cached = self._preferred_rack_fits.get(shape)
         if cached is None:
             chosen = fitting.choose_workers(
-                _basic_requirements(unit),
+                waiting_units.basic_requirements(unit),
                 self._trusted_workers,
                 lambda worker: worker.capacity,
                 fitting.Spread.PREFERRED,
@@ -469,25 +489,3 @@
             cached = chosen is not None
             self._preferred_rack_fits[shape] = cached
         return cached
-
-
-def _basic_requirements(
-    unit: waiting_units.WaitingUnit,
-) -> fitting.Requirements:
-    """Returns a unit's requirements without workers to avoid or use last."""
-    return fitting.Requirements(
-        tasks=unit.tasks,
-        step=unit.step,
-        service=unit.submission.terms.service,
-    )
-
-
-def _has_step_limits(unit: waiting_units.WaitingUnit) -> bool:
-    """Returns whether tickets or a limit of tasks per worker apply."""
-    advised = unit.submission.terms.needs_advice
-    return advised or unit.step.max_tasks_per_worker > 0
-
-
-def _workers_of(runs: Iterable[unit_runs.Run]) -> set[ids.WorkerId]:
-    """Returns the workers that hold tasks of the runs."""
-    return {member.place.worker for run in runs for member in run.live_members}
--- a/citronmount/fleet/runs/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -1,6 +1,7 @@
 """Index of all runs of an owner and the resources they allocate."""
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from citronmount.core import ids
@@ -8,7 +9,12 @@
 from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import units
 
-__all__ = ["RunTable"]
+__all__ = ["RunTable", "workers_of"]
+
+
+def workers_of(runs: Iterable[unit_runs.Run]) -> set[ids.WorkerId]:
+    """Returns the workers that hold live tasks of the runs."""
+    return {member.place.worker for run in runs for member in run.live_members}
 
 
 class RunTable:
@@ -74,6 +80,17 @@
         """Returns the number of tasks that a worker may hold."""
         return len(self._on_worker.get(worker, ()))
 
+    def tasks_per_worker(
+        self, key: units.UnitKey
+    ) -> collections.Counter[ids.WorkerId]:
+        """Returns how many live tasks of a unit's step each worker holds."""
+        return collections.Counter(
+            member.place.worker
+            for run in self.runs_of_job(key.job)
+            if run.key.step_key == key.step_key
+            for member in run.live_members
+        )
+
     def add(self, run: unit_runs.Run) -> None:
         """Adds a run and allocates the resources of its members."""
         self._by_unit[run.unit] = run
--- a/citronmount/fleet/workers/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -14,6 +14,7 @@
     "add_demands",
     "allocated_demand",
     "max_task_count",
+    "multiply_demand",
     "subtract_demands",
     "used_share",
 ]
@@ -39,6 +40,15 @@
     )
 
 
+def multiply_demand(demand: spec.Demand, count: int) -> spec.Demand:
+    """Returns the resources of several equal tasks."""
+    return spec.Demand(
+        millicores=demand.millicores * count,
+        memory_mb=demand.memory_mb * count,
+        accelerators=demand.accelerators * count,
+    )
+
+
 def allocated_demand(step: spec.Step) -> spec.Demand:
     """Returns the resources that a task of a step allocates on a worker.
 
@@ -90,17 +100,21 @@
         return self._used.get(worker, NO_DEMAND)
 
     def cached_free(self, worker: worker_directory.Worker) -> spec.Demand:
-        """Returns the free capacity of a worker.
+        """Returns the capacity of a worker that is not allocated.
 
         Only for a copy of the allocations that serves one planning round: the
         cache assumes that the capacity of a worker does not change.
         """
         free = self._cached_free.get(worker.worker)
         if free is None:
-            free = subtract_demands(worker.capacity, self.used(worker.worker))
+            free = self.free(worker)
             self._cached_free[worker.worker] = free
         return free
 
+    def free(self, worker: worker_directory.Worker) -> spec.Demand:
+        """Returns the capacity of a worker that is not allocated."""
+        return subtract_demands(worker.capacity, self.used(worker.worker))
+
     def allocate(self, worker: ids.WorkerId, demand: spec.Demand) -> None:
         """Allocates resources on a worker."""
         self._cached_free.pop(worker, None)
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -67,6 +67,7 @@
     vm_count = 3
     workers_per_rack = 2
     racks = 2
+    features: frozenset[fleet_configuration.Feature] = frozenset()
 
     def setUp(self) -> None:
         structlog.configure(
@@ -89,6 +90,8 @@
         )
         self.entries: dict[str, worker_directory.Worker] = {}
         self.guaranteed_accelerators: dict[str, int] = {}
+        self.quotas: dict[str, fleet_configuration.Quota] = {}
+        self.weights: dict[str, float] = {}
         for rack in range(self.racks):
             for number in range(self.workers_per_rack):
                 self.add_worker(f"w{rack}{number}", rack=f"rack{rack}")
@@ -114,6 +117,7 @@
             ),
             sized_for_ownership=sized_for_ownership,
             wall_clock=self.wall_ms,
+            features=self.features,
         )
         vm.start()
         return vm
@@ -159,9 +163,17 @@
             fleet_configuration.Account(
                 account=ids.AccountId(name),
                 keys=frozenset({f"key-{name}"}),
-                guaranteed_accelerators=count,
+                guaranteed_accelerators=self.guaranteed_accelerators.get(
+                    name, 0
+                ),
+                quota=self.quotas.get(name, fleet_configuration.NO_QUOTA),
+                weight=self.weights.get(name, 0.0),
             )
-            for name, count in self.guaranteed_accelerators.items()
+            for name in {
+                **self.guaranteed_accelerators,
+                **self.quotas,
+                **self.weights,
+            }
         )
         self.configuration = fleet_configuration.FleetConfiguration(
             version=version,
