Decide by run times learned from finished runs

Change: with run-time-estimates enabled, the owner learns from runs that it started from scratch, corrected for the speed of the slowest worker; stopped runs and runs past their high quantile give lower bounds. Units and runs carry the learned run time, and the medians of a job's steps give its objective. Limits of stalled and overdue runs stay those of the declared time unless the learned one is longer.

With the overdue limit taken from the learned time alone, the new test of a run that would complete fails.

--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -8,6 +8,7 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet.estimates import learning
 from citronmount.fleet.placement import advice_cache
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
@@ -74,6 +75,7 @@
             stalled, were overdue or had a slow member.
         health: Assessment of the workers.
         speeds: Speed estimates of the machines.
+        estimates: Run times learned from finished runs.
         advice: Cached advice of the queues' policies.
         entries: Records to append, oldest first.
         commands: Commands to send.
@@ -134,6 +136,11 @@
         self.health = worker_health.WorkerHealth()
         self.speeds = worker_speeds.WorkerSpeeds()
         self.speeds.restore(job_view.speeds, now_ms)
+        self.estimates = learning.RunTimeLearning(
+            enabled=fleet_configuration.Feature.RUN_TIME_ESTIMATES in features,
+            directory=directory,
+            speeds=self.speeds,
+        )
         self.advice = advice_cache.AdviceCache()
         self.entries: list[LogEntry] = []
         self.commands: list[commands.Command] = []
@@ -208,6 +215,11 @@
             return None
         return session
 
+    def workers_of(self, run: unit_runs.Run) -> list[worker_directory.Worker]:
+        """Returns the workers of a run whose incarnations still exist."""
+        sessions = (self.session_at_place(each.place) for each in run.members)
+        return [session.worker for session in sessions if session is not None]
+
     def on_record_durable(self, unit: units.UnitId, now_ms: int) -> None:
         """Resolves a unit's deferred ends once no record of it is pending."""
         self.pending_unit_records[unit] -= 1
--- a/citronmount/fleet/placement/preemption.py
+++ b/citronmount/fleet/placement/preemption.py
@@ -71,17 +71,18 @@
     return elapsed_s * _cores(run.step) * len(run.members)
 
 
-def planned_work(step: spec.Step, tasks: int) -> float:
-    """Returns the work of a unit according to its declared run time.
+def planned_work(step: spec.Step, tasks: int, run_time_ms: int) -> float:
+    """Returns the work of a unit according to its expected run time.
 
     Args:
         step: The unit's step.
         tasks: Number of tasks that start together.
+        run_time_ms: Expected run time of a task in milliseconds.
 
     Returns:
         Core-seconds; an accelerator counts as `CORES_PER_ACCELERATOR` cores.
     """
-    return step.estimate_ms / _MS_PER_S * _cores(step) * tasks
+    return run_time_ms / _MS_PER_S * _cores(step) * tasks
 
 
 def _cores(step: spec.Step) -> float:
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -224,6 +224,7 @@
         return (
             unit.submission.terms.service,
             unit.step,
+            unit.learned_run_time,
             unit.tasks,
             spread,
             unit.avoid,
@@ -288,7 +289,7 @@
         return [
             each
             for each in compatible
-            if self._reservations.allows(each, unit.step, self._now_ms)
+            if self._reservations.allows(each, unit, self._now_ms)
         ]
 
     def _is_compatible(
@@ -332,7 +333,9 @@
         )
         if found is None:
             return None
-        worth = preemption.planned_work(unit.step, unit.tasks)
+        worth = preemption.planned_work(
+            unit.step, unit.tasks, unit.run_time.median_ms
+        )
         if not guaranteed and found.cost_core_s > MAX_LOSS_FACTOR * worth:
             return None
         return waiting_units.Decision(
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -6,6 +6,7 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet import planning
+from citronmount.fleet.estimates import run_times
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
@@ -65,6 +66,11 @@
         """Whether a worker has seen a newer owner."""
         return self._state.fenced
 
+    @property
+    def run_times(self) -> run_times.RunTimes:
+        """Run times learned from finished runs."""
+        return self._state.estimates.run_times
+
     def set_accounts(
         self, accounts: tuple[fleet_configuration.Account, ...]
     ) -> None:
@@ -228,6 +234,7 @@
     ) -> waiting_units.WaitingUnit:
         previous = entry.progress.unit_records.get(key.unit)
         last_run = self._state.last_runs.get(key.unit)
+        estimate = self._state.estimates.estimate(entry.submission, now_ms)
         return waiting_units.WaitingUnit(
             key=key,
             step=entry.submission.workflow.steps[key.step],
@@ -244,6 +251,8 @@
             ),
             saved=(last_run.saved if last_run else "")
             or (previous.saved if previous else ""),
+            learned_run_time=estimate.run_time(key.step),
+            step_medians_ms=estimate.medians_ms,
         )
 
     def _apply_decision(
@@ -263,6 +272,7 @@
             failures=unit.failures,
             saved=unit.saved,
             now_ms=now_ms,
+            learned_run_time=unit.learned_run_time,
         )
         self._state.table.add(run)
         for victim in decision.victims:
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -53,7 +53,7 @@
         take at least `worker_health.SLOW_FACTOR` times (twice) as long as on
         others, so a run there loses at least its estimated run time.
         """
-        limit_ms = self._capped(unit.step.estimate_ms, guaranteed)
+        limit_ms = self._capped(unit.run_time.median_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
     def accepts_other_racks(
@@ -67,7 +67,7 @@
             return False
         extra_factor = self.bounds.spread_factor - 1
         limit_ms = self._capped(
-            int(extra_factor * unit.step.estimate_ms), guaranteed
+            int(extra_factor * unit.run_time.median_ms), guaranteed
         )
         return self.now_ms - unit.since_ms >= limit_ms
 
--- a/citronmount/fleet/queueing/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -18,6 +18,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet.placement import fitting
+from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
@@ -26,7 +27,7 @@
 __all__ = ["MAX_RESERVATIONS", "Releases", "Reservations", "remaining_ms"]
 
 MAX_RESERVATIONS = 2
-# Run times are rough estimates, so backfilled units need some margin.
+# Declared run times are rough, so backfilled units need some margin.
 BACKFILL_MARGIN_FACTOR = 1.25
 # An overdue run may end at any time; it is taken to need this share of its
 # estimate once more.
@@ -52,7 +53,7 @@
     if run.phase is unit_runs.RunPhase.ENDING:
         return 0
     started_ms = run.placed_ms if run.started_ms is None else run.started_ms
-    estimate_ms = run.step.estimate_ms
+    estimate_ms = run.run_time.high_ms
     by_estimate_ms = max(
         started_ms + estimate_ms - now_ms, int(estimate_ms * OVERDUE_SHARE)
     )
@@ -135,13 +136,16 @@
         return self._count >= MAX_RESERVATIONS
 
     def allows(
-        self, worker: worker_directory.Worker, step: spec.Step, now_ms: int
+        self,
+        worker: worker_directory.Worker,
+        unit: waiting_units.WaitingUnit,
+        now_ms: int,
     ) -> bool:
         """Returns whether a unit may start on a worker.
 
         Args:
             worker: The worker.
-            step: The unit's step.
+            unit: The unit.
             now_ms: Monotonic time in milliseconds.
 
         Returns:
@@ -150,9 +154,12 @@
             to be restored wherever it fits.
         """
         start_ms = self._starts_ms.get(worker.worker)
-        if start_ms is None or step.lasting:
+        if start_ms is None or unit.step.lasting:
             return True
-        return now_ms + step.estimate_ms * BACKFILL_MARGIN_FACTOR <= start_ms
+        most_ms: float = unit.run_time.high_ms
+        if unit.learned_run_time is None:
+            most_ms *= BACKFILL_MARGIN_FACTOR
+        return now_ms + most_ms <= start_ms
 
     def reserve(
         self,
--- a/citronmount/fleet/queueing/urgency.py
+++ b/citronmount/fleet/queueing/urgency.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Urgency"]
 
-# Run times are rough estimates: this part of them is almost certain.
+# Declared run times are rough: this part of them is almost certain.
 MIN_RUN_TIME_SHARE = 0.5
 
 
@@ -58,7 +58,9 @@
         """
         if unit.step.lasting:
             return False
-        least_ms = int(unit.step.estimate_ms * MIN_RUN_TIME_SHARE)
+        least_ms = unit.run_time.low_ms
+        if unit.learned_run_time is None:
+            least_ms = int(least_ms * MIN_RUN_TIME_SHARE)
         return self._wall_ms + least_ms > self._objective_end_ms(unit)
 
     def _objective_end_ms(self, unit: waiting_units.WaitingUnit) -> int:
@@ -66,7 +68,7 @@
         cached = self._objective_ends_ms.get(occurrence)
         if cached is None:
             cached = waiting_units.objective_end_ms(
-                unit.submission, unit.key.occurrence
+                unit.submission, unit.key.occurrence, unit.step_medians_ms
             )
             self._objective_ends_ms[occurrence] = cached
         return cached
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -1,5 +1,7 @@
 """Units that are ready to start, and decisions to start them."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from citronmount.core import ids
@@ -35,6 +37,8 @@
         avoid: Workers on which the unit failed, stalled or was slow.
         learned_run_time: Run time of a task as learned from finished runs, or
             None without an estimate.
+        step_medians_ms: Median run time of a task of each step of the job;
+            empty for the declared times.
     """
 
     key: units.UnitKey
@@ -46,6 +50,7 @@
     saved: str = ""
     avoid: frozenset[ids.WorkerId] = frozenset()
     learned_run_time: run_time.RunTime | None = None
+    step_medians_ms: tuple[int, ...] = ()
 
     @property
     def run_time(self) -> run_time.RunTime:
@@ -83,7 +88,11 @@
     lost_core_s: float = 0.0
 
 
-def objective_end_ms(submission: spec.Submission, occurrence: int = 0) -> int:
+def objective_end_ms(
+    submission: spec.Submission,
+    occurrence: int = 0,
+    step_medians_ms: Sequence[int] = (),
+) -> int:
     """Returns the Unix time by which an occurrence of a job should complete.
 
     The time of `objective_ms` begins with the acceptance of the job, or when a
@@ -92,13 +101,15 @@
     Args:
         submission: The job.
         occurrence: Index of the occurrence, counted from 0.
+        step_medians_ms: Median run time of a task of each step; empty for the
+            declared times.
 
     Returns:
         Milliseconds.
     """
     due_ms = submission.workflow.due_ms(occurrence)
     begin_ms = submission.accepted_ms if due_ms is None else due_ms
-    return begin_ms + objective_ms(submission)
+    return begin_ms + objective_ms(submission, step_medians_ms)
 
 
 def slack_ms(unit: WaitingUnit) -> int:
@@ -108,12 +119,15 @@
         unit: The unit.
 
     Returns:
-        Milliseconds; the objective less the unit's estimated run time.
+        Milliseconds; the objective less the unit's median run time.
     """
-    return max(objective_ms(unit.submission) - unit.step.estimate_ms, 0)
+    allowed_ms = objective_ms(unit.submission, unit.step_medians_ms)
+    return max(allowed_ms - unit.run_time.median_ms, 0)
 
 
-def objective_ms(submission: spec.Submission) -> int:
+def objective_ms(
+    submission: spec.Submission, step_medians_ms: Sequence[int] = ()
+) -> int:
     """Returns the time that a job may take, or each of its occurrences.
 
     The estimated critical path times the queue's slack factor, plus the queue's
@@ -121,16 +135,20 @@
 
     Args:
         submission: The job.
+        step_medians_ms: Median run time of a task of each step; empty for the
+            declared times.
 
     Returns:
         Milliseconds.
     """
+    steps = submission.workflow.steps
+    times_ms = step_medians_ms or [step.estimate_ms for step in steps]
     earliest_ends_ms: list[int] = []
-    for step in submission.workflow.steps:
+    for step, time_ms in zip(steps, times_ms, strict=True):
         start_ms = max(
             (earliest_ends_ms[earlier] for earlier in step.after), default=0
         )
-        earliest_ends_ms.append(start_ms + step.estimate_ms)
+        earliest_ends_ms.append(start_ms + time_ms)
     critical_path_ms = max(earliest_ends_ms, default=0)
     terms = submission.terms
     allowed_ms = terms.slack_factor * critical_path_ms + terms.objective_ms
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -39,6 +39,7 @@
         """
         for entry in self._state.job_view.jobs.values():
             workflow = entry.submission.workflow
+            estimate = self._state.estimates.estimate(entry.submission, now_ms)
             for change in entry.progress.unit_records.values():
                 if not change.places:
                     continue
@@ -55,6 +56,7 @@
                     restored=True,
                     now_ms=now_ms,
                     task_positions=change.task_positions,
+                    learned_run_time=estimate.run_time(key.step),
                 )
                 for member in run.members:
                     member.state = unit_runs.MemberState.STARTING
@@ -95,6 +97,7 @@
                 self.record_if_cleared(run)
             elif run.phase is unit_runs.RunPhase.ACTIVE:
                 self._send_due_starts(run, now_ms)
+                self._learn_if_long(run, now_ms)
                 self._end_if_member_stalled(run, now_ms)
                 self._end_if_slow_member(run, now_ms)
                 self._end_if_overdue(run, now_ms)
@@ -103,6 +106,8 @@
                 self.send_due_stops(run, now_ms)
             self._mark_expired_members_missing(run, now_ms)
             if run.is_over:
+                workers = self._state.workers_of(run)
+                self._state.estimates.run_over(run, workers, now_ms)
                 self._state.table.remove(run)
                 self._state.victims_by_unit.pop(run.unit, None)
                 self._state.ready_since_ms[run.unit] = now_ms
@@ -130,6 +135,12 @@
                 return
             self._send_start(run, member, now_ms)
 
+    def _learn_if_long(self, run: unit_runs.Run, now_ms: int) -> None:
+        """Learns from a run past its high quantile before it ends."""
+        if self._state.estimates.is_news(run, now_ms):
+            workers = self._state.workers_of(run)
+            self._state.estimates.run_continues(run, workers, now_ms)
+
     def _end_if_member_stalled(self, run: unit_runs.Run, now_ms: int) -> None:
         """Ends a run with a stalled member, so that the unit moves elsewhere.
 
@@ -137,7 +148,9 @@
         """
         if run.started_ms is None or run.step.lasting:
             return
-        share_ms = run.step.estimate_ms * STALL_ESTIMATE_SHARE
+        # A learned time may extend the limit, but not shorten it.
+        expected_ms = max(run.run_time.high_ms, run.step.estimate_ms)
+        share_ms = expected_ms * STALL_ESTIMATE_SHARE
         backoff = 2 ** self._state.stall_counts[run.unit]
         limit_ms = max(MIN_STALL_MS, share_ms) * backoff
         stalled = [
@@ -210,11 +223,17 @@
         if run.started_ms is None or run.step.lasting or not estimate_ms:
             return
         elapsed_ms = now_ms - run.started_ms
-        if elapsed_ms < estimate_ms:
+        learned = run.learned_run_time
+        learned_ms = learned.high_ms if learned else 0
+        if elapsed_ms < max(estimate_ms, learned_ms):
             return
         factors = [
             self._state.health.check_overdue(
-                member.place.worker, elapsed_ms, estimate_ms, now_ms
+                member.place.worker,
+                elapsed_ms,
+                estimate_ms,
+                now_ms,
+                min_typical_ms=learned_ms,
             )
             for member in run.live_members
         ]
@@ -230,6 +249,7 @@
                 run=run.number,
                 elapsed_ms=elapsed_ms,
                 estimate_ms=estimate_ms,
+                learned_ms=learned_ms,
             )
             self._state.end_run(run, unit_runs.EndCause.STALLED)
 
@@ -244,7 +264,7 @@
             return
         if not (run.step.lasting or run.step.checkpoints):
             return
-        remaining_ms = run.started_ms + run.step.estimate_ms - now_ms
+        remaining_ms = run.started_ms + run.run_time.median_ms - now_ms
         for member in run.live_members:
             session = self._state.session_at_place(member.place)
             if session is None:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -131,6 +131,7 @@
         failures: Number of failed runs of the unit, including this one.
         saved: Checkpoint that the run started from, or a newer one.
         restored: Whether an earlier owner started the run.
+        from_scratch: Whether this owner started the run without a checkpoint.
         learned_run_time: Run time of a task as learned from finished runs, or
             None without an estimate.
         placed_ms: Monotonic time of the placement.
@@ -182,6 +183,7 @@
         self.failures = failures
         self.saved = saved
         self.restored = restored
+        self.from_scratch = not (saved or restored)
         self.learned_run_time = learned_run_time
         self.placed_ms = now_ms
         self.started_ms: int | None = None
--- a/citronmount/fleet/workers/tests/test_worker_health.py
+++ b/citronmount/fleet/workers/tests/test_worker_health.py
@@ -65,6 +65,21 @@
         )
         self.assertFalse(self.health.assess(OTHER_ENTRY, 9_001).distrusted)
 
+    def test_learned_times_may_only_extend_the_overdue_limit(self) -> None:
+        # Learned times that are longer than the declared ones lower the ratios
+        # to which they are the reference; the limit must not follow.
+        for _ in range(9):
+            self.health.record_success(
+                OTHER, 1_200, 1_000, 0, expected_ms=3_000
+            )
+        for learned_ms, factor in ((0, 7.5), (500, 7.5), (3_000, 3.0)):
+            self.assertAlmostEqual(
+                factor,
+                self.health.check_overdue(
+                    WORKER, 9_000, 1_000, 9_000, min_typical_ms=learned_ms
+                ),
+            )
+
     def test_machine_with_flapping_workers_is_distrusted(self) -> None:
         self.health.record_incarnation_end(ENTRY, 1_000)
         self.assertFalse(self.health.assess(ENTRY, 1_001).distrusted)
--- a/citronmount/fleet/workers/worker_health.py
+++ b/citronmount/fleet/workers/worker_health.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Sequence
 import math
 import statistics
 
@@ -68,6 +69,9 @@
         self._pool_ratios: collections.deque[float] = collections.deque(
             maxlen=POOL_RATIO_WINDOW
         )
+        self._pool_expected_ratios: collections.deque[float] = (
+            collections.deque(maxlen=POOL_RATIO_WINDOW)
+        )
 
     def record_success(
         self,
@@ -75,23 +79,30 @@
         elapsed_ms: int,
         estimate_ms: int,
         now_ms: int,
+        expected_ms: int | None = None,
     ) -> None:
         """Records a successful run, which ends the distrust of the worker.
 
         Args:
             worker: The worker of the run.
             elapsed_ms: Run time in milliseconds.
-            estimate_ms: Estimated run time in milliseconds, or 0 if unknown.
+            estimate_ms: Declared run time in milliseconds, or 0 if unknown.
             now_ms: Monotonic time in milliseconds.
+            expected_ms: Run time in milliseconds to compare workers by, or 0
+                if unknown; None for the declared one.
         """
         history = self._histories[worker]
         history.failed_jobs.clear()
         history.last_success_ms = now_ms
         history.distrusted_until_ms = 0
         if estimate_ms > 0:
-            ratio = elapsed_ms / estimate_ms
+            self._pool_ratios.append(elapsed_ms / estimate_ms)
+        if expected_ms is None:
+            expected_ms = estimate_ms
+        if expected_ms > 0:
+            ratio = elapsed_ms / expected_ms
             history.ratios.append(ratio)
-            self._pool_ratios.append(ratio)
+            self._pool_expected_ratios.append(ratio)
 
     def record_failure(
         self, worker: ids.WorkerId, job: ids.JobId, now_ms: int
@@ -121,6 +132,7 @@
         elapsed_ms: int,
         estimate_ms: int,
         now_ms: int,
+        min_typical_ms: int = 0,
     ) -> float:
         """Makes a worker distrusted for a while if a run on it is overdue.
 
@@ -130,8 +142,9 @@
         Args:
             worker: The worker of the run.
             elapsed_ms: Time since the run started, in milliseconds.
-            estimate_ms: Estimated run time in milliseconds.
+            estimate_ms: Declared run time in milliseconds.
             now_ms: Monotonic time in milliseconds.
+            min_typical_ms: Lower limit of the typical run time in milliseconds.
 
         Returns:
             Elapsed time as a multiple of the typical run time, or 0 if the
@@ -140,7 +153,9 @@
         history = self._histories[worker]
         if history.last_success_ms >= now_ms - elapsed_ms:
             return 0.0
-        typical_ms = self._typical_ratio() * estimate_ms
+        typical_ms = max(
+            _typical_ratio(self._pool_ratios) * estimate_ms, min_typical_ms
+        )
         factor = elapsed_ms / max(typical_ms, 1)
         if factor > SLOW_FACTOR and elapsed_ms > typical_ms + OVERDUE_MARGIN_MS:
             history.distrusted_until_ms = max(
@@ -184,12 +199,13 @@
             return Assessment()
         slowness = 1.0
         if history.ratios:
-            slowness = statistics.median(history.ratios) / self._typical_ratio()
+            slowness = statistics.median(history.ratios) / _typical_ratio(
+                self._pool_expected_ratios
+            )
         return Assessment(
             slowness=slowness, distrusted=now_ms < history.distrusted_until_ms
         )
 
-    def _typical_ratio(self) -> float:
-        if not self._pool_ratios:
-            return 1.0
-        return max(statistics.median(self._pool_ratios), 0.1)
+
+def _typical_ratio(ratios: Sequence[float]) -> float:
+    return max(statistics.median(ratios), 0.1) if ratios else 1.0
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -319,6 +319,9 @@
         run.saved = end.saved or run.saved
         if run.outcome is None:
             self._observe_speeds(run, now_ms)
+        if end.kind is commands.EndKind.DONE:
+            workers = self._state.workers_of(run)
+            self._state.estimates.run_done(run, workers, now_ms)
         self._state.log.info(
             "run_ended",
             task=end.task,
@@ -362,9 +365,12 @@
         worker = member.place.worker
         if kind is commands.EndKind.DONE and run.started_ms is not None:
             elapsed_ms = now_ms - run.started_ms
-            estimate_ms = run.step.estimate_ms
             self._state.health.record_success(
-                worker, elapsed_ms, estimate_ms, now_ms
+                worker,
+                elapsed_ms,
+                run.step.estimate_ms,
+                now_ms,
+                expected_ms=run.run_time.high_ms,
             )
         if kind is commands.EndKind.FAILED:
             self._state.avoided_workers.setdefault(run.unit, set()).add(worker)
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -113,6 +113,11 @@
         self._step_loop.clock = clock
         self._logger = structlog.get_logger()
 
+    @property
+    def owner(self) -> pool_owner.PoolOwner | None:
+        """The pool's owner if this VM owns the pool, or None."""
+        return self._owner
+
     def set_candidate(self, candidate: bool) -> None:
         """Takes over the pool, or releases it.
 
@@ -213,9 +218,8 @@
         Returns:
             The record of this process and the offset that the log returned.
         """
-        known_epoch = (
-            self._job_view.ownership.epoch if self._job_view.ownership else 0
-        )
+        known = self._job_view.ownership
+        known_epoch = known.epoch if known else 0
         epoch = max(known_epoch, self._last_epoch) + 1
         while True:
             ownership = records.OwnershipTaken(
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -10,6 +10,7 @@
 from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet.estimates import run_times
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import job_service
@@ -154,6 +155,11 @@
         """Whether this VM currently decides for the whole pool."""
         return self._owner.active
 
+    @property
+    def run_times(self) -> run_times.RunTimes | None:
+        """Learned run times if this VM owns the pool, or None."""
+        return self._owner.owner.run_times if self._owner.owner else None
+
     def start(self) -> None:
         """Starts to read the log and to take part in the election.
 
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -67,6 +67,7 @@
     vm_count = 3
     workers_per_rack = 2
     racks = 2
+    features: frozenset[fleet_configuration.Feature] = frozenset()
 
     def setUp(self) -> None:
         structlog.configure(
@@ -114,6 +115,7 @@
             ),
             sized_for_ownership=sized_for_ownership,
             wall_clock=self.wall_ms,
+            features=self.features,
         )
         vm.start()
         return vm
