Record learned run times for the next owner

Cause: a new owner knew no run times and decided by declared ones until enough runs had finished.

The next owner restores it with the weight of at most 10 runs. An unreadable record, one of another version and damaged entries are ignored. At most 20 expired estimates are computed in a planning round.

--- a/citronmount/fleet/estimates/learning.py
+++ b/citronmount/fleet/estimates/learning.py
@@ -21,6 +21,9 @@
 ESTIMATE_TTL_MS = 1_000
 ORDINARY_SPEED_TTL_MS = 1_000
 MAX_CACHED_JOBS = 10_000
+# Thousands of jobs may wait in an overload; their estimates expire at once
+# after a pause, and computing one takes a tenth of a millisecond.
+MAX_REFRESHES_PER_ROUND = 20
 # Most runs past their high quantile report their end later, so that their
 # bounds must not count as much as the ends.
 RUNNING_BOUND_WEIGHT = 0.3
@@ -81,6 +84,8 @@
         self._speeds = speeds
         self._estimates: dict[ids.JobId, tuple[int, JobEstimate]] = {}
         self._past_high: set[units.UnitId] = set()
+        self._round_ms = 0
+        self._refresh_count = 0
         self._ordinary_slowdown = 1.0
         self._ordinary_until_ms = 0
 
@@ -92,7 +97,8 @@
     def estimate(self, submission: spec.Submission, now_ms: int) -> JobEstimate:
         """Returns the run times of the steps of a job.
 
-        Estimates are computed again after `ESTIMATE_TTL_MS`.
+        Estimates are computed again after `ESTIMATE_TTL_MS`, at most
+        `MAX_REFRESHES_PER_ROUND` at a time.
 
         Args:
             submission: The job.
@@ -102,7 +108,7 @@
             return JobEstimate()
         job = submission.workflow.job
         cached = self._estimates.get(job)
-        if cached is not None and now_ms < cached[0]:
+        if cached is not None and not self._may_refresh(cached[0], now_ms):
             return cached[1]
         steps = submission.workflow.steps
         learned = tuple(
@@ -120,6 +126,16 @@
         self._estimates[job] = (now_ms + ESTIMATE_TTL_MS, estimate)
         return estimate
 
+    def _may_refresh(self, expires_ms: int, now_ms: int) -> bool:
+        """Returns whether to compute an expired estimate in this round."""
+        if now_ms < expires_ms:
+            return False
+        if now_ms != self._round_ms:
+            self._round_ms = now_ms
+            self._refresh_count = 0
+        self._refresh_count += 1
+        return self._refresh_count <= MAX_REFRESHES_PER_ROUND
+
     def run_done(
         self,
         run: unit_runs.Run,
--- a/citronmount/fleet/estimates/run_times.py
+++ b/citronmount/fleet/estimates/run_times.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Mapping
+from collections.abc import Sequence
 import math
 import typing
 
@@ -15,6 +16,8 @@
 Key = typing.NewType("Key", str)
 
 MAX_KEYS = 1_000
+# Accounts and images are named by others, and the record has to stay small.
+MAX_KEY_CHARS = 200
 MIN_RUNS = 3.0
 RESTORED_RUNS = 10.0
 
@@ -22,6 +25,7 @@
 MAX_LOG = 50.0
 
 _SEPARATOR = "|"
+_SNAPSHOT_SCALE = 1_000
 
 
 def keys_of(submission: spec.Submission, step: spec.Step) -> tuple[Key, ...]:
@@ -33,7 +37,7 @@
 
     Returns:
         The queue; queue and shape; account, queue and shape; and queue and
-        image if the step names one.
+        image if the step names one. Keys that are too long are left out.
     """
     queue = submission.terms.queue
     # The slowest of many tasks determines the run time of a gang.
@@ -44,7 +48,8 @@
     parts.append(("a", queue, shape, submission.account))
     if step.image:
         parts.append(("i", queue, step.image))
-    return tuple(Key(_SEPARATOR.join(part)) for part in parts)
+    joined = map(_SEPARATOR.join, parts)
+    return tuple(Key(key) for key in joined if len(key) <= MAX_KEY_CHARS)
 
 
 class RunTimes:
@@ -190,14 +195,15 @@
             return step.estimate_ms
         return predicted.quantile_ms(quantile)
 
-    def snapshot(self, limit: int) -> dict[Key, tuple[float, ...]]:
+    def snapshot(self, limit: int) -> dict[Key, tuple[int, ...]]:
         """Returns the statistics to record for the next owner.
 
         Args:
             limit: Maximum number of keys; those with the most runs are kept.
 
         Returns:
-            For each key the weight, mean and variance of each of its moments.
+            For each key the weight, mean and variance of each of its moments,
+            in thousandths.
         """
         heaviest = sorted(
             self._by_key.items(),
@@ -206,14 +212,14 @@
         )
         return {
             key: tuple(
-                round(number, 3)
+                round(number * _SNAPSHOT_SCALE)
                 for moments in statistic.all_moments()
                 for number in (moments.weight, moments.mean, moments.variance)
             )
             for key, statistic in heaviest[:limit]
         }
 
-    def restore(self, snapshot: Mapping[Key, tuple[float, ...]]) -> int:
+    def restore(self, snapshot: Mapping[str, tuple[int, ...]]) -> int:
         """Restores the statistics of an earlier owner.
 
         They count like at most `RESTORED_RUNS` runs, because the load may have
@@ -228,13 +234,14 @@
         fields = key_statistics.KeyStatistics.__struct_fields__
         restored_count = 0
         for key, numbers in list(snapshot.items())[:MAX_KEYS]:
-            triples = [numbers[n : n + 3] for n in range(0, len(numbers), 3)]
+            scaled = [number / _SNAPSHOT_SCALE for number in numbers]
+            triples = [scaled[n : n + 3] for n in range(0, len(scaled), 3)]
             if len(numbers) != 3 * len(fields) or not all(
                 map(_is_valid, triples)
             ):
                 continue
             factor = min(1.0, RESTORED_RUNS / max(triples[0][0], 1.0))
-            self._by_key[key] = key_statistics.KeyStatistics(
+            self._by_key[Key(key)] = key_statistics.KeyStatistics(
                 **{
                     name: key_statistics.Moments(
                         weight=weight * factor, mean=mean, variance=variance
@@ -310,8 +317,6 @@
     return math.log(step.estimate_ms) if step.estimate_ms > 0 else None
 
 
-def _is_valid(triple: tuple[float, ...]) -> bool:
+def _is_valid(triple: Sequence[float]) -> bool:
     weight, mean, variance = triple
-    if not all(map(math.isfinite, triple)):
-        return False
     return weight >= 0 and abs(mean) <= MAX_LOG and 0 <= variance <= MAX_LOG
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -6,6 +6,7 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet import planning
+from citronmount.fleet.estimates import run_time_recorder
 from citronmount.fleet.estimates import run_times
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
@@ -59,6 +60,9 @@
         self._next_full_scan_ms = 0
         self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
         self._recorded_speeds = dict(state.job_view.speeds)
+        self._run_time_recorder = run_time_recorder.RunTimeRecorder(
+            state=state, now_ms=now_ms
+        )
         self._driver.restore(now_ms)
 
     @property
@@ -143,6 +147,7 @@
         if now_ms >= self._next_speeds_record_ms:
             self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
             self._record_speeds()
+        self._run_time_recorder.step(now_ms, wall_ms)
         self._sessions.send_due_renewals(now_ms)
         due_commands, self._state.commands = self._state.commands, []
         return due_commands
--- a/citronmount/workflow/job_views.py
+++ b/citronmount/workflow/job_views.py
@@ -66,6 +66,7 @@
         ownership: Record of the latest pool takeover, or None.
         speeds: Relative speeds of machines as last recorded by an owner, as
             logarithms.
+        run_times: Run times as last recorded by an owner, or None.
     """
 
     def __init__(self) -> None:
@@ -74,6 +75,7 @@
         self.finished: dict[ids.JobId, records.Finished] = {}
         self.ownership: records.OwnershipTaken | None = None
         self.speeds: dict[str, float] = {}
+        self.run_times: records.RunTimesLearned | None = None
         self._offsets: dict[str, int] = {}
         self._deferred: dict[ids.JobId, list[tuple[int, records.Record]]] = {}
 
@@ -102,6 +104,9 @@
             case records.SpeedsLearned():
                 self.speeds = record.logs
                 return False
+            case records.RunTimesLearned():
+                self.run_times = record
+                return False
             case records.Cancelled():
                 return self._apply_change(record.job, offset, record)
             case records.UnitChanged():
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -21,7 +21,9 @@
     "OwnershipTaken",
     "FinalState",
     "Place",
+    "RUN_TIMES_KEY",
     "Record",
+    "RunTimesLearned",
     "SpeedsLearned",
     "Submitted",
     "UnitChanged",
@@ -160,6 +162,20 @@
     logs: dict[str, float]
 
 
+class RunTimesLearned(msgspec.Struct, frozen=True, kw_only=True, tag="t"):
+    """The owner's estimates of run times, for the next owner.
+
+    Attributes:
+        version: Version of the format of `estimates`.
+        recorded_ms: Unix time of the record in milliseconds.
+        estimates: Statistics of each key, in thousandths.
+    """
+
+    version: int
+    recorded_ms: int
+    estimates: dict[str, tuple[int, ...]]
+
+
 Record = (
     Submitted
     | Cancelled
@@ -167,14 +183,21 @@
     | Finished
     | OwnershipTaken
     | SpeedsLearned
+    | RunTimesLearned
 )
 
 OWNER_KEY = "o"
 SPEEDS_KEY = "w"
+RUN_TIMES_KEY = "t"
 
 _ENCODER = msgspec.msgpack.Encoder()
 _RECORD_DECODER = msgspec.msgpack.Decoder(
-    Submitted | Cancelled | Finished | OwnershipTaken | SpeedsLearned
+    Submitted
+    | Cancelled
+    | Finished
+    | OwnershipTaken
+    | SpeedsLearned
+    | RunTimesLearned
 )
 _UNIT_DECODER = msgspec.msgpack.Decoder(UnitChanged)
 _UNIT_PREFIX = "u/"
@@ -230,6 +253,8 @@
             return OWNER_KEY
         case SpeedsLearned():
             return SPEEDS_KEY
+        case RunTimesLearned():
+            return RUN_TIMES_KEY
     typing.assert_never(record)
 
 
