--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -25,6 +25,7 @@
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import pool_vm
 from citronmount.fleet_service import ports
+from citronmount.fleet_service import run_time_metrics
 from citronmount.fleet_service import settings_reloader
 from citronmount.fleet_service import status_resources
 from citronmount.fleet_service import vm_settings
@@ -140,6 +141,7 @@
     )
     registry.register_gauge("owns_pool", lambda: vm.owns_pool)
     registry.register_gauge("ready", lambda: vm.ready)
+    run_time_metrics.register(registry, lambda: vm.run_times)
     api = adapter.api(vm.job_service)
     terminated: defer.Deferred[None] = defer.Deferred()
     _install_signal_handlers(reactor, terminated, reloader)
