--- a/citronmount/fleet/estimates/learning.py
+++ b/citronmount/fleet/estimates/learning.py
@@ -57,6 +57,9 @@
         return self.run_times[step_index] if self.run_times else None
 
 
+_AS_DECLARED = JobEstimate()
+
+
 class RunTimeLearning:
     """Turns runs into observations and caches the estimates of jobs.
 
@@ -105,7 +108,7 @@
             now_ms: Monotonic time in milliseconds.
         """
         if not self._enabled:
-            return JobEstimate()
+            return _AS_DECLARED
         job = submission.workflow.job
         cached = self._estimates.get(job)
         if cached is not None and not self._may_refresh(cached[0], now_ms):
