Log the objective by which a job was scheduled

Cause: job_finished showed the objective by declared run times although the owner had ordered the job by learned ones.

Change: the log line takes the medians of the job's steps.

--- a/citronmount/fleet/runs/job_completion.py
+++ b/citronmount/fleet/runs/job_completion.py
@@ -57,7 +57,7 @@
                     self._state.end_run(run, cause)
                     self._driver.send_due_stops(run, now_ms)
             if not remaining_runs:
-                self._record_final_state(job, entry, final, wall_ms)
+                self._record_final_state(job, entry, final, now_ms, wall_ms)
         self._forget_expired_jobs(wall_ms)
 
     def _record_final_state(
@@ -65,6 +65,7 @@
         job: ids.JobId,
         entry: job_views.JobEntry,
         final: records.FinalState,
+        now_ms: int,
         wall_ms: int,
     ) -> None:
         self._state.finishing_jobs.add(job)
@@ -82,13 +83,16 @@
         self._state.advice.forget_job(job)
         for unit in entry.progress.unit_records:
             self._state.forget_unit(unit)
+        estimate = self._state.estimates.estimate(entry.submission, now_ms)
         self._state.log.info(
             "job_finished",
             job=job,
             account=record.account,
             state=final.name.lower(),
             age_ms=wall_ms - entry.submission.accepted_ms,
-            objective_ms=waiting_units.objective_ms(entry.submission),
+            objective_ms=waiting_units.objective_ms(
+                entry.submission, estimate.medians_ms
+            ),
             slack_factor=entry.submission.terms.slack_factor,
             margin_ms=entry.submission.terms.objective_ms,
         )
