--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -10,6 +10,8 @@
 from citronmount.fleet.accounts import quota_monitor
 from citronmount.fleet.accounts import quotas
 from citronmount.fleet.accounts import share_monitor
+from citronmount.fleet.estimates import run_time_recorder
+from citronmount.fleet.estimates import run_times
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
@@ -68,6 +70,9 @@
         self._next_full_scan_ms = 0
         self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
         self._recorded_speeds = dict(state.job_view.speeds)
+        self._run_time_recorder = run_time_recorder.RunTimeRecorder(
+            state=state, now_ms=now_ms
+        )
         self._driver.restore(now_ms)
 
     @property
@@ -75,6 +80,11 @@
         """Whether a worker has seen a newer owner."""
         return self._state.fenced
 
+    @property
+    def run_times(self) -> run_times.RunTimes:
+        """Run times learned from finished runs."""
+        return self._state.estimates.run_times
+
     def set_configuration(
         self, configuration: fleet_configuration.FleetConfiguration, now_ms: int
     ) -> None:
@@ -171,6 +181,7 @@
         if now_ms >= self._next_speeds_record_ms:
             self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
             self._record_speeds()
+        self._run_time_recorder.step(now_ms, wall_ms)
         self._sessions.send_due_renewals(now_ms)
         due_commands, self._state.commands = self._state.commands, []
         return due_commands
@@ -273,6 +284,7 @@
     ) -> waiting_units.WaitingUnit:
         previous = entry.progress.unit_records.get(key.unit)
         last_run = self._state.last_runs.get(key.unit)
+        estimate = self._state.estimates.estimate(entry.submission, now_ms)
         return waiting_units.WaitingUnit(
             key=key,
             step=entry.submission.workflow.steps[key.step],
@@ -289,6 +301,8 @@
             ),
             saved=(last_run.saved if last_run else "")
             or (previous.saved if previous else ""),
+            learned_run_time=estimate.run_time(key.step),
+            step_medians_ms=estimate.medians_ms,
         )
 
     def _apply_decision(
@@ -308,6 +322,7 @@
             failures=unit.failures,
             saved=unit.saved,
             now_ms=now_ms,
+            learned_run_time=unit.learned_run_time,
         )
         self._state.table.add(run)
         for victim in decision.victims:
