Restart gangs for stragglers by expected gain

Cause: permanent speeds of 0.6 and 1.6 differ by more than the factor of 2 from which a member counts as slow, so each gang on a mixed set restarted, on a mixed set again.

Change: with worker-speeds, a member is a straggler relative to the likely speeds of its worker, which is 0.6 to 1.6 while unknown. A gang restarts only if the workers free now, and its own, promise an earlier end from its checkpoint, by a margin. Without worker-speeds, decisions are as before.

--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -47,7 +47,9 @@
         self.token = state.token
         self._state = state
         self._sessions = worker_sessions.WorkerSessions(state=self._state)
-        self._driver = run_driver.RunDriver(state=self._state)
+        self._driver = run_driver.RunDriver(
+            state=self._state, usable_workers=self._sessions.usable_workers
+        )
         self._completion = job_completion.JobCompletion(
             state=self._state, driver=self._driver
         )
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -4,8 +4,10 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
+from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import slow_members
+from citronmount.fleet.runs import straggler_restarts
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
@@ -24,13 +26,23 @@
 class RunDriver:
     """Records runs, sends their commands and ends slow or lost ones."""
 
-    def __init__(self, *, state: owner_state.OwnerState) -> None:
+    def __init__(
+        self,
+        *,
+        state: owner_state.OwnerState,
+        usable_workers: straggler_restarts.UsableWorkers,
+    ) -> None:
         """Initializes the driver.
 
         Args:
             state: State shared by the parts of the owner.
+            usable_workers: Returns the workers that may receive tasks at a
+                monotonic time in milliseconds.
         """
         self._state = state
+        self._restarts = straggler_restarts.StragglerRestarts(
+            state=state, usable_workers=usable_workers
+        )
 
     def restore(self, now_ms: int) -> None:
         """Restores from the job view the runs that workers may still hold.
@@ -169,7 +181,10 @@
             return
         if self._state.stall_counts[run.unit] >= MAX_MOVES:
             return
-        slow = slow_members.slow_workers(run)
+        if fleet_configuration.Feature.WORKER_SPEEDS in self._state.features:
+            slow = self._restarts.workers_to_leave(run, now_ms)
+        else:
+            slow = slow_members.slow_workers(run)
         if slow:
             self._state.log.warning(
                 "run_held_up",
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -64,6 +64,7 @@
 class PoolTestCase(unittest.TestCase):
     """Runs tests on an in-memory pool of VMs and workers in virtual time."""
 
+    features: frozenset[fleet_configuration.Feature] = frozenset()
     vm_count = 3
     workers_per_rack = 2
     racks = 2
@@ -114,6 +115,7 @@
             ),
             sized_for_ownership=sized_for_ownership,
             wall_clock=self.wall_ms,
+            features=self.features,
         )
         vm.start()
         return vm
--- a/citronmount/fleet_service/tests/test_gang_stragglers.py
+++ b/citronmount/fleet_service/tests/test_gang_stragglers.py
@@ -1,5 +1,6 @@
 from citronmount.core import ids
 from citronmount.core import states
+from citronmount.fleet import fleet_configuration
 from citronmount.fleet_service.tests import pool_fixture
 
 DONE = states.JobState.DONE
@@ -43,3 +44,41 @@
         self.run_for(30.0)
         self.assertIs(DONE, self.state("j"))
         self.assertLessEqual(len(self.starts_of("j")), 12)
+
+
+class ExpectedGainTest(GangStragglerTest):
+    """The same behaviour while the speeds of the workers are learned."""
+
+    features = frozenset({fleet_configuration.Feature.WORKER_SPEEDS})
+
+    def set_speeds(self, *speeds: float) -> None:
+        for number, worker in enumerate(self.pool_workers.workers.values()):
+            worker.slowdown = 1 / speeds[number % len(speeds)]
+
+    def test_unknown_permanent_speeds_cause_no_restart(self) -> None:
+        # Speeds 1.6 and 0.6 differ by 2.7, so that a factor of 2 between the
+        # members restarted gangs on each mixed set.
+        self.set_speeds(1.6, 0.6, 1.0)
+        for number in range(6):
+            self.submit(f"j{number}", self.gang)
+            self.run_for(6.0)
+            self.assertIs(DONE, self.state(f"j{number}"))
+        self.assertEqual(24, len(self.pool_workers.starts))
+
+    def test_straggler_in_a_mixed_set_is_left(self) -> None:
+        self.set_speeds(1.6, 1.0, 1.0)
+        self.slow_down("w00", 7.0)
+        self.submit("j", self.gang)
+        self.run_for(7.0)
+        self.assertIs(DONE, self.state("j"))
+        self.assertEqual(8, len(self.starts_of("j")))
+
+    def test_gang_stays_without_free_workers(self) -> None:
+        wide = pool_fixture.make_step(
+            tasks=6, accelerators=8, gang=True, estimate_ms=2_500
+        )
+        self.slow_down("w00", 6.0)
+        self.submit("j", wide)
+        self.run_for(18.0)
+        self.assertIs(DONE, self.state("j"))
+        self.assertEqual(6, len(self.starts_of("j")))
