Learn the speeds of machines with their uncertainty

Cause: a moving average of whole runs of gangs needs 15 % of progress and 0.8 s, ignores single tasks, takes a slowdown of seconds for a speed, and cannot tell an unknown speed from a known one.

Change: with worker-speeds, the logarithm of a speed is a normal variable with a prior that covers 0.6 to 1.6. Rates of a gang's members and of single tasks of one step are weighted by precision, far ones weigh little. First rates are polled for after 0.35 s. SpeedsLearned keeps its form.

--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -12,6 +12,7 @@
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_health
 from citronmount.fleet.workers import worker_speeds
@@ -132,7 +133,13 @@
             collections.Counter()
         )
         self.health = worker_health.WorkerHealth()
-        self.speeds = worker_speeds.WorkerSpeeds()
+        self.speeds: (
+            worker_speeds.WorkerSpeeds | speed_estimates.SpeedEstimates
+        ) = (
+            speed_estimates.SpeedEstimates()
+            if fleet_configuration.Feature.WORKER_SPEEDS in features
+            else worker_speeds.WorkerSpeeds()
+        )
         self.speeds.restore(job_view.speeds, now_ms)
         self.advice = advice_cache.AdviceCache()
         self.entries: list[LogEntry] = []
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -9,7 +9,9 @@
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
+from citronmount.fleet.runs import speed_observations
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_reports
 from citronmount.fleet.workers import worker_sessions
@@ -50,6 +52,11 @@
         self._driver = run_driver.RunDriver(
             state=self._state, usable_workers=self._sessions.usable_workers
         )
+        self._speed_observer: speed_observations.SpeedObserver | None = None
+        if isinstance(state.speeds, speed_estimates.SpeedEstimates):
+            self._speed_observer = speed_observations.SpeedObserver(
+                state=state, estimates=state.speeds
+            )
         self._completion = job_completion.JobCompletion(
             state=self._state, driver=self._driver
         )
@@ -131,6 +138,8 @@
         if full_scan:
             self._next_full_scan_ms = now_ms + FULL_SCAN_PERIOD_MS
         self._sessions.sync_with_directory(now_ms, full_scan)
+        if full_scan and self._speed_observer is not None:
+            self._speed_observer.observe(now_ms)
         self._driver.advance_runs(now_ms, full_scan)
         if self._state.needs_planning or full_scan:
             self._state.needs_planning = False
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -4,11 +4,11 @@
 
 from citronmount.core import ids
 from citronmount.fleet import commands
-from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import slow_members
 from citronmount.fleet.runs import straggler_restarts
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
 from citronmount.workflow import units
@@ -40,9 +40,13 @@
                 monotonic time in milliseconds.
         """
         self._state = state
-        self._restarts = straggler_restarts.StragglerRestarts(
-            state=state, usable_workers=usable_workers
-        )
+        self._restarts: straggler_restarts.StragglerRestarts | None = None
+        if isinstance(state.speeds, speed_estimates.SpeedEstimates):
+            self._restarts = straggler_restarts.StragglerRestarts(
+                state=state,
+                estimates=state.speeds,
+                usable_workers=usable_workers,
+            )
 
     def restore(self, now_ms: int) -> None:
         """Restores from the job view the runs that workers may still hold.
@@ -181,7 +185,7 @@
             return
         if self._state.stall_counts[run.unit] >= MAX_MOVES:
             return
-        if fleet_configuration.Feature.WORKER_SPEEDS in self._state.features:
+        if self._restarts is not None:
             slow = self._restarts.workers_to_leave(run, now_ms)
         else:
             slow = slow_members.slow_workers(run)
--- a/citronmount/fleet/runs/straggler_restarts.py
+++ b/citronmount/fleet/runs/straggler_restarts.py
@@ -17,6 +17,7 @@
 from citronmount.fleet import owner_state
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import speed_range
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
@@ -187,16 +188,22 @@
     """Finds the gangs to restart among the runs of an owner."""
 
     def __init__(
-        self, *, state: owner_state.OwnerState, usable_workers: UsableWorkers
+        self,
+        *,
+        state: owner_state.OwnerState,
+        estimates: speed_estimates.SpeedEstimates,
+        usable_workers: UsableWorkers,
     ) -> None:
         """Initializes the search.
 
         Args:
             state: State shared by the parts of the owner.
+            estimates: Speed estimates of the machines.
             usable_workers: Returns the workers that may receive tasks at a
                 monotonic time in milliseconds.
         """
         self._state = state
+        self._estimates = estimates
         self._usable_workers = usable_workers
 
     def workers_to_leave(
@@ -244,7 +251,7 @@
         }
 
     def _speed(self, worker: worker_directory.Worker) -> speed_range.SpeedRange:
-        return self._state.speeds.speed_range(worker.speed_key)
+        return self._estimates.speed_range(worker.speed_key)
 
     def _gain(
         self,
--- a/citronmount/fleet/runs/task_progress.py
+++ b/citronmount/fleet/runs/task_progress.py
@@ -48,6 +48,20 @@
             return None
         return gained * _MS_PER_S / (self._newest[0] - self._first[0])
 
+    @property
+    def gained_percent(self) -> float:
+        """Progress between the first and the newest report below 100."""
+        if self._first is None or self._newest is None:
+            return 0.0
+        return self._newest[1] - self._first[1]
+
+    @property
+    def measured_ms(self) -> int:
+        """Time between the first and the newest report below 100."""
+        if self._first is None or self._newest is None:
+            return 0
+        return self._newest[0] - self._first[0]
+
     @property
     def percent(self) -> float:
         """Newest reported percentage below 100."""
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -80,6 +80,9 @@
             without an answer.
         saved: Newest checkpoint.
         progress: Progress of the task.
+        speed_samples: Number of progress rates taken into the speed estimates.
+        rate_polled: Whether the worker was polled for a first rate, or needed
+            no poll.
     """
 
     place: records.Place
@@ -98,6 +101,8 @@
     progress: task_progress.TaskProgress = msgspec.field(
         default_factory=task_progress.TaskProgress
     )
+    speed_samples: int = 0
+    rate_polled: bool = False
 
     @property
     def may_have_started(self) -> bool:
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -9,6 +9,7 @@
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_sessions
+from citronmount.fleet.workers import worker_speeds
 from citronmount.workflow import records
 from citronmount.workflow import units
 
@@ -340,6 +341,9 @@
 
     def _observe_speeds(self, run: unit_runs.Run, now_ms: int) -> None:
         """Updates the speed estimates with the progress rates of a gang."""
+        speeds = self._state.speeds
+        if not isinstance(speeds, worker_speeds.WorkerSpeeds):
+            return
         if not run.step.gang:
             return
         rates = collections.defaultdict(list)
@@ -349,7 +353,7 @@
             if session is not None and rate is not None:
                 rates[session.worker.speed_key].append(rate)
         mean_rates = {key: statistics.mean(each) for key, each in rates.items()}
-        self._state.speeds.observe(mean_rates, now_ms)
+        speeds.observe(mean_rates, now_ms)
 
     def _record_health(
         self,
--- a/citronmount/fleet/workers/worker_speeds.py
+++ b/citronmount/fleet/workers/worker_speeds.py
@@ -10,7 +10,6 @@
 import math
 import statistics
 
-from citronmount.fleet.workers import speed_range
 from citronmount.fleet.workers import worker_directory
 
 __all__ = ["SLOWER_FACTOR", "WorkerSpeeds"]
@@ -21,7 +20,6 @@
 SEVERE_SLOWDOWN_TTL_MS = 10_000
 MIN_BASELINE_MACHINES = 4
 
-_LOG_DEVIATION = 0.4
 _SNAPSHOT_DIGITS = 2
 _RESTORED_OBSERVATIONS = 2
 
@@ -138,20 +136,6 @@
             return 1.0
         return max(factor, 1.0)
 
-    def speed_range(
-        self, machine: worker_directory.MachineId
-    ) -> speed_range.SpeedRange:
-        """Returns the likely speeds of a machine, relative to each other."""
-        speed = self._speeds.get(machine)
-        if speed is None or not speed.observations:
-            return speed_range.UNKNOWN
-        margin = 2 * _LOG_DEVIATION / (1 + speed.observations)
-        return speed_range.SpeedRange(
-            low=math.exp(speed.log - margin),
-            expected=math.exp(speed.log),
-            high=math.exp(speed.log + margin),
-        )
-
     def _fast_log_speed(self) -> float:
         """Returns the log speed of a fast machine.
 
