Choose workers of like speed by expected completion

Cause: two classes of speed cannot serve a pool of three; gangs were placed on mixed sets, and workers of speed 0.6 counted as faulty.

Change: with worker-speeds, workers form classes of like speed. Urgent units take the fastest range of classes, others the slowest one on which they are on time; a unit waits for faster workers while it has slack. Preemption and reservations use the same workers. Run times are judged by the speeds of their workers. The two choices of workers and the preferred racks move from the planner into modules of placement; without worker-speeds, decisions are as before.

--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -162,6 +162,24 @@
             )
         run.end(cause)
 
+    def expected_ms(self, run: unit_runs.Run) -> int:
+        """Returns the estimated time of a run on the workers that it has.
+
+        A run is as slow as its slowest member. Only learned speeds count.
+        """
+        if not isinstance(self.speeds, speed_estimates.SpeedEstimates):
+            return run.step.estimate_ms
+        sessions = (self.session_at_place(each.place) for each in run.members)
+        slowest = min(
+            (
+                self.speeds.speed_range(each.worker.speed_key).expected
+                for each in sessions
+                if each is not None
+            ),
+            default=1.0,
+        )
+        return int(run.run_time.median_ms / slowest)
+
     def append_record(
         self,
         record: records.Record,
--- a/citronmount/fleet/placement/fitting.py
+++ b/citronmount/fleet/placement/fitting.py
@@ -24,6 +24,7 @@
     "Spread",
     "TaskSlots",
     "choose_workers",
+    "ordered_slots",
     "suits",
     "task_limit",
     "task_slots",
@@ -156,8 +157,7 @@
     Returns:
         The slots, valid until other tasks allocate or release capacity.
     """
-    slots = _slots(requirements, workers, free)
-    slots = _tightest_first(requirements, slots, free)
+    slots = ordered_slots(requirements, workers, free)
     rack = requirements.step.data_rack
     if not rack:
         return TaskSlots(slots=slots)
@@ -167,6 +167,26 @@
     return TaskSlots(slots=in_rack + [p for p in slots if p[0].rack != rack])
 
 
+def ordered_slots(
+    requirements: Requirements,
+    workers: Iterable[worker_directory.Worker],
+    free: FreeCapacity,
+) -> list[tuple[worker_directory.Worker, int]]:
+    """Returns the usable workers, those with the least free capacity first.
+
+    Args:
+        requirements: Placement requirements.
+        workers: The workers that may receive tasks.
+        free: Returns the free capacity of a worker.
+
+    Returns:
+        Pairs of a worker and the number of tasks that fit on it.
+    """
+    return _tightest_first(
+        requirements, _slots(requirements, workers, free), free
+    )
+
+
 def _slots(
     requirements: Requirements,
     workers: Iterable[worker_directory.Worker],
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -10,24 +10,26 @@
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import preemption
+from citronmount.fleet.placement import rack_preference
 from citronmount.fleet.placement import revocable_runs
+from citronmount.fleet.placement import slowdown_choice
+from citronmount.fleet.placement import speed_choice
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import urgency
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import speed_range
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_health
-from citronmount.fleet.workers import worker_speeds
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
 __all__ = ["Planner"]
 
 MAX_LOSS_FACTOR = 3.0
-RELAXED_SLACK_FACTOR = 2.0
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
 _IDLE_POOL_MAX_USE = 0.5
@@ -73,6 +75,8 @@
             [worker_directory.Worker], worker_health.Assessment
         ] = _assume_healthy,
         slowdown: Callable[[worker_directory.Worker], float] = _assume_fast,
+        speed: Callable[[worker_directory.Worker], speed_range.SpeedRange]
+        | None = None,
         allowed: Callable[
             [units.UnitKey, worker_directory.Worker], bool
         ] = _any_worker,
@@ -89,6 +93,8 @@
             assess: Returns the assessment of a worker.
             slowdown: Returns by which factor a worker is slower than a fast
                 one.
+            speed: Returns the likely speeds of a worker, which then decide in
+                place of `slowdown`.
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
         """
@@ -105,14 +111,6 @@
             if assessments[each.worker].slowness < worker_health.SLOW_FACTOR
             and slowdowns[each.worker] < worker_health.SLOW_FACTOR
         ]
-        # `SLOW_FACTOR` keeps units off a worker for some time, the smaller
-        # `SLOWER_FACTOR` only decides which workers are used last.
-        self._slower_ids = frozenset(
-            name
-            for name, factor in slowdowns.items()
-            if factor >= worker_speeds.SLOWER_FACTOR
-        )
-        self._faster_ids = frozenset(slowdowns) - self._slower_ids
         self._table = table
         self._allocations = table.allocations.copy()
         self._bounds = bounds
@@ -139,8 +137,20 @@
             )
             < _IDLE_POOL_MAX_USE,
         )
+        self._choice = (
+            slowdown_choice.SlowdownChoice(slowdowns=slowdowns)
+            if speed is None
+            else speed_choice.SpeedChoice(
+                workers=workers,
+                speed=speed,
+                delay_policy=self._delay_policy,
+                wall_ms=wall_ms,
+            )
+        )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
-        self._preferred_rack_fits: dict[tuple, bool] = {}
+        self._racks = rack_preference.RackPreference(
+            workers=self._trusted_workers, delay_policy=self._delay_policy
+        )
         self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
         self._reservations = reservations.Reservations()
         self._releases: reservations.Releases | None = None
@@ -169,7 +179,7 @@
         self, unit: waiting_units.WaitingUnit
     ) -> waiting_units.Decision | None:
         guaranteed = self._guarantees.covers(unit)
-        spread = self._spread(unit, guaranteed)
+        spread = self._racks.spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
         if shape in self._unplaceable and not guaranteed:
             return None
@@ -204,7 +214,9 @@
                 runs=self._table, now_ms=self._now_ms
             )
         requirements = self._requirements(unit)
-        workers = self._acceptable_workers(unit, guaranteed)
+        workers = self._choice.awaited(
+            unit, self._acceptable_workers(unit, guaranteed), guaranteed
+        )
         reserved = self._reservations.reserve(
             requirements,
             fitting.worker_groups(requirements, workers, spread),
@@ -231,6 +243,7 @@
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
             unit.key.step_key if _has_step_limits(unit) else None,
+            self._choice.key(unit, guaranteed),
         )
 
     def _fit(
@@ -246,15 +259,22 @@
         preemption changes the free capacity in between.
         """
         if unit.tasks > 1:
-            workers = self._acceptable_workers(unit, guaranteed)
-            return fitting.choose_workers(
-                self._requirements(unit), workers, self._free_capacity, spread
+            return self._choice.choose(
+                unit,
+                self._requirements(unit),
+                self._acceptable_workers(unit, guaranteed),
+                self._free_capacity,
+                spread,
+                guaranteed,
             )
         if self._slots_of_shape is None or self._slots_of_shape[0] != shape:
-            requirements = self._requirements(unit, task_count=unit.step.tasks)
-            workers = self._acceptable_workers(unit, guaranteed)
-            slots = fitting.task_slots(
-                requirements, workers, self._free_capacity, spread
+            slots = self._choice.task_slots(
+                unit,
+                self._requirements(unit, task_count=unit.step.tasks),
+                self._acceptable_workers(unit, guaranteed),
+                self._free_capacity,
+                spread,
+                guaranteed,
             )
             self._slots_of_shape = (shape, slots)
         worker = self._slots_of_shape[1].take()
@@ -326,7 +346,11 @@
             return None
         if not guaranteed and self._urgency.is_late(unit):
             return None
-        workers = self._compatible_workers(unit, self._trusted_workers)
+        workers = self._choice.awaited(
+            unit,
+            self._compatible_workers(unit, self._trusted_workers),
+            guaranteed,
+        )
         found = self._preemption_search(guaranteed).find(
             self._requirements(unit), workers, self._free_capacity, spread
         )
@@ -401,32 +425,19 @@
             step=unit.step,
             service=unit.submission.terms.service,
             avoid=self._avoided_workers(unit),
-            last=self._last_resort_workers(unit),
+            last=self._choice.last_resort(unit),
             taken=self._tasks_per_worker(unit)
             if unit.step.max_tasks_per_worker
             else {},
         )
 
-    def _last_resort_workers(
-        self, unit: waiting_units.WaitingUnit
-    ) -> frozenset[ids.WorkerId]:
-        """Returns the workers that a unit should leave to others.
-
-        Urgent gangs compete with work that can wait. Jobs with little slack
-        get the fast workers; jobs with much slack leave these free for them.
-        """
-        relaxed = unit.submission.terms.slack_factor >= RELAXED_SLACK_FACTOR
-        if self._slower_ids and relaxed and not unit.step.lasting:
-            return self._faster_ids
-        return self._slower_ids
-
     def _avoided_workers(
         self, unit: waiting_units.WaitingUnit
     ) -> frozenset[ids.WorkerId]:
         """Returns the workers to avoid, or none if no others are suitable."""
         if not unit.avoid:
             return unit.avoid
-        requirements = _basic_requirements(unit)
+        requirements = waiting_units.basic_requirements(unit)
         suitable = {
             worker.worker
             for worker in self._all_workers
@@ -446,43 +457,6 @@
         )
         return running + self._placed_counts[step]
 
-    def _spread(
-        self, unit: waiting_units.WaitingUnit, guaranteed: bool
-    ) -> fitting.Spread:
-        """Returns whether a unit may be placed outside its preferred rack."""
-        if not unit.step.one_rack and not unit.step.data_rack:
-            return fitting.Spread.PREFERRED
-        other_racks = self._delay_policy.accepts_other_racks(unit, guaranteed)
-        if other_racks or not self._fits_preferred_rack(unit):
-            return fitting.Spread.ANYWHERE
-        return fitting.Spread.PREFERRED
-
-    def _fits_preferred_rack(self, unit: waiting_units.WaitingUnit) -> bool:
-        """Returns whether a unit would fit into its preferred rack if empty."""
-        shape = (unit.submission.terms.service, unit.step, unit.tasks)
-        cached = self._preferred_rack_fits.get(shape)
-        if cached is None:
-            chosen = fitting.choose_workers(
-                _basic_requirements(unit),
-                self._trusted_workers,
-                lambda worker: worker.capacity,
-                fitting.Spread.PREFERRED,
-            )
-            cached = chosen is not None
-            self._preferred_rack_fits[shape] = cached
-        return cached
-
-
-def _basic_requirements(
-    unit: waiting_units.WaitingUnit,
-) -> fitting.Requirements:
-    """Returns a unit's requirements without workers to avoid or use last."""
-    return fitting.Requirements(
-        tasks=unit.tasks,
-        step=unit.step,
-        service=unit.submission.terms.service,
-    )
-
 
 def _has_step_limits(unit: waiting_units.WaitingUnit) -> bool:
     """Returns whether tickets or a limit of tasks per worker apply."""
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -178,9 +178,7 @@
             accounts=self._accounts,
             bounds=self._state.bounds,
             assess=lambda worker: self._state.health.assess(worker, now_ms),
-            slowdown=lambda worker: self._state.speeds.slowdown(
-                worker.speed_key, now_ms
-            ),
+            **self._speed_options(now_ms),
             allowed=lambda key, worker: bool(
                 self._state.advice.ticket(key.step_id, worker, now_ms)
             ),
@@ -190,6 +188,13 @@
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
 
+    def _speed_options(self, now_ms: int) -> dict[str, object]:
+        """Returns the planner's source of the workers' speeds."""
+        speeds = self._state.speeds
+        if isinstance(speeds, speed_estimates.SpeedEstimates):
+            return {"speed": lambda each: speeds.speed_range(each.speed_key)}
+        return {"slowdown": lambda e: speeds.slowdown(e.speed_key, now_ms)}
+
     def _request_advice(
         self,
         waiting: list[waiting_units.WaitingUnit],
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -71,6 +71,16 @@
         )
         return self.now_ms - unit.since_ms >= limit_ms
 
+    def accepts_late(
+        self, unit: waiting_units.WaitingUnit, guaranteed: bool
+    ) -> bool:
+        """Returns whether a unit accepts workers on which it would be late.
+
+        The limit is its slack: it is late anyway after that.
+        """
+        limit_ms = self._capped(waiting_units.slack_ms(unit), guaranteed)
+        return self.now_ms - unit.since_ms >= limit_ms
+
     def _capped(self, limit_ms: int, guaranteed: bool) -> int:
         if self.idle_pool:
             limit_ms = min(limit_ms, MAX_IDLE_POOL_DELAY_MS)
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -14,6 +14,7 @@
 __all__ = [
     "Decision",
     "WaitingUnit",
+    "basic_requirements",
     "has_capacity_for",
     "objective_end_ms",
     "objective_ms",
@@ -83,6 +84,15 @@
     lost_core_s: float = 0.0
 
 
+def basic_requirements(unit: WaitingUnit) -> fitting.Requirements:
+    """Returns a unit's requirements without workers to avoid or use last."""
+    return fitting.Requirements(
+        tasks=unit.tasks,
+        step=unit.step,
+        service=unit.submission.terms.service,
+    )
+
+
 def objective_end_ms(submission: spec.Submission, occurrence: int = 0) -> int:
     """Returns the Unix time by which an occurrence of a job should complete.
 
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -231,6 +231,7 @@
         elapsed_ms = now_ms - run.started_ms
         if elapsed_ms < estimate_ms:
             return
+        estimate_ms = self._state.expected_ms(run)
         factors = [
             self._state.health.check_overdue(
                 member.place.worker, elapsed_ms, estimate_ms, now_ms
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -366,7 +366,7 @@
         worker = member.place.worker
         if kind is commands.EndKind.DONE and run.started_ms is not None:
             elapsed_ms = now_ms - run.started_ms
-            estimate_ms = run.step.estimate_ms
+            estimate_ms = self._state.expected_ms(run)
             self._state.health.record_success(
                 worker, elapsed_ms, estimate_ms, now_ms
             )
