--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -13,6 +13,7 @@
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_health
 from citronmount.fleet.workers import worker_speeds
@@ -134,7 +135,13 @@
             collections.Counter()
         )
         self.health = worker_health.WorkerHealth()
-        self.speeds = worker_speeds.WorkerSpeeds()
+        self.speeds: (
+            worker_speeds.WorkerSpeeds | speed_estimates.SpeedEstimates
+        ) = (
+            speed_estimates.SpeedEstimates()
+            if fleet_configuration.Feature.WORKER_SPEEDS in features
+            else worker_speeds.WorkerSpeeds()
+        )
         self.speeds.restore(job_view.speeds, now_ms)
         self.estimates = learning.RunTimeLearning(
             enabled=fleet_configuration.Feature.RUN_TIME_ESTIMATES in features,
@@ -162,6 +169,24 @@
             )
         run.end(cause)
 
+    def slowest_speed(self, run: unit_runs.Run) -> float:
+        """Returns the learned speed of the slowest worker of a run.
+
+        A run is as slow as its slowest member. The speed is 1 if the pool does
+        not learn speeds.
+        """
+        if not isinstance(self.speeds, speed_estimates.SpeedEstimates):
+            return 1.0
+        sessions = (self.session_at_place(each.place) for each in run.members)
+        return min(
+            (
+                self.speeds.speed_range(each.worker.speed_key).expected
+                for each in sessions
+                if each is not None
+            ),
+            default=1.0,
+        )
+
     def append_record(
         self,
         record: records.Record,
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -15,7 +15,9 @@
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
+from citronmount.fleet.runs import speed_observations
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_reports
 from citronmount.fleet.workers import worker_sessions
@@ -53,7 +55,14 @@
         self.token = state.token
         self._state = state
         self._sessions = worker_sessions.WorkerSessions(state=self._state)
-        self._driver = run_driver.RunDriver(state=self._state)
+        self._driver = run_driver.RunDriver(
+            state=self._state, usable_workers=self._sessions.usable_workers
+        )
+        self._speed_observer: speed_observations.SpeedObserver | None = None
+        if isinstance(state.speeds, speed_estimates.SpeedEstimates):
+            self._speed_observer = speed_observations.SpeedObserver(
+                state=state, estimates=state.speeds
+            )
         self._completion = job_completion.JobCompletion(
             state=self._state, driver=self._driver
         )
@@ -173,6 +182,8 @@
         if full_scan:
             self._next_full_scan_ms = now_ms + FULL_SCAN_PERIOD_MS
         self._sessions.sync_with_directory(now_ms, full_scan)
+        if full_scan and self._speed_observer is not None:
+            self._speed_observer.observe(now_ms)
         self._driver.advance_runs(now_ms, full_scan)
         if self._state.needs_planning or full_scan:
             self._state.needs_planning = False
@@ -220,9 +231,7 @@
             accounts=accounts,
             bounds=self._state.bounds,
             assess=lambda worker: self._state.health.assess(worker, now_ms),
-            slowdown=lambda worker: self._state.speeds.slowdown(
-                worker.speed_key, now_ms
-            ),
+            **self._speed_options(now_ms),
             allowed=lambda key, worker: bool(
                 self._state.advice.ticket(key.step_id, worker, now_ms)
             ),
@@ -235,6 +244,13 @@
         self._quota_monitor.update(planner.quotas, version, now_ms)
         self._share_monitor.update(self._shares, version, now_ms)
 
+    def _speed_options(self, now_ms: int) -> dict[str, object]:
+        """Returns the planner's source of the workers' speeds."""
+        speeds = self._state.speeds
+        if isinstance(speeds, speed_estimates.SpeedEstimates):
+            return {"speed": lambda each: speeds.speed_range(each.speed_key)}
+        return {"slowdown": lambda e: speeds.slowdown(e.speed_key, now_ms)}
+
     def _request_advice(
         self,
         waiting: list[waiting_units.WaitingUnit],
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -6,7 +6,9 @@
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import slow_members
+from citronmount.fleet.runs import straggler_restarts
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
 from citronmount.workflow import units
@@ -24,13 +26,27 @@
 class RunDriver:
     """Records runs, sends their commands and ends slow or lost ones."""
 
-    def __init__(self, *, state: owner_state.OwnerState) -> None:
+    def __init__(
+        self,
+        *,
+        state: owner_state.OwnerState,
+        usable_workers: straggler_restarts.UsableWorkers,
+    ) -> None:
         """Initializes the driver.
 
         Args:
             state: State shared by the parts of the owner.
+            usable_workers: Returns the workers that may receive tasks at a
+                monotonic time in milliseconds.
         """
         self._state = state
+        self._restarts: straggler_restarts.StragglerRestarts | None = None
+        if isinstance(state.speeds, speed_estimates.SpeedEstimates):
+            self._restarts = straggler_restarts.StragglerRestarts(
+                state=state,
+                estimates=state.speeds,
+                usable_workers=usable_workers,
+            )
 
     def restore(self, now_ms: int) -> None:
         """Restores from the job view the runs that workers may still hold.
@@ -182,7 +198,10 @@
             return
         if self._state.stall_counts[run.unit] >= MAX_MOVES:
             return
-        slow = slow_members.slow_workers(run)
+        if self._restarts is not None:
+            slow = self._restarts.workers_to_leave(run, now_ms)
+        else:
+            slow = slow_members.slow_workers(run)
         if slow:
             self._state.log.warning(
                 "run_held_up",
@@ -227,6 +246,9 @@
         learned_ms = learned.high_ms if learned else 0
         if elapsed_ms < max(estimate_ms, learned_ms):
             return
+        # A fast worker must not make the limit stricter than the declared time.
+        slowest_speed = min(self._state.slowest_speed(run), 1.0)
+        estimate_ms = int(estimate_ms / slowest_speed)
         factors = [
             self._state.health.check_overdue(
                 member.place.worker,
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -9,6 +9,7 @@
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_sessions
+from citronmount.fleet.workers import worker_speeds
 from citronmount.workflow import records
 from citronmount.workflow import units
 
@@ -343,6 +344,9 @@
 
     def _observe_speeds(self, run: unit_runs.Run, now_ms: int) -> None:
         """Updates the speed estimates with the progress rates of a gang."""
+        speeds = self._state.speeds
+        if not isinstance(speeds, worker_speeds.WorkerSpeeds):
+            return
         if not run.step.gang:
             return
         rates = collections.defaultdict(list)
@@ -352,7 +356,7 @@
             if session is not None and rate is not None:
                 rates[session.worker.speed_key].append(rate)
         mean_rates = {key: statistics.mean(each) for key, each in rates.items()}
-        self._state.speeds.observe(mean_rates, now_ms)
+        speeds.observe(mean_rates, now_ms)
 
     def _record_health(
         self,
@@ -370,7 +374,9 @@
                 elapsed_ms,
                 run.step.estimate_ms,
                 now_ms,
-                expected_ms=run.run_time.high_ms,
+                expected_ms=int(
+                    run.run_time.high_ms / self._state.slowest_speed(run)
+                ),
             )
         if kind is commands.EndKind.FAILED:
             self._state.avoided_workers.setdefault(run.unit, set()).add(worker)
--- a/citronmount/fleet_service/tests/pool_fixture.py
+++ b/citronmount/fleet_service/tests/pool_fixture.py
@@ -64,10 +64,10 @@
 class PoolTestCase(unittest.TestCase):
     """Runs tests on an in-memory pool of VMs and workers in virtual time."""
 
+    features: frozenset[fleet_configuration.Feature] = frozenset()
     vm_count = 3
     workers_per_rack = 2
     racks = 2
-    features: frozenset[fleet_configuration.Feature] = frozenset()
 
     def setUp(self) -> None:
         structlog.configure(
