--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -9,6 +9,7 @@
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.placement import advice_cache
+from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
@@ -74,6 +75,8 @@
             stalled, were overdue or had a slow member.
         health: Assessment of the workers.
         speeds: Speed estimates of the machines.
+        demand: Stops of units and arrivals, or None without
+            `Feature.PREEMPTION_WORTH`.
         advice: Cached advice of the queues' policies.
         entries: Records to append, oldest first.
         commands: Commands to send.
@@ -134,6 +137,8 @@
         self.health = worker_health.WorkerHealth()
         self.speeds = worker_speeds.WorkerSpeeds()
         self.speeds.restore(job_view.speeds, now_ms)
+        worth_enabled = fleet_configuration.Feature.PREEMPTION_WORTH in features
+        self.demand = demand_history.DemandHistory() if worth_enabled else None
         self.advice = advice_cache.AdviceCache()
         self.entries: list[LogEntry] = []
         self.commands: list[commands.Command] = []
@@ -230,6 +235,8 @@
             self.pending_unit_records,
         ):
             by_unit.pop(unit, None)
+        if self.demand is not None:
+            self.demand.forget_unit(unit)
 
     def session_at_place(
         self, place: records.Place
--- a/citronmount/fleet/placement/preemption.py
+++ b/citronmount/fleet/placement/preemption.py
@@ -27,6 +27,7 @@
     "CORES_PER_ACCELERATOR",
     "PreemptionPlan",
     "PreemptionSearch",
+    "cores_of",
     "lost_work",
     "planned_work",
 ]
@@ -68,7 +69,7 @@
     elapsed_s = max(now_ms - started_ms, 0) / _MS_PER_S
     if run.step.checkpoints:
         elapsed_s = min(elapsed_s, save_s)
-    return elapsed_s * _cores(run.step) * len(run.members)
+    return elapsed_s * cores_of(run.step) * len(run.members)
 
 
 def planned_work(step: spec.Step, tasks: int) -> float:
@@ -81,10 +82,11 @@
     Returns:
         Core-seconds; an accelerator counts as `CORES_PER_ACCELERATOR` cores.
     """
-    return step.estimate_ms / _MS_PER_S * _cores(step) * tasks
+    return step.estimate_ms / _MS_PER_S * cores_of(step) * tasks
 
 
-def _cores(step: spec.Step) -> float:
+def cores_of(step: spec.Step) -> float:
+    """Returns the cores of a task, with its accelerators counted as cores."""
     demand = step.demand
     return (
         demand.millicores / _MILLICORES_PER_CORE
--- /dev/null
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -0,0 +1,175 @@
+"""Which units may stop runs in a planning round, and which runs.
+
+Inside its guarantee, a unit may stop runs outside a guarantee. Beyond it, a
+unit may stop only runs of lower priority: without `PreemptionWorth` only for
+the highest priority and if they lose at most `MAX_LOSS_FACTOR` times the work
+of the unit, with it for each priority and if the unit earns more than they
+lose. A burst of urgent jobs is then served at the cost of young runs. A unit
+of the highest priority that will be late anyway waits instead.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from citronmount.fleet import fleet_configuration
+from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.placement import fitting
+from citronmount.fleet.placement import preemption
+from citronmount.fleet.placement import preemption_worth
+from citronmount.fleet.placement import revocable_runs
+from citronmount.fleet.queueing import urgency
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_table
+from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_directory
+
+__all__ = ["PreemptionPolicy"]
+
+MAX_LOSS_FACTOR = 3.0
+# A search examines each worker, so units below the highest priority get a
+# bounded number of them in a round.
+MAX_LOWER_PRIORITY_SEARCHES = 4
+# Below this share of its slack a unit waits for runs to end by themselves.
+_MIN_WORTH_CORE_S = 1.0
+
+
+class PreemptionPolicy:
+    """Preemptions of one planning round."""
+
+    def __init__(
+        self,
+        *,
+        table: run_table.RunTable,
+        guaranteed: guarantees.Guarantees,
+        order: urgency.Urgency,
+        bounds: fleet_configuration.Bounds,
+        now_ms: int,
+        worth: preemption_worth.PreemptionWorth | None,
+    ) -> None:
+        """Initializes a round.
+
+        Args:
+            table: All runs.
+            guaranteed: The unused guarantees.
+            order: Tells which units are late.
+            bounds: Time bounds and factors of the site.
+            now_ms: Monotonic time in milliseconds.
+            worth: Compares starts with stops, or None without
+                `Feature.PREEMPTION_WORTH`.
+        """
+        self._table = table
+        self._guarantees = guaranteed
+        self._order = order
+        self._bounds = bounds
+        self._now_ms = now_ms
+        self._worth = worth
+        self._lower_priority_searches = 0
+        self._searches: dict[tuple[bool, int], preemption.PreemptionSearch] = {}
+
+    def may_preempt(
+        self, unit: waiting_units.WaitingUnit, guaranteed: bool
+    ) -> bool:
+        """Returns whether a unit may stop runs, before a search for them."""
+        if guaranteed:
+            return True
+        if unit.submission.terms.priority == guarantees.HIGHEST_PRIORITY:
+            return not self._order.is_late(unit)
+        return (
+            self._worth is not None
+            and self._lower_priority_searches < MAX_LOWER_PRIORITY_SEARCHES
+            and self._worth.start_worth(unit) >= _MIN_WORTH_CORE_S
+            and self._has_victims(unit.submission.terms.priority)
+        )
+
+    def find(
+        self,
+        unit: waiting_units.WaitingUnit,
+        requirements: fitting.Requirements,
+        workers: Sequence[worker_directory.Worker],
+        free: fitting.FreeCapacity,
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> waiting_units.Decision | None:
+        """Finds runs whose stop is worth the start of a unit.
+
+        Args:
+            unit: A unit that may preempt.
+            requirements: Placement requirements of the unit.
+            workers: The workers that may receive its tasks.
+            free: Returns the free capacity of a worker.
+            spread: Whether the unit may leave its preferred rack.
+            guaranteed: Whether the unit is inside its account's guarantee.
+
+        Returns:
+            The decision, or None if no such runs are found.
+        """
+        priority = unit.submission.terms.priority
+        self._lower_priority_searches += priority > guarantees.HIGHEST_PRIORITY
+        search = self._search(guaranteed, priority)
+        found = search.find(requirements, workers, free, spread)
+        if found is None:
+            return None
+        if not guaranteed and found.cost_core_s > self._max_loss(unit):
+            return None
+        return waiting_units.Decision(
+            waiting=unit,
+            workers=found.workers,
+            victims=found.victims,
+            within_guarantee=guaranteed,
+            spread=spread,
+            lost_core_s=self._lost_core_s(found),
+        )
+
+    def mark_stopped(self, runs: Iterable[unit_runs.Run]) -> None:
+        """Makes runs free of cost that are stopped for a unit of this round."""
+        for search in self._searches.values():
+            search.mark_stopped(runs)
+
+    def _max_loss(self, unit: waiting_units.WaitingUnit) -> float:
+        """Returns the highest cost of the runs to stop for a unit."""
+        if self._worth is not None:
+            return self._worth.start_worth(unit)
+        planned = preemption.planned_work(unit.step, unit.tasks)
+        return MAX_LOSS_FACTOR * planned
+
+    def _lost_core_s(self, found: preemption.PreemptionPlan) -> float:
+        if self._worth is None:
+            return found.cost_core_s
+        return sum(
+            self._lost_work(run)
+            for run in found.victims
+            if run.phase is unit_runs.RunPhase.ACTIVE
+        )
+
+    def _lost_work(self, run: unit_runs.Run) -> float:
+        return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
+
+    def _has_victims(self, priority: int) -> bool:
+        return any(
+            run.submission.terms.priority > priority for run in self._table
+        )
+
+    def _search(
+        self, guaranteed: bool, priority: int
+    ) -> preemption.PreemptionSearch:
+        """Returns the search of this round."""
+        key = guaranteed, priority
+        search = self._searches.get(key)
+        if search is None:
+            search = preemption.PreemptionSearch(
+                revocable=revocable_runs.revocable_runs(
+                    self._table,
+                    self._guarantees.guaranteed_units,
+                    for_guarantee=guaranteed,
+                    priority=priority,
+                ),
+                ending=[
+                    run
+                    for run in self._table
+                    if run.phase is unit_runs.RunPhase.ENDING
+                    and run.cause is unit_runs.EndCause.PREEMPTED
+                ],
+                cost=self._worth.stop_loss if self._worth else self._lost_work,
+            )
+            self._searches[key] = search
+        return search
--- a/citronmount/fleet/placement/revocable_runs.py
+++ b/citronmount/fleet/placement/revocable_runs.py
@@ -16,8 +16,9 @@
     guaranteed_units: set[units.UnitId],
     *,
     for_guarantee: bool,
+    priority: int = guarantees.HIGHEST_PRIORITY,
 ) -> list[unit_runs.Run]:
-    """Returns the runs that a unit of the highest priority may stop.
+    """Returns the runs that a unit may stop.
 
     A unit inside its guarantee may stop any run outside a guarantee; of the
     lasting runs only as many as their steps can spare. Any other unit may stop
@@ -27,17 +28,17 @@
         runs: All runs.
         guaranteed_units: Units whose runs are inside a guarantee.
         for_guarantee: Whether the unit is inside its account's guarantee.
+        priority: Priority of the unit.
 
     Returns:
         The runs.
     """
     candidates = [run for run in runs if run.unit not in guaranteed_units]
-    highest = guarantees.HIGHEST_PRIORITY
     revocable = [
         run
         for run in candidates
         if run.phase is unit_runs.RunPhase.ACTIVE
-        and (for_guarantee or run.submission.terms.priority > highest)
+        and (for_guarantee or run.submission.terms.priority > priority)
         and not run.step.lasting
     ]
     if not for_guarantee:
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -9,9 +9,10 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.placement import fitting
-from citronmount.fleet.placement import preemption
-from citronmount.fleet.placement import revocable_runs
+from citronmount.fleet.placement import preemption_policy
+from citronmount.fleet.placement import preemption_worth
 from citronmount.fleet.queueing import delay_scheduling
+from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import urgency
 from citronmount.fleet.queueing import waiting_units
@@ -26,7 +27,6 @@
 
 __all__ = ["Planner"]
 
-MAX_LOSS_FACTOR = 3.0
 RELAXED_SLACK_FACTOR = 2.0
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
@@ -76,6 +76,7 @@
         allowed: Callable[
             [units.UnitKey, worker_directory.Worker], bool
         ] = _any_worker,
+        demand: demand_history.DemandHistory | None = None,
     ) -> None:
         """Initializes a round.
 
@@ -91,6 +92,8 @@
                 one.
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
+            demand: Stops and arrivals seen by the owner, or None without
+                `Feature.PREEMPTION_WORTH`.
         """
         self._allowed = allowed
         assessments = {each.worker: assess(each) for each in workers}
@@ -141,7 +144,22 @@
         )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._preferred_rack_fits: dict[tuple, bool] = {}
-        self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
+        self._demand = demand
+        self._preemption = preemption_policy.PreemptionPolicy(
+            table=table,
+            guaranteed=self._guarantees,
+            order=self._urgency,
+            bounds=bounds,
+            now_ms=now_ms,
+            worth=preemption_worth.PreemptionWorth(
+                stop_count=demand.stop_count,
+                bounds=bounds,
+                now_ms=now_ms,
+                wall_ms=wall_ms,
+            )
+            if demand
+            else None,
+        )
         self._reservations = reservations.Reservations()
         self._releases: reservations.Releases | None = None
 
@@ -314,69 +332,25 @@
         spread: fitting.Spread,
         guaranteed: bool,
     ) -> waiting_units.Decision | None:
-        """Finds runs to preempt for a unit of the highest priority.
-
-        Inside its guarantee, a unit may preempt runs outside a guarantee.
-        Beyond it, a unit may preempt only runs of lower priority, and only if
-        they lose at most `MAX_LOSS_FACTOR` times the work of the unit: a burst
-        of urgent jobs is then served at the cost of young runs. A unit that
-        will be late anyway waits instead.
-        """
-        if unit.submission.terms.priority != guarantees.HIGHEST_PRIORITY:
-            return None
-        if not guaranteed and self._urgency.is_late(unit):
+        """Finds runs to stop for a unit that does not fit."""
+        if not self._preemption.may_preempt(unit, guaranteed):
             return None
         workers = self._compatible_workers(unit, self._trusted_workers)
-        found = self._preemption_search(guaranteed).find(
-            self._requirements(unit), workers, self._free_capacity, spread
-        )
-        if found is None:
-            return None
-        worth = preemption.planned_work(unit.step, unit.tasks)
-        if not guaranteed and found.cost_core_s > MAX_LOSS_FACTOR * worth:
-            return None
-        return waiting_units.Decision(
-            waiting=unit,
-            workers=found.workers,
-            victims=found.victims,
-            within_guarantee=guaranteed,
-            spread=spread,
-            lost_core_s=found.cost_core_s,
+        return self._preemption.find(
+            unit,
+            self._requirements(unit),
+            workers,
+            self._free_capacity,
+            spread,
+            guaranteed,
         )
 
-    def _preemption_search(
-        self, guaranteed: bool
-    ) -> preemption.PreemptionSearch:
-        """Returns the search of this round."""
-        search = self._preemption_searches.get(guaranteed)
-        if search is None:
-            search = preemption.PreemptionSearch(
-                revocable=revocable_runs.revocable_runs(
-                    self._table,
-                    self._guarantees.guaranteed_units,
-                    for_guarantee=guaranteed,
-                ),
-                ending=[
-                    run
-                    for run in self._table
-                    if run.phase is unit_runs.RunPhase.ENDING
-                    and run.cause is unit_runs.EndCause.PREEMPTED
-                ],
-                cost=self._cost,
-            )
-            self._preemption_searches[guaranteed] = search
-        return search
-
-    def _cost(self, run: unit_runs.Run) -> float:
-        return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
-
     def _allocate(self, decision: waiting_units.Decision) -> None:
         unit = decision.waiting
         if decision.victims or unit.tasks > 1:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
-        for search in self._preemption_searches.values():
-            search.mark_stopped(decision.victims)
+        self._preemption.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
         worker_ids = {worker.worker for worker in decision.workers}
         if unit.step.goal_ms:
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -175,6 +175,7 @@
             ),
             now_ms=now_ms,
             wall_ms=wall_ms,
+            demand=self._state.demand,
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
