Reserve for every waiting gang and hold back stopped units

Cause: two reservations for a burst of gangs, and stopped units that start again at once. Change: with the feature, gangs reserve from the moment they wait, one for each eight workers, against lower priority only; a stopped unit waits while units of higher priority do.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -11,6 +11,7 @@
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import preemption_policy
 from citronmount.fleet.placement import preemption_worth
+from citronmount.fleet.queueing import capacity_guard
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.queueing import reservations
@@ -30,6 +31,8 @@
 RELAXED_SLACK_FACTOR = 2.0
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
+# Workers in the pool for each reservation of a round.
+WORKERS_PER_RESERVATION = 8
 _IDLE_POOL_MAX_USE = 0.5
 
 # All that determines where a unit fits; units of equal shape fit alike.
@@ -160,7 +163,22 @@
             if demand
             else None,
         )
-        self._reservations = reservations.Reservations()
+        # Nothing is held back by reservations of waiting gangs, back-off or
+        # headroom while the pool is under half used.
+        holds_back = demand is not None and not self._delay_policy.idle_pool
+        self._guard = (
+            capacity_guard.CapacityGuard(demand=demand, order=self._urgency)
+            if demand and holds_back
+            else None
+        )
+        self._reservations = (
+            reservations.Reservations(
+                limit=len(self._trusted_workers) // WORKERS_PER_RESERVATION,
+                by_priority=True,
+            )
+            if demand
+            else reservations.Reservations()
+        )
         self._releases: reservations.Releases | None = None
 
     def decide(
@@ -189,7 +207,10 @@
         guaranteed = self._guarantees.covers(unit)
         spread = self._spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
-        if shape in self._unplaceable and not guaranteed:
+        if not guaranteed and (
+            shape in self._unplaceable or self._is_held_back(unit)
+        ):
+            self._note_unplaced(unit)
             return None
         chosen = self._fit(unit, shape, spread, guaranteed)
         if chosen is not None:
@@ -202,6 +223,7 @@
         decision = self._preempt(unit, spread, guaranteed)
         if decision is None:
             self._unplaceable.add(shape)
+            self._note_unplaced(unit)
             self._reserve_if_due(unit, spread, guaranteed)
         return decision
 
@@ -214,8 +236,12 @@
         """Reserves workers for a gang that has waited long enough."""
         if unit.tasks < 2 or self._reservations.is_full:
             return
-        slack_ms = waiting_units.slack_ms(unit)
-        if self._now_ms - unit.since_ms < slack_ms * RESERVATION_SLACK_SHARE:
+        if self._demand is None:
+            slack_ms = waiting_units.slack_ms(unit)
+            waited_ms = self._now_ms - unit.since_ms
+            if waited_ms < slack_ms * RESERVATION_SLACK_SHARE:
+                return
+        elif self._guard is None:
             return
         if self._releases is None:
             self._releases = reservations.Releases(
@@ -229,10 +255,18 @@
             self._free_capacity,
             self._releases,
             self._now_ms,
+            unit.submission.terms.priority,
         )
         if reserved:
             self._slots_of_shape = None
 
+    def _is_held_back(self, unit: waiting_units.WaitingUnit) -> bool:
+        return self._guard is not None and bool(self._guard.hold_reason(unit))
+
+    def _note_unplaced(self, unit: waiting_units.WaitingUnit) -> None:
+        if self._guard is not None:
+            self._guard.note_unplaced(unit)
+
     def _shape(
         self,
         unit: waiting_units.WaitingUnit,
@@ -306,7 +340,7 @@
         return [
             each
             for each in compatible
-            if self._reservations.allows(each, unit.step, self._now_ms)
+            if self._reservations.allows(each, unit, self._now_ms)
         ]
 
     def _is_compatible(
--- a/citronmount/fleet/queueing/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -18,6 +18,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet.placement import fitting
+from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
@@ -52,7 +53,7 @@
     if run.phase is unit_runs.RunPhase.ENDING:
         return 0
     started_ms = run.placed_ms if run.started_ms is None else run.started_ms
-    estimate_ms = run.step.estimate_ms
+    estimate_ms = run.run_time.high_ms
     by_estimate_ms = max(
         started_ms + estimate_ms - now_ms, int(estimate_ms * OVERDUE_SHARE)
     )
@@ -124,24 +125,38 @@
 class Reservations:
     """Workers reserved in one planning round, with the expected start."""
 
-    def __init__(self) -> None:
-        """Initializes without reservations."""
+    def __init__(
+        self, *, limit: int = MAX_RESERVATIONS, by_priority: bool = False
+    ) -> None:
+        """Initializes without reservations.
+
+        Args:
+            limit: Maximum number of reservations.
+            by_priority: Whether a reservation holds only against work of lower
+                priority than its gang.
+        """
+        self._limit = limit
+        self._by_priority = by_priority
         self._starts_ms: dict[ids.WorkerId, int] = {}
+        self._priorities: dict[ids.WorkerId, int] = {}
         self._count = 0
 
     @property
     def is_full(self) -> bool:
         """Whether no more reservations are made in this round."""
-        return self._count >= MAX_RESERVATIONS
+        return self._count >= self._limit
 
     def allows(
-        self, worker: worker_directory.Worker, step: spec.Step, now_ms: int
+        self,
+        worker: worker_directory.Worker,
+        unit: waiting_units.WaitingUnit,
+        now_ms: int,
     ) -> bool:
         """Returns whether a unit may start on a worker.
 
         Args:
             worker: The worker.
-            step: The unit's step.
+            unit: The unit.
             now_ms: Monotonic time in milliseconds.
 
         Returns:
@@ -150,9 +165,13 @@
             to be restored wherever it fits.
         """
         start_ms = self._starts_ms.get(worker.worker)
-        if start_ms is None or step.lasting:
+        if start_ms is None or unit.step.lasting:
+            return True
+        priority = unit.submission.terms.priority
+        if self._by_priority and priority <= self._priorities[worker.worker]:
             return True
-        return now_ms + step.estimate_ms * BACKFILL_MARGIN_FACTOR <= start_ms
+        run_ms = unit.run_time.high_ms
+        return now_ms + run_ms * BACKFILL_MARGIN_FACTOR <= start_ms
 
     def reserve(
         self,
@@ -161,6 +180,7 @@
         free: fitting.FreeCapacity,
         releases: Releases,
         now_ms: int,
+        priority: int = 0,
     ) -> bool:
         """Reserves the workers on which a gang can start first.
 
@@ -170,6 +190,7 @@
             free: Returns the free capacity of a worker.
             releases: Expected ends of the runs.
             now_ms: Monotonic time in milliseconds.
+            priority: Priority of the gang.
 
         Returns:
             Whether workers were reserved; False if the gang fits on no group
@@ -186,6 +207,7 @@
         self._count += 1
         for worker in worker_ids:
             self._starts_ms[worker] = start_ms
+            self._priorities[worker] = priority
         return True
 
     def _plan(
