Weigh priority 1 near priority 2 and hold back less

Change: weights by value of the same work, preemption below priority 0 only near the end of the slack and at a margin, back-off only for units that wait without a reservation.

--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -29,8 +29,9 @@
 # A search examines each worker, so units below the highest priority get a
 # bounded number of them in a round.
 MAX_LOWER_PRIORITY_SEARCHES = 4
-# Below this share of its slack a unit waits for runs to end by themselves.
-_MIN_WORTH_CORE_S = 1.0
+# The stopped work has to be done again, which delays others of its priority,
+# so a unit below the highest priority has to earn a multiple of it.
+LOWER_PRIORITY_MARGIN = 4.0
 
 
 class PreemptionPolicy:
@@ -77,7 +78,7 @@
         return (
             self._worth is not None
             and self._lower_priority_searches < MAX_LOWER_PRIORITY_SEARCHES
-            and self._worth.start_worth(unit) >= _MIN_WORTH_CORE_S
+            and self._worth.start_worth(unit) > 0
             and self._has_victims(unit.submission.terms.priority)
         )
 
@@ -128,7 +129,10 @@
     def _max_loss(self, unit: waiting_units.WaitingUnit) -> float:
         """Returns the highest cost of the runs to stop for a unit."""
         if self._worth is not None:
-            return self._worth.start_worth(unit)
+            highest = guarantees.HIGHEST_PRIORITY
+            lower = unit.submission.terms.priority > highest
+            margin = LOWER_PRIORITY_MARGIN if lower else 1.0
+            return self._worth.start_worth(unit) / margin
         planned = preemption.planned_work(unit.step, unit.tasks)
         return MAX_LOSS_FACTOR * planned
 
--- a/citronmount/fleet/placement/preemption_worth.py
+++ b/citronmount/fleet/placement/preemption_worth.py
@@ -23,8 +23,10 @@
 # job may take to earn it.
 LATE_SHARE = 0.35
 LATEST_OBJECTIVE_FACTOR = 3.0
-# The value of the same work falls by this factor with each priority.
-PRIORITY_WEIGHT_FACTOR = 3.0
+# Weight of the same work by priority; the last one holds for all below.
+PRIORITY_WEIGHTS = (9.0, 1.5, 1.0)
+# Below this share of its slack left, a unit cannot wait for runs to end.
+RISKY_SLACK_SHARE = 0.25
 # A second stop of a unit weighs this many times the first, and so on.
 REPEATED_STOP_FACTOR = 2.0
 MAX_COUNTED_STOPS = 4
@@ -119,7 +121,7 @@
         return LATE_SHARE if in_time else 0.0
 
     def _risk(self, unit: waiting_units.WaitingUnit) -> float:
-        """Returns the share of its slack that a unit has used up.
+        """Returns how far a unit has used up the slack that it may wait.
 
         Units of the highest priority have too little slack to wait.
         """
@@ -133,11 +135,12 @@
         left_ms = due_ms - self._wall_ms - run_ms
         if slack_ms <= 0:
             return 1.0
-        return min(max(1.0 - left_ms / slack_ms, 0.0), 1.0)
+        return min(max(1.0 - left_ms / slack_ms / RISKY_SLACK_SHARE, 0.0), 1.0)
 
 
 def _weight(submission: spec.Submission) -> float:
-    return PRIORITY_WEIGHT_FACTOR**-submission.terms.priority
+    lowest = len(PRIORITY_WEIGHTS) - 1
+    return PRIORITY_WEIGHTS[min(submission.terms.priority, lowest)]
 
 
 def _weighted_work(
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -223,8 +223,8 @@
         decision = self._preempt(unit, spread, guaranteed)
         if decision is None:
             self._unplaceable.add(shape)
-            self._note_unplaced(unit)
-            self._reserve_if_due(unit, spread, guaranteed)
+            if not self._reserve_if_due(unit, spread, guaranteed):
+                self._note_unplaced(unit)
         return decision
 
     def _reserve_if_due(
@@ -232,17 +232,17 @@
         unit: waiting_units.WaitingUnit,
         spread: fitting.Spread,
         guaranteed: bool,
-    ) -> None:
-        """Reserves workers for a gang that has waited long enough."""
+    ) -> bool:
+        """Reserves workers for a gang if it is due; returns whether it did."""
         if unit.tasks < 2 or self._reservations.is_full:
-            return
+            return False
         if self._demand is None:
             slack_ms = waiting_units.slack_ms(unit)
             waited_ms = self._now_ms - unit.since_ms
             if waited_ms < slack_ms * RESERVATION_SLACK_SHARE:
-                return
+                return False
         elif self._guard is None:
-            return
+            return False
         if self._releases is None:
             self._releases = reservations.Releases(
                 runs=self._table, now_ms=self._now_ms
@@ -259,6 +259,7 @@
         )
         if reserved:
             self._slots_of_shape = None
+        return reserved
 
     def _is_held_back(self, unit: waiting_units.WaitingUnit) -> bool:
         return self._guard is not None and bool(self._guard.hold_reason(unit))
--- a/citronmount/fleet/queueing/capacity_guard.py
+++ b/citronmount/fleet/queueing/capacity_guard.py
@@ -48,7 +48,13 @@
         return None
 
     def note_unplaced(self, unit: waiting_units.WaitingUnit) -> None:
-        """Notes that a unit remains without a start in this round."""
+        """Notes that a unit remains without a start in this round.
+
+        Late units don't count, nor do those that wait for the workers that
+        they reserved: they don't take what others could use.
+        """
+        if self._order.is_late(unit):
+            return
         priority = unit.submission.terms.priority
         if self._highest_unplaced is None or priority < self._highest_unplaced:
             self._highest_unplaced = priority
