--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -10,6 +10,7 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.estimates import learning
 from citronmount.fleet.placement import advice_cache
+from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
@@ -77,6 +78,8 @@
         health: Assessment of the workers.
         speeds: Speed estimates of the machines.
         estimates: Run times learned from finished runs.
+        demand: Stops of units and arrivals, or None without
+            `Feature.PREEMPTION_WORTH`.
         advice: Cached advice of the queues' policies.
         entries: Records to append, oldest first.
         commands: Commands to send.
@@ -148,6 +151,8 @@
             directory=directory,
             speeds=self.speeds,
         )
+        worth_enabled = fleet_configuration.Feature.PREEMPTION_WORTH in features
+        self.demand = demand_history.DemandHistory() if worth_enabled else None
         self.advice = advice_cache.AdviceCache()
         self.entries: list[LogEntry] = []
         self.commands: list[commands.Command] = []
@@ -267,6 +272,8 @@
             self.pending_unit_records,
         ):
             by_unit.pop(unit, None)
+        if self.demand is not None:
+            self.demand.forget_unit(unit)
 
     def session_at_place(
         self, place: records.Place
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -11,17 +11,18 @@
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.accounts import quotas
 from citronmount.fleet.placement import fitting
-from citronmount.fleet.placement import preemption
+from citronmount.fleet.placement import preemption_policy
+from citronmount.fleet.placement import preemption_worth
 from citronmount.fleet.placement import rack_preference
-from citronmount.fleet.placement import revocable_runs
 from citronmount.fleet.placement import slowdown_choice
 from citronmount.fleet.placement import speed_choice
+from citronmount.fleet.queueing import capacity_guard
 from citronmount.fleet.queueing import delay_scheduling
+from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import urgency
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_table
-from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import speed_range
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
@@ -30,9 +31,10 @@
 
 __all__ = ["Planner"]
 
-MAX_LOSS_FACTOR = 3.0
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
+# Workers in the pool for each reservation of a round.
+WORKERS_PER_RESERVATION = 8
 _IDLE_POOL_MAX_USE = 0.5
 
 # All that determines where a unit fits; units of equal shape fit alike.
@@ -85,6 +87,7 @@
             [units.UnitKey, worker_directory.Worker], bool
         ] = _any_worker,
         shares: fair_shares.FairShares | None = None,
+        demand: demand_history.DemandHistory | None = None,
     ) -> None:
         """Initializes a round.
 
@@ -103,6 +106,8 @@
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
             shares: Orders the accounts while the pool is full, or None.
+            demand: Stops and arrivals seen by the owner, or None without
+                `Feature.PREEMPTION_WORTH`.
         """
         self._allowed = allowed
         assessments = {each.worker: assess(each) for each in workers}
@@ -160,8 +165,38 @@
         self._racks = rack_preference.RackPreference(
             workers=self._trusted_workers, delay_policy=self._delay_policy
         )
-        self._preemption_searches: dict[bool, preemption.PreemptionSearch] = {}
-        self._reservations = reservations.Reservations()
+        self._demand = demand
+        self._preemption = preemption_policy.PreemptionPolicy(
+            table=table,
+            guaranteed=self._guarantees,
+            order=self._urgency,
+            bounds=bounds,
+            now_ms=now_ms,
+            worth=preemption_worth.PreemptionWorth(
+                stop_count=demand.stop_count,
+                bounds=bounds,
+                now_ms=now_ms,
+                wall_ms=wall_ms,
+            )
+            if demand
+            else None,
+        )
+        # Nothing is held back by reservations of waiting gangs, back-off or
+        # headroom while the pool is under half used.
+        holds_back = demand is not None and not self._delay_policy.idle_pool
+        self._guard = (
+            capacity_guard.CapacityGuard(demand=demand, order=self._urgency)
+            if demand and holds_back
+            else None
+        )
+        self._reservations = (
+            reservations.Reservations(
+                limit=len(self._trusted_workers) // WORKERS_PER_RESERVATION,
+                by_priority=True,
+            )
+            if demand
+            else reservations.Reservations()
+        )
         self._releases: reservations.Releases | None = None
 
     def decide(
@@ -199,22 +234,32 @@
         guaranteed = self._guarantees.covers(unit)
         if self.quotas.admits(unit.submission.account, unit.demand):
             return self._decide_one(unit, guaranteed)
-        stoppable = self._preemption_search(True).runs if guaranteed else ()
-        victims = self.quotas.victims_for(unit, stoppable, self._cost)
-        if victims is None:
+        victims = self.quotas.victims_for(
+            unit,
+            self._preemption.stoppable_runs(unit, guaranteed),
+            self._preemption.cost_of_stop,
+        )
+        if victims is None or not self._preemption.accepts_loss(
+            unit, sum(map(self._preemption.cost_of_stop, victims)), guaranteed
+        ):
             return None
-        self._preemption_search(True).mark_stopped(victims)
+        self._preemption.mark_stopped(victims)
         decision = self._decide_one(unit, guaranteed)
         if decision is None:
             return None
-        return self.quotas.with_victims(decision, victims, self._cost)
+        return self.quotas.with_victims(
+            decision, victims, self._preemption.cost_of_stop
+        )
 
     def _decide_one(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
     ) -> waiting_units.Decision | None:
         spread = self._racks.spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
-        if shape in self._unplaceable and not guaranteed:
+        if not guaranteed and (
+            shape in self._unplaceable or self._is_held_back(unit)
+        ):
+            self._note_unplaced(unit)
             return None
         chosen = self._fit(unit, shape, spread, guaranteed)
         if chosen is not None:
@@ -227,7 +272,8 @@
         decision = self._preempt(unit, spread, guaranteed)
         if decision is None:
             self._unplaceable.add(shape)
-            self._reserve_if_due(unit, spread, guaranteed)
+            if not self._reserve_if_due(unit, spread, guaranteed):
+                self._note_unplaced(unit)
         return decision
 
     def _reserve_if_due(
@@ -235,13 +281,17 @@
         unit: waiting_units.WaitingUnit,
         spread: fitting.Spread,
         guaranteed: bool,
-    ) -> None:
-        """Reserves workers for a gang that has waited long enough."""
+    ) -> bool:
+        """Reserves workers for a gang if it is due; returns whether it did."""
         if unit.tasks < 2 or self._reservations.is_full:
-            return
-        slack_ms = waiting_units.slack_ms(unit)
-        if self._now_ms - unit.since_ms < slack_ms * RESERVATION_SLACK_SHARE:
-            return
+            return False
+        if self._demand is None:
+            slack_ms = waiting_units.slack_ms(unit)
+            waited_ms = self._now_ms - unit.since_ms
+            if waited_ms < slack_ms * RESERVATION_SLACK_SHARE:
+                return False
+        elif self._guard is None:
+            return False
         if self._releases is None:
             self._releases = reservations.Releases(
                 runs=self._table, now_ms=self._now_ms
@@ -256,9 +306,18 @@
             self._free_capacity,
             self._releases,
             self._now_ms,
+            unit.submission.terms.priority,
         )
         if reserved:
             self._slots_of_shape = None
+        return reserved
+
+    def _is_held_back(self, unit: waiting_units.WaitingUnit) -> bool:
+        return self._guard is not None and bool(self._guard.hold_reason(unit))
+
+    def _note_unplaced(self, unit: waiting_units.WaitingUnit) -> None:
+        if self._guard is not None:
+            self._guard.note_unplaced(unit)
 
     def _shape(
         self,
@@ -368,71 +427,30 @@
         spread: fitting.Spread,
         guaranteed: bool,
     ) -> waiting_units.Decision | None:
-        """Finds runs to preempt for a unit of the highest priority.
-
-        Inside its guarantee, a unit may preempt runs outside a guarantee.
-        Beyond it, a unit may preempt only runs of lower priority, and only if
-        they lose at most `MAX_LOSS_FACTOR` times the work of the unit: a burst
-        of urgent jobs is then served at the cost of young runs. A unit that
-        will be late anyway waits instead.
-        """
-        if unit.submission.terms.priority != guarantees.HIGHEST_PRIORITY:
-            return None
-        if not guaranteed and self._urgency.is_late(unit):
+        """Finds runs to stop for a unit that does not fit."""
+        if not self._preemption.may_preempt(unit, guaranteed):
             return None
         workers = self._choice.awaited(
             unit,
             self._compatible_workers(unit, self._trusted_workers),
             guaranteed,
         )
-        found = self._preemption_search(guaranteed).find(
-            self._requirements(unit), workers, self._free_capacity, spread
-        )
-        if found is None:
-            return None
-        worth = preemption.planned_work(
-            unit.step, unit.tasks, unit.run_time.median_ms
-        )
-        if not guaranteed and found.cost_core_s > MAX_LOSS_FACTOR * worth:
-            return None
-        return waiting_units.Decision(
-            waiting=unit,
-            workers=found.workers,
-            victims=found.victims,
-            within_guarantee=guaranteed,
-            spread=spread,
-            lost_core_s=found.cost_core_s,
+        return self._preemption.find(
+            unit,
+            self._requirements(unit),
+            workers,
+            self._free_capacity,
+            spread,
+            guaranteed,
         )
 
-    def _preemption_search(
-        self, guaranteed: bool
-    ) -> preemption.PreemptionSearch:
-        """Returns the search of this round."""
-        search = self._preemption_searches.get(guaranteed)
-        if search is None:
-            search = preemption.PreemptionSearch(
-                revocable=revocable_runs.revocable_runs(
-                    self._table,
-                    self._guarantees.guaranteed_units,
-                    for_guarantee=guaranteed,
-                ),
-                ending=revocable_runs.preempted_runs(self._table),
-                cost=self._cost,
-            )
-            self._preemption_searches[guaranteed] = search
-        return search
-
-    def _cost(self, run: unit_runs.Run) -> float:
-        return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
-
     def _allocate(self, decision: waiting_units.Decision) -> None:
         unit = decision.waiting
         if decision.victims or unit.tasks > 1:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
         self.quotas.consume(decision)
-        for search in self._preemption_searches.values():
-            search.mark_stopped(decision.victims)
+        self._preemption.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
         worker_ids = {worker.worker for worker in decision.workers}
         if unit.step.goal_ms:
--- a/citronmount/fleet/queueing/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -125,15 +125,26 @@
 class Reservations:
     """Workers reserved in one planning round, with the expected start."""
 
-    def __init__(self) -> None:
-        """Initializes without reservations."""
+    def __init__(
+        self, *, limit: int = MAX_RESERVATIONS, by_priority: bool = False
+    ) -> None:
+        """Initializes without reservations.
+
+        Args:
+            limit: Maximum number of reservations.
+            by_priority: Whether a reservation holds only against work of lower
+                priority than its gang.
+        """
+        self._limit = limit
+        self._by_priority = by_priority
         self._starts_ms: dict[ids.WorkerId, int] = {}
+        self._priorities: dict[ids.WorkerId, int] = {}
         self._count = 0
 
     @property
     def is_full(self) -> bool:
         """Whether no more reservations are made in this round."""
-        return self._count >= MAX_RESERVATIONS
+        return self._count >= self._limit
 
     def allows(
         self,
@@ -156,6 +167,9 @@
         start_ms = self._starts_ms.get(worker.worker)
         if start_ms is None or unit.step.lasting:
             return True
+        priority = unit.submission.terms.priority
+        if self._by_priority and priority <= self._priorities[worker.worker]:
+            return True
         most_ms: float = unit.run_time.high_ms
         if unit.learned_run_time is None:
             most_ms *= BACKFILL_MARGIN_FACTOR
@@ -168,6 +182,7 @@
         free: fitting.FreeCapacity,
         releases: Releases,
         now_ms: int,
+        priority: int = 0,
     ) -> bool:
         """Reserves the workers on which a gang can start first.
 
@@ -177,6 +192,7 @@
             free: Returns the free capacity of a worker.
             releases: Expected ends of the runs.
             now_ms: Monotonic time in milliseconds.
+            priority: Priority of the gang.
 
         Returns:
             Whether workers were reserved; False if the gang fits on no group
@@ -193,6 +209,7 @@
         self._count += 1
         for worker in worker_ids:
             self._starts_ms[worker] = start_ms
+            self._priorities[worker] = priority
         return True
 
     def _plan(
