Poll a worker whose stopped task has no reported end

Cause: a preempting gang starts when all its victims have ended, and the end of each is reported by the pending lease renewal of its worker. If that renewal gets no answer, the owner learns of the end after its timeout of 1.6 s and a retry. Ruled out: slow stops (answered within 90 ms) and starts (37 ms).

Change: once a stop was answered and the worker's time to stop has passed, the owner polls the worker every 300 ms until the end is known.

--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -21,6 +21,9 @@
 MIN_STALL_MS = 2_000
 STALL_ESTIMATE_SHARE = 0.25
 MAX_MOVES = 2
+# Time for the report of an end beyond the time that a worker needs to stop.
+END_REPORT_MARGIN_MS = 100
+END_POLL_PERIOD_MS = 300
 
 
 class RunDriver:
@@ -333,9 +336,36 @@
         for member in run.live_members:
             if not member.may_have_started:
                 self._state.table.mark_gone(run, member)
-            elif not member.stop_open and not member.stop_answered:
+            elif member.stop_answered:
+                self._poll_for_end(run, member, now_ms)
+            elif not member.stop_open:
                 self._send_stop(run, member, now_ms)
 
+    def _poll_for_end(
+        self, run: unit_runs.Run, member: unit_runs.Member, now_ms: int
+    ) -> None:
+        """Polls a worker that has not reported the end of a stopped task.
+
+        The pending lease renewal that should report it may have been lost, and
+        the units that wait for the capacity cannot wait for its timeout.
+        """
+        overdue_ms = self._state.policy.stop_ms + END_REPORT_MARGIN_MS
+        if now_ms < max(member.settled_ms + overdue_ms, member.next_order_ms):
+            return
+        session = self._state.session_at_place(member.place)
+        if session is None:
+            return
+        member.next_order_ms = now_ms + END_POLL_PERIOD_MS
+        session.poll_soon()
+        self._state.changed_workers.add(member.place.worker)
+        self._state.log.info(
+            "end_report_overdue",
+            task=member.task,
+            run=run.number,
+            worker=member.place.worker,
+            stopped_ms_ago=now_ms - member.settled_ms,
+        )
+
     def _send_stop(
         self, run: unit_runs.Run, member: unit_runs.Member, now_ms: int
     ) -> None:
--- a/citronmount/fleet_service/tests/test_jobs.py
+++ b/citronmount/fleet_service/tests/test_jobs.py
@@ -6,6 +6,7 @@
 from citronmount.fleet_service import job_service
 from citronmount.fleet_service import owner_loop
 from citronmount.fleet_service.tests import pool_fixture
+from citronmount.standins import pool_workers
 from citronmount.workflow import spec
 
 RUNNING = states.JobState.RUNNING
@@ -215,6 +216,18 @@
         self.assertIs(DONE, self.state("j", queue=1))
         self.assertEqual(32, len(self.pool_workers.running()))
 
+    def test_lost_renewal_does_not_delay_the_end_of_preempted_runs(
+        self,
+    ) -> None:
+        self.submit("low", pool_fixture.make_step(tasks=32), account="beta")
+        self.run_for(0.5)
+        for worker in self.pool_workers.workers.values():
+            worker.fault = pool_workers.WorkerFault.LOSES_WAITING_RENEWALS
+        step = pool_fixture.make_step(tasks=2, accelerators=8, gang=True)
+        self.submit("j", step, queue="urgent")
+        self.run_for(1.0)
+        self.assertEqual(2, len(self.starts_of("j")))
+
     def test_long_running_tasks_are_not_preempted_beyond_the_guarantee(
         self,
     ) -> None:
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -33,6 +33,8 @@
     after `PoolWorker.start_delay_s` and lets them time out. LOSES_NEXT_START
     drops the next start, LOSES_NEXT_ANSWER executes it but lets it time out.
     REFUSING executes nothing: starts fail at once, other commands time out.
+    LOSES_WAITING_RENEWALS executes lease renewals that wait for an end, but
+    lets them time out.
     """
 
     NONE = "none"
@@ -41,6 +43,7 @@
     LOSES_NEXT_START = "loses_one"
     LOSES_NEXT_ANSWER = "loses_answers"
     REFUSING = "refusing"
+    LOSES_WAITING_RENEWALS = "loses_waiting_renewals"
 
 
 _UNREACHABLE = (WorkerFault.SILENT, WorkerFault.REFUSING)
@@ -217,7 +220,11 @@
         end_ms = self.now_ms() + command.wait_ms
         while not worker.ends and self.now_ms() < end_ms:
             await task.deferLater(self.clock, 0.01)
-        if worker.fault is WorkerFault.SILENT:
+        loses_answer = worker.fault is WorkerFault.SILENT or (
+            worker.fault is WorkerFault.LOSES_WAITING_RENEWALS
+            and command.wait_ms > 0
+        )
+        if loses_answer:
             await self._wait_for_timeout(timeout_ms - command.wait_ms)
             return commands.StopOutcome.UNKNOWN
         return worker.report()
