--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -31,7 +31,8 @@
 MAX_APPEND_RECORDS = 1_000
 # For the first attempt to start a run and for all later ones.
 START_TIMEOUTS_MS = (200, 400)
-STOP_TIMEOUT_MS = 600
+# Stops are idempotent, so a lost one is sent again early.
+STOP_TIMEOUT_MS = 300
 RENEWAL_TIMEOUT_MARGIN_MS = 600
 ADVICE_TIMEOUT_MS = 3_000
 TAKEOVER_RETRY_MS = 200
