Examine the slots of a gang once for all ranges of speed

Cause: each range of classes examined its workers again.

Change: choose_from_slots takes the usable slots, found once per gang.

--- a/citronmount/fleet/placement/fitting.py
+++ b/citronmount/fleet/placement/fitting.py
@@ -23,11 +23,13 @@
     "Requirements",
     "Spread",
     "TaskSlots",
+    "choose_from_slots",
     "choose_workers",
     "ordered_slots",
     "suits",
     "task_limit",
     "task_slots",
+    "usable_slots",
     "worker_groups",
 ]
 
@@ -116,21 +118,32 @@
     Returns:
         A worker for each task, or None if the unit does not fit.
     """
-    slots = _slots(requirements, workers, free)
+    slots = usable_slots(requirements, workers, free)
     if requirements.last:
         preferred = [p for p in slots if p[0].worker not in requirements.last]
-        chosen = _choose_from_slots(requirements, preferred, free, spread)
+        chosen = choose_from_slots(requirements, preferred, free, spread)
         if chosen is not None:
             return chosen
-    return _choose_from_slots(requirements, slots, free, spread)
+    return choose_from_slots(requirements, slots, free, spread)
 
 
-def _choose_from_slots(
+def choose_from_slots(
     requirements: Requirements,
     slots: Sequence[tuple[worker_directory.Worker, int]],
     free: FreeCapacity,
     spread: Spread,
 ) -> list[worker_directory.Worker] | None:
+    """Chooses workers for all tasks of a unit among usable slots.
+
+    Args:
+        requirements: Placement requirements of the unit.
+        slots: Return value of `usable_slots`, or a part of it.
+        free: Returns the free capacity of a worker.
+        spread: Whether the unit may leave its preferred rack.
+
+    Returns:
+        A worker for each task, or None if the unit does not fit.
+    """
     if sum(count for _, count in slots) < requirements.tasks:
         return None
     in_rack = _fill_one_rack(requirements, slots, free)
@@ -183,16 +196,22 @@
         Pairs of a worker and the number of tasks that fit on it.
     """
     return _tightest_first(
-        requirements, _slots(requirements, workers, free), free
+        requirements, usable_slots(requirements, workers, free), free
     )
 
 
-def _slots(
+def usable_slots(
     requirements: Requirements,
     workers: Iterable[worker_directory.Worker],
     free: FreeCapacity,
 ) -> list[tuple[worker_directory.Worker, int]]:
-    """Returns each usable worker with the number of tasks that fit on it."""
+    """Returns each usable worker with the number of tasks that fit on it.
+
+    Args:
+        requirements: Placement requirements.
+        workers: The workers that may receive tasks.
+        free: Returns the free capacity of a worker.
+    """
     slots = [
         (worker, task_limit(requirements, worker, free(worker)))
         for worker in workers
--- a/citronmount/fleet/placement/speed_choice.py
+++ b/citronmount/fleet/placement/speed_choice.py
@@ -29,6 +29,9 @@
 START_OVERHEAD_MS = 150
 
 
+_Slots = tuple[worker_directory.Worker, int]
+
+
 class _Option(msgspec.Struct, frozen=True, kw_only=True):
     """A range of classes on which a unit may be placed.
 
@@ -143,27 +146,22 @@
         requirements = msgspec.structs.replace(requirements, last=frozenset())
         if len(self._classes) < 2:
             return fitting.choose_workers(requirements, workers, free, spread)
-        by_class = self._classes.split(workers)
-        counts = [
-            sum(
-                fitting.task_limit(requirements, each, free(each))
-                for each in members
-                if fitting.suits(requirements, each)
-            )
-            for members in by_class
-        ]
+        slots_by_class: list[list[_Slots]] = [[] for _ in self._classes.speeds]
+        for slots in fitting.usable_slots(requirements, workers, free):
+            slots_by_class[self._classes.class_of(slots[0])].append(slots)
+        counts = [sum(n for _, n in each) for each in slots_by_class]
         for option in self._options(unit, spread):
             classes = slice(option.lowest, option.highest + 1)
             if sum(counts[classes]) < requirements.tasks:
                 continue
             if option.late and self._waits(unit, guaranteed):
                 return None
-            fastest = by_class[option.highest] if option.width else ()
-            chosen = fitting.choose_workers(
+            fastest = slots_by_class[option.highest] if option.width else ()
+            chosen = fitting.choose_from_slots(
                 msgspec.structs.replace(
-                    requirements, last=frozenset(e.worker for e in fastest)
+                    requirements, last=frozenset(e.worker for e, _ in fastest)
                 ),
-                list(itertools.chain.from_iterable(by_class[classes])),
+                list(itertools.chain.from_iterable(slots_by_class[classes])),
                 free,
                 option.spread,
             )
@@ -198,7 +196,7 @@
         waits = self._waits(unit, guaranteed)
         by_class = self._classes.split(workers)
         rack = unit.step.data_rack
-        slots: list[tuple[worker_directory.Worker, int]] = []
+        slots: list[_Slots] = []
         for option in self._options(unit, spread):
             if option.width or (option.late and waits):
                 continue
