Leave fast workers to units that can still be on time

Cause: a late unit took the fastest workers, though it earns the same part until three times its objective; work with slack took slow workers on which it was barely on time by a rough estimate.

Change: a unit that missed its objective is placed by 2.5 times that objective, and relaxed units keep a margin of 1.2 on their run time.

--- a/citronmount/fleet/placement/speed_choice.py
+++ b/citronmount/fleet/placement/speed_choice.py
@@ -27,6 +27,12 @@
 
 # Time from a decision until all members of a gang run.
 START_OVERHEAD_MS = 150
+# Run times are rough estimates, so units that choose slow workers need some
+# margin.
+RELAXED_MARGIN_FACTOR = 1.2
+# A late job still earns a part until three times its objective; the rest is
+# margin.
+LATE_OBJECTIVE_FACTOR = 2.5
 
 
 _Slots = tuple[worker_directory.Worker, int]
@@ -40,7 +46,7 @@
         highest: Index of the fastest class.
         spread: Whether the unit leaves its preferred rack.
         run_ms: Expected run time.
-        late: Whether the unit's job would miss its objective.
+        late: Whether the unit would miss its deadline.
     """
 
     lowest: int
@@ -55,6 +61,13 @@
         return self.highest - self.lowest
 
 
+class _Deadline(msgspec.Struct, frozen=True, kw_only=True):
+    """Unix time by which a unit has to end, and whether that is late."""
+
+    end_ms: int
+    objective_missed: bool
+
+
 class SpeedChoice:
     """Choice of workers of one planning round."""
 
@@ -79,7 +92,7 @@
         self._delay_policy = delay_policy
         self._wall_ms = wall_ms
         self._fits_on_time: dict[Hashable, bool] = {}
-        self._latest_ends_ms: dict[tuple[ids.JobId, int, int], int] = {}
+        self._deadlines: dict[tuple[ids.JobId, int, int], _Deadline] = {}
         self._late_ids: dict[int, frozenset[ids.WorkerId]] = {}
 
     def key(
@@ -91,6 +104,7 @@
         return (
             self._first_on_time(unit),
             self._is_on_time(unit, self._spread_factor),
+            self._is_urgent(unit),
             self._delay_policy.accepts_late(unit, guaranteed),
         )
 
@@ -238,7 +252,7 @@
                     )
                     for highest in range(lowest, len(self._classes))
                 ]
-        rank = _urgent_rank if _is_urgent(unit) else _relaxed_rank
+        rank = _urgent_rank if self._is_urgent(unit) else _relaxed_rank
         return sorted(options, key=rank)
 
     def _waits(self, unit: waiting_units.WaitingUnit, guaranteed: bool) -> bool:
@@ -296,28 +310,45 @@
         if unit.step.lasting:
             return True
         run_ms = unit.run_time.median_ms * factor
+        if not self._is_urgent(unit):
+            run_ms *= RELAXED_MARGIN_FACTOR
         end_ms = self._wall_ms + START_OVERHEAD_MS + run_ms
-        return end_ms <= self._latest_end_ms(unit)
+        return end_ms <= self._deadline(unit).end_ms
+
+    def _is_urgent(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether a unit needs fast workers to be on time."""
+        if unit.step.lasting:
+            return True
+        slack_factor = unit.submission.terms.slack_factor
+        relaxed = slack_factor >= slowdown_choice.RELAXED_SLACK_FACTOR
+        return not relaxed and not self._deadline(unit).objective_missed
+
+    def _deadline(self, unit: waiting_units.WaitingUnit) -> _Deadline:
+        """Returns when a unit has to end for its job to earn what it still can.
 
-    def _latest_end_ms(self, unit: waiting_units.WaitingUnit) -> int:
-        """Returns when a unit has to end for its job to be on time."""
+        That is on time or, if the fastest workers cannot achieve it, late.
+        """
         step_key = unit.key.job, unit.key.occurrence, unit.key.step
-        cached = self._latest_ends_ms.get(step_key)
+        cached = self._deadlines.get(step_key)
         if cached is None:
-            cached = waiting_units.objective_end_ms(
+            later_ms = _later_steps_ms(
+                unit.submission.workflow.steps, unit.key.step
+            )
+            end_ms = waiting_units.objective_end_ms(
                 unit.submission, unit.key.occurrence
-            ) - _later_steps_ms(unit.submission.workflow.steps, unit.key.step)
-            self._latest_ends_ms[step_key] = cached
+            )
+            least_ms = unit.run_time.median_ms / self._classes.speeds[-1]
+            missed = self._wall_ms + least_ms + later_ms > end_ms
+            if missed:
+                objective_ms = waiting_units.objective_ms(unit.submission)
+                end_ms += int(objective_ms * (LATE_OBJECTIVE_FACTOR - 1))
+            cached = _Deadline(
+                end_ms=end_ms - later_ms, objective_missed=missed
+            )
+            self._deadlines[step_key] = cached
         return cached
 
 
-def _is_urgent(unit: waiting_units.WaitingUnit) -> bool:
-    slack_factor = unit.submission.terms.slack_factor
-    return (
-        unit.step.lasting or slack_factor < slowdown_choice.RELAXED_SLACK_FACTOR
-    )
-
-
 def _urgent_rank(option: _Option) -> tuple:
     """Orders by expected completion, then ranges that spare faster workers."""
     return option.late, option.run_ms, option.highest
--- a/citronmount/fleet/placement/tests/test_speed_choice.py
+++ b/citronmount/fleet/placement/tests/test_speed_choice.py
@@ -97,6 +97,17 @@
         gang = self.relaxed("a", planning_fixture.make_gang(4), 4_000)
         self.assertEqual({"a": [1.0] * 4}, self.decide_by_speed(*gang))
 
+    def test_urgent_gang_that_missed_its_objective_leaves_fast_workers(
+        self,
+    ) -> None:
+        gang = planning_fixture.make_urgent("a", planning_fixture.make_gang(4))
+        accepted_ms = planning_fixture.WALL_MS - 4_000
+        submission = msgspec.structs.replace(
+            gang.submission, accepted_ms=accepted_ms
+        )
+        gang = msgspec.structs.replace(gang, submission=submission)
+        self.assertEqual({"a": [0.6] * 4}, self.decide_by_speed(gang))
+
     def test_large_gang_accepts_a_mixed_set(self) -> None:
         gang = self.relaxed("a", planning_fixture.make_gang(6))
         started = self.decide_by_speed(*gang)
