--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -1,6 +1,7 @@
 """The owner of a pool: schedules its jobs on its workers."""
 
 from collections.abc import Iterable
+import math
 
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
@@ -165,6 +166,12 @@
         if changed:
             self._recorded_speeds = speeds
             self._state.append_record(records.SpeedsLearned(logs=speeds))
+            self._state.log.info(
+                "speeds_recorded",
+                machines=len(speeds),
+                slowest=round(math.exp(min(speeds.values())), 2),
+                fastest=round(math.exp(max(speeds.values())), 2),
+            )
 
     def _plan(self, now_ms: int, wall_ms: int) -> None:
         waiting = self._waiting_units(now_ms, wall_ms)
@@ -195,6 +202,21 @@
             return {"speed": lambda each: speeds.speed_range(each.speed_key)}
         return {"slowdown": lambda e: speeds.slowdown(e.speed_key, now_ms)}
 
+    def _speed_fields(
+        self, decision: waiting_units.Decision
+    ) -> dict[str, float]:
+        """Returns the speeds that a placement relied on, for its log line."""
+        speeds = self._state.speeds
+        if not isinstance(speeds, speed_estimates.SpeedEstimates):
+            return {}
+        keys = {worker.speed_key for worker in decision.workers}
+        expected = [speeds.speed_range(each).expected for each in keys]
+        return {
+            "slowest_speed": round(min(expected), 2),
+            "fastest_speed": round(max(expected), 2),
+            "speed_deviation": round(max(map(speeds.deviation, keys)), 2),
+        }
+
     def _request_advice(
         self,
         waiting: list[waiting_units.WaitingUnit],
@@ -302,6 +324,7 @@
                 ),
                 2,
             ),
+            **self._speed_fields(decision),
             waited_ms=now_ms - unit.since_ms,
             victims=[victim.unit for victim in decision.victims],
             lost_core_s=round(decision.lost_core_s),
--- a/citronmount/fleet/runs/speed_observations.py
+++ b/citronmount/fleet/runs/speed_observations.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Hashable
 import math
+import statistics
 
 import msgspec
 
@@ -15,8 +16,9 @@
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import speed_estimates
+from citronmount.fleet.workers import worker_speeds
 
-__all__ = ["SpeedObserver"]
+__all__ = ["SpeedObserver", "observe_gang"]
 
 # Work of similar tasks varies by these deviations of its logarithm.
 GANG_WORK_DEVIATION = 0.1
@@ -134,6 +136,31 @@
         )
 
 
+def observe_gang(
+    state: owner_state.OwnerState, run: unit_runs.Run, now_ms: int
+) -> None:
+    """Updates the estimates without `worker-speeds` at the end of a gang.
+
+    Args:
+        state: State shared by the parts of the owner.
+        run: The run that ends.
+        now_ms: Monotonic time in milliseconds.
+    """
+    speeds = state.speeds
+    if not isinstance(speeds, worker_speeds.WorkerSpeeds):
+        return
+    if not run.step.gang:
+        return
+    rates = collections.defaultdict(list)
+    for member in run.members:
+        session = state.session_at_place(member.place)
+        rate = member.progress.percent_per_s
+        if session is not None and rate is not None:
+            rates[session.worker.speed_key].append(rate)
+    mean_rates = {key: statistics.mean(each) for key, each in rates.items()}
+    speeds.observe(mean_rates, now_ms)
+
+
 def _is_poll_due(run: unit_runs.Run, now_ms: int) -> bool:
     """Returns whether a task of ordinary speed should have a first rate."""
     due_ms = min(
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -1,15 +1,12 @@
 """Handles the answers of workers to the commands of a pool's owner."""
 
-import collections
-import statistics
-
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
+from citronmount.fleet.runs import speed_observations
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_sessions
-from citronmount.fleet.workers import worker_speeds
 from citronmount.workflow import records
 from citronmount.workflow import units
 
@@ -319,7 +316,7 @@
         self._state.needs_planning = True
         run.saved = end.saved or run.saved
         if run.outcome is None:
-            self._observe_speeds(run, now_ms)
+            speed_observations.observe_gang(self._state, run, now_ms)
         self._state.log.info(
             "run_ended",
             task=end.task,
@@ -339,22 +336,6 @@
         change = run.to_record(status)
         self._state.append_record(change, ends=((place, end.number),))
 
-    def _observe_speeds(self, run: unit_runs.Run, now_ms: int) -> None:
-        """Updates the speed estimates with the progress rates of a gang."""
-        speeds = self._state.speeds
-        if not isinstance(speeds, worker_speeds.WorkerSpeeds):
-            return
-        if not run.step.gang:
-            return
-        rates = collections.defaultdict(list)
-        for member in run.members:
-            session = self._state.session_at_place(member.place)
-            rate = member.progress.percent_per_s
-            if session is not None and rate is not None:
-                rates[session.worker.speed_key].append(rate)
-        mean_rates = {key: statistics.mean(each) for key, each in rates.items()}
-        speeds.observe(mean_rates, now_ms)
-
     def _record_health(
         self,
         run: unit_runs.Run,
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -154,6 +154,11 @@
         """Whether this VM currently decides for the whole pool."""
         return self._owner.active
 
+    @property
+    def recorded_speeds(self) -> int:
+        """Number of machines with a recorded relative speed."""
+        return len(self._job_view.speeds)
+
     def start(self) -> None:
         """Starts to read the log and to take part in the election.
 
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -140,6 +140,7 @@
     )
     registry.register_gauge("owns_pool", lambda: vm.owns_pool)
     registry.register_gauge("ready", lambda: vm.ready)
+    registry.register_gauge("recorded_speeds", lambda: vm.recorded_speeds)
     api = adapter.api(vm.job_service)
     terminated: defer.Deferred[None] = defer.Deferred()
     _install_signal_handlers(reactor, terminated, reloader)
