Test that a straggler of known low speed is left

Cause: only stragglers on machines of unknown speed were tested.

Change: a worker of learned speed 0.6 turns four times slower; its gang has to leave it, and only once.

--- a/citronmount/fleet_service/tests/test_gang_stragglers.py
+++ b/citronmount/fleet_service/tests/test_gang_stragglers.py
@@ -73,6 +73,33 @@
         self.assertIs(DONE, self.state("j"))
         self.assertEqual(8, len(self.starts_of("j")))
 
+    def test_straggler_on_a_machine_of_known_low_speed_is_left(self) -> None:
+        # Four times slower than a speed of 0.6: permanent speeds explain that
+        # only while they are unknown.
+        self.set_speeds(1.6, 0.6, 1.0)
+        wide = pool_fixture.make_step(
+            tasks=6, accelerators=8, gang=True, estimate_ms=2_500
+        )
+        for number in range(3):
+            self.submit(f"wide{number}", wide)
+            self.run_for(5.0)
+        self.slow_down("w01", 4 / 0.6)
+        pair = pool_fixture.make_step(
+            tasks=2, accelerators=8, gang=True, estimate_ms=2_500
+        )
+        self.submit("j", pair)
+        self.run_for(9.0)
+        self.assertIs(DONE, self.state("j"))
+        workers = {
+            run: [
+                worker for _, each, worker in self.starts_of("j") if each == run
+            ]
+            for run in (1, 2)
+        }
+        self.assertIn("w01", workers[1])
+        self.assertEqual(2, len(workers[2]))
+        self.assertNotIn("w01", workers[2])
+
     def test_gang_stays_without_free_workers(self) -> None:
         wide = pool_fixture.make_step(
             tasks=6, accelerators=8, gang=True, estimate_ms=2_500
