--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -164,6 +164,11 @@
         """Learned run times if this VM owns the pool, or None."""
         return self._owner.owner.run_times if self._owner.owner else None
 
+    @property
+    def recorded_speeds(self) -> int:
+        """Number of machines with a recorded relative speed."""
+        return len(self._job_view.speeds)
+
     def start(self) -> None:
         """Starts to read the log and to take part in the election.
 
