Decode records and answers of any nesting depth

Cause: a worker entry of 6 KB with 3,000 nested brackets in an unknown field raises RecursionError, which no decoder caught: the reader of the workers' topic ended on every VM. The same holds for the configuration, job records, submissions, the settings file and answers of the log and of the workers.

Change: errors.DECODING_ERRORS names what decoders raise for the bytes of another writer; all decoders of platform and workflow.records use it.

--- a/citronmount/core/errors.py
+++ b/citronmount/core/errors.py
@@ -2,7 +2,17 @@
 
 from citronmount.core import codes
 
-__all__ = ["CitronmountError", "InvalidInputError", "UnreachableError"]
+__all__ = [
+    "CitronmountError",
+    "DECODING_ERRORS",
+    "InvalidInputError",
+    "UnreachableError",
+]
+
+# What a decoder raises for bytes of another writer. The errors of msgspec and
+# of text encodings are ValueErrors; deep nesting raises RecursionError, also
+# where a decoder skips an unknown field.
+DECODING_ERRORS = (ValueError, RecursionError)
 
 
 class CitronmountError(Exception):
--- a/citronmount/platform/job_bodies.py
+++ b/citronmount/platform/job_bodies.py
@@ -99,7 +99,7 @@
     """
     try:
         submitted = msgspec.json.decode(body, type=_Job)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except errors.DECODING_ERRORS as error:
         raise InvalidJobError(str(error)) from error
     _validate(submitted)
     return spec.Workflow(
--- a/citronmount/platform/runner_client.py
+++ b/citronmount/platform/runner_client.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from citronmount.clients import http_client
+from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.workflow import units
@@ -167,7 +168,7 @@
             return _to_lease_report(
                 msgspec.json.decode(response.body, type=_LeaseReport)
             )
-        except (msgspec.DecodeError, LookupError, ValueError):
+        except (*errors.DECODING_ERRORS, LookupError):
             return commands.StopOutcome.UNKNOWN
 
     async def request_advice(
@@ -185,7 +186,7 @@
             if response.status != http.HTTPStatus.OK:
                 return None
             advice = msgspec.json.decode(response.body, type=_AdviceResponse)
-        except (http_client.NoAnswerError, msgspec.DecodeError):
+        except (http_client.NoAnswerError, *errors.DECODING_ERRORS):
             return None
         return commands.AdviceAnswer(
             tickets={
@@ -241,7 +242,7 @@
     """Decodes the answer to a command; an invalid one counts as empty."""
     try:
         return msgspec.json.decode(response.body, type=_CommandResponse)
-    except msgspec.DecodeError:
+    except errors.DECODING_ERRORS:
         return _CommandResponse()
 
 
--- a/citronmount/platform/settings_file.py
+++ b/citronmount/platform/settings_file.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronmount.core import codes
+from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet_service import vm_settings
@@ -65,7 +66,7 @@
     """
     try:
         file = msgspec.toml.decode(data, type=_File)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except errors.DECODING_ERRORS as error:
         raise vm_settings.SettingsError(
             str(error), code=codes.ResultCode.INVALID_REQUEST
         ) from error
--- a/citronmount/platform/store_log.py
+++ b/citronmount/platform/store_log.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store, which holds the pool's log."""
 
 import base64
-import binascii
 from collections.abc import Sequence
 import http
 import typing
@@ -12,6 +11,7 @@
 from citronmount.clients import call_time_limit
 from citronmount.clients import http_client
 from citronmount.core import codes
+from citronmount.core import errors
 from citronmount.fleet_service import ports
 from citronmount.platform import framing
 
@@ -254,7 +254,7 @@
 def _to_record(item: _NewestItem) -> ports.LogRecord:
     try:
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
+    except ValueError as error:
         raise framing.unreadable(f"record {item.key}", error) from error
     return ports.LogRecord(
         key=item.key, value=value or None, offset=item.offset
@@ -284,5 +284,5 @@
 def _decode(body: bytes, body_type: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=body_type)
-    except msgspec.DecodeError as error:
+    except errors.DECODING_ERRORS as error:
         raise framing.unreadable("body", error) from error
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -15,6 +15,8 @@
 from citronmount.service import daemon
 from citronmount.workflow import spec
 
+# Nesting that exceeds the recursion limit of the decoders, in an unknown field.
+NESTED = b'{"unknown":' + b"[" * 3_000 + b"]" * 3_000 + b"}"
 JOB = ids.JobId("5c0e7a21d94b36f8")
 SETTINGS = b"""
 node_name = "edge-a-1"
@@ -57,7 +59,14 @@
         self.assertEqual(10_000, settings.bounds.max_lease_ms)
 
     def test_invalid_settings_raise_a_settings_error(self) -> None:
-        for data in (b"", b"x=", SETTINGS.replace(b'"a"', b"3"), b"\xff"):
+        invalid_files = (
+            b"",
+            b"x=",
+            SETTINGS.replace(b'"a"', b"3"),
+            b"\xff",
+            b"x=" + b"[" * 3_000,
+        )
+        for data in invalid_files:
             with self.assertRaises(vm_settings.SettingsError):
                 settings_file.decode(data)
 
@@ -113,6 +122,7 @@
         invalid_values = (
             b"",
             b"\xff\x00",
+            NESTED,
             {},
             {**RUNNER_ENTRY, "state": "odd"},
             {**RUNNER_ENTRY, "labels": []},
@@ -163,7 +173,8 @@
         self.assertEqual(32, configuration.accounts[0].guaranteed_accelerators)
 
     def test_invalid_configuration_and_unknown_keys_are_ignored(self) -> None:
-        self.assertIsNone(self.decode("config", b"{"))
+        for value in (b"{", b"\xff", NESTED):
+            self.assertIsNone(self.decode("config", value))
         self.assertIsNone(self.decode("unknown", {}))
 
     def test_failure_domain_leaves_and_reenters_service(self) -> None:
@@ -202,6 +213,7 @@
         invalid_bodies = (
             b"",
             b"\xff",
+            NESTED,
             b"[]",
             b'{"spec":"x"}',
             msgspec.json.encode({"spec": "x", "phases": []}),
--- a/citronmount/platform/tests/test_store_log.py
+++ b/citronmount/platform/tests/test_store_log.py
@@ -8,6 +8,8 @@
 from citronmount.fleet_service import ports
 from citronmount.platform import store_log
 
+NESTED = b'{"unknown":' + b"[" * 3_000 + b"]" * 3_000 + b"}"
+
 
 class OneAnswerClient:
     """Answers each call with the same status and body."""
@@ -48,7 +50,7 @@
         self.assertIsInstance(result.value, ports.UnknownOutcomeError)
 
     def test_answers_that_are_not_json(self) -> None:
-        for body in (b"", b"<html>", b"[]", b"\xff"):
+        for body in (b"", b"<html>", b"[]", b"\xff", NESTED):
             self.assert_unknown_outcome(body, "join", 0, 1_000)
             self.assert_unknown_outcome(body, "members")
             self.assert_unknown_outcome(body, "append", [("k", b"v")])
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -3,6 +3,7 @@
 import msgspec
 import structlog
 
+from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.workers import worker_directory
@@ -104,7 +105,7 @@
     if record.value is not None:
         try:
             entry = _decode_worker(worker, record.value)
-        except (msgspec.DecodeError, LookupError, UnicodeDecodeError) as error:
+        except (*errors.DECODING_ERRORS, LookupError) as error:
             structlog.get_logger().warning(
                 "worker_entry_ignored", worker=worker, error=str(error)
             )
@@ -143,7 +144,7 @@
 ) -> ports.ConfigurationChanged | None:
     try:
         published = msgspec.json.decode(value, type=_Configuration)
-    except msgspec.DecodeError as error:
+    except errors.DECODING_ERRORS as error:
         structlog.get_logger().error(
             "configuration_ignored", offset=offset, error=str(error)
         )
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -262,7 +262,7 @@
     decoder = _UNIT_DECODER if key.startswith(_UNIT_PREFIX) else _RECORD_DECODER
     try:
         record = decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except errors.DECODING_ERRORS as error:
         raise UnreadableRecordError(f"record {key}: {error}") from error
     if isinstance(record, UnitChanged):
         try:
