Keep reading the log after an unexpected error

Cause: LogTail caught only the package's errors. Any other error of a read, or of the fold of one record, ended the reader of that topic for good: tail_failed, and the VM kept its old state until its restart.

Change: an unexpected error of a read counts as a failed read, with the same back-off and its traceback in the log. Records whose fold raises an error are skipped with a log line.

--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -126,6 +126,7 @@
                 return
 
     async def _run(self) -> None:
+        """Reads until `stop`; neither an answer nor a record ends the loop."""
         retry_ms = MIN_RETRY_DELAY_MS
         while not self._stopped:
             try:
@@ -133,7 +134,7 @@
             except ports.LogTruncatedError:
                 self._logger.warning("history_lost", position=self.position)
                 self.position = None
-            except errors.CitronmountError as error:
+            except Exception as error:
                 if self._stopped:
                     return
                 self._record_failure(error)
@@ -196,7 +197,7 @@
             records=len(snapshot.records),
             took_ms=self._elapsed_ms(started_s),
         )
-        self._on_snapshot(snapshot.records)
+        self._pass_on(self._on_snapshot, snapshot.records)
 
     def _handle_page(self, page: ports.LogPage) -> None:
         """Passes on the new records of a page.
@@ -220,7 +221,20 @@
                 took_ms=page.transfer_ms,
             )
         if new_records:
-            self._on_records(new_records)
+            self._pass_on(self._on_records, new_records)
+
+    def _pass_on(
+        self, callback: OnRecords, records: Sequence[ports.LogRecord]
+    ) -> None:
+        """Passes on records; those that raise an error are skipped."""
+        try:
+            callback(records)
+        except Exception:
+            self._logger.exception(
+                "records_skipped",
+                first_offset=records[0].offset if records else None,
+                records=len(records),
+            )
 
     def read_continuously(self, read_wait_ms: int) -> None:
         """Reads without pauses from now on; a pause in progress ends at once.
@@ -244,18 +258,27 @@
             if self._pause_end.active():
                 self._pause_end.cancel()
 
-    def _record_failure(self, error: errors.CitronmountError) -> None:
-        """Logs the failures 1, 2, 4, 8 and so on of an outage."""
+    def _record_failure(self, error: Exception) -> None:
+        """Logs the failures 1, 2, 4, 8 and so on of an outage.
+
+        The log lines of an unexpected error contain its traceback.
+        """
+        expected = isinstance(error, errors.CitronmountError)
         self._health.record_failure()
         self._failed_reads += 1
         if self._failed_reads == 1:
             self._first_failure_s = self._clock.seconds()
-            self._logger.warning("log_lost", error=str(error))
+            self._logger.warning(
+                "log_lost",
+                error=str(error),
+                exc_info=None if expected else error,
+            )
         elif self._failed_reads.bit_count() == 1:
             self._logger.warning(
                 "log_still_lost",
                 failed_reads=self._failed_reads,
                 error=str(error),
+                exc_info=None if expected else error,
             )
 
     def _record_recovery(self) -> None:
--- a/citronmount/fleet_service/tests/test_log_tail.py
+++ b/citronmount/fleet_service/tests/test_log_tail.py
@@ -45,13 +45,35 @@
         return answer
 
 
+def make_page(first_offset: int, end_offset: int) -> ports.LogPage:
+    return ports.LogPage(
+        records=tuple(
+            ports.LogRecord(key="k", value=b"v", offset=offset)
+            for offset in range(first_offset, end_offset)
+        ),
+        next_offset=end_offset,
+        end_offset=end_offset,
+    )
+
+
+def unexpected_errors() -> list[Exception]:
+    return [
+        RecursionError("nested"),
+        UnicodeDecodeError("utf-8", b"\xff", 0, 1, "invalid start byte"),
+        IndexError("truncated"),
+        ValueError("odd"),
+    ]
+
+
 def no_answer() -> ports.UnknownOutcomeError:
     return ports.UnknownOutcomeError("lost", code=codes.ResultCode.TIMED_OUT)
 
 
-class ReadLoggingTest(unittest.TestCase):
+class ReaderTestCase(unittest.TestCase):
     def events_of(
-        self, answers: Sequence[ports.LogPage | Exception]
+        self,
+        answers: Sequence[ports.LogPage | Exception],
+        on_records: log_tail.OnRecords = lambda records: None,
     ) -> list[dict[str, object]]:
         clock = task.Clock()
         tail = log_tail.LogTail(
@@ -60,7 +82,7 @@
             health=log_health.LogHealth(clock=clock),
             topic=ports.Topic.CONFIGURATION,
             on_snapshot=lambda records: None,
-            on_records=lambda records: None,
+            on_records=on_records,
         )
         with structlog.testing.capture_logs() as events:
             tail.start()
@@ -68,6 +90,8 @@
             tail.stop()
         return events
 
+
+class ReadLoggingTest(ReaderTestCase):
     def test_an_outage_logs_its_start_its_doublings_and_its_end(self) -> None:
         events = self.events_of([no_answer()] * 9 + [EMPTY_PAGE])
         names = [each["event"] for each in events]
@@ -98,3 +122,37 @@
             (100_000, 2, 900),
             (event["size_bytes"], event["records_behind"], event["took_ms"]),
         )
+
+
+class ContinuedReadingTest(ReaderTestCase):
+    """Neither an unexpected error of a read nor a record ends a reader."""
+
+    def test_unreadable_pages_are_read_again_with_back_off(self) -> None:
+        received: list[ports.LogRecord] = []
+        page = make_page(0, 1)
+        events = self.events_of(
+            [*unexpected_errors(), page, EMPTY_PAGE], received.extend
+        )
+        self.assertEqual(page.records, tuple(received))
+        (recovery,) = (e for e in events if e["event"] == "log_regained")
+        self.assertEqual(len(unexpected_errors()), recovery["failed_reads"])
+        self.assertGreaterEqual(recovery["took_ms"], 300)
+        (first,) = (e for e in events if e["event"] == "log_lost")
+        self.assertIsInstance(first["exc_info"], RecursionError)
+
+    def test_records_that_raise_an_error_are_skipped_with_a_log_line(
+        self,
+    ) -> None:
+        received: list[int] = []
+
+        def receive(records: Sequence[ports.LogRecord]) -> None:
+            if records[0].offset == 0:
+                raise RecursionError("nested")
+            received.extend(record.offset for record in records)
+
+        events = self.events_of(
+            [make_page(0, 1), make_page(1, 2), EMPTY_PAGE], receive
+        )
+        self.assertEqual([1], received)
+        (event,) = (e for e in events if e["event"] == "records_skipped")
+        self.assertEqual((0, 1), (event["first_offset"], event["records"]))
