Stay in the election after an unreadable answer

Cause: an error of another type than the package's in a join or a query of the members ended the periodic calls of the election, so the VM could not become owner again until its restart. In the call to leave the group it ended a planned stop, with exit status 1.

Change: such an error is logged with its traceback, counts as a failed call, and the next period tries again.

Result: two new tests fail before the change and pass after it.

--- a/citronmount/fleet_service/owner_election.py
+++ b/citronmount/fleet_service/owner_election.py
@@ -133,7 +133,7 @@
         self._joined = False
         try:
             await self._log.leave(JOIN_TIMEOUT_MS)
-        except errors.UnreachableError as error:
+        except Exception as error:
             self._logger.warning("group_leave_failed", error=str(error))
 
     def _run_update(self) -> defer.Deferred[None]:
@@ -142,6 +142,7 @@
         )
 
     async def _update_membership(self) -> None:
+        """Renews the membership; an error does not end the periodic calls."""
         try:
             if self._joined or await self._group_needs_member():
                 self._joined = True
@@ -149,6 +150,9 @@
         except errors.CitronmountError as error:
             self._health.record_failure()
             self._logger.debug("group_call_failed", error=str(error))
+        except Exception:
+            self._health.record_failure()
+            self._logger.exception("group_call_failed")
 
     async def _group_needs_member(self) -> bool:
         """Returns whether the group has too few members.
