Refuse jobs whose values are out of range

Cause: a submission with estimate_ms 1e308 or an integer beyond 64 bits was decoded and failed later in records.encode; negative estimates and limits, a payload over 4,000 bytes and 20,000 steps were accepted.

Change: workflow.job_limits holds all ranges of a job and raises JobRangeError with the field and the step. Fractions of estimate_ms and goal_ms round down, so -0.5 counts as negative. New limits are 1,000 steps and 100,000 tasks due at once.

--- a/citronmount/platform/job_bodies.py
+++ b/citronmount/platform/job_bodies.py
@@ -1,5 +1,6 @@
 """Request and response bodies of the job calls of the HTTP interface."""
 
+import math
 import re
 
 import msgspec
@@ -7,6 +8,7 @@
 from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.core import states
+from citronmount.workflow import job_limits
 from citronmount.workflow import spec
 
 __all__ = [
@@ -18,9 +20,6 @@
     "is_job_id",
 ]
 
-MAX_TASKS = 10_000
-MAX_OCCURRENCES = 100_000
-
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATES = {
     states.JobState.QUEUED: "queued",
@@ -30,6 +29,20 @@
     states.JobState.CANCELLED: "canceled",
 }
 
+# The wire's names of the fields of `spec` that have another name there.
+_WIRE_NAMES = {
+    "accelerators": "gpu",
+    "first_due_ms": "first_ms",
+    "max_tasks_per_worker": "anti_affinity",
+    "max_unavailable": "may_miss",
+    "memory_mb": "mem_mb",
+    "millicores": "cpu",
+    "occurrences": "repeats",
+    "payload": "spec",
+    "steps": "phases",
+    "tasks": "count",
+}
+
 
 class InvalidJobError(errors.InvalidInputError):
     """The body of a submission does not describe a valid job."""
@@ -101,8 +114,7 @@
         submitted = msgspec.json.decode(body, type=_Job)
     except errors.DECODING_ERRORS as error:
         raise InvalidJobError(str(error)) from error
-    _validate(submitted)
-    return spec.Workflow(
+    workflow = spec.Workflow(
         job=job,
         payload=submitted.spec,
         steps=tuple(map(_to_step, submitted.phases)),
@@ -110,30 +122,13 @@
         first_due_ms=submitted.first_ms,
         interval_ms=submitted.interval_ms,
     )
-
-
-def _validate(submitted: _Job) -> None:
-    if not submitted.phases:
-        raise InvalidJobError("phases: expected at least 1 phase, got none")
-    if not 0 <= submitted.repeats <= MAX_OCCURRENCES:
-        raise InvalidJobError(
-            f"repeats: expected 0 to {MAX_OCCURRENCES}, got {submitted.repeats}"
-        )
-    for number, phase in enumerate(submitted.phases):
-        if not 1 <= phase.count <= MAX_TASKS:
-            raise InvalidJobError(
-                f"phase {number}: expected count 1 to {MAX_TASKS}, "
-                f"got {phase.count}"
-            )
-        if min(phase.cpu, phase.mem_mb, phase.gpu) < 0:
-            raise InvalidJobError(
-                f"phase {number}: cpu, mem_mb and gpu must not be negative"
-            )
-        if not all(0 <= earlier < number for earlier in phase.after):
-            raise InvalidJobError(
-                f"phase {number}: after must name earlier phases, "
-                f"got {phase.after}"
-            )
+    try:
+        job_limits.check(workflow)
+    except job_limits.JobRangeError as error:
+        phase = "" if error.step is None else f"phase {error.step}: "
+        field = _WIRE_NAMES.get(error.field, error.field)
+        raise InvalidJobError(f"{phase}{field}: {error.reason}") from error
+    return workflow
 
 
 def _to_step(phase: _Phase) -> spec.Step:
@@ -144,7 +139,7 @@
             memory_mb=phase.mem_mb,
             accelerators=phase.gpu,
         ),
-        estimate_ms=int(phase.estimate_ms),
+        estimate_ms=math.floor(phase.estimate_ms),
         after=phase.after,
         gang=phase.gang,
         one_rack=phase.rack_local,
@@ -155,7 +150,7 @@
         speculative=phase.speculative,
         lasting=phase.long_running,
         image=phase.image,
-        goal_ms=int(phase.goal_ms),
+        goal_ms=math.floor(phase.goal_ms),
         fills=phase.fills,
         max_unavailable=phase.may_miss,
     )
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -230,6 +230,79 @@
             with self.assertRaises(job_bodies.InvalidJobError, msg=body):
                 job_bodies.decode_job(JOB, body)
 
+    def test_values_out_of_range_are_rejected_by_name(self) -> None:
+        beyond_64_bits = 1 << 64
+        invalid_jobs = {
+            "spec": {"spec": "\u00e4" * 2_001},
+            "phases": {"phases": [{"count": 1}] * 1_001},
+            "repeats": {"repeats": 100_001},
+            "first_ms": {"first_ms": beyond_64_bits},
+            "interval_ms": {"interval_ms": -1},
+            "count": {"phases": [{"count": 10_000}] * 11},
+        }
+        for name, fields in invalid_jobs.items():
+            self.assert_rejected(name, fields)
+        invalid_phases = (
+            {"count": 10_001},
+            {"cpu": -1},
+            {"mem_mb": beyond_64_bits},
+            {"gpu": beyond_64_bits},
+            {"estimate_ms": 1e308},
+            {"estimate_ms": beyond_64_bits},
+            {"estimate_ms": -5_000},
+            {"estimate_ms": -0.5},
+            {"goal_ms": -1},
+            {"goal_ms": 1e20},
+            {"anti_affinity": -1},
+            {"may_miss": -1},
+            {"after": [0]},
+        )
+        for phase in invalid_phases:
+            (name,) = phase
+            self.assert_rejected(
+                f"phase 0: {name}", {"phases": [{"count": 1, **phase}]}
+            )
+
+    def assert_rejected(self, place: str, fields: dict[str, object]) -> None:
+        body = {"spec": "x", "phases": [{"count": 1}], **fields}
+        with (
+            self.subTest(place),
+            self.assertRaisesRegex(
+                job_bodies.InvalidJobError, f"^{place}: expected"
+            ),
+        ):
+            job_bodies.decode_job(JOB, msgspec.json.encode(body))
+
+    def test_largest_valid_values_are_accepted_and_can_be_recorded(
+        self,
+    ) -> None:
+        largest = (1 << 63) - 1
+        phase = {
+            "count": 10_000,
+            "cpu": largest,
+            "mem_mb": largest,
+            "gpu": largest,
+            "estimate_ms": 9e18,
+            "goal_ms": 0.25,
+            "anti_affinity": largest,
+            "may_miss": largest,
+        }
+        jobs = (
+            {"phases": [phase], "repeats": 100_000, "interval_ms": largest},
+            {"phases": [{"count": 1}] * 1_000, "first_ms": -largest},
+            {"phases": [{"count": 1, "estimate_ms": 1_200.75}]},
+            {"phases": [{"count": 1, "estimate_ms": 0.5}], "repeats": 0},
+        )
+        for fields in jobs:
+            body = msgspec.json.encode({"spec": "y" * 4_000, **fields})
+            workflow = job_bodies.decode_job(JOB, body)
+            self.assertEqual(
+                workflow,
+                msgspec.msgpack.decode(
+                    msgspec.msgpack.encode(workflow), type=spec.Workflow
+                ),
+            )
+
     def test_only_16_lowercase_hexadecimal_digits_are_a_job_id(self) -> None:
         self.assertTrue(job_bodies.is_job_id(JOB))
         for text in ("", "5C0E7A21D94B36F8", JOB + "0", "x" * 16):
