--- a/citronmount/platform/runner_client.py
+++ b/citronmount/platform/runner_client.py
@@ -1,7 +1,6 @@
 """Client that sends commands to the platform's runners."""
 
 import http
-import typing
 
 import msgspec
 from twisted.internet import defer
@@ -10,6 +9,7 @@
 from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import commands
+from citronmount.platform import wire_types
 from citronmount.workflow import units
 
 __all__ = ["RunnerClient"]
@@ -75,14 +75,24 @@
     """`granted` has rows of worker and ticket."""
 
     granted: list[tuple[str, str]]
-    valid_ms: float
+    valid_ms: wire_types.Milliseconds
 
 
 class _CommandResponse(msgspec.Struct):
-    clock_ms: int | None = None
+    clock_ms: wire_types.Int64 | None = None
     reason: str = ""
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A running task; a runner may leave out the load."""
+
+    task: str
+    run: wire_types.Int64
+    saved: str | None
+    percent: float
+    load: float | None = None
+
+
 class _LeaseReport(msgspec.Struct):
     """The tasks that run on a runner and those that ended.
 
@@ -91,10 +101,12 @@
     of the runner's incarnation.
     """
 
-    clock_ms: int
-    born: int | None = None
-    running: list[list[typing.Any]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
+    clock_ms: wire_types.Int64
+    born: wire_types.Int64 | None = None
+    running: list[_RunningRow] = []
+    finished: list[
+        tuple[wire_types.Int64, str, wire_types.Int64, str, str]
+    ] = []
 
 
 class RunnerClient:
@@ -270,14 +282,13 @@
     )
 
 
-def _to_running_task(row: list[typing.Any]) -> commands.RunningTask:
-    task, run, saved, percent, *load = row
+def _to_running_task(row: _RunningRow) -> commands.RunningTask:
     return commands.RunningTask(
-        task=units.TaskName(task),
-        run=run,
-        saved=saved,
-        percent=percent,
-        load=load[0] if load and load[0] is not None else 0,
+        task=units.TaskName(row.task),
+        run=row.run,
+        saved=row.saved or "",
+        percent=row.percent,
+        load=row.load or 0,
     )
 
 
--- a/citronmount/platform/tests/test_runner_client.py
+++ b/citronmount/platform/tests/test_runner_client.py
@@ -1,6 +1,7 @@
 from collections.abc import Coroutine
 import unittest
 
+import msgspec
 from twisted.internet import defer
 
 from citronmount.clients import http_client
@@ -93,6 +94,33 @@
                 result_of(client.stop(STOP, 100)),
             )
 
+    def test_report_with_a_value_of_a_wrong_type_is_no_report(self) -> None:
+        rows = {
+            "running": [["j.0.0.0", 1, "", 50]],
+            "finished": [[1, "j.0.0.0", 1, "done", ""]],
+        }
+        report = {"clock_ms": 5, "born": 1, **rows}
+        client = make_client(msgspec.json.encode(report))
+        decoded = result_of(client.renew_leases(RENEWAL, 100))
+        self.assertEqual(0, decoded.running[0].load)
+        invalid_fields = (
+            {"clock_ms": 1 << 64},
+            {"born": 1 << 64},
+            {"running": [["j.0.0.0", 1, "", "half"]]},
+            {"running": [["j.0.0.0", 1 << 64, "", 50]]},
+            {"running": [[7, 1, "", 50]]},
+            {"running": [["j.0.0.0"]]},
+            {"finished": [[1 << 64, "j.0.0.0", 1, "done", ""]]},
+            {"finished": [[1, "j.0.0.0", 1, "odd", ""]]},
+        )
+        for fields in invalid_fields:
+            client = make_client(msgspec.json.encode({**report, **fields}))
+            with self.subTest(fields):
+                self.assertIs(
+                    commands.StopOutcome.UNKNOWN,
+                    result_of(client.renew_leases(RENEWAL, 100)),
+                )
+
     def test_unreadable_report_is_no_report(self) -> None:
         for body in self.bodies:
             self.assertIs(
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -8,6 +8,7 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
+from citronmount.platform import wire_types
 from citronmount.workflow import spec
 
 __all__ = ["decode"]
@@ -22,9 +23,9 @@
 
 
 class _Resources(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: wire_types.Int64 = 0
+    mem_mb: wire_types.Int64 = 0
+    gpu: wire_types.Int64 = 0
 
 
 class _RunnerEntry(msgspec.Struct):
@@ -36,9 +37,9 @@
     state: str
     free_resources: _Resources
     labels: list[str]
-    born: int
+    born: wire_types.Int64
     host_machine: str = ""
-    remaining_ms: int | None = None
+    remaining_ms: wire_types.Int64 | None = None
 
 
 class _Route(msgspec.Struct):
@@ -52,17 +53,17 @@
     host: str
     path_prefix: str
     backend: str
-    timeout_ms: int = 3_000
-    slo_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: wire_types.Int64 = 3_000
+    slo_ms: wire_types.Milliseconds = 0
+    priority: wire_types.Int64 = 0
+    max_attempts: wire_types.Int64 = 1
     slack_factor: float = 1.0
     public: bool = False
     advice: dict[str, float] | None = None
 
 
 class _Guaranteed(msgspec.Struct):
-    gpu: int = 0
+    gpu: wire_types.Int64 = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -72,7 +73,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: wire_types.Int64
     routes: list[_Route] = []
     tenants: list[_Tenant] = []
 
--- /dev/null
+++ b/citronmount/platform/wire_types.py
@@ -0,0 +1,16 @@
+"""Types of numbers on the wire that fit into the records of the job topic."""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = ["Int64", "Milliseconds"]
+
+_MIN = -(1 << 63)
+_MAX = (1 << 63) - 1
+
+Int64 = Annotated[int, msgspec.Meta(ge=_MIN, le=_MAX)]
+# May be fractions; the largest float below the limit of `Int64`.
+Milliseconds = Annotated[
+    float, msgspec.Meta(ge=float(_MIN), le=float(_MAX - 1_023))
+]
