Answer a call that raises an unexpected error with 500

Cause: header values that are not UTF-8, a deadline of superscript or of 5,000 digits raised an error in the handler; any unexpected error left no log line of ours.

Change: headers are decoded with replacement, a deadline is 1 to 18 ASCII digits and otherwise ignored, and an unexpected error ends one call with status 500 and its traceback in the log.

--- a/citronmount/platform/job_api.py
+++ b/citronmount/platform/job_api.py
@@ -1,9 +1,11 @@
 """The HTTP interface that clients of the platform call."""
 
+import re
 import time
 
 import klein
 import structlog
+from twisted.internet import defer
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import resource
@@ -22,6 +24,7 @@
 MAX_LOGGED_PATH_LENGTH = 200
 
 _MS_PER_S = 1_000
+_DEADLINE = re.compile(r"[0-9]{1,18}")
 
 _STATUSES = {
     job_service.RequestOutcome.DONE: http.OK,
@@ -58,7 +61,13 @@
         request.setHeader("content-type", "application/json")
         start_s = time.monotonic()
         configuration = self._service.configuration
-        body = await self._dispatch(request, configuration)
+        try:
+            body = await self._dispatch(request, configuration)
+        except defer.CancelledError:  # The client has disconnected
+            raise
+        except Exception:
+            structlog.get_logger().exception("call_failed")
+            body = _refuse(request, http.INTERNAL_SERVER_ERROR)
         if self.closing or request.code == http.SERVICE_UNAVAILABLE:
             close_after_response(request)
         if request.code >= http.BAD_REQUEST:
@@ -86,7 +95,7 @@
         queue = configuration.queue_at(_host_name(request), path)
         if queue is None:
             return _refuse(request, http.NOT_FOUND)
-        key = request.getHeader(API_KEY_HEADER) or ""
+        key = _header(request, API_KEY_HEADER)
         account = configuration.authenticate(queue, key)
         if account is None:
             return _refuse(request, http.UNAUTHORIZED)
@@ -167,15 +176,21 @@
 
 
 def _host_name(request: iweb.IRequest) -> str:
-    return (request.getHeader("host") or "").partition(":")[0]
+    return _header(request, "host").partition(":")[0]
+
+
+def _header(request: iweb.IRequest, name: str) -> str:
+    """Returns the value of a header, which may be any bytes, or empty."""
+    value = request.getHeader(name.encode("ascii")) or b""
+    return value.decode("utf-8", "replace")
 
 
 def _timeout_ms(
     request: iweb.IRequest, queue: fleet_configuration.Queue
 ) -> int:
     """Returns the client's deadline in ms, at most the queue's limit."""
-    deadline = request.getHeader(DEADLINE_HEADER) or ""
-    if not deadline.isdigit():
+    deadline = _header(request, DEADLINE_HEADER)
+    if not _DEADLINE.fullmatch(deadline):
         return queue.timeout_ms
     return min(int(deadline), queue.timeout_ms)
 
--- a/citronmount/platform/tests/test_job_api.py
+++ b/citronmount/platform/tests/test_job_api.py
@@ -1,7 +1,9 @@
 import types
 import unittest
+from unittest import mock
 
 import msgspec
+import structlog
 import treq.testing
 from twisted.internet import defer
 
@@ -31,7 +33,7 @@
         method: str,
         path: str,
         body: bytes = b"",
-        headers: dict[str, str] = HEADERS,
+        headers: dict[str, str | bytes] = HEADERS,
     ) -> tuple[int, dict]:
         requested = self.http.request(
             method, f"http://h.example{path}", data=body, headers=headers
@@ -82,6 +84,39 @@
                 self.assertEqual(status, code)
         self.assertEqual([], self.pool_workers.starts)
 
+    def test_headers_of_any_bytes_are_answered(self) -> None:
+        path = f"/batch/{JOB}"
+        status, _ = self.call("GET", path, headers={"X-Api-Key": b"\xff"})
+        self.assertEqual(401, status)
+        deadlines = (b"\xff", "\u00b2", "\u0664", "9" * 5_000, "-1", "")
+        for number, deadline in enumerate(deadlines):
+            status, _ = self.call(
+                "POST",
+                f"/batch/{number:016x}",
+                msgspec.json.encode({"spec": "", "phases": [{"count": 0}]}),
+                {**HEADERS, "Citronmount-Deadline-Ms": deadline},
+            )
+            self.assertEqual(400, status, deadline)
+            self.steps[f"{number:016x}", 0] = pool_fixture.make_step()
+            status, _ = self.call(
+                "POST",
+                f"/batch/{number:016x}",
+                BODY,
+                {**HEADERS, "Citronmount-Deadline-Ms": deadline},
+            )
+            self.assertEqual(200, status, deadline)
+
+    def test_unexpected_error_ends_one_call_with_a_log_line(self) -> None:
+        path = f"/batch/{JOB}"
+        service = self.pool_vms[1].job_service
+        with (
+            mock.patch.object(service, "submit", side_effect=KeyError("odd")),
+            structlog.testing.capture_logs() as events,
+        ):
+            self.assertEqual(500, self.call("POST", path, BODY)[0])
+        self.assertIn("call_failed", [each["event"] for each in events])
+        self.assertEqual(200, self.call("POST", path, BODY)[0])
+
     def test_refusal_by_the_log_sets_retry_after(self) -> None:
         self.log.faults[ids.VmId("vm1")] = pool_log.LogFault.REFUSES
         self.assertEqual(503, self.call("POST", f"/batch/{JOB}", BODY)[0])
