Let an error of one command end that command only

Cause: an error in the send or the decoding of one command made the owner release the pool. An error in a step ended the periodic calls of the owner, which kept the pool without acting on time-outs. A late answer to a former owner of the same VM could release the new one.

Change: CommandSender, moved out of OwnerLoop, takes an error of a command for no answer. An error in a step or in the handling of an answer, which may leave the state inconsistent, releases the pool; one of a former owner is only logged.

--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -11,12 +11,12 @@
 
 from citronmount.core import errors
 from citronmount.core import ids
-from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet import owner_state
 from citronmount.fleet import pool_owner
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
+from citronmount.fleet_service import command_sender
 from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import ports
 from citronmount.workflow import job_views
@@ -29,11 +29,6 @@
 APPEND_TIMEOUT_MS = 800
 APPEND_RETRY_MS = 100
 MAX_APPEND_RECORDS = 1_000
-# For the first attempt to start a run and for all later ones.
-START_TIMEOUTS_MS = (200, 400)
-STOP_TIMEOUT_MS = 600
-RENEWAL_TIMEOUT_MARGIN_MS = 600
-ADVICE_TIMEOUT_MS = 3_000
 TAKEOVER_RETRY_MS = 200
 FOLLOWER_READ_INTERVAL_MS = 1_000
 OWNER_READ_WAIT_MS = 200
@@ -91,7 +86,12 @@
         self.active = False
         self._clock = clock
         self._log = log
-        self._worker_commands = worker_commands
+        self._sender = command_sender.CommandSender(
+            clock=clock,
+            worker_commands=worker_commands,
+            on_answer=self.schedule_step,
+            on_fault=self._on_owner_fault,
+        )
         self._job_view = job_view
         self._job_tail = job_tail
         self._worker_tail = worker_tail
@@ -271,8 +271,13 @@
         if owner.fenced:
             self._step_down("fenced_by_worker")
             return
-        for command in owner.step(self._now_ms(), self._wall_clock()):
-            self._send(owner, command)
+        try:
+            due_commands = owner.step(self._now_ms(), self._wall_clock())
+        except Exception:
+            self._on_owner_fault(owner, failure.Failure())
+            return
+        for command in due_commands:
+            self._sender.send(owner, command)
         self._append(owner)
 
     def _append(self, owner: pool_owner.PoolOwner) -> None:
@@ -284,7 +289,7 @@
         self._appending = True
         self._sequence += 1
         append = defer.ensureDeferred(self._append_entries(owner, entries))
-        append.addErrback(self._on_fault)
+        append.addErrback(lambda reason: self._on_owner_fault(owner, reason))
 
     async def _append_entries(
         self, owner: pool_owner.PoolOwner, entries: list[owner_state.LogEntry]
@@ -329,66 +334,23 @@
                 self._step()
             return
 
-    def _send(
-        self, owner: pool_owner.PoolOwner, command: commands.Command
-    ) -> None:
-        match command:
-            case commands.Start():
-                call = self._start(owner, command)
-            case commands.Stop():
-                call = self._stop(owner, command)
-            case commands.RenewLeases():
-                call = self._renew_leases(owner, command)
-            case commands.RequestAdvice():
-                call = self._request_advice(owner, command)
-        defer.ensureDeferred(call).addErrback(self._on_fault)
-
-    async def _start(
-        self, owner: pool_owner.PoolOwner, command: commands.Start
-    ) -> None:
-        attempt = min(command.attempt, len(START_TIMEOUTS_MS))
-        outcome, clock_ms = await self._worker_commands.start(
-            command, START_TIMEOUTS_MS[attempt - 1]
-        )
-        owner.reports.start_answered(command, outcome, clock_ms, self._now_ms())
-        self.schedule_step()
-
-    async def _stop(
-        self, owner: pool_owner.PoolOwner, command: commands.Stop
-    ) -> None:
-        outcome, clock_ms = await self._worker_commands.stop(
-            command, STOP_TIMEOUT_MS
-        )
-        owner.reports.stop_answered(command, outcome, clock_ms, self._now_ms())
-        self.schedule_step()
+    def _now_ms(self) -> int:
+        return int(self._clock.seconds() * _MS_PER_S)
 
-    async def _request_advice(
-        self, owner: pool_owner.PoolOwner, command: commands.RequestAdvice
+    def _on_owner_fault(
+        self, owner: pool_owner.PoolOwner, reason: failure.Failure
     ) -> None:
-        answer = await self._worker_commands.request_advice(
-            command, ADVICE_TIMEOUT_MS
-        )
-        owner.reports.advice_answered(command, answer, self._now_ms())
-        self.schedule_step()
+        """Releases the pool unless the failed owner was replaced already.
 
-    async def _renew_leases(
-        self, owner: pool_owner.PoolOwner, command: commands.RenewLeases
-    ) -> None:
-        sent_ms = self._now_ms()
-        answer = await self._worker_commands.renew_leases(
-            command, command.wait_ms + RENEWAL_TIMEOUT_MARGIN_MS
-        )
-        if isinstance(answer, commands.LeaseReport):
-            owner.reports.renewal_answered(
-                command, answer, sent_ms, self._now_ms()
-            )
+        An error in the midst of a decision may leave the state of the owner
+        inconsistent; the next owner builds its own from the log.
+        """
+        if owner is self._owner:
+            self._on_fault(reason)
         else:
-            fenced = answer is commands.StopOutcome.FENCED
-            owner.reports.renewal_failed(command, fenced, self._now_ms())
-        self.schedule_step()
-
-    def _now_ms(self) -> int:
-        return int(self._clock.seconds() * _MS_PER_S)
+            self._logger.error(
+                "former_owner_fault", error=reason.getTraceback()
+            )
 
     def _on_fault(self, reason: failure.Failure) -> None:
         """Logs an internal error and releases the pool."""
