Skip one record whose values no owner can use

Cause: a submission that names a later step, a slack factor that is not a number, a unit that the job does not have or a speed of 1e308 was folded and raised an error in the plan or the takeover of each owner in turn; a queue with slack_factor 1e308 likewise. An error in the fold of one record skipped the rest of its page.

Change: records.decode checks the values that owners rely on, the job view ignores records of impossible units, and PoolVm handles records one by one, each error with a log line.

--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import functools
+import typing
 
 import structlog
 from twisted.internet import interfaces
@@ -28,6 +30,7 @@
 
 _MS_PER_S = 1_000
 
+_Result = typing.TypeVar("_Result")
 Decoder = Callable[[ports.Topic, ports.LogRecord], ports.LogEvent | None]
 
 
@@ -192,8 +195,7 @@
         self._fold(log_records)
 
     def _fold(self, log_records: Sequence[ports.LogRecord]) -> None:
-        changed = [self._fold_one(log_record) for log_record in log_records]
-        if any(changed):
+        if any(self._handle_each(log_records, self._fold_one)):
             self._owner.mark_changed()
         self._owner.check_epoch()
 
@@ -213,10 +215,30 @@
 
     def _decode_events(
         self, topic: ports.Topic, log_records: Iterable[ports.LogRecord]
-    ) -> Iterable[ports.LogEvent]:
-        events = (self._decode(topic, log_record) for log_record in log_records)
+    ) -> list[ports.LogEvent]:
+        events = self._handle_each(
+            log_records, functools.partial(self._decode, topic)
+        )
         return [event for event in events if event is not None]
 
+    def _handle_each(
+        self,
+        log_records: Iterable[ports.LogRecord],
+        handle: Callable[[ports.LogRecord], _Result],
+    ) -> list[_Result]:
+        """Handles records in order; one that raises an error is skipped."""
+        results = []
+        for log_record in log_records:
+            try:
+                results.append(handle(log_record))
+            except Exception:
+                self._logger.exception(
+                    "record_skipped",
+                    key=log_record.key,
+                    offset=log_record.offset,
+                )
+        return results
+
     def _replace_configuration(
         self, log_records: Sequence[ports.LogRecord]
     ) -> None:
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -184,6 +184,8 @@
         for field, value in (
             ("slo_ms", 1e308),
             ("slo_ms", -1e19),
+            ("slack_factor", 1e308),
+            ("slack_factor", -1),
             ("priority", 1 << 64),
             ("max_attempts", 1 << 64),
             ("timeout_ms", -(1 << 64)),
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -57,7 +57,7 @@
     slo_ms: wire_types.Milliseconds = 0
     priority: wire_types.Int64 = 0
     max_attempts: wire_types.Int64 = 1
-    slack_factor: float = 1.0
+    slack_factor: wire_types.SlackFactor = 1.0
     public: bool = False
     advice: dict[str, float] | None = None
 
--- a/citronmount/platform/wire_types.py
+++ b/citronmount/platform/wire_types.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-__all__ = ["Int64", "Milliseconds"]
+from citronmount.workflow import job_limits
+
+__all__ = ["Int64", "Milliseconds", "SlackFactor"]
 
 _MIN = -(1 << 63)
 _MAX = (1 << 63) - 1
@@ -14,3 +16,6 @@
 Milliseconds = Annotated[
     float, msgspec.Meta(ge=float(_MIN), le=float(_MAX - 1_023))
 ]
+SlackFactor = Annotated[
+    float, msgspec.Meta(ge=0, le=job_limits.MAX_SLACK_FACTOR)
+]
--- a/citronmount/workflow/job_limits.py
+++ b/citronmount/workflow/job_limits.py
@@ -7,7 +7,7 @@
 from citronmount.core import errors
 from citronmount.workflow import spec
 
-__all__ = ["JobRangeError", "check", "check_structure"]
+__all__ = ["JobRangeError", "check", "check_structure", "check_terms"]
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 1_000
@@ -18,6 +18,7 @@
 # Records hold integers of 64 bits.
 MAX_INTEGER = (1 << 63) - 1
 MIN_INTEGER = -(1 << 63)
+MAX_SLACK_FACTOR = 1e9
 
 _JOB_RANGES = {
     "occurrences": (0, MAX_OCCURRENCES),
@@ -109,6 +110,20 @@
             )
 
 
+def check_terms(terms: spec.QueueTerms) -> None:
+    """Checks that the objective of a queue's jobs can be computed.
+
+    Raises:
+        JobRangeError: The slack factor is not a number or out of range.
+    """
+    if not 0 <= terms.slack_factor <= MAX_SLACK_FACTOR:
+        raise JobRangeError(
+            field="slack_factor",
+            reason=f"expected 0 to {MAX_SLACK_FACTOR:.0e}, "
+            f"got {terms.slack_factor}",
+        )
+
+
 def _check_ranges(
     part: msgspec.Struct,
     ranges: Mapping[str, tuple[int, int]],
--- a/citronmount/workflow/job_views.py
+++ b/citronmount/workflow/job_views.py
@@ -191,10 +191,10 @@
     def _apply_unit_change(
         self, offset: int, record: records.UnitChanged
     ) -> bool:
-        """Folds the record of a unit; ignores it if the job lacks the step."""
+        """Folds the record of a unit; ignores one that the job cannot have."""
         key = units.UnitKey.parse(record.unit)
         entry = self.jobs.get(key.job)
-        if entry and key.step >= len(entry.submission.workflow.steps):
+        if entry and not _is_possible(record, key, entry.submission.workflow):
             return False
         return self._apply_change(key.job, offset, record)
 
@@ -225,3 +225,17 @@
         """
         if job not in self.finished:
             self._deferred.setdefault(job, []).append((offset, record))
+
+
+def _is_possible(
+    record: records.UnitChanged, key: units.UnitKey, workflow: spec.Workflow
+) -> bool:
+    """Returns whether a job has a unit and the tasks that its record names."""
+    if not key.exists_in(workflow):
+        return False
+    step = workflow.steps[key.step]
+    tasks = step.tasks if step.gang else 1
+    positions = record.task_positions
+    return len(record.places) <= tasks and all(
+        0 <= position < tasks for position in positions
+    )
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -11,6 +11,7 @@
 
 from citronmount.core import errors
 from citronmount.core import ids
+from citronmount.workflow import job_limits
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
@@ -171,6 +172,8 @@
 
 OWNER_KEY = "o"
 SPEEDS_KEY = "w"
+# A factor of 22,000 between two machines.
+MAX_LOG_SPEED = 10.0
 
 _ENCODER = msgspec.msgpack.Encoder()
 _RECORD_DECODER = msgspec.msgpack.Decoder(
@@ -264,13 +267,32 @@
         record = decoder.decode(value)
     except errors.DECODING_ERRORS as error:
         raise UnreadableRecordError(f"record {key}: {error}") from error
-    if isinstance(record, UnitChanged):
-        try:
-            units.UnitKey.parse(record.unit)
-        except ValueError as error:
-            raise UnreadableRecordError(f"record {key}: {error}") from error
+    try:
+        _check_values(record)
+    except (ValueError, errors.InvalidInputError) as error:
+        raise UnreadableRecordError(f"record {key}: {error}") from error
     if key_of(record) != key:
         raise UnreadableRecordError(
             f"record {key}: the value is a record of another key"
         )
     return record
+
+
+def _check_values(record: Record) -> None:
+    """Checks the values of a decoded record that an owner relies on.
+
+    Raises:
+        ValueError: A unit id or a number is invalid.
+        JobRangeError: The steps of a job are invalid.
+    """
+    match record:
+        case UnitChanged(unit=unit):
+            units.UnitKey.parse(unit)
+        case Submitted(submission=submission):
+            job_limits.check_structure(submission.workflow)
+            job_limits.check_terms(submission.terms)
+        case SpeedsLearned(logs=logs):
+            if not all(abs(each) <= MAX_LOG_SPEED for each in logs.values()):
+                raise ValueError(
+                    f"expected logarithms of speeds up to {MAX_LOG_SPEED}"
+                )
--- a/citronmount/workflow/units.py
+++ b/citronmount/workflow/units.py
@@ -1,6 +1,7 @@
 """Units of scheduling: a whole gang or a single task."""
 
 import functools
+import re
 import typing
 
 import msgspec
@@ -21,6 +22,8 @@
 UnitId = typing.NewType("UnitId", str)
 
 _WHOLE_GANG = -1
+_NUMBER = r"(0|[1-9][0-9]{0,17})"
+_UNIT_ID = re.compile(rf"([^.]*)\.{_NUMBER}\.{_NUMBER}(?:\.{_NUMBER})?")
 
 
 class UnitKey(msgspec.Struct, frozen=True, kw_only=True, dict=True):
@@ -69,18 +72,30 @@
         Raises:
             ValueError: The text is not a unit id.
         """
-        job, occurrence, step, *index = unit.split(".")
-        if len(index) > 1:
+        match = _UNIT_ID.fullmatch(unit)
+        if match is None:
             raise ValueError(
                 f"expected JOB.OCCURRENCE.STEP[.INDEX], got {unit!r}"
             )
+        job, occurrence, step, index = match.groups()
         return cls(
             job=ids.JobId(job),
             occurrence=int(occurrence),
             step=int(step),
-            index=int(index[0]) if index else _WHOLE_GANG,
+            index=_WHOLE_GANG if index is None else int(index),
         )
 
+    def exists_in(self, workflow: spec.Workflow) -> bool:
+        """Returns whether a job has this unit."""
+        if self.occurrence >= workflow.occurrence_count:
+            return False
+        if self.step >= len(workflow.steps):
+            return False
+        step = workflow.steps[self.step]
+        if step.gang or self.index == _WHOLE_GANG:
+            return step.gang and self.index == _WHOLE_GANG
+        return self.index < step.tasks
+
 
 def units_of_step(
     job: ids.JobId, occurrence: int, step_index: int, step: spec.Step
