Keep watching the settings file after an unexpected error

Cause: an error of another type than SettingsError in a reload ended the periodic check of the settings file until the restart of the process, so a new address of the log was not noticed.

Change: such an error leaves the settings as they are, with its traceback in the log.

Result: the test fails before the change and passes after it.

--- a/citronmount/fleet_service/settings_reloader.py
+++ b/citronmount/fleet_service/settings_reloader.py
@@ -55,6 +55,9 @@
         except vm_settings.SettingsError as error:
             logger.warning("reload_failed", error=str(error))
             return
+        except Exception:
+            logger.exception("reload_failed")
+            return
         changed = [
             name
             for name in new_settings.__struct_fields__
--- a/citronmount/fleet_service/tests/test_settings_reloader.py
+++ b/citronmount/fleet_service/tests/test_settings_reloader.py
@@ -41,6 +41,8 @@
 
     def load(self, path: str) -> vm_settings.VmSettings:
         self.reads += 1
+        if self.path.read_text() == "unexpected":
+            raise RecursionError("nested")
         if self.path.read_text() == "bad":
             raise vm_settings.SettingsError("bad")
         return self.new_settings
@@ -58,8 +60,10 @@
         self.assertEqual(["127.0.0.1:9"], self.addresses)
 
     def test_invalid_file_leaves_the_settings_unchanged(self) -> None:
-        self.path.write_text("bad")
-        self.reloader.reload()
+        for text in ("bad", "unexpected"):
+            self.path.write_text(text)
+            self.reloader.check()
+        self.assertEqual(2, self.reads)
         self.assertEqual([], self.addresses)
 
 
