Renew leases sooner after a worker was silent

Cause: while a worker does not answer, each renewal waited up to 1 s for an end and timed out after 1.6 s, so after the end of a silence of 3 s its leases of 5 s could lapse before a renewal reached it, and its running tasks were started again elsewhere.

Change: a renewal after an unanswered one asks for an immediate answer and times out after 0.6 s.

--- a/citronmount/fleet/workers/lease_sessions.py
+++ b/citronmount/fleet/workers/lease_sessions.py
@@ -157,7 +157,8 @@
         while a renewal is pending. Leases are renewed only for a worker that
         may hold tasks and answered within `LeasePolicy.trust_ms`. The worker
         must answer immediately if ends are unresolved, if it has not answered
-        before or if it holds no tasks.
+        before, if it left the last renewal unanswered or if it holds no tasks.
+        After a silence its leases are then renewed as soon as possible.
 
         Args:
             now_ms: Monotonic time in milliseconds.
@@ -180,6 +181,7 @@
         renews = self.has_answered and self.task_count and trusted
         no_wait = (
             self._unresolved_ends
+            or self.unanswered_renewals
             or not self.has_answered
             or not self.task_count
         )
