--- a/citronmount/fleet_service/tests/process_fixture.py
+++ b/citronmount/fleet_service/tests/process_fixture.py
@@ -81,11 +81,13 @@
     """Runs tests on a pool with a process for each VM.
 
     Attributes:
-        processes: The processes, in the order of the VMs.
+        processes: The processes that exist.
+        process_of: The newest process of each VM.
     """
 
     def setUp(self) -> None:
         self.processes: list[Process] = []
+        self.process_of: dict[int, Process] = {}
         super().setUp()
 
     def make_vm(
@@ -96,6 +98,7 @@
         process = Process()
         process.follow(self.clock.seconds())
         self.processes.append(process)
+        self.process_of[number] = process
         client = pool_log.PoolLogClient(
             log=self.log, vm=ids.VmId(f"vm{number}")
         )
