--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -1,7 +1,7 @@
 """Soak test of real VM processes on loopback with seeded random faults.
 
 python -m citronmount.platform.tests.soak --seed 1 --seconds 20 [--vms 4]
-    [--large-configuration]
+    [--large-configuration] [--quotas]
 
 Exit status 0: no violation; 1: prints the violations, the injected faults and
 the folder with the logs of the VMs.
@@ -32,6 +32,7 @@
 from citronmount.platform.tests import loopback_site
 from citronmount.platform.tests import soak_configuration
 from citronmount.platform.tests import soak_faults
+from citronmount.platform.tests import soak_quotas
 from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
 from citronmount.workflow import spec
@@ -98,6 +99,7 @@
         folder: str,
         vm_count: int = DEFAULT_VMS,
         large_configuration: bool = False,
+        quotas: bool = False,
     ) -> None:
         self.seed = seed
         self.large_configuration = large_configuration
@@ -110,6 +112,7 @@
         self.pool = pool_workers.PoolWorkers(
             clock=reactor, plan_task=self.plan_run
         )
+        self.quotas = soak_quotas.QuotaCheck(pool=self.pool) if quotas else None
         self.http = http_client.HttpClient(reactor=reactor)
         self.proxies: list[loopback_site.FaultyProxy] = []
         self.client_addresses: list[str] = []
@@ -152,6 +155,8 @@
             self.processes[number].terminate()
         await loopback_site.sleep(VM_STOP_S)
         self.check_exits()
+        if self.quotas is not None:
+            self.violations += self.quotas.violations
         return self.violations + self.pool.violations
 
     def set_up(self) -> None:
@@ -171,7 +176,10 @@
             "slack_factor": 3.0,
         }
         tenant = {"name": "t", "api_keys": ["key"], "guaranteed": {"gpu": 0}}
-        content = {"version": 1, "routes": [route], "tenants": [tenant]}
+        tenants = [tenant]
+        if self.quotas is not None:
+            tenants = soak_quotas.make_tenants(DEMAND)
+        content = {"version": 1, "routes": [route], "tenants": tenants}
         record = ("config", msgspec.json.encode(content))
         self.log.append_records(ports.Topic.CONFIGURATION, [record])
         for number in range(self.vm_count):
@@ -267,6 +275,11 @@
         task_count = self.rng.choice((1, 1, 2, 4))
         gang = task_count > 1 and self.rng.random() < 0.6
         self.gang_sizes[job] = task_count if gang else 1
+        key = HEADERS["X-Api-Key"]
+        if self.quotas is not None:
+            account = self.rng.choice(list(soak_quotas.KEYS))
+            self.quotas.account_of[job] = account
+            key = soak_quotas.KEYS[account]
         phase = {
             "count": task_count,
             "gang": gang,
@@ -278,7 +291,7 @@
         body = msgspec.json.encode({"spec": "x", "phases": [phase]})
         refusals = 0
         for attempt in range(4):
-            status, _ = await self.call("POST", job, body)
+            status, _ = await self.call("POST", job, body, key)
             if status == 200:
                 self.submissions[job] = ""
                 return
@@ -290,7 +303,11 @@
             self.submissions[job] = "refused"
 
     async def call(
-        self, method: str, job: str, body: bytes | None = None
+        self,
+        method: str,
+        job: str,
+        body: bytes | None = None,
+        key: str = HEADERS["X-Api-Key"],
     ) -> tuple[int, bytes]:
         address = self.rng.choice(self.client_addresses)
         try:
@@ -299,7 +316,7 @@
                 address,
                 QUEUE_PREFIX + job,
                 3_000,
-                headers=HEADERS,
+                headers={**HEADERS, "X-Api-Key": key},
                 body=body,
             )
         except http_client.NoAnswerError:
@@ -347,6 +364,8 @@
         If the owner or a worker of a gang is killed, frozen or silent during
         the gang's start, its members wait for others that are never started.
         """
+        if self.quotas is not None:
+            self.quotas.check()
         new = self.pool.violations[self.checked :]
         calm_s = 0 if self.open_faults else reactor.seconds() - self.fault_end_s
         recent = calm_s < pool_workers.GANG_TIMEOUT_MS / 1_000 + GANG_MARGIN_S
@@ -424,6 +443,7 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--vms", type=int, default=DEFAULT_VMS)
     parser.add_argument("--large-configuration", action="store_true")
+    parser.add_argument("--quotas", action="store_true")
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix=f"soak-{args.seed}-")
     soak = Soak(
@@ -432,6 +452,7 @@
         folder=folder,
         vm_count=args.vms,
         large_configuration=args.large_configuration,
+        quotas=args.quotas,
     )
     results: list[object] = []
 
@@ -456,6 +477,8 @@
             soak.configuration.checks,
         )
         print(f"{published} configurations published, {checks} checks")
+    if soak.quotas is not None:
+        print(f"at most {soak.quotas.max_tasks} tasks of the limited account")
     if result == []:
         print("no violations")
         return 0
