--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -16,6 +16,8 @@
 from citronmount.service import daemon
 from citronmount.workflow import spec
 
+# Nesting that exceeds the recursion limit of the decoders, in an unknown field.
+NESTED = b'{"unknown":' + b"[" * 3_000 + b"]" * 3_000 + b"}"
 JOB = ids.JobId("5c0e7a21d94b36f8")
 SETTINGS = b"""
 node_name = "edge-a-1"
@@ -43,6 +45,16 @@
     "labels": ["kind", "r1-3"],
     "born": 17,
 }
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "path_prefix": "/p/",
+    "backend": "s",
+    "slo_ms": 250,
+    "priority": 0,
+    "max_attempts": 3,
+    "slack_factor": 1.5,
+}
 
 
 def make_record(key: str, value: object) -> ports.LogRecord:
@@ -58,7 +70,14 @@
         self.assertEqual(10_000, settings.bounds.max_lease_ms)
 
     def test_invalid_settings_raise_a_settings_error(self) -> None:
-        for data in (b"", b"x=", SETTINGS.replace(b'"a"', b"3"), b"\xff"):
+        invalid_files = (
+            b"",
+            b"x=",
+            SETTINGS.replace(b'"a"', b"3"),
+            b"\xff",
+            b"x=" + b"[" * 3_000,
+        )
+        for data in invalid_files:
             with self.assertRaises(vm_settings.SettingsError):
                 settings_file.decode(data)
 
@@ -114,11 +133,15 @@
         invalid_values = (
             b"",
             b"\xff\x00",
+            NESTED,
             {},
             {**RUNNER_ENTRY, "state": "odd"},
             {**RUNNER_ENTRY, "labels": []},
             {**RUNNER_ENTRY, "born": 1.5},
             {**RUNNER_ENTRY, "address": None},
+            {**RUNNER_ENTRY, "born": 1 << 64},
+            {**RUNNER_ENTRY, "remaining_ms": -(1 << 64)},
+            {**RUNNER_ENTRY, "free_resources": {"cpu": 1 << 64}},
         )
         for value in invalid_values:
             self.assertIsNone(self.decode(value), value)
@@ -133,21 +156,11 @@
     def test_configuration_routes_by_longest_prefix_and_finds_accounts(
         self,
     ) -> None:
-        route = {
-            "name": "r",
-            "host": "h.example",
-            "path_prefix": "/p/",
-            "backend": "s",
-            "slo_ms": 250,
-            "priority": 0,
-            "max_attempts": 3,
-            "slack_factor": 1.5,
-        }
-        longer_prefix = {**route, "name": "r2", "path_prefix": "/p/q/"}
+        longer_prefix = {**ROUTE, "name": "r2", "path_prefix": "/p/q/"}
         tenant = {"name": "t", "api_keys": ["k"], "guaranteed": {"gpu": 32}}
         published = {
             "version": 7,
-            "routes": [route, longer_prefix],
+            "routes": [ROUTE, longer_prefix],
             "tenants": [tenant],
             "other": 1,
         }
@@ -192,9 +205,25 @@
         )
 
     def test_invalid_configuration_and_unknown_keys_are_ignored(self) -> None:
-        self.assertIsNone(self.decode("config", b"{"))
+        for value in (b"{", b"\xff", NESTED):
+            self.assertIsNone(self.decode("config", value))
         self.assertIsNone(self.decode("unknown", {}))
 
+    def test_terms_that_no_record_can_hold_are_ignored(self) -> None:
+        for field, value in (
+            ("slo_ms", 1e308),
+            ("slo_ms", -1e19),
+            ("slack_factor", 1e308),
+            ("slack_factor", -1),
+            ("priority", 1 << 64),
+            ("max_attempts", 1 << 64),
+            ("timeout_ms", -(1 << 64)),
+        ):
+            published = {"version": 7, "routes": [{**ROUTE, field: value}]}
+            self.assertIsNone(self.decode("config", published), field)
+        published = {"version": 7, "routes": [{**ROUTE, "slo_ms": 9e18}]}
+        self.assertIsNotNone(self.decode("config", published))
+
     def test_failure_domain_leaves_and_reenters_service(self) -> None:
         self.assertTrue(self.decode("evacuate/a", {}).out)
         self.assertFalse(self.decode("evacuate/a", b"").out)
@@ -231,6 +260,7 @@
         invalid_bodies = (
             b"",
             b"\xff",
+            NESTED,
             b"[]",
             b'{"spec":"x"}',
             msgspec.json.encode({"spec": "x", "phases": []}),
@@ -247,6 +277,79 @@
             with self.assertRaises(job_bodies.InvalidJobError, msg=body):
                 job_bodies.decode_job(JOB, body)
 
+    def test_values_out_of_range_are_rejected_by_name(self) -> None:
+        beyond_64_bits = 1 << 64
+        invalid_jobs = {
+            "spec": {"spec": "\u00e4" * 2_001},
+            "phases": {"phases": [{"count": 1}] * 1_001},
+            "repeats": {"repeats": 100_001},
+            "first_ms": {"first_ms": beyond_64_bits},
+            "interval_ms": {"interval_ms": -1},
+            "count": {"phases": [{"count": 10_000}] * 11},
+        }
+        for name, fields in invalid_jobs.items():
+            self.assert_rejected(name, fields)
+        invalid_phases = (
+            {"count": 10_001},
+            {"cpu": -1},
+            {"mem_mb": beyond_64_bits},
+            {"gpu": beyond_64_bits},
+            {"estimate_ms": 1e308},
+            {"estimate_ms": beyond_64_bits},
+            {"estimate_ms": -5_000},
+            {"estimate_ms": -0.5},
+            {"goal_ms": -1},
+            {"goal_ms": 1e20},
+            {"anti_affinity": -1},
+            {"may_miss": -1},
+            {"after": [0]},
+        )
+        for phase in invalid_phases:
+            (name,) = phase
+            self.assert_rejected(
+                f"phase 0: {name}", {"phases": [{"count": 1, **phase}]}
+            )
+
+    def assert_rejected(self, place: str, fields: dict[str, object]) -> None:
+        body = {"spec": "x", "phases": [{"count": 1}], **fields}
+        with (
+            self.subTest(place),
+            self.assertRaisesRegex(
+                job_bodies.InvalidJobError, f"^{place}: expected"
+            ),
+        ):
+            job_bodies.decode_job(JOB, msgspec.json.encode(body))
+
+    def test_largest_valid_values_are_accepted_and_can_be_recorded(
+        self,
+    ) -> None:
+        largest = (1 << 63) - 1
+        phase = {
+            "count": 10_000,
+            "cpu": largest,
+            "mem_mb": largest,
+            "gpu": largest,
+            "estimate_ms": 9e18,
+            "goal_ms": 0.25,
+            "anti_affinity": largest,
+            "may_miss": largest,
+        }
+        jobs = (
+            {"phases": [phase], "repeats": 100_000, "interval_ms": largest},
+            {"phases": [{"count": 1}] * 1_000, "first_ms": -largest},
+            {"phases": [{"count": 1, "estimate_ms": 1_200.75}]},
+            {"phases": [{"count": 1, "estimate_ms": 0.5}], "repeats": 0},
+        )
+        for fields in jobs:
+            body = msgspec.json.encode({"spec": "y" * 4_000, **fields})
+            workflow = job_bodies.decode_job(JOB, body)
+            self.assertEqual(
+                workflow,
+                msgspec.msgpack.decode(
+                    msgspec.msgpack.encode(workflow), type=spec.Workflow
+                ),
+            )
+
     def test_only_16_lowercase_hexadecimal_digits_are_a_job_id(self) -> None:
         self.assertTrue(job_bodies.is_job_id(JOB))
         for text in ("", "5C0E7A21D94B36F8", JOB + "0", "x" * 16):
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -3,10 +3,12 @@
 import msgspec
 import structlog
 
+from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import ports
+from citronmount.platform import wire_types
 from citronmount.workflow import spec
 
 __all__ = ["decode"]
@@ -21,9 +23,9 @@
 
 
 class _Resources(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: wire_types.Int64 = 0
+    mem_mb: wire_types.Int64 = 0
+    gpu: wire_types.Int64 = 0
 
 
 class _RunnerEntry(msgspec.Struct):
@@ -35,9 +37,9 @@
     state: str
     free_resources: _Resources
     labels: list[str]
-    born: int
+    born: wire_types.Int64
     host_machine: str = ""
-    remaining_ms: int | None = None
+    remaining_ms: wire_types.Int64 | None = None
 
 
 class _Route(msgspec.Struct):
@@ -51,17 +53,17 @@
     host: str
     path_prefix: str
     backend: str
-    timeout_ms: int = 3_000
-    slo_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
+    timeout_ms: wire_types.Int64 = 3_000
+    slo_ms: wire_types.Milliseconds = 0
+    priority: wire_types.Int64 = 0
+    max_attempts: wire_types.Int64 = 1
+    slack_factor: wire_types.SlackFactor = 1.0
     public: bool = False
     advice: dict[str, float] | None = None
 
 
 class _Guaranteed(msgspec.Struct):
-    gpu: int = 0
+    gpu: wire_types.Int64 = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -73,7 +75,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: wire_types.Int64
     routes: list[_Route] = []
     tenants: list[_Tenant] = []
 
@@ -106,7 +108,7 @@
     if record.value is not None:
         try:
             entry = _decode_worker(worker, record.value)
-        except (msgspec.DecodeError, LookupError, UnicodeDecodeError) as error:
+        except (*errors.DECODING_ERRORS, LookupError) as error:
             structlog.get_logger().warning(
                 "worker_entry_ignored", worker=worker, error=str(error)
             )
@@ -145,7 +147,7 @@
 ) -> ports.ConfigurationChanged | None:
     try:
         published = msgspec.json.decode(value, type=_Configuration)
-    except msgspec.DecodeError as error:
+    except errors.DECODING_ERRORS as error:
         structlog.get_logger().error(
             "configuration_ignored", offset=offset, error=str(error)
         )
