--- a/citronmount/platform/tests/test_soak.py
+++ b/citronmount/platform/tests/test_soak.py
@@ -7,6 +7,7 @@
 SEED = 7
 DURATION_S = 8
 TIMEOUT_S = 150
+QUOTA_SEED = 5
 CONFIGURATION_SEED = 701
 CONFIGURATION_DURATION_S = 15
 
@@ -38,6 +39,11 @@
                 output, _ = process.communicate(timeout=TIMEOUT_S)
                 self.assertEqual(0, process.returncode, output)
 
+    def test_account_stays_within_its_quota_under_faults(self) -> None:
+        with start_soak(QUOTA_SEED, DURATION_S, "--quotas") as process:
+            output, _ = process.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(0, process.returncode, output)
+
     def test_old_configuration_is_not_used_on_slow_links(self) -> None:
         with start_soak(
             CONFIGURATION_SEED,
