--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -31,7 +31,7 @@
 MAX_LOWER_PRIORITY_SEARCHES = 4
 # The stopped work has to be done again, which delays others of its priority,
 # so a unit below the highest priority has to earn a multiple of it.
-LOWER_PRIORITY_MARGIN = 4.0
+LOWER_PRIORITY_MARGIN = 20.0
 
 
 class PreemptionPolicy:
--- a/citronmount/fleet/placement/preemption_worth.py
+++ b/citronmount/fleet/placement/preemption_worth.py
@@ -24,7 +24,7 @@
 LATE_SHARE = 0.35
 LATEST_OBJECTIVE_FACTOR = 3.0
 # Weight of the same work by priority; the last one holds for all below.
-PRIORITY_WEIGHTS = (9.0, 1.5, 1.0)
+PRIORITY_WEIGHTS = (3.0, 1.5, 1.0)
 # Below this share of its slack left, a unit cannot wait for runs to end.
 RISKY_SLACK_SHARE = 0.25
 # A second stop of a unit weighs this many times the first, and so on.
@@ -127,15 +127,8 @@
         """
         if unit.submission.terms.priority == guarantees.HIGHEST_PRIORITY:
             return 1.0
-        run_ms = unit.run_time.median_ms
-        slack_ms = waiting_units.objective_ms(unit.submission) - run_ms
-        due_ms = waiting_units.objective_end_ms(
-            unit.submission, unit.key.occurrence
-        )
-        left_ms = due_ms - self._wall_ms - run_ms
-        if slack_ms <= 0:
-            return 1.0
-        return min(max(1.0 - left_ms / slack_ms / RISKY_SLACK_SHARE, 0.0), 1.0)
+        left_share = waiting_units.left_slack_share(unit, self._wall_ms)
+        return min(max(1.0 - left_share / RISKY_SLACK_SHARE, 0.0), 1.0)
 
 
 def _weight(submission: spec.Submission) -> float:
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -11,12 +11,12 @@
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import preemption_policy
 from citronmount.fleet.placement import preemption_worth
-from citronmount.fleet.queueing import capacity_guard
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import urgency
 from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.queueing import worth_round
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
@@ -31,8 +31,6 @@
 RELAXED_SLACK_FACTOR = 2.0
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
-# Workers in the pool for each reservation of a round.
-WORKERS_PER_RESERVATION = 8
 _IDLE_POOL_MAX_USE = 0.5
 
 # All that determines where a unit fits; units of equal shape fit alike.
@@ -147,7 +145,6 @@
         )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._preferred_rack_fits: dict[tuple, bool] = {}
-        self._demand = demand
         self._preemption = preemption_policy.PreemptionPolicy(
             table=table,
             guaranteed=self._guarantees,
@@ -163,20 +160,22 @@
             if demand
             else None,
         )
-        # Nothing is held back by reservations of waiting gangs, back-off or
-        # headroom while the pool is under half used.
-        holds_back = demand is not None and not self._delay_policy.idle_pool
-        self._guard = (
-            capacity_guard.CapacityGuard(demand=demand, order=self._urgency)
-            if demand and holds_back
+        self._worth_round = (
+            worth_round.WorthRound(
+                workers=workers,
+                trusted_workers=self._trusted_workers,
+                table=table,
+                demand=demand,
+                wall_ms=wall_ms,
+                now_ms=now_ms,
+                idle_pool=self._delay_policy.idle_pool,
+            )
+            if demand
             else None
         )
         self._reservations = (
-            reservations.Reservations(
-                limit=len(self._trusted_workers) // WORKERS_PER_RESERVATION,
-                by_priority=True,
-            )
-            if demand
+            self._worth_round.reservations
+            if self._worth_round
             else reservations.Reservations()
         )
         self._releases: reservations.Releases | None = None
@@ -207,10 +206,12 @@
         guaranteed = self._guarantees.covers(unit)
         spread = self._spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
+        worth = self._worth_round
         if not guaranteed and (
-            shape in self._unplaceable or self._is_held_back(unit)
+            shape in self._unplaceable or (worth and worth.holds_back(unit))
         ):
-            self._note_unplaced(unit)
+            if worth:
+                worth.note_unplaced(unit)
             return None
         chosen = self._fit(unit, shape, spread, guaranteed)
         if chosen is not None:
@@ -223,8 +224,9 @@
         decision = self._preempt(unit, spread, guaranteed)
         if decision is None:
             self._unplaceable.add(shape)
-            if not self._reserve_if_due(unit, spread, guaranteed):
-                self._note_unplaced(unit)
+            reserved = self._reserve_if_due(unit, spread, guaranteed)
+            if worth and not reserved:
+                worth.note_unplaced(unit)
         return decision
 
     def _reserve_if_due(
@@ -236,12 +238,13 @@
         """Reserves workers for a gang if it is due; returns whether it did."""
         if unit.tasks < 2 or self._reservations.is_full:
             return False
-        if self._demand is None:
-            slack_ms = waiting_units.slack_ms(unit)
-            waited_ms = self._now_ms - unit.since_ms
-            if waited_ms < slack_ms * RESERVATION_SLACK_SHARE:
+        if self._worth_round:
+            if not self._worth_round.reserves:
                 return False
-        elif self._guard is None:
+        elif (
+            self._now_ms - unit.since_ms
+            < waiting_units.slack_ms(unit) * RESERVATION_SLACK_SHARE
+        ):
             return False
         if self._releases is None:
             self._releases = reservations.Releases(
@@ -261,13 +264,6 @@
             self._slots_of_shape = None
         return reserved
 
-    def _is_held_back(self, unit: waiting_units.WaitingUnit) -> bool:
-        return self._guard is not None and bool(self._guard.hold_reason(unit))
-
-    def _note_unplaced(self, unit: waiting_units.WaitingUnit) -> None:
-        if self._guard is not None:
-            self._guard.note_unplaced(unit)
-
     def _shape(
         self,
         unit: waiting_units.WaitingUnit,
@@ -284,6 +280,7 @@
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
             unit.key.step_key if _has_step_limits(unit) else None,
+            self._is_pressed(unit),
         )
 
     def _fit(
@@ -336,7 +333,7 @@
         compatible = [
             each for each in workers if self._is_compatible(unit, each)
         ]
-        if self._guarantees.covers(unit):
+        if self._guarantees.covers(unit) or self._is_pressed(unit):
             return compatible
         return [
             each
@@ -344,6 +341,9 @@
             if self._reservations.allows(each, unit, self._now_ms)
         ]
 
+    def _is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
+        return bool(self._worth_round and self._worth_round.is_pressed(unit))
+
     def _is_compatible(
         self, unit: waiting_units.WaitingUnit, worker: worker_directory.Worker
     ) -> bool:
@@ -385,6 +385,8 @@
         if decision.victims or unit.tasks > 1:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
+        if self._worth_round:
+            self._worth_round.note_placed(unit)
         self._preemption.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
         worker_ids = {worker.worker for worker in decision.workers}
@@ -424,6 +426,8 @@
         Urgent gangs compete with work that can wait. Jobs with little slack
         get the fast workers; jobs with much slack leave these free for them.
         """
+        if self._worth_round and self._worth_round.packing.applies_to(unit):
+            return self._worth_round.packing.other_workers
         relaxed = unit.submission.terms.slack_factor >= RELAXED_SLACK_FACTOR
         if self._slower_ids and relaxed and not unit.step.lasting:
             return self._faster_ids
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -159,6 +159,8 @@
         waiting = self._waiting_units(now_ms, wall_ms)
         if not waiting:
             return
+        if self._state.demand is not None:
+            self._state.demand.observe(waiting, now_ms)
         usable_workers = self._sessions.usable_workers(now_ms)
         self._request_advice(waiting, usable_workers, now_ms)
         planner = planning.Planner(
@@ -267,6 +269,8 @@
         )
         self._state.table.add(run)
         for victim in decision.victims:
+            if self._state.demand is not None and victim.cause is None:
+                self._state.demand.note_stop(victim.unit)
             self._state.end_run(victim, unit_runs.EndCause.PREEMPTED)
             self._driver.send_due_stops(victim, now_ms)
         self._state.victims_by_unit[run.unit] = list(decision.victims)
--- a/citronmount/fleet/queueing/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -24,7 +24,13 @@
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
-__all__ = ["MAX_RESERVATIONS", "Releases", "Reservations", "remaining_ms"]
+__all__ = [
+    "MAX_RESERVATIONS",
+    "Releases",
+    "Reservations",
+    "released_accelerators",
+    "remaining_ms",
+]
 
 MAX_RESERVATIONS = 2
 # Run times are rough estimates, so backfilled units need some margin.
@@ -70,6 +76,29 @@
     return int((_FULL_PERCENT - member.progress.percent) / rate * _MS_PER_S)
 
 
+def released_accelerators(
+    runs: Iterable[unit_runs.Run], priority: int, now_ms: int, in_ms: int
+) -> int:
+    """Returns the accelerators that runs of a priority release soon.
+
+    Args:
+        runs: All runs.
+        priority: The priority.
+        now_ms: Monotonic time in milliseconds.
+        in_ms: Time within which the runs are expected to end.
+
+    Returns:
+        The number of accelerators.
+    """
+    return sum(
+        run.step.demand.accelerators * len(run.live_members)
+        for run in runs
+        if run.submission.terms.priority == priority
+        and not run.step.lasting
+        and remaining_ms(run, now_ms) <= in_ms
+    )
+
+
 class Releases:
     """Times at which the runs on each worker are expected to end."""
 
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -15,6 +15,7 @@
     "Decision",
     "WaitingUnit",
     "has_capacity_for",
+    "left_slack_share",
     "objective_end_ms",
     "objective_ms",
     "slack_ms",
@@ -113,6 +114,24 @@
     return max(objective_ms(unit.submission) - unit.step.estimate_ms, 0)
 
 
+def left_slack_share(unit: WaitingUnit, wall_ms: int) -> float:
+    """Returns which share of its slack a unit's job still has.
+
+    Args:
+        unit: The unit.
+        wall_ms: Unix time in milliseconds.
+
+    Returns:
+        At most 1; negative if the job will be late, 0 if it never had slack.
+    """
+    run_ms = unit.run_time.median_ms
+    slack = objective_ms(unit.submission) - run_ms
+    if slack <= 0:
+        return 0.0
+    end_ms = objective_end_ms(unit.submission, unit.key.occurrence)
+    return (end_ms - wall_ms - run_ms) / slack
+
+
 def objective_ms(submission: spec.Submission) -> int:
     """Returns the time that a job may take, or each of its occurrences.
 
--- /dev/null
+++ b/citronmount/fleet/queueing/worth_round.py
@@ -0,0 +1,98 @@
+"""What `Feature.PREEMPTION_WORTH` adds to one planning round.
+
+Bundles reservations by priority, back-off, headroom and packing, so that the
+planner asks one object.
+"""
+
+from collections.abc import Sequence
+
+from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.placement import packing
+from citronmount.fleet.queueing import capacity_guard
+from citronmount.fleet.queueing import demand_history
+from citronmount.fleet.queueing import reservations
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_table
+from citronmount.fleet.workers import worker_directory
+
+__all__ = ["WorthRound"]
+
+# Workers in the pool for each reservation of a round.
+WORKERS_PER_RESERVATION = 8
+
+
+class WorthRound:
+    """Reservations, back-off, headroom and packing of one round.
+
+    Attributes:
+        reservations: Reservations by priority.
+        packing: Workers for single tasks of the lowest priority.
+        reserves: Whether gangs reserve workers. Nothing is held back while the
+            pool is less than half used.
+    """
+
+    def __init__(
+        self,
+        *,
+        workers: Sequence[worker_directory.Worker],
+        trusted_workers: Sequence[worker_directory.Worker],
+        table: run_table.RunTable,
+        demand: demand_history.DemandHistory,
+        wall_ms: int,
+        now_ms: int,
+        idle_pool: bool,
+    ) -> None:
+        """Initializes a round.
+
+        Args:
+            workers: The workers that may receive tasks.
+            trusted_workers: Those of them that are not distrusted.
+            table: All runs.
+            demand: Stops and arrivals that the owner has seen.
+            wall_ms: Unix time in milliseconds.
+            now_ms: Monotonic time in milliseconds.
+            idle_pool: Whether the pool is less than half used.
+        """
+        self._wall_ms = wall_ms
+        self.reserves = not idle_pool
+        self.packing = packing.LowestPriorityPacking(
+            workers=workers, runs=table
+        )
+        self.reservations = reservations.Reservations(
+            limit=max(
+                len(trusted_workers) // WORKERS_PER_RESERVATION,
+                reservations.MAX_RESERVATIONS,
+            ),
+            by_priority=True,
+        )
+        self._guard = capacity_guard.CapacityGuard(
+            demand=demand,
+            wall_ms=wall_ms,
+            free_accelerators=sum(
+                each.capacity.accelerators
+                - table.allocations.used(each.worker).accelerators
+                for each in trusted_workers
+            ),
+            released_accelerators=reservations.released_accelerators(
+                table,
+                guarantees.HIGHEST_PRIORITY,
+                now_ms,
+                capacity_guard.HEADROOM_MS,
+            ),
+        )
+
+    def holds_back(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether a unit beyond guarantees is held back."""
+        return self.reserves and self._guard.hold_reason(unit) is not None
+
+    def is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether reservations do not hold against a unit."""
+        return capacity_guard.is_pressed(unit, self._wall_ms)
+
+    def note_unplaced(self, unit: waiting_units.WaitingUnit) -> None:
+        """Notes that a unit waits without a start or a reservation."""
+        self._guard.note_unplaced(unit)
+
+    def note_placed(self, unit: waiting_units.WaitingUnit) -> None:
+        """Counts the capacity of a unit that starts in this round."""
+        self._guard.note_placed(unit)
