Let gangs that do not fit reserve, and log held-back units

Cause: headroom held back gangs larger than the free capacity, so that they neither reserved nor preempted (found by the test of reservations). Change: only a unit that fits is held by headroom.

--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -119,6 +119,7 @@
             within_guarantee=guaranteed,
             spread=spread,
             lost_core_s=self._lost_core_s(found),
+            worth_core_s=0.0 if guaranteed else self._max_loss(unit),
         )
 
     def mark_stopped(self, runs: Iterable[unit_runs.Run]) -> None:
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -11,8 +11,10 @@
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import preemption_policy
 from citronmount.fleet.placement import preemption_worth
+from citronmount.fleet.placement import rack_preference
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
+from citronmount.fleet.queueing import holds
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import urgency
 from citronmount.fleet.queueing import waiting_units
@@ -144,7 +146,9 @@
             < _IDLE_POOL_MAX_USE,
         )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
-        self._preferred_rack_fits: dict[tuple, bool] = {}
+        self._racks = rack_preference.RackPreference(
+            workers=self._trusted_workers, delays=self._delay_policy
+        )
         self._preemption = preemption_policy.PreemptionPolicy(
             table=table,
             guaranteed=self._guarantees,
@@ -180,6 +184,11 @@
         )
         self._releases: reservations.Releases | None = None
 
+    @property
+    def held(self) -> dict[str, holds.Hold]:
+        """The last unit of each step that was held back in this round."""
+        return self._worth_round.held if self._worth_round else {}
+
     def decide(
         self, waiting: Iterable[waiting_units.WaitingUnit]
     ) -> list[waiting_units.Decision]:
@@ -204,7 +213,7 @@
         self, unit: waiting_units.WaitingUnit
     ) -> waiting_units.Decision | None:
         guaranteed = self._guarantees.covers(unit)
-        spread = self._spread(unit, guaranteed)
+        spread = self._racks.spread(unit, guaranteed)
         shape = self._shape(unit, spread, guaranteed)
         worth = self._worth_round
         if not guaranteed and (
@@ -439,7 +448,7 @@
         """Returns the workers to avoid, or none if no others are suitable."""
         if not unit.avoid:
             return unit.avoid
-        requirements = _basic_requirements(unit)
+        requirements = rack_preference.basic_requirements(unit)
         suitable = {
             worker.worker
             for worker in self._all_workers
@@ -459,43 +468,6 @@
         )
         return running + self._placed_counts[step]
 
-    def _spread(
-        self, unit: waiting_units.WaitingUnit, guaranteed: bool
-    ) -> fitting.Spread:
-        """Returns whether a unit may be placed outside its preferred rack."""
-        if not unit.step.one_rack and not unit.step.data_rack:
-            return fitting.Spread.PREFERRED
-        other_racks = self._delay_policy.accepts_other_racks(unit, guaranteed)
-        if other_racks or not self._fits_preferred_rack(unit):
-            return fitting.Spread.ANYWHERE
-        return fitting.Spread.PREFERRED
-
-    def _fits_preferred_rack(self, unit: waiting_units.WaitingUnit) -> bool:
-        """Returns whether a unit would fit into its preferred rack if empty."""
-        shape = (unit.submission.terms.service, unit.step, unit.tasks)
-        cached = self._preferred_rack_fits.get(shape)
-        if cached is None:
-            chosen = fitting.choose_workers(
-                _basic_requirements(unit),
-                self._trusted_workers,
-                lambda worker: worker.capacity,
-                fitting.Spread.PREFERRED,
-            )
-            cached = chosen is not None
-            self._preferred_rack_fits[shape] = cached
-        return cached
-
-
-def _basic_requirements(
-    unit: waiting_units.WaitingUnit,
-) -> fitting.Requirements:
-    """Returns a unit's requirements without workers to avoid or use last."""
-    return fitting.Requirements(
-        tasks=unit.tasks,
-        step=unit.step,
-        service=unit.submission.terms.service,
-    )
-
 
 def _has_step_limits(unit: waiting_units.WaitingUnit) -> bool:
     """Returns whether tickets or a limit of tasks per worker apply."""
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -181,6 +181,16 @@
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
+        if self._state.demand is not None:
+            for hold in self._state.demand.newly_held(planner.held):
+                self._state.log.info(
+                    "unit_held_back",
+                    unit=hold.unit,
+                    priority=hold.priority,
+                    reason=hold.reason.value,
+                    free_accelerators=hold.free_accelerators,
+                    headroom_accelerators=hold.headroom_accelerators,
+                )
 
     def _request_advice(
         self,
@@ -294,4 +304,5 @@
             waited_ms=now_ms - unit.since_ms,
             victims=[victim.unit for victim in decision.victims],
             lost_core_s=round(decision.lost_core_s),
+            worth_core_s=round(decision.worth_core_s),
         )
--- a/citronmount/fleet/queueing/capacity_guard.py
+++ b/citronmount/fleet/queueing/capacity_guard.py
@@ -9,13 +9,12 @@
 steady state this is nothing; in a burst the arrivals exceed the releases.
 """
 
-import enum
-
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.queueing import demand_history
+from citronmount.fleet.queueing import holds
 from citronmount.fleet.queueing import waiting_units
 
-__all__ = ["HEADROOM_MS", "CapacityGuard", "HoldReason", "is_pressed"]
+__all__ = ["HEADROOM_MS", "CapacityGuard", "is_pressed"]
 
 # Time for which headroom is kept: about the slack of the highest priority.
 HEADROOM_MS = 1_500
@@ -39,15 +38,13 @@
     return left_share < PRESSED_SLACK_SHARE
 
 
-class HoldReason(enum.Enum):
-    """Why a unit is held back although it may fit."""
-
-    BACK_OFF = "back_off"
-    HEADROOM = "headroom"
-
-
 class CapacityGuard:
-    """Units held back in one planning round."""
+    """Units held back in one planning round.
+
+    Attributes:
+        free: Accelerators free at this point of the round.
+        headroom: Accelerators to keep free.
+    """
 
     def __init__(
         self,
@@ -69,27 +66,31 @@
         self._demand = demand
         self._wall_ms = wall_ms
         self._highest_unplaced: int | None = None
-        self._free = free_accelerators
+        self.free = free_accelerators
         arriving = demand.arrival_rate(guarantees.HIGHEST_PRIORITY)
         self.headroom = max(
             int(arriving * HEADROOM_MS) - released_accelerators, 0
         )
 
-    def hold_reason(self, unit: waiting_units.WaitingUnit) -> HoldReason | None:
+    def hold_reason(
+        self, unit: waiting_units.WaitingUnit
+    ) -> holds.HoldReason | None:
         """Returns why a unit beyond guarantees is held back, if it is."""
         if unit.step.lasting or is_pressed(unit, self._wall_ms):
             return None
         if self._demand.stop_count(unit.key.unit) and self._burst_waits(unit):
-            return HoldReason.BACK_OFF
+            return holds.HoldReason.BACK_OFF
         if unit.submission.terms.priority == guarantees.HIGHEST_PRIORITY:
             return None
-        if self._free - unit.accelerators < self._headroom_for(unit):
-            return HoldReason.HEADROOM
+        left = self.free - unit.accelerators
+        # A unit that does not fit at all may still reserve and preempt.
+        if 0 <= left < self._headroom_for(unit):
+            return holds.HoldReason.HEADROOM
         return None
 
     def note_placed(self, unit: waiting_units.WaitingUnit) -> None:
         """Counts the accelerators of a unit that starts in this round."""
-        self._free -= unit.accelerators
+        self.free -= unit.accelerators
 
     def _headroom_for(self, unit: waiting_units.WaitingUnit) -> float:
         """Returns the headroom, less for units that soon end or save."""
--- a/citronmount/fleet/queueing/demand_history.py
+++ b/citronmount/fleet/queueing/demand_history.py
@@ -2,8 +2,10 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
+from citronmount.fleet.queueing import holds
 from citronmount.fleet.queueing import waiting_units
 from citronmount.workflow import units
 
@@ -21,6 +23,7 @@
 
     def __init__(self) -> None:
         """Initializes without stops and arrivals."""
+        self._held: set[str] = set()
         self._observed_ms: int | None = None
         self._arrived: dict[int, float] = collections.defaultdict(float)
         self._stops: collections.Counter[units.UnitId] = collections.Counter()
@@ -52,6 +55,15 @@
         """Returns the accelerators per millisecond that a priority demands."""
         return self._arrived.get(priority, 0.0) / ARRIVAL_MEMORY_MS
 
+    def newly_held(self, held: Mapping[str, holds.Hold]) -> list[holds.Hold]:
+        """Returns the holds of a round that the round before did not have.
+
+        Args:
+            held: A hold for each step id.
+        """
+        before, self._held = self._held, set(held)
+        return [hold for step, hold in held.items() if step not in before]
+
     def note_stop(self, unit: units.UnitId) -> None:
         """Counts a stop of a unit's run for other work."""
         self._stops[unit] += 1
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -74,6 +74,8 @@
         within_guarantee: Whether the unit is inside its account's guarantee.
         spread: Whether the unit was allowed to leave its preferred rack.
         lost_core_s: Work that the victims lose, in core-seconds.
+        worth_core_s: Weighted work that the start was allowed to cost, or 0 if
+            it stops nothing or is inside a guarantee.
     """
 
     waiting: WaitingUnit
@@ -82,6 +84,7 @@
     within_guarantee: bool = False
     spread: fitting.Spread = fitting.Spread.PREFERRED
     lost_core_s: float = 0.0
+    worth_core_s: float = 0.0
 
 
 def objective_end_ms(submission: spec.Submission, occurrence: int = 0) -> int:
--- a/citronmount/fleet/queueing/worth_round.py
+++ b/citronmount/fleet/queueing/worth_round.py
@@ -10,6 +10,7 @@
 from citronmount.fleet.placement import packing
 from citronmount.fleet.queueing import capacity_guard
 from citronmount.fleet.queueing import demand_history
+from citronmount.fleet.queueing import holds
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_table
@@ -29,6 +30,7 @@
         packing: Workers for single tasks of the lowest priority.
         reserves: Whether gangs reserve workers. Nothing is held back while the
             pool is less than half used.
+        held: The last unit of each step that was held back.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         """
         self._wall_ms = wall_ms
         self.reserves = not idle_pool
+        self.held: dict[str, holds.Hold] = {}
         self.packing = packing.LowestPriorityPacking(
             workers=workers, runs=table
         )
@@ -83,7 +86,16 @@
 
     def holds_back(self, unit: waiting_units.WaitingUnit) -> bool:
         """Returns whether a unit beyond guarantees is held back."""
-        return self.reserves and self._guard.hold_reason(unit) is not None
+        reason = self._guard.hold_reason(unit) if self.reserves else None
+        if reason is not None:
+            self.held[unit.key.step_id] = holds.Hold(
+                unit=unit.key.unit,
+                reason=reason,
+                priority=unit.submission.terms.priority,
+                free_accelerators=self._guard.free,
+                headroom_accelerators=self._guard.headroom,
+            )
+        return reason is not None
 
     def is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
         """Returns whether reservations do not hold against a unit."""
