--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -28,7 +28,7 @@
 MAX_LOSS_FACTOR = 3.0
 # A search examines each worker, so units below the highest priority get a
 # bounded number of them in a round.
-MAX_LOWER_PRIORITY_SEARCHES = 4
+MAX_LOWER_PRIORITY_SEARCHES = 1
 # The stopped work has to be done again, which delays others of its priority,
 # so a unit below the highest priority has to earn a multiple of it.
 LOWER_PRIORITY_MARGIN = 20.0
