--- a/citronmount/fleet/queueing/capacity_guard.py
+++ b/citronmount/fleet/queueing/capacity_guard.py
@@ -65,6 +65,7 @@
         """
         self._demand = demand
         self._wall_ms = wall_ms
+        self._pressed: dict[tuple, bool] = {}
         self._highest_unplaced: int | None = None
         self.free = free_accelerators
         arriving = demand.arrival_rate(guarantees.HIGHEST_PRIORITY)
@@ -76,7 +77,7 @@
         self, unit: waiting_units.WaitingUnit
     ) -> holds.HoldReason | None:
         """Returns why a unit beyond guarantees is held back, if it is."""
-        if unit.step.lasting or is_pressed(unit, self._wall_ms):
+        if unit.step.lasting or self.is_pressed(unit):
             return None
         if self._demand.stop_count(unit.key.unit) and self._burst_waits(unit):
             return holds.HoldReason.BACK_OFF
@@ -88,6 +89,13 @@
             return holds.HoldReason.HEADROOM
         return None
 
+    def is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns `is_pressed` of a unit, which the units of a step share."""
+        step = unit.key.step_key
+        if step not in self._pressed:
+            self._pressed[step] = is_pressed(unit, self._wall_ms)
+        return self._pressed[step]
+
     def note_placed(self, unit: waiting_units.WaitingUnit) -> None:
         """Counts the accelerators of a unit that starts in this round."""
         self.free -= unit.accelerators
--- a/citronmount/fleet/queueing/worth_round.py
+++ b/citronmount/fleet/queueing/worth_round.py
@@ -55,7 +55,6 @@
             now_ms: Monotonic time in milliseconds.
             idle_pool: Whether the pool is less than half used.
         """
-        self._wall_ms = wall_ms
         self.reserves = not idle_pool
         self.held: dict[str, holds.Hold] = {}
         self.packing = packing.LowestPriorityPacking(
@@ -99,7 +98,7 @@
 
     def is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
         """Returns whether reservations do not hold against a unit."""
-        return capacity_guard.is_pressed(unit, self._wall_ms)
+        return self._guard.is_pressed(unit)
 
     def note_unplaced(self, unit: waiting_units.WaitingUnit) -> None:
         """Notes that a unit waits without a start or a reservation."""
