--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -28,10 +28,10 @@
 MAX_LOSS_FACTOR = 3.0
 # A search examines each worker, so units below the highest priority get a
 # bounded number of them in a round.
-MAX_LOWER_PRIORITY_SEARCHES = 4
+MAX_LOWER_PRIORITY_SEARCHES = 1
 # The stopped work has to be done again, which delays others of its priority,
 # so a unit below the highest priority has to earn a multiple of it.
-LOWER_PRIORITY_MARGIN = 4.0
+LOWER_PRIORITY_MARGIN = 20.0
 
 
 class PreemptionPolicy:
@@ -119,6 +119,7 @@
             within_guarantee=guaranteed,
             spread=spread,
             lost_core_s=self._lost_core_s(found),
+            worth_core_s=0.0 if guaranteed else self._max_loss(unit),
         )
 
     def stoppable_runs(
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -230,6 +230,8 @@
             self._quota_monitor.update(None, version, now_ms)
             self._share_monitor.update(self._shares, version, now_ms)
             return
+        if self._state.demand is not None:
+            self._state.demand.observe(waiting, now_ms)
         usable_workers = self._sessions.usable_workers(now_ms)
         self._request_advice(waiting, usable_workers, now_ms)
         planner = planning.Planner(
@@ -249,9 +251,24 @@
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
+        self._log_held_units(planner)
         self._quota_monitor.update(planner.quotas, version, now_ms)
         self._share_monitor.update(self._shares, version, now_ms)
 
+    def _log_held_units(self, planner: planning.Planner) -> None:
+        """Logs the units that are held back since this round."""
+        if self._state.demand is None:
+            return
+        for hold in self._state.demand.newly_held(planner.held):
+            self._state.log.info(
+                "unit_held_back",
+                unit=hold.unit,
+                priority=hold.priority,
+                reason=hold.reason.value,
+                free_accelerators=hold.free_accelerators,
+                headroom_accelerators=hold.headroom_accelerators,
+            )
+
     def _speed_options(self, now_ms: int) -> dict[str, object]:
         """Returns the planner's source of the workers' speeds."""
         speeds = self._state.speeds
@@ -365,6 +382,8 @@
         )
         self._state.table.add(run)
         for victim in decision.victims:
+            if self._state.demand is not None and victim.cause is None:
+                self._state.demand.note_stop(victim.unit)
             self._state.end_run(victim, unit_runs.EndCause.PREEMPTED)
             self._driver.send_due_stops(victim, now_ms)
         self._state.victims_by_unit[run.unit] = list(decision.victims)
@@ -389,4 +408,5 @@
             waited_ms=now_ms - unit.since_ms,
             victims=[victim.unit for victim in decision.victims],
             lost_core_s=round(decision.lost_core_s),
+            worth_core_s=round(decision.worth_core_s),
         )
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -18,6 +18,7 @@
     "WaitingUnit",
     "basic_requirements",
     "has_capacity_for",
+    "left_slack_share",
     "objective_end_ms",
     "objective_ms",
     "slack_ms",
@@ -90,6 +91,8 @@
         within_guarantee: Whether the unit is inside its account's guarantee.
         spread: Whether the unit was allowed to leave its preferred rack.
         lost_core_s: Work that the victims lose, in core-seconds.
+        worth_core_s: Weighted work that the start was allowed to cost, or 0 if
+            it stops nothing or is inside a guarantee.
     """
 
     waiting: WaitingUnit
@@ -98,6 +101,7 @@
     within_guarantee: bool = False
     spread: fitting.Spread = fitting.Spread.PREFERRED
     lost_core_s: float = 0.0
+    worth_core_s: float = 0.0
 
 
 def basic_requirements(unit: WaitingUnit) -> fitting.Requirements:
@@ -146,6 +150,26 @@
     return max(allowed_ms - unit.run_time.median_ms, 0)
 
 
+def left_slack_share(unit: WaitingUnit, wall_ms: int) -> float:
+    """Returns which share of its slack a unit's job still has.
+
+    Args:
+        unit: The unit.
+        wall_ms: Unix time in milliseconds.
+
+    Returns:
+        At most 1; negative if the job will be late, 0 if it never had slack.
+    """
+    run_ms = unit.run_time.median_ms
+    slack = objective_ms(unit.submission, unit.step_medians_ms) - run_ms
+    if slack <= 0:
+        return 0.0
+    end_ms = objective_end_ms(
+        unit.submission, unit.key.occurrence, unit.step_medians_ms
+    )
+    return (end_ms - wall_ms - run_ms) / slack
+
+
 def objective_ms(
     submission: spec.Submission, step_medians_ms: Sequence[int] = ()
 ) -> int:
