Move the choice of usable workers out of the planner

Change: worker_candidates.py sorts the workers of a round by health and speed and says which a unit may share; the planner calls it.

--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -16,6 +16,7 @@
 from citronmount.fleet.placement import rack_preference
 from citronmount.fleet.placement import slowdown_choice
 from citronmount.fleet.placement import speed_choice
+from citronmount.fleet.placement import worker_candidates
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.queueing import holds
@@ -40,23 +41,6 @@
 _Shape = tuple
 
 
-def _assume_healthy(
-    worker: worker_directory.Worker,
-) -> worker_health.Assessment:
-    del worker
-    return worker_health.Assessment()
-
-
-def _assume_fast(worker: worker_directory.Worker) -> float:
-    del worker
-    return 1.0
-
-
-def _any_worker(key: units.UnitKey, worker: worker_directory.Worker) -> bool:
-    del key, worker
-    return True
-
-
 class Planner:
     """One round of placement decisions.
 
@@ -78,13 +62,15 @@
         wall_ms: int = 0,
         assess: Callable[
             [worker_directory.Worker], worker_health.Assessment
-        ] = _assume_healthy,
-        slowdown: Callable[[worker_directory.Worker], float] = _assume_fast,
+        ] = worker_candidates.assume_healthy,
+        slowdown: Callable[
+            [worker_directory.Worker], float
+        ] = worker_candidates.assume_fast,
         speed: Callable[[worker_directory.Worker], speed_range.SpeedRange]
         | None = None,
         allowed: Callable[
             [units.UnitKey, worker_directory.Worker], bool
-        ] = _any_worker,
+        ] = worker_candidates.any_worker,
         shares: fair_shares.FairShares | None = None,
         demand: demand_history.DemandHistory | None = None,
     ) -> None:
@@ -108,19 +94,13 @@
             demand: Stops and arrivals seen by the owner, or None without
                 `Feature.PREEMPTION_WORTH`.
         """
-        self._allowed = allowed
-        assessments = {each.worker: assess(each) for each in workers}
-        slowdowns = {each.worker: slowdown(each) for each in workers}
-        self._all_workers = list(workers)
-        self._trusted_workers = [
-            each for each in workers if not assessments[each.worker].distrusted
-        ]
-        self._fast_workers = [
-            each
-            for each in self._trusted_workers
-            if assessments[each.worker].slowness < worker_health.SLOW_FACTOR
-            and slowdowns[each.worker] < worker_health.SLOW_FACTOR
-        ]
+        self._candidates = worker_candidates.WorkerCandidates(
+            workers=workers,
+            runs=table,
+            assess=assess,
+            slowdown=slowdown,
+            allowed=allowed,
+        )
         self._table = table
         self._allocations = table.allocations.copy()
         self._free_capacity = self._allocations.cached_free
@@ -136,22 +116,16 @@
         self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._serving_workers = run_table.workers_of(
-            run for run in table if run.step.goal_ms
-        )
-        self._filling_workers = run_table.workers_of(
-            run for run in table if run.step.fills
-        )
         self._delay_policy = delay_scheduling.DelayPolicy(
             now_ms=now_ms,
             bounds=bounds,
             idle_pool=worker_allocations.used_share(
-                self._trusted_workers, self._allocations
+                self._candidates.trusted, self._allocations
             )
             < _IDLE_POOL_MAX_USE,
         )
         self._choice = (
-            slowdown_choice.SlowdownChoice(slowdowns=slowdowns)
+            slowdown_choice.SlowdownChoice(slowdowns=self._candidates.slowdowns)
             if speed is None
             else speed_choice.SpeedChoice(
                 workers=workers,
@@ -162,7 +136,7 @@
         )
         self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._racks = rack_preference.RackPreference(
-            workers=self._trusted_workers, delay_policy=self._delay_policy
+            workers=self._candidates.trusted, delay_policy=self._delay_policy
         )
         self._preemption = preemption_policy.PreemptionPolicy(
             table=table,
@@ -182,7 +156,7 @@
         self._worth_round = (
             worth_round.WorthRound(
                 workers=workers,
-                trusted_workers=self._trusted_workers,
+                trusted_workers=self._candidates.trusted,
                 table=table,
                 demand=demand,
                 wall_ms=wall_ms,
@@ -220,7 +194,7 @@
             ranked = self._shares.order(
                 ranked,
                 rank=self._urgency.rank,
-                workers=self._all_workers,
+                workers=self._candidates.all,
                 allocations=self._allocations,
                 round_quotas=self.quotas,
             )
@@ -380,53 +354,31 @@
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
     ) -> list[worker_directory.Worker]:
         """Returns the workers that a unit accepts after its waiting time."""
-        workers = self._fast_workers
-        if self._delay_policy.accepts_slow(unit, guaranteed):
-            workers = self._trusted_workers
-        if self._delay_policy.accepts_distrusted(unit):
-            workers = self._all_workers
-        return self._compatible_workers(unit, workers)
+        return self._without_reserved(
+            unit,
+            self._candidates.acceptable(unit, self._delay_policy, guaranteed),
+        )
 
-    def _compatible_workers(
+    def _without_reserved(
         self,
         unit: waiting_units.WaitingUnit,
-        workers: Iterable[worker_directory.Worker],
+        workers: list[worker_directory.Worker],
     ) -> list[worker_directory.Worker]:
-        """Returns the workers on which a unit may be placed, capacity aside.
+        """Returns the workers that are not reserved against a unit.
 
         Units inside a guarantee may use reserved workers as well.
         """
-        compatible = [
-            each for each in workers if self._is_compatible(unit, each)
-        ]
         if self._guarantees.covers(unit) or self._is_pressed(unit):
-            return compatible
+            return workers
         return [
             each
-            for each in compatible
+            for each in workers
             if self._reservations.allows(each, unit, self._now_ms)
         ]
 
     def _is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
         return bool(self._worth_round and self._worth_round.is_pressed(unit))
 
-    def _is_compatible(
-        self, unit: waiting_units.WaitingUnit, worker: worker_directory.Worker
-    ) -> bool:
-        """Returns whether a unit may share a worker with what runs on it.
-
-        Filling tasks increase the response times of serving tasks, so the two
-        never share a worker.
-        """
-        advised = unit.submission.terms.needs_advice
-        if advised and not self._allowed(unit.key, worker):
-            return False
-        if unit.step.fills:
-            return worker.worker not in self._serving_workers
-        if unit.step.goal_ms:
-            return worker.worker not in self._filling_workers
-        return True
-
     def _preempt(
         self,
         unit: waiting_units.WaitingUnit,
@@ -438,7 +390,10 @@
             return None
         workers = self._choice.awaited(
             unit,
-            self._compatible_workers(unit, self._trusted_workers),
+            self._without_reserved(
+                unit,
+                self._candidates.compatible(unit, self._candidates.trusted),
+            ),
             guaranteed,
         )
         return self._preemption.find(
@@ -460,11 +415,7 @@
             self._worth_round.note_placed(unit)
         self._preemption.mark_stopped(decision.victims)
         demand = worker_allocations.allocated_demand(unit.step)
-        worker_ids = {worker.worker for worker in decision.workers}
-        if unit.step.goal_ms:
-            self._serving_workers |= worker_ids
-        if unit.step.fills:
-            self._filling_workers |= worker_ids
+        self._candidates.note_placed(decision)
         for worker in decision.workers:
             self._allocations.allocate(worker.worker, demand)
             self._placed_counts[unit.key.step_key][worker.worker] += 1
@@ -477,7 +428,7 @@
             tasks=task_count or unit.tasks,
             step=unit.step,
             service=unit.submission.terms.service,
-            avoid=self._avoided_workers(unit),
+            avoid=self._candidates.avoided(unit),
             last=self._last_resort_workers(unit),
             taken=self._tasks_per_worker(unit)
             if unit.step.max_tasks_per_worker
@@ -491,20 +442,6 @@
             return self._worth_round.packing.other_workers
         return self._choice.last_resort(unit)
 
-    def _avoided_workers(
-        self, unit: waiting_units.WaitingUnit
-    ) -> frozenset[ids.WorkerId]:
-        """Returns the workers to avoid, or none if no others are suitable."""
-        if not unit.avoid:
-            return unit.avoid
-        requirements = waiting_units.basic_requirements(unit)
-        suitable = {
-            worker.worker
-            for worker in self._all_workers
-            if fitting.suits(requirements, worker)
-        }
-        return unit.avoid if suitable - unit.avoid else frozenset()
-
     def _tasks_per_worker(
         self, unit: waiting_units.WaitingUnit
     ) -> collections.Counter[ids.WorkerId]:
