Restore the cost of quota victims that no decision stops

Cause, found by reading the change: runs that a unit would stop for its account's quota stayed free of cost for the rest of the round although the unit found no workers; later units could stop them whatever the loss. A loss that had already happened counted against the limit, and capacity and quota victims were each held to the full limit.

Change: victims are free of cost only while their unit is placed, runs that are being stopped cost nothing, and the limit is checked once for all victims. Also: placement by speed takes learned times for the later steps and the objective, learned limits of overdue runs are divided by the speed of the slowest worker, the second speed sample of a run takes off the share of its first, estimates of finished jobs are dropped and restored keys keep their order of eviction.

--- a/citronmount/fleet/accounts/quotas.py
+++ b/citronmount/fleet/accounts/quotas.py
@@ -193,7 +193,7 @@
             run for run in stoppable if run.submission.account == account
         ]
         if not own_runs or not self.admits(account, unit.demand, own_runs):
-            self._note_limit(unit)
+            self.note_limit(unit)
             return None
         return self._cheapest_victims(unit, own_runs, cost)
 
@@ -201,14 +201,14 @@
         self,
         decision: waiting_units.Decision,
         victims: Sequence[unit_runs.Run],
-        cost: Callable[[unit_runs.Run], float],
+        lost_work: Callable[[unit_runs.Run], float],
     ) -> waiting_units.Decision:
         """Adds the runs to stop for the quota to a decision.
 
         Args:
             decision: The decision, with the runs to stop for its capacity.
             victims: The result of `victims_for`.
-            cost: Returns the cost of stopping a run.
+            lost_work: Returns the work in core-seconds that a run loses.
 
         Returns:
             The decision, unchanged if the runs that it stops are enough.
@@ -218,7 +218,7 @@
             return decision
         known = {victim.unit for victim in decision.victims}
         added = [victim for victim in victims if victim.unit not in known]
-        lost_core_s = sum(self._cost(victim, cost) for victim in added)
+        lost_core_s = sum(self._cost(victim, lost_work) for victim in added)
         return msgspec.structs.replace(
             decision,
             victims=(*decision.victims, *added),
@@ -296,7 +296,8 @@
         )
         return 0.0 if stopped else cost(run)
 
-    def _note_limit(self, unit: waiting_units.WaitingUnit) -> None:
+    def note_limit(self, unit: waiting_units.WaitingUnit) -> None:
+        """Notes that the quota of its account holds back a unit."""
         account = unit.submission.account
         quota = self._quotas[account]
         if account in self.limits and quota_limits.fits(quota, unit.demand):
--- a/citronmount/fleet/estimates/learning.py
+++ b/citronmount/fleet/estimates/learning.py
@@ -97,6 +97,10 @@
         """Whether run times are learned and estimated."""
         return self._enabled
 
+    def forget_job(self, job: ids.JobId) -> None:
+        """Drops the cached estimate of a job that has ended."""
+        self._estimates.pop(job, None)
+
     def estimate(self, submission: spec.Submission, now_ms: int) -> JobEstimate:
         """Returns the run times of the steps of a job.
 
--- a/citronmount/fleet/estimates/run_times.py
+++ b/citronmount/fleet/estimates/run_times.py
@@ -233,7 +233,9 @@
         """
         fields = key_statistics.KeyStatistics.__struct_fields__
         restored_count = 0
-        for key, numbers in list(snapshot.items())[:MAX_KEYS]:
+        # The heaviest keys come first in the snapshot and last into the
+        # least-recently-used order.
+        for key, numbers in reversed(list(snapshot.items())[:MAX_KEYS]):
             scaled = [number / _SNAPSHOT_SCALE for number in numbers]
             triples = [scaled[n : n + 3] for n in range(0, len(scaled), 3)]
             if len(numbers) != 3 * len(fields) or not all(
--- a/citronmount/fleet/placement/preemption.py
+++ b/citronmount/fleet/placement/preemption.py
@@ -123,6 +123,8 @@
             cost: Returns the cost of stopping a run.
         """
         self.runs = (*ending, *revocable)
+        self._cost = cost
+        self._ending_units = {run.unit for run in ending}
         self._costs = {run.unit: cost(run) for run in revocable}
         self._costs |= {run.unit: 0.0 for run in ending}
         self._runs_by_worker: dict[ids.WorkerId, list[unit_runs.Run]] = (
@@ -143,6 +145,15 @@
             for worker in {m.place.worker for m in run.live_members}:
                 self._runs_by_worker[worker].sort(key=self._cost_of)
 
+    def mark_running(self, runs: Iterable[unit_runs.Run]) -> None:
+        """Restores the cost of runs that are not stopped after all."""
+        for run in runs:
+            if run.unit not in self._costs or run.unit in self._ending_units:
+                continue
+            self._costs[run.unit] = self._cost(run)
+            for worker in {m.place.worker for m in run.live_members}:
+                self._runs_by_worker[worker].sort(key=self._cost_of)
+
     def find(
         self,
         requirements: fitting.Requirements,
--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -9,7 +9,9 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.accounts import guarantees
@@ -22,6 +24,7 @@
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_directory
+from citronmount.workflow import units
 
 __all__ = ["PreemptionPolicy"]
 
@@ -65,6 +68,7 @@
         self._now_ms = now_ms
         self._worth = worth
         self._lower_priority_searches = 0
+        self._stopped_units: set[units.UnitId] = set()
         self._searches: dict[tuple[bool, int], preemption.PreemptionSearch] = {}
 
     def may_preempt(
@@ -131,9 +135,14 @@
         return self._search(guaranteed, unit.submission.terms.priority).runs
 
     def cost_of_stop(self, run: unit_runs.Run) -> float:
-        """Returns what the stop of a run loses."""
+        """Returns what the stop of a run loses, 0 if it is stopped anyway."""
+        if (
+            run.phase is unit_runs.RunPhase.ENDING
+            or run.unit in self._stopped_units
+        ):
+            return 0.0
         return (
-            self._worth.stop_loss(run) if self._worth else self._lost_work(run)
+            self._worth.stop_loss(run) if self._worth else self.lost_work(run)
         )
 
     def accepts_loss(
@@ -144,8 +153,25 @@
 
     def mark_stopped(self, runs: Iterable[unit_runs.Run]) -> None:
         """Makes runs free of cost that are stopped for a unit of this round."""
+        stopped = list(runs)
+        self._stopped_units.update(run.unit for run in stopped)
         for search in self._searches.values():
-            search.mark_stopped(runs)
+            search.mark_stopped(stopped)
+
+    @contextlib.contextmanager
+    def assume_stopped(self, runs: Iterable[unit_runs.Run]) -> Iterator[None]:
+        """Makes runs free of cost while a unit is placed.
+
+        Whether they are stopped is known only with the unit's decision.
+        """
+        assumed = [run for run in runs if run.unit not in self._stopped_units]
+        self.mark_stopped(assumed)
+        try:
+            yield
+        finally:
+            self._stopped_units.difference_update(run.unit for run in assumed)
+            for search in self._searches.values():
+                search.mark_running(assumed)
 
     def _max_loss(self, unit: waiting_units.WaitingUnit) -> float:
         """Returns the highest cost of the runs to stop for a unit."""
@@ -163,12 +189,13 @@
         if self._worth is None:
             return found.cost_core_s
         return sum(
-            self._lost_work(run)
+            self.lost_work(run)
             for run in found.victims
             if run.phase is unit_runs.RunPhase.ACTIVE
         )
 
-    def _lost_work(self, run: unit_runs.Run) -> float:
+    def lost_work(self, run: unit_runs.Run) -> float:
+        """Returns the work in core-seconds that a run loses by its stop."""
         return preemption.lost_work(run, self._now_ms, self._bounds.save_s)
 
     def _has_victims(self, priority: int) -> bool:
--- a/citronmount/fleet/placement/speed_choice.py
+++ b/citronmount/fleet/placement/speed_choice.py
@@ -332,15 +332,21 @@
         cached = self._deadlines.get(step_key)
         if cached is None:
             later_ms = _later_steps_ms(
-                unit.submission.workflow.steps, unit.key.step
+                unit.submission.workflow.steps,
+                unit.key.step,
+                unit.step_medians_ms,
             )
             end_ms = waiting_units.objective_end_ms(
-                unit.submission, unit.key.occurrence
+                unit.submission,
+                unit.key.occurrence,
+                unit.step_medians_ms,
             )
             least_ms = unit.run_time.median_ms / self._classes.speeds[-1]
             missed = self._wall_ms + least_ms + later_ms > end_ms
             if missed:
-                objective_ms = waiting_units.objective_ms(unit.submission)
+                objective_ms = waiting_units.objective_ms(
+                    unit.submission, unit.step_medians_ms
+                )
                 end_ms += int(objective_ms * (LATE_OBJECTIVE_FACTOR - 1))
             cached = _Deadline(
                 end_ms=end_ms - later_ms, objective_missed=missed
@@ -365,11 +371,14 @@
     return False, outside, option.width, -option.run_ms
 
 
-def _later_steps_ms(steps: Sequence[spec.Step], index: int) -> int:
+def _later_steps_ms(
+    steps: Sequence[spec.Step], index: int, step_medians_ms: Sequence[int]
+) -> int:
     """Returns the longest time of the steps that follow a step."""
+    times_ms = step_medians_ms or [step.estimate_ms for step in steps]
     paths_ms = {index: 0}
     for later in range(index + 1, len(steps)):
         before = [paths_ms[e] for e in steps[later].after if e in paths_ms]
         if before:
-            paths_ms[later] = max(before) + steps[later].estimate_ms
+            paths_ms[later] = max(before) + times_ms[later]
     return max(paths_ms.values())
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -218,17 +218,20 @@
             self._preemption.stoppable_runs(unit, guaranteed),
             self._preemption.cost_of_stop,
         )
-        if victims is None or not self._preemption.accepts_loss(
-            unit, sum(map(self._preemption.cost_of_stop, victims)), guaranteed
-        ):
+        if victims is None:
             return None
-        self._preemption.mark_stopped(victims)
-        decision = self._decide_one(unit, guaranteed)
+        with self._preemption.assume_stopped(victims):
+            decision = self._decide_one(unit, guaranteed)
         if decision is None:
             return None
-        return self.quotas.with_victims(
-            decision, victims, self._preemption.cost_of_stop
+        decision = self.quotas.with_victims(
+            decision, victims, self._preemption.lost_work
         )
+        cost = sum(map(self._preemption.cost_of_stop, decision.victims))
+        if not self._preemption.accepts_loss(unit, cost, guaranteed):
+            self.quotas.note_limit(unit)
+            return None
+        return decision
 
     def _decide_one(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
@@ -314,6 +317,7 @@
             unit.key.step_key if unit.has_step_limits else None,
             self._choice.key(unit, guaranteed),
             self._is_pressed(unit),
+            unit.submission.terms.priority if self._worth_round else None,
         )
 
     def _fit(
--- a/citronmount/fleet/runs/job_completion.py
+++ b/citronmount/fleet/runs/job_completion.py
@@ -96,6 +96,7 @@
             slack_factor=entry.submission.terms.slack_factor,
             margin_ms=entry.submission.terms.objective_ms,
         )
+        self._state.estimates.forget_job(job)
 
     def _forget_expired_jobs(self, wall_ms: int) -> None:
         kept_s = self._state.bounds.status_s + FINAL_STATE_MARGIN_S
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -251,14 +251,14 @@
             return
         # A fast worker must not make the limit stricter than the declared time.
         slowest_speed = min(self._state.slowest_speed(run), 1.0)
-        estimate_ms = int(estimate_ms / slowest_speed)
+        limit_estimate_ms = int(estimate_ms / slowest_speed)
         factors = [
             self._state.health.check_overdue(
                 member.place.worker,
                 elapsed_ms,
-                estimate_ms,
+                limit_estimate_ms,
                 now_ms,
-                min_typical_ms=learned_ms,
+                min_typical_ms=int(learned_ms / slowest_speed),
             )
             for member in run.live_members
         ]
--- a/citronmount/fleet/runs/speed_observations.py
+++ b/citronmount/fleet/runs/speed_observations.py
@@ -116,6 +116,8 @@
         if gained < SAMPLE_PERCENTS[member.speed_samples]:
             return None
         first = not member.speed_samples
+        if first:
+            member.speed_sample_percent = gained
         precise = gained >= SAMPLE_PERCENTS[-1]
         member.speed_samples = len(SAMPLE_PERCENTS) if precise else 1
         factor = 1.0
@@ -124,7 +126,7 @@
             factor = self._state.bounds.spread_factor
         variance = _variance(run, gained)
         if not first:
-            earlier = _variance(run, SAMPLE_PERCENTS[0])
+            earlier = _variance(run, member.speed_sample_percent)
             variance = 1 / (1 / variance - 1 / earlier)
         return _Sample(
             group=(run.unit, run.number) if run.step.gang else run.key.step_key,
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -83,6 +83,7 @@
         saved: Newest checkpoint.
         progress: Progress of the task.
         speed_samples: Number of progress rates taken into the speed estimates.
+        speed_sample_percent: Progress of the first of these rates.
         rate_polled: Whether the worker was polled for a first rate, or needed
             no poll.
     """
@@ -104,6 +105,7 @@
         default_factory=task_progress.TaskProgress
     )
     speed_samples: int = 0
+    speed_sample_percent: float = 0.0
     rate_polled: bool = False
 
     @property
