Isolate errors of single records and say what readers asked

Cause, from a reading of the change by somebody new to it: one error in an applied worker entry or configuration dropped the rest of its page; an error of the owner while it took a configuration was logged as a skipped record; a foreign record with 10^12 tasks or an epoch near 2^64 made each owner fail in turn; some pages named modules that don't exist or told what the code no longer does.

Change: each record is applied by itself, the owner releases the pool after such an error, counts of tasks and epochs are checked, and the pages and docstrings say what holds.

--- a/citronmount/fleet/accounts/quota_limits.py
+++ b/citronmount/fleet/accounts/quota_limits.py
@@ -60,15 +60,11 @@
 
 def fits(quota: fleet_configuration.Quota, demand: spec.Demand) -> bool:
     """Returns whether a demand exceeds no limit; called for each unit."""
-    return (
-        demand.millicores <= quota.max_millicores or quota.max_millicores <= 0
-    ) and (
-        (demand.memory_mb <= quota.max_memory_mb or quota.max_memory_mb <= 0)
-        and (
-            demand.accelerators <= quota.max_accelerators
-            or quota.max_accelerators <= 0
-        )
-    )
+    if 0 < quota.max_millicores < demand.millicores:
+        return False
+    if 0 < quota.max_memory_mb < demand.memory_mb:
+        return False
+    return not 0 < quota.max_accelerators < demand.accelerators
 
 
 def exceeded_resource(
--- a/citronmount/fleet/estimates/run_time_recorder.py
+++ b/citronmount/fleet/estimates/run_time_recorder.py
@@ -101,7 +101,10 @@
 
 
 def _differs(numbers: tuple[int, ...], previous: tuple[int, ...]) -> bool:
-    """Compares the moments of a key: weight, mean and variance of each."""
+    """Returns whether a mean moved or the number of runs grew enough.
+
+    `numbers` holds weight, mean and variance of each moment, in thousandths.
+    """
     if len(numbers) != len(previous):
         return True
     means = zip(numbers[1::3], previous[1::3], strict=True)
--- a/citronmount/fleet_service/command_sender.py
+++ b/citronmount/fleet_service/command_sender.py
@@ -17,7 +17,8 @@
 
 # For the first attempt to start a run and for all later ones.
 START_TIMEOUTS_MS = (200, 400)
-# Stops are idempotent, so a lost one is sent again early.
+# A worker answers a stop before the task has ended. A repeated stop has no
+# effect, so a lost one is sent again early.
 STOP_TIMEOUT_MS = 300
 RENEWAL_TIMEOUT_MARGIN_MS = 600
 ADVICE_TIMEOUT_MS = 3_000
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -139,11 +139,15 @@
         """Sets the configuration in force."""
         self._configuration = configuration
         if self._owner is not None:
-            self._owner.set_configuration(configuration, self._now_ms())
+            try:
+                self._owner.set_configuration(configuration, self._now_ms())
+            except Exception:
+                self._on_owner_fault(self._owner, failure.Failure())
+                return
             self.schedule_step()
 
     def account_gauges(self) -> dict[str, float]:
-        """Returns gauges of the client accounts, none without the pool."""
+        """Returns gauges of the accounts, none if another VM owns the pool."""
         return {} if self._owner is None else self._owner.account_gauges()
 
     def mark_changed(self) -> None:
@@ -285,6 +289,8 @@
             self._on_owner_fault(owner, failure.Failure())
             return
         for command in due_commands:
+            if owner is not self._owner:
+                return
             self._sender.send(owner, command)
         self._append(owner)
 
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -159,7 +159,7 @@
         return self._owner.active
 
     def account_gauges(self) -> dict[str, float]:
-        """Returns gauges of the client accounts, none without the pool."""
+        """Returns gauges of the accounts, none if another VM owns the pool."""
         return self._owner.account_gauges()
 
     @property
@@ -168,7 +168,7 @@
         return self._owner.owner.run_times if self._owner.owner else None
 
     @property
-    def recorded_speeds(self) -> int:
+    def recorded_speed_count(self) -> int:
         """Number of machines with a recorded relative speed."""
         return len(self._job_view.speeds)
 
@@ -264,15 +264,16 @@
         self, log_records: Sequence[ports.LogRecord]
     ) -> None:
         started_s = self._clock.seconds()
-        for event in self._decode_events(
-            ports.Topic.CONFIGURATION, log_records
-        ):
-            match event:
+
+        def apply_one(log_record: ports.LogRecord) -> None:
+            match self._decode(ports.Topic.CONFIGURATION, log_record):
                 case ports.ConfigurationChanged(configuration=configuration):
                     self._activate_configuration(configuration, started_s)
                 case ports.DomainServiceChanged(domain=domain, out=out):
                     self._directory.set_domain_out_of_service(domain, out)
                     self._logger.info("domain_switched", domain=domain, out=out)
+
+        self._handle_each(log_records, apply_one)
         self._owner.mark_changed()
 
     def _activate_configuration(
@@ -311,10 +312,13 @@
     def _apply_worker_changes(
         self, log_records: Sequence[ports.LogRecord]
     ) -> None:
-        for event in self._decode_events(ports.Topic.WORKERS, log_records):
+        def apply_one(log_record: ports.LogRecord) -> None:
+            event = self._decode(ports.Topic.WORKERS, log_record)
             if isinstance(event, ports.WorkerChanged):
                 self._apply_worker_change(event.worker, event.entry)
 
+        self._handle_each(log_records, apply_one)
+
     def _apply_worker_change(
         self, worker: ids.WorkerId, entry: worker_directory.Worker | None
     ) -> None:
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -143,7 +143,7 @@
     registry.register_gauge("owns_pool", lambda: vm.owns_pool)
     registry.register_gauge("ready", lambda: vm.ready)
     run_time_metrics.register(registry, lambda: vm.run_times)
-    registry.register_gauge("recorded_speeds", lambda: vm.recorded_speeds)
+    registry.register_gauge("recorded_speeds", lambda: vm.recorded_speed_count)
     api = adapter.api(vm.job_service)
     terminated: defer.Deferred[None] = defer.Deferred()
     _install_signal_handlers(reactor, terminated, reloader)
--- a/citronmount/telemetry/metrics_registry.py
+++ b/citronmount/telemetry/metrics_registry.py
@@ -82,7 +82,8 @@
     """The metrics of one process.
 
     Memory is bounded, because work classes, stages and names come from the
-    code and never from callers.
+    code, those of gauge groups also from the configuration, and never from
+    callers.
     """
 
     def __init__(self) -> None:
--- a/citronmount/workflow/job_limits.py
+++ b/citronmount/workflow/job_limits.py
@@ -7,7 +7,13 @@
 from citronmount.core import errors
 from citronmount.workflow import spec
 
-__all__ = ["JobRangeError", "check", "check_structure", "check_terms"]
+__all__ = [
+    "JobRangeError",
+    "check",
+    "check_structure",
+    "check_task_counts",
+    "check_terms",
+]
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 1_000
@@ -110,6 +116,17 @@
             )
 
 
+def check_task_counts(workflow: spec.Workflow) -> None:
+    """Checks the numbers of tasks and occurrences, which an owner expands.
+
+    Raises:
+        JobRangeError: A number is out of range.
+    """
+    _check_ranges(workflow, {"occurrences": _JOB_RANGES["occurrences"]})
+    for index, step in enumerate(workflow.steps):
+        _check_ranges(step, {"tasks": _STEP_RANGES["tasks"]}, index)
+
+
 def check_terms(terms: spec.QueueTerms) -> None:
     """Checks that the objective of a queue's jobs can be computed.
 
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -169,7 +169,8 @@
     Attributes:
         version: Version of the format of `estimates`.
         recorded_ms: Unix time of the record in milliseconds.
-        estimates: Statistics of each key, in thousandths.
+        estimates: For each key, weight, mean and variance of each field of
+            `key_statistics.KeyStatistics`, in order and in thousandths.
     """
 
     version: int
@@ -190,8 +191,10 @@
 OWNER_KEY = "o"
 SPEEDS_KEY = "w"
 RUN_TIMES_KEY = "t"
-# A factor of 22,000 between two machines.
+# Natural logarithm, far beyond real machines; larger ones overflow in `exp`.
 MAX_LOG_SPEED = 10.0
+# The next owners still have to raise the epoch within 64 bits.
+MAX_EPOCH = 1 << 62
 
 _ENCODER = msgspec.msgpack.Encoder()
 _RECORD_DECODER = msgspec.msgpack.Decoder(
@@ -313,8 +316,12 @@
     match record:
         case UnitChanged(unit=unit):
             units.UnitKey.parse(unit)
+        case OwnershipTaken(epoch=epoch):
+            if not 0 <= epoch <= MAX_EPOCH:
+                raise ValueError(f"expected an epoch up to {MAX_EPOCH}")
         case Submitted(submission=submission):
             job_limits.check_structure(submission.workflow)
+            job_limits.check_task_counts(submission.workflow)
             job_limits.check_terms(submission.terms)
         case SpeedsLearned(logs=logs):
             if not all(abs(each) <= MAX_LOG_SPEED for each in logs.values()):
