Test that runs of an unplaced unit cost what they lose

Guards against stops that pass the loss limit because an earlier unit of the round would have stopped the same runs for its quota. The test fails if these runs are marked as stopped before the unit has a place.

--- a/citronmount/fleet/accounts/tests/test_quotas.py
+++ b/citronmount/fleet/accounts/tests/test_quotas.py
@@ -153,3 +153,29 @@
             found = quotas.runs_beyond_quota((account,), self.table, victims)
             with self.subTest(maximum=maximum):
                 self.assertEqual([runs[n] for n in withdrawn], found)
+
+    def test_runs_of_an_unplaced_unit_are_not_free_to_stop_for_others(
+        self,
+    ) -> None:
+        # The first unit would stop them for its quota, but no worker suits it.
+        # The second one may not cause the loss of a minute of their work.
+        self.pool = self.pool[:1]
+        for number in range(8):
+            self.add_run(
+                chr(1_000 + number),
+                planning_fixture.SINGLE,
+                self.pool[0],
+                started_ms=planning_fixture.NOW_MS - 60_000,
+            )
+        gang = msgspec.structs.replace(
+            planning_fixture.make_gang(1), worker_label="absent"
+        )
+        unplaced = planning_fixture.make_urgent("b", gang)
+        small = planning_fixture.make_urgent(
+            "c", planning_fixture.make_gang(1, accelerators=1)
+        )
+        submission = msgspec.structs.replace(
+            small.submission, account=ids.AccountId("other")
+        )
+        other = msgspec.structs.replace(small, submission=submission)
+        self.assertEqual([], self.plan(unplaced, other, guaranteed=8))
