Wait for the record of an end before the next renewal

Cause: a worker answers a renewal at once while it has an unresolved end, so the owner sent one right after each report of an end and got the same end again.

Change: after a new end the next renewal waits until the end is resolved, at most the retry delay, as after a repeated report.

--- a/citronmount/fleet/workers/lease_sessions.py
+++ b/citronmount/fleet/workers/lease_sessions.py
@@ -242,8 +242,9 @@
     def register_end(self, number: int, now_ms: int) -> bool:
         """Registers an end from a report as unresolved.
 
-        A repeated report of an unresolved end delays the next renewal by
-        `LeasePolicy.retry_ms`.
+        A worker answers at once while it has an unresolved end, and would
+        report the same end again. So the next renewal waits until the end is
+        resolved, at most `LeasePolicy.retry_ms`.
 
         Args:
             number: Sequence number of the end at the worker.
@@ -258,6 +259,7 @@
             return False
         self._highest_end = number
         self._unresolved_ends.add(number)
+        self._next_renewal_ms = now_ms + self._policy.retry_ms
         return True
 
     def resolve_end(self, number: int, now_ms: int) -> None:
