--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -219,7 +219,10 @@
             self.changed_workers.add(place.worker)
 
     def mark_member_missing(
-        self, run: unit_runs.Run, member: unit_runs.Member
+        self,
+        run: unit_runs.Run,
+        member: unit_runs.Member,
+        cause: unit_runs.MissingCause,
     ) -> None:
         """Marks a task as gone and ends its run unless the run is done.
 
@@ -230,6 +233,8 @@
             task=member.task,
             run=run.number,
             worker=member.place.worker,
+            life_ms=member.place.life_ms,
+            cause=cause.value,
         )
         self.table.mark_gone(run, member)
         self.needs_planning = True
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -394,10 +394,14 @@
             session = self._state.sessions.get(member.place.worker)
             if session is None:
                 if now_ms > self._state.orphan_leases_end_ms:
-                    self._state.mark_member_missing(run, member)
+                    self._state.mark_member_missing(
+                        run, member, unit_runs.MissingCause.LEASE_EXPIRED
+                    )
                 continue
             silent = session.silent_ms(now_ms) > self._state.policy.trust_ms
             if (silent or not session.has_answered) and session.lease_expired(
                 now_ms
             ):
-                self._state.mark_member_missing(run, member)
+                self._state.mark_member_missing(
+                    run, member, unit_runs.MissingCause.LEASE_EXPIRED
+                )
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -15,7 +15,14 @@
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
-__all__ = ["EndCause", "Member", "MemberState", "Run", "RunPhase"]
+__all__ = [
+    "EndCause",
+    "Member",
+    "MemberState",
+    "MissingCause",
+    "Run",
+    "RunPhase",
+]
 
 
 class MemberState(enum.Enum):
@@ -60,6 +67,19 @@
     QUOTA_LOWERED = "quota_lowered"
 
 
+class MissingCause(enum.Enum):
+    """Why a worker no longer holds a task whose end it did not report.
+
+    INCARNATION_ENDED: another incarnation of the worker has started.
+    NOT_REPORTED: a complete report of the worker does not contain the task.
+    LEASE_EXPIRED: the task's lease is certain to have expired.
+    """
+
+    INCARNATION_ENDED = "incarnation_ended"
+    NOT_REPORTED = "not_reported"
+    LEASE_EXPIRED = "lease_expired"
+
+
 class Member(msgspec.Struct, kw_only=True):
     """One task of a run.
 
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -274,7 +274,9 @@
             if member.task in seen or not member.start_settled:
                 continue
             if sent_ms >= member.settled_ms:
-                self._state.mark_member_missing(run, member)
+                self._state.mark_member_missing(
+                    run, member, unit_runs.MissingCause.NOT_REPORTED
+                )
 
     def _stop_unknown_task(
         self, session: lease_sessions.LeaseSession, task: commands.RunningTask
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -4,6 +4,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import owner_state
+from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 
@@ -70,7 +71,9 @@
         self._state.sessions[worker.worker] = session
         for run, member in self._state.table.tasks_on_worker(worker.worker):
             if member.place.life_ms != worker.life_ms:
-                self._state.mark_member_missing(run, member)
+                self._state.mark_member_missing(
+                    run, member, unit_runs.MissingCause.INCARNATION_ENDED
+                )
         for former in list(self._state.sessions.values()):
             same_machine = former.worker.machine == worker.machine
             older = former.worker.life_ms < worker.life_ms
@@ -83,7 +86,13 @@
         """Ends an incarnation's session and marks its tasks as missing."""
         worker_id = session.worker.worker
         self._state.log.info(
-            "worker_life_over", worker=worker_id, life_ms=session.worker.life_ms
+            "worker_life_over",
+            worker=worker_id,
+            life_ms=session.worker.life_ms,
+            machine=session.worker.machine,
+            state=session.worker.state.value,
+            answered_ms_ago=session.silent_ms(now_ms),
+            runs=self._state.table.task_count_on(worker_id),
         )
         if self._state.sessions.get(worker_id) is session:
             del self._state.sessions[worker_id]
@@ -91,7 +100,9 @@
         self._state.health.record_incarnation_end(session.worker, now_ms)
         for run, member in self._state.table.tasks_on_worker(worker_id):
             if member.place.life_ms == session.worker.life_ms:
-                self._state.mark_member_missing(run, member)
+                self._state.mark_member_missing(
+                    run, member, unit_runs.MissingCause.INCARNATION_ENDED
+                )
         self._state.needs_planning = True
 
     def send_due_renewals(self, now_ms: int) -> None:
