--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -100,6 +100,7 @@
         open_renewals: Number of lease renewals in progress.
         max_open_renewals: Highest number of concurrent lease renewals.
         plan_task: Returns the simulated behaviour of a task and run.
+        on_start: Called with the worker and the name of each started task.
         clock: Clock of all workers.
     """
 
@@ -122,6 +123,7 @@
         self.tickets: dict[units.TaskName, str] = {}
         self.finished_tasks: set[units.TaskName] = set()
         self.plan_task = plan_task
+        self.on_start: list[Callable[[PoolWorker, units.TaskName], None]] = []
         self.clock = clock
 
     def now_ms(self) -> int:
@@ -220,9 +222,14 @@
         end_ms = self.now_ms() + command.wait_ms
         while not worker.ends and self.now_ms() < end_ms:
             await task.deferLater(self.clock, 0.01)
-        loses_answer = worker.fault is WorkerFault.SILENT or (
-            worker.fault is WorkerFault.LOSES_WAITING_RENEWALS
-            and command.wait_ms > 0
+        crashed = self.workers.get(worker.entry.worker) is not worker
+        loses_answer = (
+            crashed
+            or worker.fault is WorkerFault.SILENT
+            or (
+                worker.fault is WorkerFault.LOSES_WAITING_RENEWALS
+                and command.wait_ms > 0
+            )
         )
         if loses_answer:
             await self._wait_for_timeout(timeout_ms - command.wait_ms)
@@ -308,13 +315,18 @@
         self.clock_rate = 1.0
         self._pool = pool
         self._token = 0
+        self._clock_start_ms = pool.now_ms()
         self._lease_until_ms = 0
         self._last_refused_runs: dict[units.TaskName, int] = {}
         self._end_numbers = itertools.count(1)
 
     def now_ms(self) -> int:
-        """Returns the time of the worker's clock, which measures leases."""
-        return round(self._pool.now_ms() * self.clock_rate)
+        """Returns the time of the worker's clock, which measures leases.
+
+        The clock starts anew with each incarnation.
+        """
+        uptime_ms = self._pool.now_ms() - self._clock_start_ms
+        return round(uptime_ms * self.clock_rate)
 
     def start(self, command: commands.Start) -> commands.StartOutcome:
         """Executes a start command."""
@@ -350,6 +362,8 @@
                 GANG_TIMEOUT_MS / _MS_PER_S, self._check_gang, run
             )
         self._pool.clock.callLater(0.1, self._check_lease)
+        for listener in self._pool.on_start:
+            listener(self, command.task)
         return commands.StartOutcome.STARTED
 
     def stop(self, command: commands.Stop) -> commands.StopOutcome:
