--- a/citronmount/fleet/placement/worker_candidates.py
+++ b/citronmount/fleet/placement/worker_candidates.py
@@ -6,6 +6,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet.placement import fitting
+from citronmount.fleet.placement import start_isolation
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_table
@@ -54,6 +55,7 @@
         assess: Callable[[worker_directory.Worker], worker_health.Assessment],
         slowdown: Callable[[worker_directory.Worker], float],
         allowed: Callable[[units.UnitKey, worker_directory.Worker], bool],
+        now_ms: int = 0,
     ) -> None:
         """Sorts the workers by health and speed.
 
@@ -65,6 +67,7 @@
                 one.
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
+            now_ms: Monotonic time in milliseconds.
         """
         self._allowed = allowed
         assessments = {each.worker: assess(each) for each in workers}
@@ -80,6 +83,9 @@
             and self.slowdowns[each.worker] < worker_health.SLOW_FACTOR
         ]
         all_runs = list(runs)
+        self._isolation = start_isolation.StartIsolation(
+            runs=all_runs, now_ms=now_ms
+        )
         self._serving_ids = run_table.workers_of(
             run for run in all_runs if run.step.goal_ms
         )
@@ -125,6 +131,7 @@
 
     def note_placed(self, decision: waiting_units.Decision) -> None:
         """Takes into account what a decision starts."""
+        self._isolation.note_placed(decision)
         worker_ids = {worker.worker for worker in decision.workers}
         if decision.waiting.step.goal_ms:
             self._serving_ids |= worker_ids
@@ -139,6 +146,8 @@
         Filling tasks increase the response times of serving tasks, so the two
         never share a worker.
         """
+        if not self._isolation.allows(unit, worker):
+            return False
         advised = unit.submission.terms.needs_advice
         if advised and not self._allowed(unit.key, worker):
             return False
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -16,6 +16,7 @@
 from citronmount.fleet.placement import rack_preference
 from citronmount.fleet.placement import slowdown_choice
 from citronmount.fleet.placement import speed_choice
+from citronmount.fleet.placement import start_isolation
 from citronmount.fleet.placement import worker_candidates
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
@@ -100,6 +101,7 @@
             assess=assess,
             slowdown=slowdown,
             allowed=allowed,
+            now_ms=now_ms,
         )
         self._table = table
         self._allocations = table.allocations.copy()
@@ -317,6 +319,7 @@
             unit.key.step_key if unit.has_step_limits else None,
             self._choice.key(unit, guaranteed),
             self._is_pressed(unit),
+            unit.is_suspect,
             unit.submission.terms.priority if self._worth_round else None,
         )
 
@@ -332,6 +335,8 @@
         Single tasks of equal shape share one `TaskSlots` until a gang or a
         preemption changes the free capacity in between.
         """
+        if unit.is_suspect:
+            return self._fit_suspect(unit, spread, guaranteed)
         if unit.tasks > 1:
             return self._choice.choose(
                 unit,
@@ -354,6 +359,29 @@
         worker = self._slots_of_shape[1].take()
         return None if worker is None else [worker]
 
+    def _fit_suspect(
+        self,
+        unit: waiting_units.WaitingUnit,
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> list[worker_directory.Worker] | None:
+        """Finds workers for a suspect unit, idle ones first."""
+        workers = self._acceptable_workers(unit, guaranteed)
+        idle = start_isolation.idle_workers(workers, self._allocations)
+        requirements = self._requirements(unit)
+        choices = (
+            self._choice.choose(
+                unit,
+                requirements,
+                each,
+                self._free_capacity,
+                spread,
+                guaranteed,
+            )
+            for each in (idle, workers)
+        )
+        return next((each for each in choices if each is not None), None)
+
     def _acceptable_workers(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
     ) -> list[worker_directory.Worker]:
@@ -411,7 +439,7 @@
 
     def _allocate(self, decision: waiting_units.Decision) -> None:
         unit = decision.waiting
-        if decision.victims or unit.tasks > 1:
+        if decision.victims or unit.tasks > 1 or unit.is_suspect:
             self._slots_of_shape = None
         self._guarantees.consume(unit)
         self.quotas.consume(decision)
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -340,6 +340,8 @@
     ) -> waiting_units.WaitingUnit:
         previous = entry.progress.unit_records.get(key.unit)
         last_run = self._state.last_runs.get(key.unit)
+        # The newest of the two counts: a sound run clears earlier crashes.
+        counts = last_run or previous
         estimate = self._state.estimates.estimate(entry.submission, now_ms)
         return waiting_units.WaitingUnit(
             key=key,
@@ -355,6 +357,8 @@
                 previous.failures if previous else 0,
                 last_run.failures if last_run else 0,
             ),
+            crashes=counts.crashes if counts else 0,
+            start_crashes=counts.start_crashes if counts else 0,
             saved=(last_run.saved if last_run else "")
             or (previous.saved if previous else ""),
             learned_run_time=estimate.run_time(key.step),
@@ -376,6 +380,8 @@
             ],
             phase=unit_runs.RunPhase.CLEARING,
             failures=unit.failures,
+            crashes=unit.crashes,
+            start_crashes=unit.start_crashes,
             saved=unit.saved,
             now_ms=now_ms,
             learned_run_time=unit.learned_run_time,
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -35,6 +35,8 @@
         since_ms: Monotonic time since which the unit is ready.
         run: Number of the last run, or 0.
         failures: Number of failed runs.
+        crashes: Number of runs during which a worker crashed.
+        start_crashes: Number of these in which it crashed soon after a start.
         saved: Newest checkpoint, or empty.
         avoid: Workers on which the unit failed, stalled or was slow.
         learned_run_time: Run time of a task as learned from finished runs, or
@@ -49,6 +51,8 @@
     since_ms: int
     run: int = 0
     failures: int = 0
+    crashes: int = 0
+    start_crashes: int = 0
     saved: str = ""
     avoid: frozenset[ids.WorkerId] = frozenset()
     learned_run_time: run_time.RunTime | None = None
@@ -69,6 +73,11 @@
         """Full demand of all tasks of the unit."""
         return worker_allocations.multiply_demand(self.step.demand, self.tasks)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a worker crashed soon after a start of the unit."""
+        return self.start_crashes > 0
+
     @property
     def has_step_limits(self) -> bool:
         """Whether tickets or a limit of tasks per worker apply."""
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -71,6 +71,8 @@
                     places=change.places,
                     phase=unit_runs.RunPhase.ACTIVE,
                     failures=change.failures,
+                    crashes=change.crashes,
+                    start_crashes=change.start_crashes,
                     saved=change.saved,
                     restored=True,
                     now_ms=now_ms,
@@ -127,6 +129,7 @@
             if run.is_over:
                 workers = self._state.workers_of(run)
                 self._state.estimates.run_over(run, workers, now_ms)
+                run.forget_crashes_if_sound(now_ms)
                 self._state.table.remove(run)
                 self._state.victims_by_unit.pop(run.unit, None)
                 self._state.ready_since_ms[run.unit] = now_ms
--- a/citronmount/fleet/runs/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -70,6 +70,10 @@
             return None
         return found
 
+    def worker_ids(self) -> set[ids.WorkerId]:
+        """Returns the workers that may hold tasks."""
+        return set(self._on_worker)
+
     def tasks_on_worker(
         self, worker: ids.WorkerId
     ) -> list[tuple[unit_runs.Run, unit_runs.Member]]:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -25,6 +25,12 @@
 ]
 
 
+# A worker that runs a task for so long was not crashed by its start.
+START_SURVIVAL_MS = 2_000
+# A lasting task may run for years, so a sound run clears its earlier crashes.
+SOUND_RUN_MS = 30_000
+
+
 class MemberState(enum.Enum):
     """State of one task of a run.
 
@@ -106,6 +112,10 @@
         speed_sample_percent: Progress of the first of these rates.
         rate_polled: Whether the worker was polled for a first rate, or needed
             no poll.
+        running_since_ms: Monotonic time at which the task was first known to
+            run, or None.
+        survived_start: Whether the worker still ran the task
+            `START_SURVIVAL_MS` later.
     """
 
     place: records.Place
@@ -127,6 +137,8 @@
     speed_samples: int = 0
     speed_sample_percent: float = 0.0
     rate_polled: bool = False
+    running_since_ms: int | None = None
+    survived_start: bool = False
 
     @property
     def may_have_started(self) -> bool:
@@ -142,6 +154,13 @@
             return False
         return self.stop_answered or self.start_answered
 
+    def seen_running(self, now_ms: int) -> None:
+        """Handles a report of the worker that the task runs."""
+        if self.running_since_ms is None:
+            self.running_since_ms = now_ms
+        elif now_ms - self.running_since_ms >= START_SURVIVAL_MS:
+            self.survived_start = True
+
 
 class Run:
     """One run of a unit.
@@ -166,6 +185,11 @@
         placed_ms: Monotonic time of the placement.
         started_ms: Monotonic time at which this owner first saw all members
             running, or None.
+        crashes: Number of runs of the unit during which a worker crashed.
+        start_crashes: Number of these in which it crashed soon after a start
+            of the unit.
+        crash_counted: Whether `crashes` includes this run.
+        start_crash_counted: Whether `start_crashes` includes this run.
     """
 
     def __init__(
@@ -183,6 +207,8 @@
         now_ms: int = 0,
         task_positions: Sequence[int] = (),
         learned_run_time: run_time.RunTime | None = None,
+        crashes: int = 0,
+        start_crashes: int = 0,
     ) -> None:
         """Initializes a run.
 
@@ -200,6 +226,9 @@
             task_positions: Position among the unit's tasks of each place;
                 empty if there is a place for every task.
             learned_run_time: Learned run time of a task, or None.
+            crashes: Number of earlier runs during which a worker crashed.
+            start_crashes: Number of these in which it crashed soon after a
+                start.
         """
         self.key = key
         self.unit = key.unit
@@ -216,6 +245,10 @@
         self.learned_run_time = learned_run_time
         self.placed_ms = now_ms
         self.started_ms: int | None = None
+        self.crashes = crashes
+        self.start_crashes = start_crashes
+        self.crash_counted = False
+        self.start_crash_counted = False
         names = units.task_names(key, step)
         self.members = [
             Member(place=place, task=names[position])
@@ -244,6 +277,11 @@
             and self.outcome is None
         )
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a worker crashed soon after a start of the unit."""
+        return self.start_crashes > 0
+
     @property
     def is_over(self) -> bool:
         """Whether no member is running or can still start."""
@@ -275,6 +313,14 @@
         self.phase = RunPhase.ENDING
         self.cause = self.cause or cause
 
+    def forget_crashes_if_sound(self, now_ms: int) -> None:
+        """Clears the crashes of a lasting unit if this run worked for long."""
+        if not self.step.lasting or self.started_ms is None:
+            return
+        sound = now_ms - self.started_ms >= SOUND_RUN_MS
+        if sound and not self.crash_counted:
+            self.crashes = self.start_crashes = 0
+
     def all_running(self) -> bool:
         """Returns whether all members are running."""
         return all(
@@ -313,4 +359,6 @@
             places=places,
             saved="" if finished else self.saved,
             task_positions=positions,
+            crashes=self.crashes,
+            start_crashes=self.start_crashes,
         )
--- a/citronmount/fleet/workers/worker_directory.py
+++ b/citronmount/fleet/workers/worker_directory.py
@@ -12,6 +12,8 @@
 
 MachineId = str
 
+MAX_REMEMBERED_ENTRIES = 1_000
+
 
 class WorkerState(enum.Enum):
     """State that a worker publishes of itself."""
@@ -71,6 +73,8 @@
         """Initializes an empty directory."""
         self.version = 0
         self._workers: dict[ids.WorkerId, Worker] = {}
+        # Also of workers whose entry was removed, the latest ones.
+        self._last_entries: dict[ids.WorkerId, Worker] = {}
         self._domains_out_of_service: set[ids.FailureDomainId] = set()
 
     def __iter__(self) -> Iterator[Worker]:
@@ -91,6 +95,13 @@
                 newest[machine] = worker
         return list(newest.values())
 
+    def last_entry(self, worker: ids.WorkerId) -> Worker | None:
+        """Returns the last entry of a worker, which may have been removed.
+
+        Of workers without an entry, only the latest are remembered.
+        """
+        return self._workers.get(worker) or self._last_entries.get(worker)
+
     def get(self, worker: ids.WorkerId) -> Worker | None:
         """Returns the entry of a worker, or None if it has none."""
         return self._workers.get(worker)
@@ -98,6 +109,7 @@
     def put(self, worker: Worker) -> None:
         """Adds or replaces the entry of a worker."""
         self._workers[worker.worker] = worker
+        self._remember(worker)
         self.version += 1
 
     def remove(self, worker: ids.WorkerId) -> None:
@@ -108,8 +120,16 @@
     def replace(self, workers: tuple[Worker, ...]) -> None:
         """Replaces all entries."""
         self._workers = {worker.worker: worker for worker in workers}
+        for worker in workers:
+            self._remember(worker)
         self.version += 1
 
+    def _remember(self, worker: Worker) -> None:
+        self._last_entries.pop(worker.worker, None)
+        self._last_entries[worker.worker] = worker
+        if len(self._last_entries) > MAX_REMEMBERED_ENTRIES:
+            del self._last_entries[next(iter(self._last_entries))]
+
     def set_domain_out_of_service(
         self, domain: ids.FailureDomainId, out: bool
     ) -> None:
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -75,6 +75,7 @@
         member.settled_ms = now_ms
         if outcome is commands.StartOutcome.STARTED:
             self._mark_running(run, member, now_ms)
+            member.seen_running(now_ms)
             if run.started_ms == now_ms:
                 self._start_progress(run, now_ms)
             return
@@ -91,12 +92,11 @@
             self._state.suspended_until_ms[command.worker.worker] = (
                 now_ms + SUSPENSION_MS
             )
-        same_incarnation = (
-            outcome is not commands.StartOutcome.OTHER_INCARNATION
-        )
-        # A `Stop` settles an earlier `Start` with unknown outcome instead.
-        if not (member.start_uncertain and same_incarnation):
+        if not member.start_uncertain:
             self._state.table.mark_gone(run, member)
+        elif outcome is commands.StartOutcome.OTHER_INCARNATION:
+            self._sessions.lose_tasks([(run, member)], command.worker, now_ms)
+        # Otherwise a `Stop` settles the earlier `Start` with unknown outcome.
         self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
 
     @staticmethod
@@ -160,7 +160,7 @@
             member.next_order_ms = now_ms + COMMAND_RETRY_MS
             return
         if outcome is commands.StopOutcome.OTHER_INCARNATION:
-            self._state.table.mark_gone(run, member)
+            self._sessions.lose_tasks([(run, member)], command.worker, now_ms)
             return
         member.stop_answered = True
         member.settled_ms = now_ms
@@ -249,6 +249,7 @@
             seen.add(member.task)
             run.saved = task.saved or run.saved
             self._mark_running(run, member, now_ms)
+            member.seen_running(now_ms)
             if run.started_ms is not None:
                 member.progress.add_report(task.percent, report.clock_ms)
         if self._state.unknown_task_counts.get(worker_id, 0) != unknown_count:
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -5,6 +5,7 @@
 from citronmount.core import ids
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.runs import worker_crashes
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 
@@ -15,6 +16,9 @@
 SILENT_AFTER_UNANSWERED = 2
 MAX_FIRST_RENEWALS = 128
 SCAN_PERIOD_MS = 50
+# The workers of a failure domain restart within this time after an outage.
+DOMAIN_OUTAGE_WINDOW_MS = 5_000
+MIN_OUTAGE_MACHINES = 3
 
 
 class WorkerSessions:
@@ -27,6 +31,7 @@
             state: State shared by the parts of the owner.
         """
         self._state = state
+        self._crashes = worker_crashes.WorkerCrashes(state=state)
         self._directory_version = -1
         self._next_scan_ms = 0
 
@@ -41,7 +46,8 @@
         if version == self._directory_version and not full_scan:
             return
         self._directory_version = version
-        for worker in self._state.directory.newest_incarnations():
+        newest = self._state.directory.newest_incarnations()
+        for worker in newest:
             session = self._state.sessions.get(worker.worker)
             if session is None:
                 self._open_session(worker, now_ms)
@@ -50,6 +56,7 @@
                 self._open_session(worker, now_ms)
             else:
                 session.worker = worker
+        self._end_superseded_runs(newest, now_ms)
         for worker_id in list(self._state.sessions):
             listed = self._state.directory.get(worker_id) is not None
             if not listed and not self._state.table.task_count_on(worker_id):
@@ -69,11 +76,12 @@
             now_ms=now_ms,
         )
         self._state.sessions[worker.worker] = session
-        for run, member in self._state.table.tasks_on_worker(worker.worker):
-            if member.place.life_ms != worker.life_ms:
-                self._state.mark_member_missing(
-                    run, member, unit_runs.MissingCause.INCARNATION_ENDED
-                )
+        former_tasks = [
+            (run, member)
+            for run, member in self._state.table.tasks_on_worker(worker.worker)
+            if member.place.life_ms != worker.life_ms
+        ]
+        self.lose_tasks(former_tasks, worker, now_ms)
         for former in list(self._state.sessions.values()):
             same_machine = former.worker.machine == worker.machine
             older = former.worker.life_ms < worker.life_ms
@@ -98,13 +106,88 @@
             del self._state.sessions[worker_id]
         self._state.unknown_task_counts.pop(worker_id, None)
         self._state.health.record_incarnation_end(session.worker, now_ms)
-        for run, member in self._state.table.tasks_on_worker(worker_id):
-            if member.place.life_ms == session.worker.life_ms:
-                self._state.mark_member_missing(
-                    run, member, unit_runs.MissingCause.INCARNATION_ENDED
-                )
+        tasks = [
+            (run, member)
+            for run, member in self._state.table.tasks_on_worker(worker_id)
+            if member.place.life_ms == session.worker.life_ms
+        ]
+        self.lose_tasks(tasks, session.worker, now_ms)
         self._state.needs_planning = True
 
+    def _end_superseded_runs(
+        self, newest: list[worker_directory.Worker], now_ms: int
+    ) -> None:
+        """Ends restored runs of incarnations that ended before the takeover.
+
+        Such an incarnation has no session, but a newer one on its machine tells
+        that it is over.
+
+        Args:
+            newest: The newest incarnation on each machine.
+            now_ms: Monotonic time in milliseconds.
+        """
+        table = self._state.table
+        orphaned = table.worker_ids() - self._state.sessions.keys()
+        if not orphaned:
+            return
+        starts_ms = {each.machine: each.life_ms for each in newest}
+        for worker_id in orphaned:
+            former = self._state.directory.last_entry(worker_id)
+            if former is None or not former.machine:
+                continue
+            if starts_ms.get(former.machine, 0) > former.life_ms:
+                tasks = table.tasks_on_worker(worker_id)
+                self.lose_tasks(tasks, former, now_ms)
+
+    def lose_tasks(
+        self,
+        tasks: list[worker_crashes.RunMember],
+        worker: worker_directory.Worker,
+        now_ms: int,
+    ) -> None:
+        """Marks the tasks of an incarnation that is over as missing.
+
+        Args:
+            tasks: The tasks.
+            worker: The worker of that incarnation, or of the next one under its
+                id.
+            now_ms: Monotonic time in milliseconds.
+        """
+        for run, member in tasks:
+            self._state.mark_member_missing(
+                run, member, unit_runs.MissingCause.INCARNATION_ENDED
+            )
+        # A draining worker leaves by itself.
+        leaves = worker.state is worker_directory.WorkerState.DRAINING
+        if leaves or not tasks:
+            return
+        cause = worker_crashes.CrashCause.TASK
+        if self._is_domain_outage(worker.failure_domain, now_ms):
+            cause = worker_crashes.CrashCause.DOMAIN_OUTAGE
+        self._crashes.worker_crashed(tasks, cause, now_ms)
+
+    def _is_domain_outage(
+        self, domain: ids.FailureDomainId, now_ms: int
+    ) -> bool:
+        """Returns whether all busy workers of a failure domain went down.
+
+        That is, each busy one is silent, has just restarted, or has just been
+        replaced by another incarnation on its machine.
+        """
+        down, up = set(), set()
+        for session in self._state.sessions.values():
+            worker = session.worker
+            if worker.failure_domain != domain:
+                continue
+            restarted = self._state.health.ended_within(
+                worker.machine, DOMAIN_OUTAGE_WINDOW_MS, now_ms
+            )
+            if restarted or self._is_silent(session, now_ms):
+                down.add(worker.machine)
+            elif self._state.table.task_count_on(worker.worker):
+                up.add(worker.machine)
+        return len(down) >= MIN_OUTAGE_MACHINES and not up
+
     def send_due_renewals(self, now_ms: int) -> None:
         """Sends the lease renewals that are due.
 
--- a/citronmount/fleet_service/tests/test_worker_crashes.py
+++ b/citronmount/fleet_service/tests/test_worker_crashes.py
@@ -1,7 +1,13 @@
 """Tasks that crash each worker that starts them, and workers that restart."""
 
+import msgspec
+
+from citronmount.core import ids
 from citronmount.core import states
+from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service.tests import pool_fixture
+from citronmount.standins import pool_log
+from citronmount.standins import pool_workers
 from citronmount.standins import worker_restarts
 from citronmount.workflow import units
 
@@ -34,3 +40,110 @@
             self.run_for(25.0)
             self.assertIs(FAILED, self.state(job))
             self.assertEqual(3, len(self.starts_of(job)))
+
+    def test_takeovers_right_after_the_crashes_do_not_hide_them(self) -> None:
+        takeovers = []
+
+        def replace_owner(worker: pool_workers.PoolWorker, task: str) -> None:
+            if is_deadly(task) and len(takeovers) < 2:
+                takeovers.append(task)
+                name = ids.VmId(f"vm{self.owner_index()}")
+                silent = pool_log.LogFault.SILENT
+                self.clock.callLater(
+                    0.02, self.log.faults.__setitem__, name, silent
+                )
+                self.clock.callLater(5.0, self.log.faults.pop, name)
+
+        self.pool_workers.on_start.append(replace_owner)
+        self.submit("deadly", pool_fixture.make_step())
+        self.run_for(40.0)
+        vm = self.owner_index()
+        self.assertIs(FAILED, self.state("deadly", vm=vm))
+        self.assertLessEqual(len(self.starts_of("deadly")), 4)
+
+    def test_units_on_the_crashed_workers_complete(self) -> None:
+        self.run_time_ms = lambda task, run: 4_000
+        self.submit("good", pool_fixture.make_step(tasks=12))
+        self.run_for(0.5)
+        self.submit("deadly", pool_fixture.make_step(tasks=4))
+        self.submit("late", pool_fixture.make_step(tasks=4))
+        self.run_for(60.0)
+        self.assertIs(FAILED, self.state("deadly"))
+        self.assertIs(DONE, self.state("good"))
+        self.assertIs(DONE, self.state("late"))
+
+    def test_gang_that_crashes_its_workers_is_given_up(self) -> None:
+        step = pool_fixture.make_step(tasks=4, accelerators=4, gang=True)
+        self.submit("deadly", step)
+        self.run_for(25.0)
+        self.assertIs(FAILED, self.state("deadly"))
+        runs = {run for _, run, _ in self.starts_of("deadly")}
+        self.assertEqual(3, len(runs))
+        # A member of a gang waits for those on a crashed worker.
+        self.pool_workers.violations = [
+            each
+            for each in self.pool_workers.violations
+            if not each.startswith("GANG")
+        ]
+
+    def test_lasting_task_that_crashes_its_workers_is_given_up(self) -> None:
+        self.run_time_ms = lambda task, run: 10**9
+        self.submit("deadly", pool_fixture.make_step(lasting=True))
+        self.run_for(25.0)
+        self.assertIs(FAILED, self.state("deadly"))
+
+    def test_lasting_task_outlives_rare_crashes_of_its_workers(self) -> None:
+        self.run_time_ms = lambda task, run: 10**9
+        self.submit("j", pool_fixture.make_step(lasting=True))
+        for _ in range(6):
+            self.run_for(45.0)
+            ((_, name),) = self.pool_workers.running()
+            self.restarts.crash(self.pool_workers.workers[name])
+        self.run_for(10.0)
+        self.assertEqual(1, len(self.pool_workers.running()))
+
+    def test_task_that_crashes_workers_by_late_starts_is_given_up(
+        self,
+    ) -> None:
+        for worker in self.pool_workers.workers.values():
+            worker.fault = pool_workers.WorkerFault.LATE
+            worker.start_delay_s = 1.0
+        self.submit("deadly", pool_fixture.make_step())
+        self.run_for(60.0)
+        self.assertIs(FAILED, self.state("deadly"))
+
+    def test_ends_of_incarnations_that_are_no_crashes_do_not_count(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 60_000 if run < 9 else 1_000
+        self.submit(
+            "j", pool_fixture.make_step(tasks=6, max_tasks_per_worker=1)
+        )
+        for end in (self.cut, self.drain, self.lose_domain, self.lapse) * 2:
+            self.run_for(0.5)
+            end([w for w in self.pool_workers.workers.values() if w.running])
+            self.run_for(12.0)
+        self.run_time_ms = lambda task, run: 1_000
+        self.run_for(80.0)
+        self.assertIs(DONE, self.state("j", vm=self.owner_index()))
+
+    def cut(self, busy: list[pool_workers.PoolWorker]) -> None:
+        busy[0].fault = pool_workers.WorkerFault.SILENT
+
+    def drain(self, busy: list[pool_workers.PoolWorker]) -> None:
+        entry = msgspec.structs.replace(
+            busy[0].entry, state=worker_directory.WorkerState.DRAINING
+        )
+        self.publish_entry(entry)
+        self.run_for(0.5)
+        self.restarts.crash(busy[0])
+
+    def lose_domain(self, busy: list[pool_workers.PoolWorker]) -> None:
+        domain = busy[0].entry.failure_domain
+        for worker in list(self.pool_workers.workers.values()):
+            if worker.entry.failure_domain == domain:
+                self.restarts.crash(worker)
+
+    def lapse(self, busy: list[pool_workers.PoolWorker]) -> None:
+        self.remove_entry(busy[0].entry.worker)
+        busy[0].crash()
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -168,11 +168,19 @@
             await self._wait_for_timeout(timeout_ms)
             return commands.StartOutcome.UNKNOWN, None
         if worker.fault is WorkerFault.LATE:
-            self.clock.callLater(worker.start_delay_s, worker.start, command)
+            self.clock.callLater(
+                worker.start_delay_s, self._start_late, worker, command
+            )
             await self._wait_for_timeout(timeout_ms)
             return commands.StartOutcome.UNKNOWN, None
         return worker.start(command), worker.now_ms()
 
+    def _start_late(
+        self, worker: "PoolWorker", command: commands.Start
+    ) -> None:
+        if self.workers.get(worker.entry.worker) is worker:
+            worker.start(command)
+
     async def stop(
         self, command: commands.Stop, timeout_ms: int
     ) -> tuple[commands.StopOutcome, int | None]:
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -111,6 +111,9 @@
         saved: Newest checkpoint, or empty.
         task_positions: Position among the unit's tasks of each entry of
             `places`; empty if `places` covers all of them.
+        crashes: Number of runs during which a worker of the unit crashed.
+        start_crashes: Number of these in which it crashed soon after a start
+            of the unit.
     """
 
     unit: units.UnitId
@@ -120,6 +123,8 @@
     places: tuple[Place, ...] = ()
     saved: str = ""
     task_positions: tuple[int, ...] = ()
+    crashes: int = 0
+    start_crashes: int = 0
 
 
 class Finished(msgspec.Struct, frozen=True, kw_only=True, tag="f"):
