--- /dev/null
+++ b/citronmount/fleet_service/tests/test_capacity_changes.py
@@ -0,0 +1,61 @@
+"""Workers whose capacity shrinks and grows while they run tasks."""
+
+from citronmount.core import states
+from citronmount.fleet_service.tests import pool_fixture
+from citronmount.standins import pool_workers
+from citronmount.workflow import spec
+
+DONE = states.JobState.DONE
+HALF = spec.Demand(millicores=32_000, memory_mb=65_536, accelerators=4)
+
+
+class CapacityChangeTest(pool_fixture.PoolTestCase):
+    racks = 1
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.first, self.second = self.pool_workers.workers.values()
+
+    def change_capacity(
+        self, worker: pool_workers.PoolWorker, capacity: spec.Demand
+    ) -> None:
+        worker.change_capacity(capacity)
+        self.publish_entry(worker.entry)
+
+    # LIMIT: a placed gang was started on the capacity that it was placed by.
+    def test_placed_run_does_not_start_beyond_a_capacity_that_shrank(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: (
+            20_000 if task.startswith("low") else 1_000
+        )
+        low = pool_fixture.make_step(
+            tasks=2, accelerators=8, max_tasks_per_worker=1
+        )
+        self.submit("low", low)
+        self.run_for(1.0)
+        self.first.fault = pool_workers.WorkerFault.SILENT
+        gang = pool_fixture.make_step(tasks=2, accelerators=8, gang=True)
+        self.submit("urgent", gang, queue="urgent")
+        self.run_for(0.3)
+        self.change_capacity(self.second, HALF)
+        self.run_for(4.0)
+        self.first.fault = pool_workers.WorkerFault.NONE
+        self.run_for(15.0)
+        self.assertEqual([], self.starts_of("urgent"))
+        self.change_capacity(self.second, pool_fixture.CAPACITY)
+        self.run_for(30.0)
+        self.assertIs(DONE, self.state("urgent", queue=1))
+        self.assertIs(DONE, self.state("low"))
+
+    def test_smaller_capacity_is_filled_only_up_to_it(self) -> None:
+        self.change_capacity(self.first, HALF)
+        self.run_for(5.0)
+        self.submit("j", pool_fixture.make_step(tasks=30))
+        self.run_for(0.5)
+        self.assertEqual(4, len(self.first.running))
+        self.change_capacity(self.first, pool_fixture.CAPACITY)
+        self.run_for(0.3)
+        self.assertEqual(8, len(self.first.running))
+        self.run_for(10.0)
+        self.assertIs(DONE, self.state("j"))
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -22,6 +22,8 @@
 ADVICE_DELAY_S = 0.1
 TICKET_TTL_MS = 3_000
 STOP_DELAY_MS = 200
+# A start that crosses the news of a smaller capacity is no violation.
+CAPACITY_NEWS_MS = 4_500
 
 _MS_PER_S = 1_000
 
@@ -325,6 +327,7 @@
         self._token = 0
         self._clock_start_ms = pool.now_ms()
         self._lease_until_ms = 0
+        self._known_capacity = entry.capacity
         self._last_refused_runs: dict[units.TaskName, int] = {}
         self._end_numbers = itertools.count(1)
 
@@ -442,6 +445,22 @@
         done = (self._pool.now_ms() - began_ms) / max(total_ms, 1)
         return int(max(min(done, 1.0), 0.0) * 100)
 
+    def change_capacity(self, capacity: spec.Demand) -> None:
+        """Changes the capacity; the caller publishes the entry.
+
+        A smaller capacity limits starts after `CAPACITY_NEWS_MS`.
+        """
+        self.entry = msgspec.structs.replace(self.entry, capacity=capacity)
+        if worker_allocations.max_task_count(capacity, self._known_capacity, 1):
+            self._known_capacity = capacity
+        self._pool.clock.callLater(
+            CAPACITY_NEWS_MS / _MS_PER_S, self._limit_to, capacity
+        )
+
+    def _limit_to(self, capacity: spec.Demand) -> None:
+        if self.entry.capacity == capacity:
+            self._known_capacity = capacity
+
     def crash(self) -> None:
         """Loses all state and leaves the pool."""
         self.running.clear()
@@ -525,5 +544,5 @@
         used = worker_allocations.NO_DEMAND
         for run in self.running.values():
             used = worker_allocations.add_demands(used, run.plan.demand)
-        if not worker_allocations.max_task_count(self.entry.capacity, used, 1):
+        if not worker_allocations.max_task_count(self._known_capacity, used, 1):
             self._pool.violations.append(f"LIMIT: {self.entry.worker} {used}")
