--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -5,6 +5,7 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
+from citronmount.fleet.runs import run_starts
 from citronmount.fleet.runs import slow_members
 from citronmount.fleet.runs import straggler_restarts
 from citronmount.fleet.runs import unit_runs
@@ -15,7 +16,6 @@
 
 __all__ = ["RunDriver"]
 
-MAX_START_ATTEMPTS = 4
 OVERDUE_FACTOR = 4
 MIN_OVERDUE_ELAPSED_MS = 20_000
 MIN_STALL_MS = 2_000
@@ -43,6 +43,7 @@
                 monotonic time in milliseconds.
         """
         self._state = state
+        self._starts = run_starts.RunStarts(state=state)
         self._restarts: straggler_restarts.StragglerRestarts | None = None
         if isinstance(state.speeds, speed_estimates.SpeedEstimates):
             self._restarts = straggler_restarts.StragglerRestarts(
@@ -117,7 +118,7 @@
             if run.phase is unit_runs.RunPhase.CLEARING:
                 self.record_if_cleared(run)
             elif run.phase is unit_runs.RunPhase.ACTIVE:
-                self._send_due_starts(run, now_ms)
+                self._starts.send_due(run, now_ms)
                 self._learn_if_long(run, now_ms)
                 self._end_if_member_stalled(run, now_ms)
                 self._end_if_slow_member(run, now_ms)
@@ -143,20 +144,6 @@
             run.phase = unit_runs.RunPhase.RECORDING
             self._state.append_record(run.to_record(records.UnitStatus.PLACED))
 
-    def _send_due_starts(self, run: unit_runs.Run, now_ms: int) -> None:
-        """Sends the `Start` commands that are due."""
-        for member in run.live_members:
-            if member.state is not unit_runs.MemberState.STARTING:
-                continue
-            if member.start_answered or member.start_open:
-                continue
-            if now_ms < member.next_order_ms:
-                continue
-            if member.start_tries >= MAX_START_ATTEMPTS:
-                self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
-                return
-            self._send_start(run, member, now_ms)
-
     def _learn_if_long(self, run: unit_runs.Run, now_ms: int) -> None:
         """Learns from a run past its high quantile before it ends."""
         if self._state.estimates.is_news(run, now_ms):
@@ -304,33 +291,6 @@
                 self._state.end_run(run, unit_runs.EndCause.WORKER_LEAVES)
                 return
 
-    def _send_start(
-        self, run: unit_runs.Run, member: unit_runs.Member, now_ms: int
-    ) -> None:
-        session = self._state.session_at_place(member.place)
-        if session is None:
-            self._state.table.mark_gone(run, member)
-            self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
-            return
-        member.start_open = True
-        member.start_tries += 1
-        member.start_sent_ms = now_ms
-        self._state.commands.append(
-            commands.Start(
-                worker=session.worker,
-                task=member.task,
-                run=run.number,
-                payload=run.submission.workflow.payload,
-                until_ms=session.grant_lease_ms(now_ms),
-                saved=run.saved,
-                token=self._state.token,
-                ticket=self._state.advice.ticket(
-                    run.key.step_id, session.worker, now_ms
-                ),
-                attempt=member.start_tries,
-            )
-        )
-
     def send_due_stops(self, run: unit_runs.Run, now_ms: int) -> None:
         """Sends the `Stop` commands that are due.
 
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -71,6 +71,7 @@
     STALLED = "stalled"
     SLOW_MEMBER = "slow_member"
     QUOTA_LOWERED = "quota_lowered"
+    CAPACITY_SHRANK = "capacity_shrank"
 
 
 class MissingCause(enum.Enum):
