--- a/citronmount/core/attempt_outcomes.py
+++ b/citronmount/core/attempt_outcomes.py
@@ -14,6 +14,9 @@
 FAILED_EVERYWHERE_MIN_WORKERS = 3
 FAILED_EVERYWHERE_MIN_ATTEMPTS = 2
 MAX_FAILED_RUNS = 6
+# Lease TTL plus the time in which a crash is attributed to the start before it.
+LOST_START_MS = 15_000
+MAX_LOST_STARTS = 5
 RETRY_BASE_MS = 2_000
 RETRY_MAX_MS = 16_000
 
@@ -65,6 +68,8 @@
                 spec.job, spec.account, worker, now_ms
             )
         }
+    elif end is decisions.AttemptEnd.WORKER_LOST and culprits:
+        _record_lost_worker(entry, culprits, run_ms)
     for worker in sorted(workers_to_refresh):
         domain.refresh_worker(worker, now_ms)
 
@@ -90,11 +95,28 @@
     heapq.heappush(domain.wake_up_times_ms, entry.retry_at_ms)
 
 
+def _record_lost_worker(
+    entry: job_queue.JobEntry, culprits: tuple[ids.WorkerId, ...], run_ms: int
+) -> None:
+    """Counts consecutive attempts whose workers were lost after their start.
+
+    A job may crash each worker that starts it; a crashed worker reports no
+    failure of the job.
+    """
+    if run_ms >= LOST_START_MS:
+        entry.lost_starts = 0
+        entry.lost_workers = frozenset()
+        return
+    entry.lost_starts += 1
+    entry.lost_workers |= set(culprits)
+
+
 def failed_everywhere(entry: job_queue.JobEntry) -> bool:
     """Returns whether a job has failed too often to run again.
 
-    Failures on several workers are attributed to the job. With fewer workers
-    the fault may be theirs, so the job is retried, with a growing delay, until
+    Failures on several workers are attributed to the job, and so is the loss of
+    several workers soon after a start. With fewer workers the fault may be
+    theirs, so the job is retried, with a growing delay, until
     `MAX_FAILED_RUNS`.
 
     Args:
@@ -102,6 +124,11 @@
     """
     if entry.failed_runs >= MAX_FAILED_RUNS:
         return True
+    if (
+        entry.lost_starts >= MAX_LOST_STARTS
+        and len(entry.lost_workers) >= FAILED_EVERYWHERE_MIN_WORKERS
+    ):
+        return True
     return (
         entry.failed_attempts >= FAILED_EVERYWHERE_MIN_ATTEMPTS
         and len(entry.failed_workers) >= FAILED_EVERYWHERE_MIN_WORKERS
--- a/citronmount/core/job_queue.py
+++ b/citronmount/core/job_queue.py
@@ -49,6 +49,9 @@
         failed_runs: Number of attempts that ran and failed.
         failed_attempts: Number of failed attempts, including those that did
             not start.
+        lost_starts: Number of consecutive attempts that lost a worker soon
+            after their start.
+        lost_workers: The workers that these attempts lost.
         retry_at_ms: Time from which the job may be retried on
             `failed_workers`.
         queued_ms: Time at which the job was last queued.
@@ -67,6 +70,8 @@
         "failed_runs",
         "failed_workers",
         "has_started",
+        "lost_starts",
+        "lost_workers",
         "next_check_ms",
         "placed_before",
         "preempt_from_ms",
@@ -98,6 +103,8 @@
         self.failed_workers: frozenset[ids.WorkerId] = frozenset()
         self.failed_runs = 0
         self.failed_attempts = 0
+        self.lost_starts = 0
+        self.lost_workers: frozenset[ids.WorkerId] = frozenset()
         self.retry_at_ms = 0
         self.queued_ms = 0
         self.preempt_from_ms = 0
--- a/citronmount/core/scheduler.py
+++ b/citronmount/core/scheduler.py
@@ -231,7 +231,9 @@
             self._domain.quarantine.discard_failures(job)
             return jobs.JobResult(
                 code=codes.ResultCode.FAILED_EVERYWHERE,
-                detail=", ".join(sorted(entry.failed_workers)),
+                detail=", ".join(
+                    sorted(entry.failed_workers | entry.lost_workers)
+                ),
             )
         entry.progress = min(max(entry.progress, progress), 1.0)
         self._enqueue(entry)
--- a/citronmount/core/tests/test_scheduler.py
+++ b/citronmount/core/tests/test_scheduler.py
@@ -250,6 +250,29 @@
                 )
         return None
 
+    # A job that crashed each worker that started it was requeued for ever.
+    def test_job_that_loses_workers_after_each_start_ends(self):
+        for run_ms, ends in ((1_000, True), (60_000, False)):
+            domain_scheduler = scheduler_with_four_workers()
+            domain_scheduler.submit(fixtures.spec("bad", "paying", 1, 8), 0)
+            results = []
+            for number in range(8):
+                now_ms = number * (run_ms + 30_000)
+                (decision,) = domain_scheduler.decide(now_ms)
+                workers = [f"kr-a-w{number % 4}"]
+                result = domain_scheduler.attempt_ended(
+                    decision.job,
+                    AttemptEnd.WORKER_LOST,
+                    now_ms + run_ms,
+                    culprits=tuple(workers),
+                    requeue=True,
+                )
+                results.append(result and result.code)
+                if result is not None:
+                    break
+            expected = [codes.ResultCode.FAILED_EVERYWHERE] if ends else []
+            self.assertEqual(expected, [each for each in results if each])
+
     def test_job_that_fails_on_distinct_workers_ends(self):
         domain_scheduler = scheduler_with_four_workers()
         domain_scheduler.submit(fixtures.spec("bad", "paying", 1, 8), 0)
