--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -235,6 +235,9 @@
             worker=member.place.worker,
             life_ms=member.place.life_ms,
             cause=cause.value,
+            reported=member.reported,
+            start_answered=member.start_answered,
+            start_uncertain=member.start_uncertain,
         )
         self.table.mark_gone(run, member)
         self.needs_planning = True
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -113,6 +113,7 @@
         speed_sample_percent: Progress of the first of these rates.
         rate_polled: Whether the worker was polled for a first rate, or needed
             no poll.
+        reported: Whether a report of the place's incarnation listed the task.
         running_since_ms: Monotonic time at which the task was first known to
             run, or None.
         survived_start: Whether the worker still ran the task
@@ -138,6 +139,7 @@
     speed_samples: int = 0
     speed_sample_percent: float = 0.0
     rate_polled: bool = False
+    reported: bool = False
     running_since_ms: int | None = None
     survived_start: bool = False
 
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -250,6 +250,7 @@
             run.saved = task.saved or run.saved
             self._mark_running(run, member, now_ms)
             member.seen_running(now_ms)
+            member.reported = True
             if run.started_ms is not None:
                 member.progress.add_report(task.percent, report.clock_ms)
         if self._state.unknown_task_counts.get(worker_id, 0) != unknown_count:
@@ -285,6 +286,7 @@
         self._state.log.warning(
             "unknown_run_stopped",
             worker=session.worker.worker,
+            life_ms=session.worker.life_ms,
             task=task.task,
             run=task.run,
         )
