--- a/citronmount/standins/worker_restarts.py
+++ b/citronmount/standins/worker_restarts.py
@@ -31,6 +31,8 @@
         crash_counts: Number of workers that each deadly task has crashed.
         keeps_id: Returns whether a worker starts again under its former id.
         delay_s: Time between a crash and the next incarnation.
+        publish_delay_s: Time until the entry of the next incarnation is
+            published.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         )
         self.keeps_id: Callable[[], bool] = lambda: False
         self.delay_s = RESTART_DELAY_S
+        self.publish_delay_s = 0.0
         self._pool = pool
         self._publish = publish
         self._withdraw = withdraw
@@ -94,4 +97,4 @@
             former, worker=worker_id, life_ms=life_ms
         )
         self._pool.add(entry)
-        self._publish(entry)
+        self._pool.clock.callLater(self.publish_delay_s, self._publish, entry)
