--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -114,6 +114,8 @@
         rate_polled: Whether the worker was polled for a first rate, or needed
             no poll.
         reported: Whether a report of the place's incarnation listed the task.
+        handed_over: Whether the place is a later incarnation of the worker that
+            the task was started on.
         running_since_ms: Monotonic time at which the task was first known to
             run, or None.
         survived_start: Whether the worker still ran the task
@@ -140,6 +142,7 @@
     speed_sample_percent: float = 0.0
     rate_polled: bool = False
     reported: bool = False
+    handed_over: bool = False
     running_since_ms: int | None = None
     survived_start: bool = False
 
@@ -157,6 +160,31 @@
             return False
         return self.stop_answered or self.start_answered
 
+    @property
+    def is_bound_to_place(self) -> bool:
+        """Whether only the place's own incarnation can have run the task.
+
+        A `Start` reaches whichever incarnation of the worker is up when it
+        arrives, so only a report of the incarnation proves where it arrived.
+        """
+        if not self.may_have_started:
+            return True
+        return self.reported and not (self.start_uncertain or self.start_open)
+
+    def hand_over(self, place: records.Place) -> None:
+        """Moves the task to the next incarnation of its worker.
+
+        The next complete report of that incarnation tells whether it runs the
+        task, after an uncertain `Start` once a `Stop` has settled it.
+        """
+        self.place = place
+        self.handed_over = True
+        self.reported = False
+        self.stop_answered = False
+        self.next_order_ms = 0
+        # The reports so far were read on another clock.
+        self.progress = task_progress.TaskProgress()
+
     def seen_running(self, now_ms: int) -> None:
         """Handles a report of the worker that the task runs."""
         if self.running_since_ms is None:
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -1,5 +1,7 @@
 """Handles the answers of workers to the commands of a pool's owner."""
 
+import msgspec
+
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import speed_observations
@@ -209,7 +211,7 @@
         if session is None:
             return
         if report.life_ms not in (None, session.worker.life_ms):
-            self._sessions.end_incarnation(session, now_ms)
+            self._handle_other_incarnation(session, report.life_ms, now_ms)
             return
         first = not session.has_answered
         if session.unanswered_renewals >= LOG_SILENCE_AFTER_RENEWALS:
@@ -224,6 +226,20 @@
                 self._handle_end(session, end, now_ms)
         self._reconcile(session, report, sent_ms, now_ms)
 
+    def _handle_other_incarnation(
+        self, session: lease_sessions.LeaseSession, life_ms: int, now_ms: int
+    ) -> None:
+        """Handles a report of another incarnation under a worker's id.
+
+        A new one is asked again in a session of its own: ends with numbers up
+        to those acknowledged to the former one are missing in this report.
+        """
+        if life_ms < session.worker.life_ms:
+            session.renewal_failed(now_ms)
+            return
+        worker = msgspec.structs.replace(session.worker, life_ms=life_ms)
+        self._sessions.replace_incarnation(session, worker, now_ms)
+
     def _reconcile(
         self,
         session: lease_sessions.LeaseSession,
@@ -257,28 +273,32 @@
             self._state.unknown_task_counts[worker_id] = unknown_count
             self._state.needs_planning = True
         if report.complete:
-            self._mark_missing(session, seen, sent_ms)
+            self._mark_missing(session, seen, sent_ms, now_ms)
 
     def _mark_missing(
         self,
         session: lease_sessions.LeaseSession,
         seen: set[units.TaskName],
         sent_ms: int,
+        now_ms: int,
     ) -> None:
         """Marks members as missing that a complete report does not contain.
 
         A report requested before the member's last command was answered may be
         older than the effect of that command, so it proves nothing.
         """
-        for run, member in self._state.table.tasks_on_worker(
-            session.worker.worker
-        ):
+        worker = session.worker
+        for run, member in self._state.table.tasks_on_worker(worker.worker):
             if member.task in seen or not member.start_settled:
                 continue
-            if sent_ms >= member.settled_ms:
-                self._state.mark_member_missing(
-                    run, member, unit_runs.MissingCause.NOT_REPORTED
-                )
+            if sent_ms < member.settled_ms:
+                continue
+            if member.handed_over and not member.reported:
+                self._sessions.lose_tasks([(run, member)], worker, now_ms)
+                continue
+            self._state.mark_member_missing(
+                run, member, unit_runs.MissingCause.NOT_REPORTED
+            )
 
     def _stop_unknown_task(
         self, session: lease_sessions.LeaseSession, task: commands.RunningTask
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -8,6 +8,7 @@
 from citronmount.fleet.runs import worker_crashes
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
+from citronmount.workflow import records
 
 __all__ = ["WorkerSessions"]
 
@@ -51,10 +52,9 @@
             session = self._state.sessions.get(worker.worker)
             if session is None:
                 self._open_session(worker, now_ms)
-            elif session.worker.life_ms != worker.life_ms:
-                self.end_incarnation(session, now_ms)
-                self._open_session(worker, now_ms)
-            else:
+            elif session.worker.life_ms < worker.life_ms:
+                self.replace_incarnation(session, worker, now_ms)
+            elif session.worker.life_ms == worker.life_ms:
                 session.worker = worker
         self._end_superseded_runs(newest, now_ms)
         for worker_id in list(self._state.sessions):
@@ -67,7 +67,7 @@
     ) -> None:
         """Opens a session and ends older incarnations on the same machine.
 
-        The older ones can have another worker id.
+        The older ones have another worker id, or restored runs.
         """
         session = lease_sessions.LeaseSession(
             worker=worker,
@@ -76,22 +76,35 @@
             now_ms=now_ms,
         )
         self._state.sessions[worker.worker] = session
-        former_tasks = [
-            (run, member)
-            for run, member in self._state.table.tasks_on_worker(worker.worker)
-            if member.place.life_ms != worker.life_ms
-        ]
-        self.lose_tasks(former_tasks, worker, now_ms)
+        self._hand_over_tasks(worker, now_ms)
         for former in list(self._state.sessions.values()):
             same_machine = former.worker.machine == worker.machine
             older = former.worker.life_ms < worker.life_ms
             if same_machine and older and worker.machine:
-                self.end_incarnation(former, now_ms)
+                self._close_session(former, now_ms)
+                tasks = self._state.table.tasks_on_worker(former.worker.worker)
+                self.lose_tasks(tasks, former.worker, now_ms)
+
+    def replace_incarnation(
+        self,
+        session: lease_sessions.LeaseSession,
+        worker: worker_directory.Worker,
+        now_ms: int,
+    ) -> None:
+        """Ends an incarnation's session and opens that of the next one.
+
+        Args:
+            session: The session of the incarnation that is over.
+            worker: The next incarnation under the same id.
+            now_ms: Monotonic time in milliseconds.
+        """
+        self._close_session(session, now_ms)
+        self._open_session(worker, now_ms)
 
-    def end_incarnation(
+    def _close_session(
         self, session: lease_sessions.LeaseSession, now_ms: int
     ) -> None:
-        """Ends an incarnation's session and marks its tasks as missing."""
+        """Ends the session of an incarnation that is over."""
         worker_id = session.worker.worker
         self._state.log.info(
             "worker_life_over",
@@ -102,18 +115,42 @@
             answered_ms_ago=session.silent_ms(now_ms),
             runs=self._state.table.task_count_on(worker_id),
         )
-        if self._state.sessions.get(worker_id) is session:
-            del self._state.sessions[worker_id]
+        del self._state.sessions[worker_id]
         self._state.unknown_task_counts.pop(worker_id, None)
         self._state.health.record_incarnation_end(session.worker, now_ms)
-        tasks = [
-            (run, member)
-            for run, member in self._state.table.tasks_on_worker(worker_id)
-            if member.place.life_ms == session.worker.life_ms
-        ]
-        self.lose_tasks(tasks, session.worker, now_ms)
         self._state.needs_planning = True
 
+    def _hand_over_tasks(
+        self, worker: worker_directory.Worker, now_ms: int
+    ) -> None:
+        """Decides about the tasks of earlier incarnations under a worker's id.
+
+        Commands name a worker by its id alone, so the new incarnation may have
+        executed a `Start` that was meant for an earlier one, or may still do
+        so. Only tasks that an earlier one reported, or that were never sent,
+        are lost for certain; the report of the new one tells about the others.
+        """
+        lost, uncertain = [], []
+        for run, member in self._state.table.tasks_on_worker(worker.worker):
+            if member.place.life_ms < worker.life_ms:
+                tasks = lost if member.is_bound_to_place else uncertain
+                tasks.append((run, member))
+        self.lose_tasks(lost, worker, now_ms)
+        place = records.Place(worker=worker.worker, life_ms=worker.life_ms)
+        for run, member in uncertain:
+            member.hand_over(place)
+            self._state.log.info(
+                "task_handed_over",
+                task=member.task,
+                run=run.number,
+                worker=worker.worker,
+                life_ms=worker.life_ms,
+                start_uncertain=member.start_uncertain,
+            )
+            # Its `Start` may still arrive; a `Stop` settles that.
+            if member.start_uncertain:
+                self._state.end_run(run, unit_runs.EndCause.MEMBER_ENDED)
+
     def _end_superseded_runs(
         self, newest: list[worker_directory.Worker], now_ms: int
     ) -> None:
--- a/citronmount/fleet_service/tests/test_same_id_restarts.py
+++ b/citronmount/fleet_service/tests/test_same_id_restarts.py
@@ -3,6 +3,7 @@
 from citronmount.core import ids
 from citronmount.core import states
 from citronmount.fleet_service.tests import pool_fixture
+from citronmount.standins import pool_log
 from citronmount.standins import pool_workers
 from citronmount.standins import worker_restarts
 
@@ -61,6 +62,7 @@
 
     # TWICE: a renewal made the next incarnation forget an end not recorded yet.
     def test_end_on_the_next_incarnation_is_not_forgotten(self) -> None:
+        self.restarts.publish_delay_s = 2.0
         step = pool_fixture.make_step(tasks=32)
         self.run_time_ms = lambda task, run: 300
         self.submit("before", step)
@@ -83,3 +85,19 @@
         self.assertEqual(2, len(self.starts_of("j")))
         self.run_for(5.0)
         self.assertIs(DONE, self.state("j"))
+
+    def test_next_owner_asks_the_next_incarnation(self) -> None:
+        self.run_time_ms = lambda task, run: 8_000
+        for publish_delay_s in (0.4, 4.0):
+            self.restarts.publish_delay_s = publish_delay_s
+            job = f"j{publish_delay_s:.0f}"
+            self.restart_all()
+            self.submit(job, pool_fixture.make_step(tasks=4))
+            self.run_for(0.1)
+            name = ids.VmId(f"vm{self.owner_index()}")
+            self.log.faults[name] = pool_log.LogFault.SILENT
+            self.run_for(3.5)
+            self.log.faults.clear()
+            self.run_for(15.0)
+            self.assertIs(DONE, self.state(job, vm=self.owner_index()))
+            self.assertEqual(4, len(self.starts_of(job)))
