--- a/citronmount/fleet/workers/lease_sessions.py
+++ b/citronmount/fleet/workers/lease_sessions.py
@@ -176,7 +176,7 @@
         if not self._has_reason_to_renew:
             return None
         self._renewal = RenewalState.PENDING
-        self._sent_end = self._deletable_end
+        self._sent_end = self._next_acknowledgement()
         trusted = self.silent_ms(now_ms) < self._policy.trust_ms
         renews = self.has_answered and self.task_count and trusted
         no_wait = (
@@ -188,18 +188,31 @@
         return commands.RenewLeases(
             worker=self.worker,
             until_ms=self.grant_lease_ms(now_ms) if renews else None,
-            last_seen=self._deletable_end,
+            last_seen=self._sent_end,
             wait_ms=0 if no_wait else self._policy.wait_ms,
             token=self._token,
         )
 
+    def _next_acknowledgement(self) -> int:
+        """Returns up to which end the worker may delete now, 0 for none.
+
+        Ends are numbered anew in each incarnation, and a renewal reaches the
+        one that is up. So ends are acknowledged only once, and only to a worker
+        that answered the last renewal.
+        """
+        if self.unanswered_renewals:
+            return 0
+        if self._acknowledged_end < self._deletable_end:
+            return self._deletable_end
+        return 0
+
     def _next_poll(self) -> commands.RenewLeases:
         """Returns a status poll, which renews no lease."""
         self._poll_requested = False
         return commands.RenewLeases(
             worker=self.worker,
             until_ms=None,
-            last_seen=self._acknowledged_end,
+            last_seen=0,
             wait_ms=0,
             token=self._token,
             look=True,
@@ -217,7 +230,7 @@
         self._renewal = RenewalState.IDLE
         self.unanswered_renewals = 0
         self._clock_ms = report.clock_ms
-        self._acknowledged_end = self._sent_end
+        self._acknowledged_end = max(self._acknowledged_end, self._sent_end)
         self.answered_ms = now_ms
         self._next_renewal_ms = now_ms
 
--- a/citronmount/fleet/workers/tests/test_lease_sessions.py
+++ b/citronmount/fleet/workers/tests/test_lease_sessions.py
@@ -42,6 +42,20 @@
         self.assertEqual(0, renewal.last_seen)
         self.assertIsNotNone(renewal.until_ms)
 
+    def test_ends_are_acknowledged_only_to_a_worker_that_answered(self) -> None:
+        self.session.resolve_end(1, NOW_MS)
+        self.session.next_renewal(NOW_MS)
+        self.session.renewal_failed(NOW_MS)
+        sent = []
+        for _ in range(3):
+            now_ms = NOW_MS + POLICY.retry_ms
+            sent.append(self.session.next_renewal(now_ms).last_seen)
+            report = commands.LeaseReport(
+                clock_ms=8, life_ms=1, running=(), ended=()
+            )
+            self.session.renewal_answered(report, now_ms)
+        self.assertEqual([0, 1, 0], sent)
+
 
 if __name__ == "__main__":
     unittest.main()
