--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -327,12 +327,14 @@
             self._directory.remove(worker)
         else:
             self._directory.put(entry)
-        if entry is None or previous is None or previous.state != entry.state:
+        if previous != entry:
             self._logger.info(
                 "worker_changed",
                 worker=worker,
                 state=entry.state.value if entry else "gone",
+                life_ms=entry.life_ms if entry else None,
                 failure_domain=entry.failure_domain if entry else None,
                 rack=entry.rack if entry else None,
+                accelerators=entry.capacity.accelerators if entry else None,
             )
             self._owner.mark_changed()
