--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -4,12 +4,11 @@
 
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
-from citronmount.fleet.runs import speed_observations
+from citronmount.fleet.runs import run_ends
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_sessions
-from citronmount.workflow import records
 from citronmount.workflow import units
 
 __all__ = ["WorkerReports"]
@@ -43,6 +42,7 @@
         """
         self._state = state
         self._sessions = sessions
+        self._run_ends = run_ends.RunEnds(state=state)
 
     def start_answered(
         self,
@@ -211,7 +211,7 @@
         if session is None:
             return
         if report.life_ms not in (None, session.worker.life_ms):
-            self._handle_other_incarnation(session, report.life_ms, now_ms)
+            self._handle_other_incarnation(session, command, report, now_ms)
             return
         first = not session.has_answered
         if session.unanswered_renewals >= LOG_SILENCE_AFTER_RENEWALS:
@@ -223,21 +223,26 @@
         self._state.needs_planning = self._state.needs_planning or first
         for end in report.ended:
             if session.register_end(end.number, now_ms):
-                self._handle_end(session, end, now_ms)
+                self._run_ends.handle_end(session, end, now_ms)
         self._reconcile(session, report, sent_ms, now_ms)
 
     def _handle_other_incarnation(
-        self, session: lease_sessions.LeaseSession, life_ms: int, now_ms: int
+        self,
+        session: lease_sessions.LeaseSession,
+        command: commands.RenewLeases,
+        report: commands.LeaseReport,
+        now_ms: int,
     ) -> None:
         """Handles a report of another incarnation under a worker's id.
 
         A new one is asked again in a session of its own: ends with numbers up
-        to those acknowledged to the former one are missing in this report.
+        to those acknowledged to the former one are missing in this report. A
+        late report of a former one counts as no answer.
         """
-        if life_ms < session.worker.life_ms:
-            session.renewal_failed(now_ms)
+        if report.life_ms < session.worker.life_ms:
+            self.renewal_failed(command, fenced=False, now_ms=now_ms)
             return
-        worker = msgspec.structs.replace(session.worker, life_ms=life_ms)
+        worker = msgspec.structs.replace(session.worker, life_ms=report.life_ms)
         self._sessions.replace_incarnation(session, worker, now_ms)
 
     def _reconcile(
@@ -319,104 +324,6 @@
             )
         )
 
-    def _handle_end(
-        self,
-        session: lease_sessions.LeaseSession,
-        end: commands.EndedTask,
-        now_ms: int,
-    ) -> None:
-        """Handles an end that a worker reports for the first time.
-
-        The worker may delete the end once its record is durable. An end that
-        needs no record of its own waits for the unit's pending records.
-        """
-        place = records.Place(
-            worker=session.worker.worker, life_ms=session.worker.life_ms
-        )
-        found = self._state.table.find_task(end.task, end.run)
-        if found is None or found[1].place != place:
-            session.resolve_end(end.number, now_ms)
-            return
-        run, member = found
-        self._state.needs_planning = True
-        run.saved = end.saved or run.saved
-        if run.outcome is None:
-            speed_observations.observe_gang(self._state, run, now_ms)
-        if end.kind is commands.EndKind.DONE:
-            workers = self._state.workers_of(run)
-            self._state.estimates.run_done(run, workers, now_ms)
-        self._state.log.info(
-            "run_ended",
-            task=end.task,
-            run=end.run,
-            worker=place.worker,
-            kind=end.kind.value,
-        )
-        self._state.table.mark_gone(run, member)
-        self._record_health(run, member, end.kind, now_ms)
-        status = self._update_outcome(run, end.kind)
-        if status is None and self._state.pending_unit_records[run.unit]:
-            self._state.deferred_ends[run.unit].append((place, end.number))
-            return
-        if status is None:
-            session.resolve_end(end.number, now_ms)
-            return
-        change = run.to_record(status)
-        self._state.append_record(change, ends=((place, end.number),))
-
-    def _record_health(
-        self,
-        run: unit_runs.Run,
-        member: unit_runs.Member,
-        kind: commands.EndKind,
-        now_ms: int,
-    ) -> None:
-        """Updates the assessment of a worker after the end of a task."""
-        worker = member.place.worker
-        if kind is commands.EndKind.DONE and run.started_ms is not None:
-            elapsed_ms = now_ms - run.started_ms
-            self._state.health.record_success(
-                worker,
-                elapsed_ms,
-                run.step.estimate_ms,
-                now_ms,
-                expected_ms=int(
-                    run.run_time.high_ms / self._state.slowest_speed(run)
-                ),
-            )
-        if kind is commands.EndKind.FAILED:
-            self._state.avoided_workers.setdefault(run.unit, set()).add(worker)
-            if self._state.health.record_failure(worker, run.job, now_ms):
-                self._state.log.warning("worker_distrusted", worker=worker)
-
-    def _update_outcome(
-        self, run: unit_runs.Run, kind: commands.EndKind
-    ) -> records.UnitStatus | None:
-        """Updates the outcome of a run after the end of a member.
-
-        The first success or failure of a member decides the outcome. Before it
-        is decided, any end but a success ends the whole run.
-
-        Returns:
-            The unit's status to record, or None if no record is needed.
-        """
-        decisive = (commands.EndKind.DONE, commands.EndKind.FAILED)
-        if run.outcome in decisive:
-            return None
-        run.outcome = kind
-        if kind is commands.EndKind.DONE:
-            if run.step.lasting:
-                return records.UnitStatus.WAITING
-            return records.UnitStatus.DONE
-        self._state.end_run(run, unit_runs.EndCause.MEMBER_ENDED)
-        if kind is commands.EndKind.FAILED:
-            run.failures += 1
-            exhausted = run.failures >= run.submission.terms.max_attempts
-            if exhausted and not run.step.lasting:
-                return records.UnitStatus.FAILED
-            return records.UnitStatus.WAITING
-        return records.UnitStatus.WAITING if run.saved else None
-
     def _mark_running(
         self, run: unit_runs.Run, member: unit_runs.Member, now_ms: int
     ) -> None:
