--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -13,6 +13,7 @@
 from citronmount.fleet.accounts import share_monitor
 from citronmount.fleet.estimates import run_time_recorder
 from citronmount.fleet.estimates import run_times
+from citronmount.fleet.queueing import open_units
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
@@ -22,9 +23,7 @@
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_reports
 from citronmount.fleet.workers import worker_sessions
-from citronmount.workflow import job_views
 from citronmount.workflow import records
-from citronmount.workflow import units
 
 __all__ = ["PoolOwner"]
 
@@ -225,7 +224,7 @@
         version = self._configuration.version
         if self._shares is not None:
             self._shares.observe(accounts, self._state.table, now_ms)
-        waiting = self._waiting_units(now_ms, wall_ms)
+        waiting = open_units.open_units(self._state, now_ms, wall_ms)
         if not waiting:
             self._quota_monitor.update(None, version, now_ms)
             self._share_monitor.update(self._shares, version, now_ms)
@@ -317,54 +316,6 @@
                 self._state.commands.append(advice_request)
                 return
 
-    def _waiting_units(
-        self, now_ms: int, wall_ms: int
-    ) -> list[waiting_units.WaitingUnit]:
-        waiting = []
-        for job, entry in self._state.job_view.jobs.items():
-            if (
-                job_completion.final_state(entry) is not None
-                or job in self._state.finishing_jobs
-            ):
-                continue
-            waiting += [
-                self._to_waiting_unit(entry, key, now_ms)
-                for key in entry.progress.open_units(wall_ms)
-                if self._state.table.get(key.unit) is None
-                and not self._state.pending_unit_records.get(key.unit)
-            ]
-        return waiting
-
-    def _to_waiting_unit(
-        self, entry: job_views.JobEntry, key: units.UnitKey, now_ms: int
-    ) -> waiting_units.WaitingUnit:
-        previous = entry.progress.unit_records.get(key.unit)
-        last_run = self._state.last_runs.get(key.unit)
-        # The newest of the two counts: a sound run clears earlier crashes.
-        counts = last_run or previous
-        estimate = self._state.estimates.estimate(entry.submission, now_ms)
-        return waiting_units.WaitingUnit(
-            key=key,
-            step=entry.submission.workflow.steps[key.step],
-            submission=entry.submission,
-            since_ms=self._state.ready_since_ms.setdefault(key.unit, now_ms),
-            run=max(
-                previous.run if previous else 0,
-                last_run.number if last_run else 0,
-            ),
-            avoid=frozenset(self._state.avoided_workers.get(key.unit, ())),
-            failures=max(
-                previous.failures if previous else 0,
-                last_run.failures if last_run else 0,
-            ),
-            crashes=counts.crashes if counts else 0,
-            start_crashes=counts.start_crashes if counts else 0,
-            saved=(last_run.saved if last_run else "")
-            or (previous.saved if previous else ""),
-            learned_run_time=estimate.run_time(key.step),
-            step_medians_ms=estimate.medians_ms,
-        )
-
     def _apply_decision(
         self, decision: waiting_units.Decision, now_ms: int
     ) -> None:
