--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -1,11 +1,9 @@
 """Decides where waiting units start and which runs they preempt."""
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
-from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.accounts import fair_shares
 from citronmount.fleet.accounts import guarantees
@@ -16,7 +14,7 @@
 from citronmount.fleet.placement import rack_preference
 from citronmount.fleet.placement import slowdown_choice
 from citronmount.fleet.placement import speed_choice
-from citronmount.fleet.placement import start_isolation
+from citronmount.fleet.placement import unit_fitting
 from citronmount.fleet.placement import worker_candidates
 from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
@@ -115,9 +113,6 @@
             guaranteed=self._guarantees, wall_ms=wall_ms
         )
         self._unplaceable: set[_Shape] = set()
-        self._placed_counts: dict[tuple, collections.Counter[ids.WorkerId]] = (
-            collections.defaultdict(collections.Counter)
-        )
         self._delay_policy = delay_scheduling.DelayPolicy(
             now_ms=now_ms,
             bounds=bounds,
@@ -136,7 +131,6 @@
                 wall_ms=wall_ms,
             )
         )
-        self._slots_of_shape: tuple[_Shape, fitting.TaskSlots] | None = None
         self._racks = rack_preference.RackPreference(
             workers=self._candidates.trusted, delay_policy=self._delay_policy
         )
@@ -174,6 +168,17 @@
             else reservations.Reservations()
         )
         self._releases: reservations.Releases | None = None
+        self._fitting = unit_fitting.UnitFitting(
+            table=table,
+            allocations=self._allocations,
+            candidates=self._candidates,
+            choice=self._choice,
+            delay_policy=self._delay_policy,
+            guaranteed=self._guarantees,
+            reserved=self._reservations,
+            worth=self._worth_round,
+            now_ms=now_ms,
+        )
 
     @property
     def held(self) -> dict[str, holds.Hold]:
@@ -247,7 +252,7 @@
             if worth:
                 worth.note_unplaced(unit)
             return None
-        chosen = self._fit(unit, shape, spread, guaranteed)
+        chosen = self._fitting.fit(unit, shape, spread, guaranteed)
         if chosen is not None:
             return waiting_units.Decision(
                 waiting=unit,
@@ -284,9 +289,9 @@
             self._releases = reservations.Releases(
                 runs=self._table, now_ms=self._now_ms
             )
-        requirements = self._requirements(unit)
+        requirements = self._fitting.requirements(unit)
         workers = self._choice.awaited(
-            unit, self._acceptable_workers(unit, guaranteed), guaranteed
+            unit, self._fitting.acceptable_workers(unit, guaranteed), guaranteed
         )
         reserved = self._reservations.reserve(
             requirements,
@@ -297,7 +302,7 @@
             unit.submission.terms.priority,
         )
         if reserved:
-            self._slots_of_shape = None
+            self._fitting.forget_slots()
         return reserved
 
     def _shape(
@@ -323,91 +328,6 @@
             unit.submission.terms.priority if self._worth_round else None,
         )
 
-    def _fit(
-        self,
-        unit: waiting_units.WaitingUnit,
-        shape: _Shape,
-        spread: fitting.Spread,
-        guaranteed: bool,
-    ) -> list[worker_directory.Worker] | None:
-        """Finds workers with free capacity for a unit.
-
-        Single tasks of equal shape share one `TaskSlots` until a gang or a
-        preemption changes the free capacity in between.
-        """
-        if unit.is_suspect:
-            return self._fit_suspect(unit, spread, guaranteed)
-        if unit.tasks > 1:
-            return self._choice.choose(
-                unit,
-                self._requirements(unit),
-                self._acceptable_workers(unit, guaranteed),
-                self._free_capacity,
-                spread,
-                guaranteed,
-            )
-        if self._slots_of_shape is None or self._slots_of_shape[0] != shape:
-            slots = self._choice.task_slots(
-                unit,
-                self._requirements(unit, task_count=unit.step.tasks),
-                self._acceptable_workers(unit, guaranteed),
-                self._free_capacity,
-                spread,
-                guaranteed,
-            )
-            self._slots_of_shape = (shape, slots)
-        worker = self._slots_of_shape[1].take()
-        return None if worker is None else [worker]
-
-    def _fit_suspect(
-        self,
-        unit: waiting_units.WaitingUnit,
-        spread: fitting.Spread,
-        guaranteed: bool,
-    ) -> list[worker_directory.Worker] | None:
-        """Finds workers for a suspect unit, idle ones first."""
-        workers = self._acceptable_workers(unit, guaranteed)
-        idle = start_isolation.idle_workers(workers, self._allocations)
-        requirements = self._requirements(unit)
-        choices = (
-            self._choice.choose(
-                unit,
-                requirements,
-                each,
-                self._free_capacity,
-                spread,
-                guaranteed,
-            )
-            for each in (idle, workers)
-        )
-        return next((each for each in choices if each is not None), None)
-
-    def _acceptable_workers(
-        self, unit: waiting_units.WaitingUnit, guaranteed: bool
-    ) -> list[worker_directory.Worker]:
-        """Returns the workers that a unit accepts after its waiting time."""
-        return self._without_reserved(
-            unit,
-            self._candidates.acceptable(unit, self._delay_policy, guaranteed),
-        )
-
-    def _without_reserved(
-        self,
-        unit: waiting_units.WaitingUnit,
-        workers: list[worker_directory.Worker],
-    ) -> list[worker_directory.Worker]:
-        """Returns the workers that are not reserved against a unit.
-
-        Units inside a guarantee may use reserved workers as well.
-        """
-        if self._guarantees.covers(unit) or self._is_pressed(unit):
-            return workers
-        return [
-            each
-            for each in workers
-            if self._reservations.allows(each, unit, self._now_ms)
-        ]
-
     def _is_pressed(self, unit: waiting_units.WaitingUnit) -> bool:
         return bool(self._worth_round and self._worth_round.is_pressed(unit))
 
@@ -422,7 +342,7 @@
             return None
         workers = self._choice.awaited(
             unit,
-            self._without_reserved(
+            self._fitting.without_reserved(
                 unit,
                 self._candidates.compatible(unit, self._candidates.trusted),
             ),
@@ -430,7 +350,7 @@
         )
         return self._preemption.find(
             unit,
-            self._requirements(unit),
+            self._fitting.requirements(unit),
             workers,
             self._free_capacity,
             spread,
@@ -439,43 +359,9 @@
 
     def _allocate(self, decision: waiting_units.Decision) -> None:
         unit = decision.waiting
-        if decision.victims or unit.tasks > 1 or unit.is_suspect:
-            self._slots_of_shape = None
         self._guarantees.consume(unit)
         self.quotas.consume(decision)
         if self._worth_round:
             self._worth_round.note_placed(unit)
         self._preemption.mark_stopped(decision.victims)
-        demand = worker_allocations.allocated_demand(unit.step)
-        self._candidates.note_placed(decision)
-        for worker in decision.workers:
-            self._allocations.allocate(worker.worker, demand)
-            self._placed_counts[unit.key.step_key][worker.worker] += 1
-
-    def _requirements(
-        self, unit: waiting_units.WaitingUnit, task_count: int = 0
-    ) -> fitting.Requirements:
-        """Returns the requirements of a unit or of `task_count` such tasks."""
-        return fitting.Requirements(
-            tasks=task_count or unit.tasks,
-            step=unit.step,
-            service=unit.submission.terms.service,
-            avoid=self._candidates.avoided(unit),
-            last=self._last_resort_workers(unit),
-            taken=self._tasks_per_worker(unit)
-            if unit.step.max_tasks_per_worker
-            else {},
-        )
-
-    def _last_resort_workers(
-        self, unit: waiting_units.WaitingUnit
-    ) -> frozenset[ids.WorkerId]:
-        if self._worth_round and self._worth_round.packing.applies_to(unit):
-            return self._worth_round.packing.other_workers
-        return self._choice.last_resort(unit)
-
-    def _tasks_per_worker(
-        self, unit: waiting_units.WaitingUnit
-    ) -> collections.Counter[ids.WorkerId]:
-        running = self._table.tasks_per_worker(unit.key)
-        return running + self._placed_counts[unit.key.step_key]
+        self._fitting.note_placed(decision)
