--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -35,7 +35,7 @@
         since_ms: Monotonic time since which the unit is ready.
         run: Number of the last run, or 0.
         failures: Number of failed runs.
-        crashes: Number of runs during which a worker crashed.
+        crashes: Number of runs with a crash that counts against the unit.
         start_crashes: Number of these in which it crashed soon after a start.
         saved: Newest checkpoint, or empty.
         avoid: Workers on which the unit failed, stalled or was slow.
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -216,7 +216,8 @@
         placed_ms: Monotonic time of the placement.
         started_ms: Monotonic time at which this owner first saw all members
             running, or None.
-        crashes: Number of runs of the unit during which a worker crashed.
+        crashes: Number of runs of the unit with a crash of a worker that counts
+            against it.
         start_crashes: Number of these in which it crashed soon after a start
             of the unit.
         crash_counted: Whether `crashes` includes this run.
@@ -257,7 +258,7 @@
             task_positions: Position among the unit's tasks of each place;
                 empty if there is a place for every task.
             learned_run_time: Learned run time of a task, or None.
-            crashes: Number of earlier runs during which a worker crashed.
+            crashes: Number of earlier runs with a crash that counts.
             start_crashes: Number of these in which it crashed soon after a
                 start.
         """
--- a/citronmount/fleet/runs/worker_crashes.py
+++ b/citronmount/fleet/runs/worker_crashes.py
@@ -1,42 +1,39 @@
 """Counts the crashes of workers against the units that ran on them.
 
 A task may crash each worker that starts it, and with the worker all that runs
-there. Nothing tells which of its tasks crashed a worker, so a crash counts
-against all of them, and more against those that had just started. A unit that
-had just started is suspect: its next starts are kept apart from other starts
-(`placement/start_isolation`), so that a further crash points at it alone.
+there. Nothing tells which of its tasks crashed a worker. Those that had just
+started are suspect: their next starts are kept apart from other starts
+(`placement/start_isolation`), so that a further crash points at one alone. If
+none had just started, the crash counts against all of them.
+
+Workers also crash by themselves, often several at once. If one on which nothing
+had just started went down shortly before, the two are taken to have a common
+cause, and the crash counts against no unit. The same holds if nothing had just
+started and another worker is silent now.
 """
 
 from collections.abc import Iterable
-import enum
+from collections.abc import Sequence
 
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
 
-__all__ = ["CrashCause", "WorkerCrashes"]
+__all__ = ["RunMember", "WorkerCrashes"]
 
 # The first crash may point at several units; the next two do not.
 MAX_START_CRASHES = 3
 # For a unit that crashes its workers long after its starts, which cannot be
 # kept apart from other units.
 MAX_CRASHES = 4
+# Workers that crash together restart within this time.
+COMMON_CAUSE_MS = 5_000
 
 RunMember = tuple[unit_runs.Run, unit_runs.Member]
 
 
-class CrashCause(enum.Enum):
-    """What may have ended an incarnation.
-
-    TASK: nothing but what the worker ran. DOMAIN_OUTAGE: its failure domain
-    went down with it, so the tasks are less likely the cause.
-    """
-
-    TASK = "task"
-    DOMAIN_OUTAGE = "domain_outage"
-
-
 class WorkerCrashes:
     """Counts crashes per unit and gives up units that crash their workers."""
 
@@ -47,9 +44,38 @@
             state: State shared by the parts of the owner.
         """
         self._state = state
+        # Time of the last end without a recent start, by machine.
+        self._spontaneous_ends_ms: dict[worker_directory.MachineId, int] = {}
+
+    def incarnation_ended(
+        self,
+        worker: worker_directory.Worker,
+        tasks: Iterable[RunMember],
+        now_ms: int,
+    ) -> None:
+        """Remembers the end of an incarnation that no start can have caused.
+
+        Args:
+            worker: The worker; one that was draining has left by itself.
+            tasks: The tasks that the incarnation may have run.
+            now_ms: Monotonic time in milliseconds.
+        """
+        starting = any(_is_starting(member) for _, member in tasks)
+        if starting or _was_leaving(worker):
+            return
+        self._spontaneous_ends_ms = {
+            machine: end_ms
+            for machine, end_ms in self._spontaneous_ends_ms.items()
+            if now_ms - end_ms <= COMMON_CAUSE_MS
+        }
+        self._spontaneous_ends_ms[worker.machine] = now_ms
 
     def worker_crashed(
-        self, lost: Iterable[RunMember], cause: CrashCause, now_ms: int
+        self,
+        worker: worker_directory.Worker,
+        lost: Sequence[RunMember],
+        others_silent: bool,
+        now_ms: int,
     ) -> None:
         """Counts a crash against the units whose tasks it ended.
 
@@ -57,31 +83,41 @@
         is recorded at once, so that it outlasts this owner.
 
         Args:
-            lost: The tasks that the crashed incarnation may have run, marked as
-                gone.
-            cause: What may have ended the incarnation.
+            worker: The worker that crashed.
+            lost: The tasks that it may have run, marked as gone.
+            others_silent: Whether any worker on another machine is silent.
             now_ms: Monotonic time in milliseconds.
         """
+        if _was_leaving(worker) or self._has_common_cause(worker, now_ms):
+            return
+        any_starting = any(_is_starting(member) for _, member in lost)
+        if others_silent and not any_starting:
+            return
         for run, member in lost:
             decided = run.outcome in (
                 commands.EndKind.DONE,
                 commands.EndKind.FAILED,
             )
-            if member.may_have_started and not decided:
-                self._count(run, member, cause, now_ms)
+            suspect = _is_starting(member) or not any_starting
+            if member.may_have_started and suspect and not decided:
+                self._count(run, member, now_ms)
+
+    def _has_common_cause(
+        self, worker: worker_directory.Worker, now_ms: int
+    ) -> bool:
+        """Returns whether another worker has just crashed by itself."""
+        return any(
+            machine != worker.machine and now_ms - end_ms <= COMMON_CAUSE_MS
+            for machine, end_ms in self._spontaneous_ends_ms.items()
+        )
 
     def _count(
-        self,
-        run: unit_runs.Run,
-        member: unit_runs.Member,
-        cause: CrashCause,
-        now_ms: int,
+        self, run: unit_runs.Run, member: unit_runs.Member, now_ms: int
     ) -> None:
-        at_start = cause is CrashCause.TASK and not member.survived_start
-        counts_start = at_start and not run.start_crash_counted
+        run.forget_crashes_if_sound(now_ms)
+        counts_start = _is_starting(member) and not run.start_crash_counted
         if run.crash_counted and not counts_start:
             return
-        run.forget_crashes_if_sound(now_ms)
         run.crashes += not run.crash_counted
         run.crash_counted = True
         run.start_crashes += counts_start
@@ -97,7 +133,6 @@
             life_ms=member.place.life_ms,
             crashes=run.crashes,
             start_crashes=run.start_crashes,
-            crash_cause=cause.value,
         )
         status = (
             records.UnitStatus.FAILED
@@ -105,3 +140,12 @@
             else records.UnitStatus.WAITING
         )
         self._state.append_record(run.to_record(status))
+
+
+def _is_starting(member: unit_runs.Member) -> bool:
+    """Returns whether a start of the task may have just reached its worker."""
+    return member.may_have_started and not member.survived_start
+
+
+def _was_leaving(worker: worker_directory.Worker) -> bool:
+    return worker.state is worker_directory.WorkerState.DRAINING
--- a/citronmount/fleet/workers/worker_health.py
+++ b/citronmount/fleet/workers/worker_health.py
@@ -179,13 +179,6 @@
         while ends and ends[0] < now_ms - FLAP_WINDOW_MS:
             ends.popleft()
 
-    def ended_within(
-        self, machine: worker_directory.MachineId, time_ms: int, now_ms: int
-    ) -> bool:
-        """Returns whether an incarnation on a machine ended recently."""
-        ends = self._incarnation_ends.get(machine)
-        return bool(ends) and now_ms - ends[-1] <= time_ms
-
     def is_flapping(
         self, machine: worker_directory.MachineId, now_ms: int
     ) -> bool:
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -17,9 +17,6 @@
 SILENT_AFTER_UNANSWERED = 2
 MAX_FIRST_RENEWALS = 128
 SCAN_PERIOD_MS = 50
-# The workers of a failure domain restart within this time after an outage.
-DOMAIN_OUTAGE_WINDOW_MS = 5_000
-MIN_OUTAGE_MACHINES = 3
 
 
 class WorkerSessions:
@@ -116,6 +113,9 @@
             runs=self._state.table.task_count_on(worker_id),
         )
         del self._state.sessions[worker_id]
+        self._crashes.incarnation_ended(
+            session.worker, self._state.table.tasks_on_worker(worker_id), now_ms
+        )
         self._state.unknown_task_counts.pop(worker_id, None)
         self._state.health.record_incarnation_end(session.worker, now_ms)
         self._state.needs_planning = True
@@ -194,36 +194,14 @@
             self._state.mark_member_missing(
                 run, member, unit_runs.MissingCause.INCARNATION_ENDED
             )
-        # A draining worker leaves by itself.
-        leaves = worker.state is worker_directory.WorkerState.DRAINING
-        if leaves or not tasks:
+        if not tasks:
             return
-        cause = worker_crashes.CrashCause.TASK
-        if self._is_domain_outage(worker.failure_domain, now_ms):
-            cause = worker_crashes.CrashCause.DOMAIN_OUTAGE
-        self._crashes.worker_crashed(tasks, cause, now_ms)
-
-    def _is_domain_outage(
-        self, domain: ids.FailureDomainId, now_ms: int
-    ) -> bool:
-        """Returns whether all busy workers of a failure domain went down.
-
-        That is, each busy one is silent, has just restarted, or has just been
-        replaced by another incarnation on its machine.
-        """
-        down, up = set(), set()
-        for session in self._state.sessions.values():
-            worker = session.worker
-            if worker.failure_domain != domain:
-                continue
-            restarted = self._state.health.ended_within(
-                worker.machine, DOMAIN_OUTAGE_WINDOW_MS, now_ms
-            )
-            if restarted or self._is_silent(session, now_ms):
-                down.add(worker.machine)
-            elif self._state.table.task_count_on(worker.worker):
-                up.add(worker.machine)
-        return len(down) >= MIN_OUTAGE_MACHINES and not up
+        others_silent = any(
+            self._is_silent(session, now_ms)
+            for session in self._state.sessions.values()
+            if session.worker.machine != worker.machine
+        )
+        self._crashes.worker_crashed(worker, tasks, others_silent, now_ms)
 
     def send_due_renewals(self, now_ms: int) -> None:
         """Sends the lease renewals that are due.
--- a/citronmount/fleet_service/tests/test_worker_crashes.py
+++ b/citronmount/fleet_service/tests/test_worker_crashes.py
@@ -72,6 +72,38 @@
         self.assertIs(DONE, self.state("good"))
         self.assertIs(DONE, self.state("late"))
 
+    def test_tasks_that_crash_their_workers_together_are_given_up(
+        self,
+    ) -> None:
+        for number in range(4):
+            step = pool_fixture.make_step(accelerators=8)
+            self.submit(f"deadly{number}", step)
+        self.run_for(40.0)
+        for number in range(4):
+            self.assertIs(FAILED, self.state(f"deadly{number}"))
+
+    def test_task_that_crashes_its_workers_after_a_while_is_given_up(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 20_000
+        self.restarts.crash_delay_s = 5.0
+        self.submit("deadly", pool_fixture.make_step())
+        self.run_for(60.0)
+        self.assertIs(FAILED, self.state("deadly"))
+
+    def test_units_on_workers_that_often_crash_together_complete(self) -> None:
+        self.run_time_ms = lambda task, run: 60_000 if run < 9 else 1_000
+        self.submit(
+            "j", pool_fixture.make_step(tasks=6, max_tasks_per_worker=1)
+        )
+        for _ in range(8):
+            self.run_for(9.0)
+            workers = list(self.pool_workers.workers.values())
+            for number, worker in enumerate(workers):
+                self.clock.callLater(0.1 * number, self.restarts.crash, worker)
+        self.run_for(20.0)
+        self.assertIs(DONE, self.state("j"))
+
     def test_gang_that_crashes_its_workers_is_given_up(self) -> None:
         step = pool_fixture.make_step(tasks=4, accelerators=4, gang=True)
         self.submit("deadly", step)
--- a/citronmount/standins/worker_restarts.py
+++ b/citronmount/standins/worker_restarts.py
@@ -30,6 +30,7 @@
     Attributes:
         crash_counts: Number of workers that each deadly task has crashed.
         keeps_id: Returns whether a worker starts again under its former id.
+        crash_delay_s: Time between the start of a deadly task and the crash.
         delay_s: Time between a crash and the next incarnation.
         publish_delay_s: Time until the entry of the next incarnation is
             published.
@@ -55,6 +56,7 @@
             collections.Counter()
         )
         self.keeps_id: Callable[[], bool] = lambda: False
+        self.crash_delay_s = CRASH_DELAY_S
         self.delay_s = RESTART_DELAY_S
         self.publish_delay_s = 0.0
         self._pool = pool
@@ -82,7 +84,7 @@
                 f"BUDGET: {task} started {starts_beyond} times more after "
                 f"{CRASHES_BEFORE_LIMIT} crashes"
             )
-        self._pool.clock.callLater(CRASH_DELAY_S, self.crash, worker)
+        self._pool.clock.callLater(self.crash_delay_s, self.crash, worker)
 
     def _restart(self, former: worker_directory.Worker) -> None:
         life_ms = max(self._pool.now_ms(), former.life_ms + 1)
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -111,7 +111,8 @@
         saved: Newest checkpoint, or empty.
         task_positions: Position among the unit's tasks of each entry of
             `places`; empty if `places` covers all of them.
-        crashes: Number of runs during which a worker of the unit crashed.
+        crashes: Number of runs with a crash of a worker that counts against
+            the unit.
         start_crashes: Number of these in which it crashed soon after a start
             of the unit.
     """
