--- a/citronmount/fleet/placement/start_isolation.py
+++ b/citronmount/fleet/placement/start_isolation.py
@@ -1,8 +1,8 @@
 """Keeps the starts of suspect units apart from other starts.
 
-A unit is suspect if a worker crashed soon after it had started there. If no
-other task starts on its next worker until the unit has survived its start, a
-further crash has one suspect only, and the other units do not share its blame.
+A unit is suspect if a crash of a worker counts against it. If no other task
+starts on its next worker until the unit has survived its start, a further crash
+has one suspect only, and the other units do not share its blame.
 """
 
 from collections.abc import Iterable
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -75,8 +75,8 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether a worker crashed soon after a start of the unit."""
-        return self.start_crashes > 0
+        """Whether a crash of a worker counts against the unit."""
+        return self.crashes > 0
 
     @property
     def has_step_limits(self) -> bool:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -311,8 +311,8 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether a worker crashed soon after a start of the unit."""
-        return self.start_crashes > 0
+        """Whether a crash of a worker counts against the unit."""
+        return self.crashes > 0
 
     @property
     def is_over(self) -> bool:
--- a/citronmount/fleet/runs/worker_crashes.py
+++ b/citronmount/fleet/runs/worker_crashes.py
@@ -1,15 +1,15 @@
 """Counts the crashes of workers against the units that ran on them.
 
 A task may crash each worker that starts it, and with the worker all that runs
-there. Nothing tells which of its tasks crashed a worker. Those that had just
-started are suspect: their next starts are kept apart from other starts
-(`placement/start_isolation`), so that a further crash points at one alone. If
-none had just started, the crash counts against all of them.
+there. Nothing tells which of its tasks crashed a worker. The crash counts
+against those that had just started or, if there are none, against all of them.
+From then on they are suspect: their next starts are kept apart from other
+starts (`placement/start_isolation`), so that a further crash points at one.
 
 Workers also crash by themselves, often several at once. If one on which nothing
 had just started went down shortly before, the two are taken to have a common
-cause, and the crash counts against no unit. The same holds if nothing had just
-started and another worker is silent now.
+cause. Then the crash counts only against those that had just started, and only
+for `MAX_CRASHES`: deadly tasks may run among workers that crash by themselves.
 """
 
 from collections.abc import Iterable
@@ -25,12 +25,14 @@
 
 # The first crash may point at several units; the next two do not.
 MAX_START_CRASHES = 3
-# For a unit that crashes its workers long after its starts, which cannot be
-# kept apart from other units.
+# For units that crash their workers long after their starts, or while other
+# workers crash as well.
 MAX_CRASHES = 4
 # Workers that crash together restart within this time.
 COMMON_CAUSE_MS = 5_000
 
+_DECISIVE_ENDS = (commands.EndKind.DONE, commands.EndKind.FAILED)
+
 RunMember = tuple[unit_runs.Run, unit_runs.Member]
 
 
@@ -85,22 +87,19 @@
         Args:
             worker: The worker that crashed.
             lost: The tasks that it may have run, marked as gone.
-            others_silent: Whether any worker on another machine is silent.
+            others_silent: Whether any worker on another machine is silent, so
+                that it may have crashed as well.
             now_ms: Monotonic time in milliseconds.
         """
-        if _was_leaving(worker) or self._has_common_cause(worker, now_ms):
-            return
-        any_starting = any(_is_starting(member) for _, member in lost)
-        if others_silent and not any_starting:
+        if _was_leaving(worker):
             return
-        for run, member in lost:
-            decided = run.outcome in (
-                commands.EndKind.DONE,
-                commands.EndKind.FAILED,
-            )
-            suspect = _is_starting(member) or not any_starting
-            if member.may_have_started and suspect and not decided:
-                self._count(run, member, now_ms)
+        common_cause = self._has_common_cause(worker, now_ms)
+        suspects = [pair for pair in lost if _is_starting(pair[1])]
+        if not suspects and not common_cause and not others_silent:
+            suspects = [pair for pair in lost if pair[1].may_have_started]
+        for run, member in suspects:
+            if run.outcome not in _DECISIVE_ENDS:
+                self._count(run, member, common_cause, now_ms)
 
     def _has_common_cause(
         self, worker: worker_directory.Worker, now_ms: int
@@ -112,10 +111,18 @@
         )
 
     def _count(
-        self, run: unit_runs.Run, member: unit_runs.Member, now_ms: int
+        self,
+        run: unit_runs.Run,
+        member: unit_runs.Member,
+        common_cause: bool,
+        now_ms: int,
     ) -> None:
         run.forget_crashes_if_sound(now_ms)
-        counts_start = _is_starting(member) and not run.start_crash_counted
+        counts_start = (
+            _is_starting(member)
+            and not common_cause
+            and not run.start_crash_counted
+        )
         if run.crash_counted and not counts_start:
             return
         run.crashes += not run.crash_counted
@@ -133,6 +140,7 @@
             life_ms=member.place.life_ms,
             crashes=run.crashes,
             start_crashes=run.start_crashes,
+            common_cause=common_cause,
         )
         status = (
             records.UnitStatus.FAILED
--- a/citronmount/fleet_service/tests/test_worker_crashes.py
+++ b/citronmount/fleet_service/tests/test_worker_crashes.py
@@ -104,6 +104,20 @@
         self.run_for(20.0)
         self.assertIs(DONE, self.state("j"))
 
+    # BUDGET: crashes of idle workers excused those of a deadly task.
+    def test_deadly_task_among_workers_that_crash_is_given_up(self) -> None:
+        self.submit("deadly", pool_fixture.make_step())
+        for number in range(25):
+            idle = [
+                worker
+                for worker in self.pool_workers.workers.values()
+                if not worker.running
+            ]
+            if idle:
+                self.restarts.crash(idle[number % len(idle)])
+            self.run_for(1.5)
+        self.assertIs(FAILED, self.state("deadly"))
+
     def test_gang_that_crashes_its_workers_is_given_up(self) -> None:
         step = pool_fixture.make_step(tasks=4, accelerators=4, gang=True)
         self.submit("deadly", step)
