--- a/citronmount/platform/tests/test_soak.py
+++ b/citronmount/platform/tests/test_soak.py
@@ -8,6 +8,7 @@
 DURATION_S = 8
 TIMEOUT_S = 150
 QUOTA_SEED = 5
+WORKER_SEED = 11
 CONFIGURATION_SEED = 701
 CONFIGURATION_DURATION_S = 15
 
@@ -44,6 +45,11 @@
             output, _ = process.communicate(timeout=TIMEOUT_S)
         self.assertEqual(0, process.returncode, output)
 
+    def test_restarts_of_workers_break_no_promise(self) -> None:
+        with start_soak(WORKER_SEED, 12, "--worker-faults") as process:
+            output, _ = process.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(0, process.returncode, output)
+
     def test_old_configuration_is_not_used_on_slow_links(self) -> None:
         with start_soak(
             CONFIGURATION_SEED,
--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -479,8 +479,12 @@
             self._known_capacity = capacity
 
     def crash(self) -> None:
-        """Loses all state and leaves the pool."""
+        """Loses all state and leaves the pool.
+
+        A task whose end nobody has acknowledged may run again.
+        """
         self.running.clear()
+        self._pool.finished_tasks -= {end.task for end in self.ends}
         self.ends.clear()
         self._pool.workers.pop(self.entry.worker, None)
 
--- a/citronmount/standins/worker_restarts.py
+++ b/citronmount/standins/worker_restarts.py
@@ -14,7 +14,7 @@
 
 CRASH_DELAY_S = 0.01
 RESTART_DELAY_S = 3.3
-# Heartbeats are missed this long before the entry of a worker is removed.
+# Time from a restart under another id until the former entry is removed.
 ENTRY_TTL_S = 4.5
 CRASHES_BEFORE_LIMIT = 3
 STARTS_BEYOND_LIMIT = 3
@@ -29,6 +29,8 @@
 
     Attributes:
         crash_counts: Number of workers that each deadly task has crashed.
+        former_ids: Ids that a worker no longer has.
+        on_crash: Called with each worker before its crash.
         keeps_id: Returns whether a worker starts again under its former id.
         crash_delay_s: Time between the start of a deadly task and the crash.
         delay_s: Time between a crash and the next incarnation.
@@ -55,6 +57,10 @@
         self.crash_counts: collections.Counter[units.TaskName] = (
             collections.Counter()
         )
+        self.former_ids: set[ids.WorkerId] = set()
+        self.on_crash: Callable[[pool_workers.PoolWorker], None] = (
+            lambda worker: None
+        )
         self.keeps_id: Callable[[], bool] = lambda: False
         self.crash_delay_s = CRASH_DELAY_S
         self.delay_s = RESTART_DELAY_S
@@ -69,8 +75,11 @@
         """Crashes a worker that is up; it starts again after `delay_s`."""
         if self._pool.workers.get(worker.entry.worker) is not worker:
             return
+        self.on_crash(worker)
         worker.crash()
-        self._pool.clock.callLater(self.delay_s, self._restart, worker.entry)
+        self._pool.clock.callLater(
+            self.delay_s, self._restart, worker.entry, self.keeps_id()
+        )
 
     def _task_started(
         self, worker: pool_workers.PoolWorker, task: units.TaskName
@@ -86,17 +95,24 @@
             )
         self._pool.clock.callLater(self.crash_delay_s, self.crash, worker)
 
-    def _restart(self, former: worker_directory.Worker) -> None:
+    def _restart(self, former: worker_directory.Worker, keeps_id: bool) -> None:
         life_ms = max(self._pool.now_ms(), former.life_ms + 1)
         worker_id = former.worker
-        if not self.keeps_id():
+        if not keeps_id:
+            self.former_ids.add(former.worker)
             name = former.worker.partition("#")[0]
             worker_id = ids.WorkerId(f"{name}#{life_ms}")
             self._pool.clock.callLater(
-                ENTRY_TTL_S - self.delay_s, self._withdraw, former.worker
+                ENTRY_TTL_S, self._withdraw, former.worker
             )
         entry = msgspec.structs.replace(
             former, worker=worker_id, life_ms=life_ms
         )
-        self._pool.add(entry)
-        self._pool.clock.callLater(self.publish_delay_s, self._publish, entry)
+        worker = self._pool.add(entry)
+        self._pool.clock.callLater(
+            self.publish_delay_s, self._publish_if_up, worker
+        )
+
+    def _publish_if_up(self, worker: pool_workers.PoolWorker) -> None:
+        if self._pool.workers.get(worker.entry.worker) is worker:
+            self._publish(worker.entry)
