--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -60,11 +60,19 @@
                 del self._state.sessions[worker_id]
 
     def _open_session(
-        self, worker: worker_directory.Worker, now_ms: int
+        self,
+        worker: worker_directory.Worker,
+        now_ms: int,
+        former: worker_directory.Worker | None = None,
     ) -> None:
         """Opens a session and ends older incarnations on the same machine.
 
         The older ones have another worker id, or restored runs.
+
+        Args:
+            worker: The worker.
+            now_ms: Monotonic time in milliseconds.
+            former: The former incarnation under the worker's id, if known.
         """
         session = lease_sessions.LeaseSession(
             worker=worker,
@@ -73,7 +81,7 @@
             now_ms=now_ms,
         )
         self._state.sessions[worker.worker] = session
-        self._hand_over_tasks(worker, now_ms)
+        self._hand_over_tasks(former or worker, worker, now_ms)
         for former in list(self._state.sessions.values()):
             same_machine = former.worker.machine == worker.machine
             older = former.worker.life_ms < worker.life_ms
@@ -96,7 +104,7 @@
             now_ms: Monotonic time in milliseconds.
         """
         self._close_session(session, now_ms)
-        self._open_session(worker, now_ms)
+        self._open_session(worker, now_ms, former=session.worker)
 
     def _close_session(
         self, session: lease_sessions.LeaseSession, now_ms: int
@@ -121,7 +129,10 @@
         self._state.needs_planning = True
 
     def _hand_over_tasks(
-        self, worker: worker_directory.Worker, now_ms: int
+        self,
+        former: worker_directory.Worker,
+        worker: worker_directory.Worker,
+        now_ms: int,
     ) -> None:
         """Decides about the tasks of earlier incarnations under a worker's id.
 
@@ -135,7 +146,7 @@
             if member.place.life_ms < worker.life_ms:
                 tasks = lost if member.is_bound_to_place else uncertain
                 tasks.append((run, member))
-        self.lose_tasks(lost, worker, now_ms)
+        self.lose_tasks(lost, former, now_ms)
         place = records.Place(worker=worker.worker, life_ms=worker.life_ms)
         for run, member in uncertain:
             member.hand_over(place)
--- a/citronmount/standins/worker_restarts.py
+++ b/citronmount/standins/worker_restarts.py
@@ -106,7 +106,10 @@
                 ENTRY_TTL_S, self._withdraw, former.worker
             )
         entry = msgspec.structs.replace(
-            former, worker=worker_id, life_ms=life_ms
+            former,
+            worker=worker_id,
+            life_ms=life_ms,
+            state=worker_directory.WorkerState.READY,
         )
         worker = self._pool.add(entry)
         self._pool.clock.callLater(
