--- a/citronmount/fleet/placement/start_isolation.py
+++ b/citronmount/fleet/placement/start_isolation.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import functools
 
 from citronmount.core import ids
 from citronmount.fleet.queueing import waiting_units
@@ -30,18 +31,17 @@
             runs: All runs.
             now_ms: Monotonic time in milliseconds.
         """
+        self._runs = list(runs)
         self._now_ms = now_ms
-        self._starting_ids: set[ids.WorkerId] = set()
-        self._suspect_ids: set[ids.WorkerId] = set()
-        for run in runs:
-            worker_ids = {
-                member.place.worker
-                for member in run.live_members
-                if not member.survived_start
-            }
-            self._starting_ids |= worker_ids
-            if run.is_suspect:
-                self._suspect_ids |= worker_ids
+        self._placed_ids: set[ids.WorkerId] = set()
+        self._suspect_ids = _starting_workers(
+            run for run in self._runs if run.is_suspect
+        )
+
+    @functools.cached_property
+    def _starting_ids(self) -> set[ids.WorkerId]:
+        """Workers with a recent start of a run; only suspect units need it."""
+        return _starting_workers(self._runs)
 
     def allows(
         self, unit: waiting_units.WaitingUnit, worker: worker_directory.Worker
@@ -53,18 +53,30 @@
         """
         if worker.worker in self._suspect_ids:
             return False
-        if not unit.is_suspect or worker.worker not in self._starting_ids:
+        if not unit.is_suspect:
+            return True
+        if worker.worker not in self._starting_ids | self._placed_ids:
             return True
         return self._now_ms - unit.since_ms >= MAX_ISOLATION_WAIT_MS
 
     def note_placed(self, decision: waiting_units.Decision) -> None:
         """Takes into account what a decision starts."""
         worker_ids = {worker.worker for worker in decision.workers}
-        self._starting_ids |= worker_ids
+        self._placed_ids |= worker_ids
         if decision.waiting.is_suspect:
             self._suspect_ids |= worker_ids
 
 
+def _starting_workers(runs: Iterable[unit_runs.Run]) -> set[ids.WorkerId]:
+    """Returns the workers on which a start of the runs is recent."""
+    return {
+        member.place.worker
+        for run in runs
+        for member in run.live_members
+        if not member.survived_start
+    }
+
+
 def idle_workers(
     workers: Sequence[worker_directory.Worker],
     allocations: worker_allocations.WorkerAllocations,
