--- a/citronmount/fleet/commands.py
+++ b/citronmount/fleet/commands.py
@@ -132,6 +132,7 @@
         token: Fencing token of the owner.
         look: Whether the command is a status poll, which is sent although
             another renewal may be waiting at the worker.
+        event: Number of the owner's event at which the command was sent.
     """
 
     worker: worker_directory.Worker
@@ -140,6 +141,7 @@
     wait_ms: int
     token: ids.FenceToken
     look: bool = False
+    event: int = 0
 
 
 class RequestAdvice(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -85,6 +85,9 @@
         commands: Commands to send.
         orphan_leases_end_ms: Monotonic time after which all leases of earlier
             owners have expired.
+        last_event: Number of the last event, a command sent or an answer
+            received, whose order with others matters. Several may happen within
+            one millisecond.
         needs_planning: Whether anything changed that decisions depend on.
     """
 
@@ -159,8 +162,14 @@
         self.orphan_leases_end_ms = now_ms + int(
             policy.max_lease_ms * CLOCK_DRIFT_FACTOR + policy.stop_ms
         )
+        self.last_event = 0
         self.needs_planning = True
 
+    def next_event(self) -> int:
+        """Returns the number of a new event."""
+        self.last_event += 1
+        return self.last_event
+
     def end_run(self, run: unit_runs.Run, cause: unit_runs.EndCause) -> None:
         """Starts to end a run and logs the cause of the first call."""
         if run.cause is None:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -105,6 +105,7 @@
         stop_answered: Whether a `Stop` command was answered.
         settled_ms: Monotonic time of the last answer that settled a `Start` or
             `Stop` command.
+        settled_event: Number of the owner's event of that answer.
         next_order_ms: Earliest monotonic time of the next command after one
             without an answer.
         saved: Newest checkpoint.
@@ -133,6 +134,7 @@
     stop_open: bool = False
     stop_answered: bool = False
     settled_ms: int = 0
+    settled_event: int = 0
     next_order_ms: int = 0
     saved: str = ""
     progress: task_progress.TaskProgress = msgspec.field(
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -75,6 +75,7 @@
             return
         member.start_answered = True
         member.settled_ms = now_ms
+        member.settled_event = self._state.next_event()
         if outcome is commands.StartOutcome.STARTED:
             self._mark_running(run, member, now_ms)
             member.seen_running(now_ms)
@@ -166,6 +167,7 @@
             return
         member.stop_answered = True
         member.settled_ms = now_ms
+        member.settled_event = self._state.next_event()
         never_running = member.state is unit_runs.MemberState.STARTING
         if never_running and session is not None:
             session.poll_soon()
@@ -195,7 +197,6 @@
         self,
         command: commands.RenewLeases,
         report: commands.LeaseReport,
-        sent_ms: int,
         now_ms: int,
     ) -> None:
         """Handles the report of a worker.
@@ -203,7 +204,6 @@
         Args:
             command: The lease renewal or status poll.
             report: The worker's report.
-            sent_ms: Monotonic time at which the command was sent.
             now_ms: Monotonic time in milliseconds.
         """
         self._state.changed_workers.add(command.worker.worker)
@@ -224,7 +224,7 @@
         for end in report.ended:
             if session.register_end(end.number, now_ms):
                 self._run_ends.handle_end(session, end, now_ms)
-        self._reconcile(session, report, sent_ms, now_ms)
+        self._reconcile(session, command, report, now_ms)
 
     def _handle_other_incarnation(
         self,
@@ -248,8 +248,8 @@
     def _reconcile(
         self,
         session: lease_sessions.LeaseSession,
+        command: commands.RenewLeases,
         report: commands.LeaseReport,
-        sent_ms: int,
         now_ms: int,
     ) -> None:
         """Reconciles the tasks that a worker runs with the run table.
@@ -278,13 +278,13 @@
             self._state.unknown_task_counts[worker_id] = unknown_count
             self._state.needs_planning = True
         if report.complete:
-            self._mark_missing(session, seen, sent_ms, now_ms)
+            self._mark_missing(session, seen, command, now_ms)
 
     def _mark_missing(
         self,
         session: lease_sessions.LeaseSession,
         seen: set[units.TaskName],
-        sent_ms: int,
+        command: commands.RenewLeases,
         now_ms: int,
     ) -> None:
         """Marks members as missing that a complete report does not contain.
@@ -296,7 +296,7 @@
         for run, member in self._state.table.tasks_on_worker(worker.worker):
             if member.task in seen or not member.start_settled:
                 continue
-            if sent_ms < member.settled_ms:
+            if command.event < member.settled_event:
                 continue
             if member.handed_over and not member.reported:
                 self._sessions.lose_tasks([(run, member)], worker, now_ms)
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import msgspec
+
 from citronmount.core import ids
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import unit_runs
@@ -279,7 +281,10 @@
         """Sends a session's renewal if it is due; returns whether it was."""
         command = session.next_renewal(now_ms)
         if command is not None:
-            self._state.commands.append(command)
+            event = self._state.next_event()
+            self._state.commands.append(
+                msgspec.structs.replace(command, event=event)
+            )
         return command is not None
 
     def usable_workers(self, now_ms: int) -> list[worker_directory.Worker]:
--- a/citronmount/fleet_service/command_sender.py
+++ b/citronmount/fleet_service/command_sender.py
@@ -128,7 +128,6 @@
     async def _renew_leases(
         self, owner: pool_owner.PoolOwner, command: commands.RenewLeases
     ) -> None:
-        sent_ms = self._now_ms()
         timeout_ms = command.wait_ms + RENEWAL_TIMEOUT_MARGIN_MS
         answer = await self._answer_of(
             command,
@@ -136,9 +135,7 @@
             commands.StopOutcome.UNKNOWN,
         )
         if isinstance(answer, commands.LeaseReport):
-            owner.reports.renewal_answered(
-                command, answer, sent_ms, self._now_ms()
-            )
+            owner.reports.renewal_answered(command, answer, self._now_ms())
         else:
             fenced = answer is commands.StopOutcome.FENCED
             owner.reports.renewal_failed(command, fenced, self._now_ms())
