--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -80,6 +80,8 @@
                     task_positions=change.task_positions,
                     learned_run_time=estimate.run_time(key.step),
                 )
+                counted = change.last_counted_run == run.number
+                run.crash_counted = run.start_crash_counted = counted
                 for member in run.members:
                     member.state = unit_runs.MemberState.STARTING
                     member.start_answered = True
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -395,4 +395,5 @@
             task_positions=positions,
             crashes=self.crashes,
             start_crashes=self.start_crashes,
+            last_counted_run=self.number if self.crash_counted else 0,
         )
--- a/citronmount/fleet_service/tests/test_worker_crashes.py
+++ b/citronmount/fleet_service/tests/test_worker_crashes.py
@@ -134,6 +134,24 @@
             if not each.startswith("GANG")
         ]
 
+    # LOST: each new owner counted the same run of a gang again.
+    def test_run_that_loses_several_workers_counts_once_across_takeovers(
+        self,
+    ) -> None:
+        step = pool_fixture.make_step(tasks=3, accelerators=8, gang=True)
+        self.submit("g", step)
+        self.run_for(0.3)
+        busy = [w for w in self.pool_workers.workers.values() if w.running]
+        for worker, delay_s in zip(busy, (0.5, 3.0, 5.0), strict=True):
+            self.restarts.delay_s = delay_s
+            self.restarts.crash(worker)
+        for _ in range(2):
+            self.run_for(1.2)
+            self.silence_owners()
+            self.run_for(1.3)
+        self.run_for(25.0)
+        self.assertIs(DONE, self.state("g", vm=self.owner_index()))
+
     def test_lasting_task_that_crashes_its_workers_is_given_up(self) -> None:
         self.run_time_ms = lambda task, run: 10**9
         self.submit("deadly", pool_fixture.make_step(lasting=True))
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -115,6 +115,8 @@
             the unit.
         start_crashes: Number of these in which it crashed soon after a start
             of the unit.
+        last_counted_run: Number of the newest run that `crashes` includes, or
+            0.
     """
 
     unit: units.UnitId
@@ -126,6 +128,7 @@
     task_positions: tuple[int, ...] = ()
     crashes: int = 0
     start_crashes: int = 0
+    last_counted_run: int = 0
 
 
 class Finished(msgspec.Struct, frozen=True, kw_only=True, tag="f"):
