--- a/citronmount/fleet/queueing/open_units.py
+++ b/citronmount/fleet/queueing/open_units.py
@@ -3,6 +3,7 @@
 from citronmount.fleet import owner_state
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
+from citronmount.workflow import crash_history
 from citronmount.workflow import job_views
 from citronmount.workflow import units
 
@@ -47,8 +48,7 @@
 ) -> waiting_units.WaitingUnit:
     previous = entry.progress.unit_records.get(key.unit)
     last_run = state.last_runs.get(key.unit)
-    # The newest of the two counts: a sound run clears earlier crashes.
-    counts = last_run or previous
+    newest = last_run or previous
     estimate = state.estimates.estimate(entry.submission, now_ms)
     return waiting_units.WaitingUnit(
         key=key,
@@ -64,8 +64,9 @@
             previous.failures if previous else 0,
             last_run.failures if last_run else 0,
         ),
-        crashes=counts.crashes if counts else 0,
-        start_crashes=counts.start_crashes if counts else 0,
+        crash_history=newest.crash_history
+        if newest
+        else crash_history.NO_CRASHES,
         saved=(last_run.saved if last_run else "")
         or (previous.saved if previous else ""),
         learned_run_time=estimate.run_time(key.step),
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -10,6 +10,7 @@
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
+from citronmount.workflow import crash_history as crash_history_lib
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
@@ -35,8 +36,7 @@
         since_ms: Monotonic time since which the unit is ready.
         run: Number of the last run, or 0.
         failures: Number of failed runs.
-        crashes: Number of runs with a crash that counts against the unit.
-        start_crashes: Number of these in which it crashed soon after a start.
+        crash_history: Crashes of workers that count against the unit.
         saved: Newest checkpoint, or empty.
         avoid: Workers on which the unit failed, stalled or was slow.
         learned_run_time: Run time of a task as learned from finished runs, or
@@ -51,8 +51,7 @@
     since_ms: int
     run: int = 0
     failures: int = 0
-    crashes: int = 0
-    start_crashes: int = 0
+    crash_history: crash_history_lib.CrashHistory = crash_history_lib.NO_CRASHES
     saved: str = ""
     avoid: frozenset[ids.WorkerId] = frozenset()
     learned_run_time: run_time.RunTime | None = None
@@ -76,7 +75,7 @@
     @property
     def is_suspect(self) -> bool:
         """Whether a crash of a worker counts against the unit."""
-        return self.crashes > 0
+        return self.crash_history.crashes > 0
 
     @property
     def has_step_limits(self) -> bool:
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -72,16 +72,13 @@
                     places=change.places,
                     phase=unit_runs.RunPhase.ACTIVE,
                     failures=change.failures,
-                    crashes=change.crashes,
-                    start_crashes=change.start_crashes,
+                    crash_history=change.crash_history,
                     saved=change.saved,
                     restored=True,
                     now_ms=now_ms,
                     task_positions=change.task_positions,
                     learned_run_time=estimate.run_time(key.step),
                 )
-                counted = change.last_counted_run == run.number
-                run.crash_counted = run.start_crash_counted = counted
                 for member in run.members:
                     member.state = unit_runs.MemberState.STARTING
                     member.start_answered = True
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -11,6 +11,7 @@
 from citronmount.fleet.estimates import run_time
 from citronmount.fleet.runs import task_progress
 from citronmount.fleet.workers import worker_allocations
+from citronmount.workflow import crash_history as crash_history_lib
 from citronmount.workflow import records
 from citronmount.workflow import spec
 from citronmount.workflow import units
@@ -218,12 +219,8 @@
         placed_ms: Monotonic time of the placement.
         started_ms: Monotonic time at which this owner first saw all members
             running, or None.
-        crashes: Number of runs of the unit with a crash of a worker that counts
-            against it.
-        start_crashes: Number of these in which it crashed soon after a start
-            of the unit.
-        crash_counted: Whether `crashes` includes this run.
-        start_crash_counted: Whether `start_crashes` includes this run.
+        crash_history: Crashes of workers that count against the unit, this run
+            included.
     """
 
     def __init__(
@@ -241,8 +238,9 @@
         now_ms: int = 0,
         task_positions: Sequence[int] = (),
         learned_run_time: run_time.RunTime | None = None,
-        crashes: int = 0,
-        start_crashes: int = 0,
+        crash_history: crash_history_lib.CrashHistory = (
+            crash_history_lib.NO_CRASHES
+        ),
     ) -> None:
         """Initializes a run.
 
@@ -260,9 +258,7 @@
             task_positions: Position among the unit's tasks of each place;
                 empty if there is a place for every task.
             learned_run_time: Learned run time of a task, or None.
-            crashes: Number of earlier runs with a crash that counts.
-            start_crashes: Number of these in which it crashed soon after a
-                start.
+            crash_history: Crashes that count against the unit so far.
         """
         self.key = key
         self.unit = key.unit
@@ -279,10 +275,10 @@
         self.learned_run_time = learned_run_time
         self.placed_ms = now_ms
         self.started_ms: int | None = None
-        self.crashes = crashes
-        self.start_crashes = start_crashes
-        self.crash_counted = False
-        self.start_crash_counted = False
+        self.crash_history = crash_history
+        self._earlier_crashes = crash_history
+        self._crashed_positions: set[int] = set()
+        self._crashed_at_start = False
         names = units.task_names(key, step)
         self.members = [
             Member(place=place, task=names[position])
@@ -314,7 +310,7 @@
     @property
     def is_suspect(self) -> bool:
         """Whether a crash of a worker counts against the unit."""
-        return self.crashes > 0
+        return self.crash_history.crashes > 0
 
     @property
     def is_over(self) -> bool:
@@ -347,13 +343,37 @@
         self.phase = RunPhase.ENDING
         self.cause = self.cause or cause
 
+    def add_crash(self, member: Member, at_start: bool) -> bool:
+        """Adds a crash of a member's worker to the unit's crash history.
+
+        Several crashes during the run count as one. A run that an earlier owner
+        has counted is not counted again.
+
+        Args:
+            member: The member that the worker ran.
+            at_start: Whether the worker crashed soon after a start.
+
+        Returns:
+            Whether the history has changed.
+        """
+        if self._earlier_crashes.last_run == self.number:
+            return False
+        self._crashed_positions.add(units.position_of(member.task, self.key))
+        self._crashed_at_start |= at_start
+        previous = self.crash_history
+        self.crash_history = self._earlier_crashes.with_run(
+            self.number, self._crashed_positions, self._crashed_at_start
+        )
+        return self.crash_history != previous
+
     def forget_crashes_if_sound(self, now_ms: int) -> None:
         """Clears the crashes of a lasting unit if this run worked for long."""
         if not self.step.lasting or self.started_ms is None:
             return
         sound = now_ms - self.started_ms >= SOUND_RUN_MS
-        if sound and not self.crash_counted:
-            self.crashes = self.start_crashes = 0
+        if sound and self.crash_history.last_run != self.number:
+            self._earlier_crashes = crash_history_lib.NO_CRASHES
+            self.crash_history = crash_history_lib.NO_CRASHES
 
     def all_running(self) -> bool:
         """Returns whether all members are running."""
@@ -393,7 +413,5 @@
             places=places,
             saved="" if finished else self.saved,
             task_positions=positions,
-            crashes=self.crashes,
-            start_crashes=self.start_crashes,
-            last_counted_run=self.number if self.crash_counted else 0,
+            crash_history=self.crash_history,
         )
--- a/citronmount/fleet/runs/worker_crashes.py
+++ b/citronmount/fleet/runs/worker_crashes.py
@@ -118,19 +118,13 @@
         now_ms: int,
     ) -> None:
         run.forget_crashes_if_sound(now_ms)
-        counts_start = (
-            _is_starting(member)
-            and not common_cause
-            and not run.start_crash_counted
-        )
-        if run.crash_counted and not counts_start:
+        at_start = _is_starting(member) and not common_cause
+        if not run.add_crash(member, at_start):
             return
-        run.crashes += not run.crash_counted
-        run.crash_counted = True
-        run.start_crashes += counts_start
-        run.start_crash_counted |= counts_start
+        history = run.crash_history
         given_up = (
-            run.start_crashes >= MAX_START_CRASHES or run.crashes >= MAX_CRASHES
+            history.start_crashes >= MAX_START_CRASHES
+            or history.crashes >= MAX_CRASHES
         )
         self._state.log.warning(
             "unit_given_up" if given_up else "worker_crash_counted",
@@ -138,8 +132,8 @@
             run=run.number,
             worker=member.place.worker,
             life_ms=member.place.life_ms,
-            crashes=run.crashes,
-            start_crashes=run.start_crashes,
+            crashes=history.crashes,
+            start_crashes=history.start_crashes,
             common_cause=common_cause,
         )
         status = (
--- a/citronmount/fleet_service/tests/test_worker_crashes.py
+++ b/citronmount/fleet_service/tests/test_worker_crashes.py
@@ -127,12 +127,7 @@
         self.assertIs(FAILED, self.state("deadly"))
         runs = {run for _, run, _ in self.starts_of("deadly")}
         self.assertEqual(3, len(runs))
-        # A member of a gang waits for those on a crashed worker.
-        self.pool_workers.violations = [
-            each
-            for each in self.pool_workers.violations
-            if not each.startswith("GANG")
-        ]
+        self.ignore_lone_members()
 
     # LOST: each new owner counted the same run of a gang again.
     def test_run_that_loses_several_workers_counts_once_across_takeovers(
@@ -152,6 +147,26 @@
         self.run_for(25.0)
         self.assertIs(DONE, self.state("g", vm=self.owner_index()))
 
+    # LOST: a gang was given up although no task of it had lost two workers.
+    def test_gang_whose_tasks_lose_their_workers_in_turn_completes(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 60_000 if run < 5 else 1_000
+        step = pool_fixture.make_step(tasks=3, accelerators=8, gang=True)
+        self.submit("g", step)
+        for number in range(4):
+            self.run_for(0.5)
+            name = next(
+                worker
+                for task, worker in self.pool_workers.running()
+                if task == f"g.0.0.{number % 3}"
+            )
+            self.restarts.crash(self.pool_workers.workers[name])
+            self.run_for(4.5)
+        self.run_for(10.0)
+        self.assertIs(DONE, self.state("g"))
+        self.ignore_lone_members()
+
     def test_lasting_task_that_crashes_its_workers_is_given_up(self) -> None:
         self.run_time_ms = lambda task, run: 10**9
         self.submit("deadly", pool_fixture.make_step(lasting=True))
@@ -207,6 +222,14 @@
             self.run_for(6.0)
         self.assertIs(DONE, self.state("j"))
 
+    def ignore_lone_members(self) -> None:
+        """Members of a gang are alone while a crashed worker is not noticed."""
+        self.pool_workers.violations = [
+            each
+            for each in self.pool_workers.violations
+            if not each.startswith("GANG")
+        ]
+
     def cut(self, busy: list[pool_workers.PoolWorker]) -> None:
         busy[0].fault = pool_workers.WorkerFault.SILENT
 
--- a/citronmount/workflow/records.py
+++ b/citronmount/workflow/records.py
@@ -11,6 +11,7 @@
 
 from citronmount.core import errors
 from citronmount.core import ids
+from citronmount.workflow import crash_history as crash_history_lib
 from citronmount.workflow import job_limits
 from citronmount.workflow import spec
 from citronmount.workflow import units
@@ -111,12 +112,7 @@
         saved: Newest checkpoint, or empty.
         task_positions: Position among the unit's tasks of each entry of
             `places`; empty if `places` covers all of them.
-        crashes: Number of runs with a crash of a worker that counts against
-            the unit.
-        start_crashes: Number of these in which it crashed soon after a start
-            of the unit.
-        last_counted_run: Number of the newest run that `crashes` includes, or
-            0.
+        crash_history: Crashes of workers that count against the unit.
     """
 
     unit: units.UnitId
@@ -126,9 +122,7 @@
     places: tuple[Place, ...] = ()
     saved: str = ""
     task_positions: tuple[int, ...] = ()
-    crashes: int = 0
-    start_crashes: int = 0
-    last_counted_run: int = 0
+    crash_history: crash_history_lib.CrashHistory = crash_history_lib.NO_CRASHES
 
 
 class Finished(msgspec.Struct, frozen=True, kw_only=True, tag="f"):
