--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -84,13 +84,13 @@
         )
         self._state.sessions[worker.worker] = session
         self._hand_over_tasks(former or worker, worker, now_ms)
-        for former in list(self._state.sessions.values()):
-            same_machine = former.worker.machine == worker.machine
-            older = former.worker.life_ms < worker.life_ms
+        for other in list(self._state.sessions.values()):
+            same_machine = other.worker.machine == worker.machine
+            older = other.worker.life_ms < worker.life_ms
             if same_machine and older and worker.machine:
-                self._close_session(former, now_ms)
-                tasks = self._state.table.tasks_on_worker(former.worker.worker)
-                self.lose_tasks(tasks, former.worker, now_ms)
+                self._close_session(other, now_ms)
+                tasks = self._state.table.tasks_on_worker(other.worker.worker)
+                self.lose_tasks(tasks, other.worker, now_ms)
 
     def replace_incarnation(
         self,
