--- a/citronmount/fleet_service/tests/test_capacity_changes.py
+++ b/citronmount/fleet_service/tests/test_capacity_changes.py
@@ -1,6 +1,7 @@
 """Workers whose capacity shrinks and grows while they run tasks."""
 
 from citronmount.core import states
+from citronmount.fleet_service import ports
 from citronmount.fleet_service.tests import pool_fixture
 from citronmount.standins import pool_workers
 from citronmount.workflow import spec
@@ -22,10 +23,8 @@
         worker.change_capacity(capacity)
         self.publish_entry(worker.entry)
 
-    # LIMIT: a placed gang was started on the capacity that it was placed by.
-    def test_placed_run_does_not_start_beyond_a_capacity_that_shrank(
-        self,
-    ) -> None:
+    def place_gang_that_waits(self) -> None:
+        """Places a gang that waits for a silent worker to stop a run."""
         self.run_time_ms = lambda task, run: (
             20_000 if task.startswith("low") else 1_000
         )
@@ -38,6 +37,23 @@
         gang = pool_fixture.make_step(tasks=2, accelerators=8, gang=True)
         self.submit("urgent", gang, queue="urgent")
         self.run_for(0.3)
+
+    # EVAC: a gang placed before was started long after the domain was emptied.
+    def test_placed_run_does_not_start_in_a_domain_out_of_service(self) -> None:
+        self.place_gang_that_waits()
+        self.log.append_records(
+            ports.Topic.CONFIGURATION, [("out/fd-rack0", b"x")]
+        )
+        self.run_for(4.0)
+        self.first.fault = pool_workers.WorkerFault.NONE
+        self.run_for(15.0)
+        self.assertEqual([], self.starts_of("urgent"))
+
+    # LIMIT: a placed gang was started on the capacity that it was placed by.
+    def test_placed_run_does_not_start_beyond_a_capacity_that_shrank(
+        self,
+    ) -> None:
+        self.place_gang_that_waits()
         self.change_capacity(self.second, HALF)
         self.run_for(4.0)
         self.first.fault = pool_workers.WorkerFault.NONE
