--- a/citronmount/fleet/runs/worker_crashes.py
+++ b/citronmount/fleet/runs/worker_crashes.py
@@ -9,7 +9,7 @@
 Workers also crash by themselves, often several at once. If one on which nothing
 had just started went down shortly before, the two are taken to have a common
 cause. Then the crash counts only against those that had just started, and only
-for `MAX_CRASHES`: deadly tasks may run among workers that crash by themselves.
+for `MAX_CRASHES`: such a task may run among workers that crash by themselves.
 """
 
 from collections.abc import Iterable
