--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -115,6 +115,7 @@
             if run.is_working and not full_scan:
                 continue
             if run.phase is unit_runs.RunPhase.CLEARING:
+                self._starts.withdraw_if_closed(run)
                 self.record_if_cleared(run)
             elif run.phase is unit_runs.RunPhase.ACTIVE:
                 self._starts.send_due(run, now_ms)
@@ -138,6 +139,8 @@
 
     def record_if_cleared(self, run: unit_runs.Run) -> None:
         """Records a run's placement once the runs that it preempts are over."""
+        if run.phase is not unit_runs.RunPhase.CLEARING:
+            return
         victims = self._state.victims_by_unit.get(run.unit, [])
         if all(victim.is_over for victim in victims):
             run.phase = unit_runs.RunPhase.RECORDING
--- a/citronmount/fleet/runs/run_starts.py
+++ b/citronmount/fleet/runs/run_starts.py
@@ -1,4 +1,9 @@
-"""Sends the `Start` commands of runs whose placement is recorded."""
+"""Starts placed runs, on workers that still accept them.
+
+A placement is a decision about the future: until its victims have ended and its
+record is durable, a worker may start to drain, its failure domain may be taken
+out of service, or its capacity may shrink.
+"""
 
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
@@ -25,8 +30,9 @@
     def send_due(self, run: unit_runs.Run, now_ms: int) -> None:
         """Sends the `Start` commands that are due.
 
-        A run is withdrawn if a worker's capacity has shrunk since the placement
-        and no longer holds all that runs or may still start there.
+        A run is withdrawn if a worker no longer accepts tasks, or if its
+        capacity has shrunk since the placement and no longer holds all that
+        runs or may still start there.
         """
         due = [
             member
@@ -37,12 +43,29 @@
         ]
         if any(member.start_tries >= MAX_START_ATTEMPTS for member in due):
             self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
+        elif any(self._is_closed(each.place) for each in due):
+            self._withdraw(run, unit_runs.EndCause.WORKER_CLOSED)
         elif any(self._is_overcommitted(each.place, run) for each in due):
-            self._withdraw(run)
+            self._withdraw(run, unit_runs.EndCause.CAPACITY_SHRANK)
         else:
             for member in due:
                 self._send_start(run, member, now_ms)
 
+    def withdraw_if_closed(self, run: unit_runs.Run) -> None:
+        """Withdraws a run that has not started if a worker closed meanwhile.
+
+        Its unit is then placed again at once, instead of after the end of the
+        runs that it preempts.
+        """
+        if any(self._is_closed(member.place) for member in run.live_members):
+            self._withdraw(run, unit_runs.EndCause.WORKER_CLOSED)
+
+    def _is_closed(self, place: records.Place) -> bool:
+        session = self._state.session_at_place(place)
+        return session is not None and not (
+            self._state.directory.accepts_tasks(session.worker)
+        )
+
     def _is_overcommitted(
         self, place: records.Place, run: unit_runs.Run
     ) -> bool:
@@ -66,9 +89,9 @@
                 )
         return not worker_allocations.max_task_count(capacity, used, 1)
 
-    def _withdraw(self, run: unit_runs.Run) -> None:
+    def _withdraw(self, run: unit_runs.Run, cause: unit_runs.EndCause) -> None:
         """Ends a run; what it had not started no longer uses capacity."""
-        self._state.end_run(run, unit_runs.EndCause.CAPACITY_SHRANK)
+        self._state.end_run(run, cause)
         for member in run.live_members:
             if not member.may_have_started:
                 self._state.table.mark_gone(run, member)
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -73,6 +73,7 @@
     SLOW_MEMBER = "slow_member"
     QUOTA_LOWERED = "quota_lowered"
     CAPACITY_SHRANK = "capacity_shrank"
+    WORKER_CLOSED = "worker_closed"
 
 
 class MissingCause(enum.Enum):
--- a/citronmount/fleet/workers/worker_directory.py
+++ b/citronmount/fleet/workers/worker_directory.py
@@ -149,8 +149,16 @@
 
         It must be the current entry, ready and in a failure domain in service.
         """
+        is_current = self._workers.get(worker.worker) is worker
+        return is_current and self.accepts_tasks(worker)
+
+    def accepts_tasks(self, worker: Worker) -> bool:
+        """Returns whether a worker is ready and its domain in service.
+
+        An entry may be missing for a while, for example after an outage of the
+        log; a start that was decided on before does not depend on it.
+        """
         return (
-            self._workers.get(worker.worker) is worker
-            and worker.state is WorkerState.READY
+            worker.state is WorkerState.READY
             and worker.failure_domain not in self._domains_out_of_service
         )
