--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -120,6 +120,8 @@
         """
         if self.position is None:
             await self._read_snapshot()
+            if end_offset is None:
+                return
         while end_offset is None or self.position < end_offset:
             page = await self._read_available(timeout_ms)
             if page.next_offset >= page.end_offset:
--- a/citronmount/fleet_service/owner_election.py
+++ b/citronmount/fleet_service/owner_election.py
@@ -10,6 +10,7 @@
 from twisted.internet import task
 
 from citronmount.core import errors
+from citronmount.fleet_service import concurrent_calls
 from citronmount.fleet_service import log_health
 from citronmount.fleet_service import ports
 
@@ -49,6 +50,7 @@
         log: ports.Log,
         health: log_health.LogHealth,
         owns_pool: Callable[[], bool],
+        raises_epoch: Callable[[], bool],
         owner_member: Callable[[], str | None],
         refresh_owner: Callable[[], Awaitable[None]],
         on_change: Callable[[bool], None],
@@ -62,6 +64,7 @@
             log: The log.
             health: The health of the log, which this class updates.
             owns_pool: Returns whether this VM currently owns the pool.
+            raises_epoch: Returns whether a takeover by this VM is under way.
             owner_member: Returns the member that took over the pool last, as
                 far as is known here.
             refresh_owner: Reads the log to its end, which updates the answer
@@ -79,6 +82,7 @@
         self._health = health
         self._yielded_until_s = 0.0
         self._owns_pool = owns_pool
+        self._raises_epoch = raises_epoch
         self._owner_member = owner_member
         self._refresh_owner = refresh_owner
         self._on_change = on_change
@@ -200,17 +204,20 @@
 
         An owner remains owner while it is in the group, even if the partition
         is assigned to another member: a change of owner costs a takeover and
-        gains nothing.
+        gains nothing. So does a VM whose takeover is under way, because it may
+        have fenced the former owner.
         """
         if self._clock.seconds() < self._yielded_until_s:
             return False
         member = self._log.member
         if self._owns_pool() and self._owner_member() == member:
             return True
+        if self._raises_epoch():
+            return True
         if not membership.candidate and self._owner_member() != member:
             return False
-        await self._refresh_owner()
+        _, members = await concurrent_calls.gather(
+            self._refresh_owner(), self._log.members(JOIN_TIMEOUT_MS)
+        )
         owner = self._owner_member()
-        if owner == member:
-            return True
-        return owner not in await self._log.members(JOIN_TIMEOUT_MS)
+        return owner == member or owner not in members
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -17,6 +17,7 @@
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet_service import command_sender
+from citronmount.fleet_service import concurrent_calls
 from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import ports
 from citronmount.workflow import job_views
@@ -48,6 +49,8 @@
 
     Attributes:
         active: Whether this VM currently owns the pool.
+        raising_epoch: Whether a takeover is under way, which may have fenced
+            the former owner already.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
             features: Enabled parts of scheduling.
         """
         self.active = False
+        self.raising_epoch = False
         self._clock = clock
         self._log = log
         self._sender = command_sender.CommandSender(
@@ -172,22 +176,28 @@
     async def _take_over(self) -> None:
         try:
             while self._candidate and not self.active:
+                self.raising_epoch = True
                 try:
                     await self._take_over_once()
                 except errors.CitronmountError as error:
+                    self.raising_epoch = False
                     self._logger.warning("take_over_failed", error=str(error))
                     await task.deferLater(
                         self._clock, TAKEOVER_RETRY_MS / _MS_PER_S
                     )
         finally:
             self._taking_over = False
+            self.raising_epoch = False
 
     async def _take_over_once(self) -> None:
-        ownership, offset = await self._raise_epoch()
-        await self._job_tail.catch_up(offset + 1)
-        if self._job_view.ownership != ownership:
-            raise ports.FencedError(None)
-        await self._worker_tail.catch_up()
+        """Raises the epoch and takes over what the log holds.
+
+        The former owner may decide until the epoch is raised, nobody until the
+        topics have been read, so the workers' topic is read meanwhile.
+        """
+        (ownership, offset), _ = await concurrent_calls.gather(
+            self._take_epoch(), self._worker_tail.catch_up()
+        )
         if not self._candidate:
             return
         now_ms = self._now_ms()
@@ -216,6 +226,21 @@
         )
         self._step_loop.start(STEP_INTERVAL_MS / _MS_PER_S)
 
+    async def _take_epoch(self) -> tuple[records.OwnershipTaken, int]:
+        """Raises the epoch and reads the job topic up to that point.
+
+        Returns:
+            The record of this process and its offset.
+
+        Raises:
+            FencedError: Another process got the epoch.
+        """
+        ownership, offset = await self._raise_epoch()
+        await self._job_tail.catch_up(offset + 1)
+        if self._job_view.ownership != ownership:
+            raise ports.FencedError(None)
+        return ownership, offset
+
     async def _raise_epoch(self) -> tuple[records.OwnershipTaken, int]:
         """Appends a record that makes the log reject lower epochs.
 
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -133,6 +133,7 @@
             log=log,
             health=other_log_health,
             owns_pool=lambda: self._owner.active,
+            raises_epoch=lambda: self._owner.raising_epoch,
             owner_member=self._owner_member,
             refresh_owner=self._job_tail.catch_up,
             on_change=self._owner.set_candidate,
@@ -185,10 +186,19 @@
         """Makes the VM not ready, so that it gets no new connections."""
         self._draining = True
 
-    async def release_ownership(self) -> None:
-        """Releases the pool and leaves the group, so another VM takes over."""
-        self._owner.set_candidate(False)
+    async def release_ownership(self, overlap_s: float = 0.0) -> None:
+        """Leaves the owners' group, so that another VM takes over the pool.
+
+        Args:
+            overlap_s: How long this VM continues to decide as owner, unless it
+                is fenced before. The next owner fences it by raising the epoch,
+                so the pool is without owner only while that one reads the log.
+        """
+        if not overlap_s:
+            self._owner.set_candidate(False)
         await self._election.stop()
+        if overlap_s:
+            self._clock.callLater(overlap_s, self._owner.set_candidate, False)
 
     def stop(self) -> None:
         """Stops reading the jobs and the configuration."""
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -113,10 +113,10 @@
 ) -> None:
     """Runs one VM until SIGTERM, then shuts it down gracefully.
 
-    After SIGTERM the VM reports that it is not ready and releases the pool. It
-    answers calls for another `stop_grace_s - CLOSE_BEFORE_KILL_S`, then closes
-    each connection after its response, and closes those that remain after
-    `CONNECTION_CLOSE_S`.
+    After SIGTERM the VM reports that it is not ready and lets another one take
+    over the pool. It answers calls for another
+    `stop_grace_s - CLOSE_BEFORE_KILL_S`, then closes each connection after its
+    response, and closes those that remain after `CONNECTION_CLOSE_S`.
 
     Args:
         reactor: The reactor of the process.
@@ -172,10 +172,9 @@
         await terminated
         structlog.get_logger().info("stopping")
         vm.start_draining()
-        await vm.release_ownership()
-        await task.deferLater(
-            reactor, settings.stop_grace_s - CLOSE_BEFORE_KILL_S
-        )
+        serving_s = settings.stop_grace_s - CLOSE_BEFORE_KILL_S
+        await vm.release_ownership(overlap_s=serving_s)
+        await task.deferLater(reactor, serving_s)
         api.closing = True
         await task.deferLater(reactor, CONNECTION_CLOSE_S)
     structlog.get_logger().info("stopped")
