--- a/citronmount/fleet_service/owner_election.py
+++ b/citronmount/fleet_service/owner_election.py
@@ -17,7 +17,10 @@
 __all__ = ["OwnerElection"]
 
 MEMBER_TTL_MS = 1_100
-JOIN_PERIOD_MS = 300
+# A member learns by a call to the group that it is the next owner, so the other
+# members call it more often than the owner, which only renews its membership.
+JOIN_PERIOD_MS = 100
+OWNER_JOIN_PERIOD_MS = 300
 JOIN_TIMEOUT_MS = 600
 YIELD_DURATION_MS = 1_000
 TARGET_MEMBERS = 5
@@ -91,6 +94,7 @@
         self._generation = 0
         self._joined = False
         self._next_check_s = 0.0
+        self._next_renewal_s = 0.0
         self._group_was_empty = False
         self._membership_lock = defer.DeferredLock()
         self._loop = task.LoopingCall(self._run_update)
@@ -147,6 +151,10 @@
 
     async def _update_membership(self) -> None:
         """Renews the membership; an error does not end the periodic calls."""
+        now_s = self._clock.seconds()
+        if self._owns_pool() and now_s < self._next_renewal_s:
+            return
+        self._next_renewal_s = now_s + OWNER_JOIN_PERIOD_MS / _MS_PER_S
         try:
             if self._joined or await self._group_needs_member():
                 self._joined = True
