--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -78,8 +78,7 @@
         health: Assessment of the workers.
         speeds: Speed estimates of the machines.
         estimates: Run times learned from finished runs.
-        demand: Stops of units and arrivals, or None without
-            `Feature.PREEMPTION_WORTH`.
+        demand: Stops of units and arrivals.
         advice: Cached advice of the queues' policies.
         entries: Records to append, oldest first.
         commands: Commands to send.
@@ -154,8 +153,7 @@
             directory=directory,
             speeds=self.speeds,
         )
-        worth_enabled = fleet_configuration.Feature.PREEMPTION_WORTH in features
-        self.demand = demand_history.DemandHistory() if worth_enabled else None
+        self.demand = demand_history.DemandHistory()
         self.advice = advice_cache.AdviceCache()
         self.entries: list[LogEntry] = []
         self.commands: list[commands.Command] = []
@@ -289,8 +287,7 @@
             self.pending_unit_records,
         ):
             by_unit.pop(unit, None)
-        if self.demand is not None:
-            self.demand.forget_unit(unit)
+        self.demand.forget_unit(unit)
 
     def session_at_place(
         self, place: records.Place
--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -1,11 +1,16 @@
 """Which units may stop runs in a planning round, and which runs.
 
 Inside its guarantee, a unit may stop runs outside a guarantee. Beyond it, a
-unit may stop only runs of lower priority: without `PreemptionWorth` only for
-the highest priority and if they lose at most `MAX_LOSS_FACTOR` times the work
-of the unit, with it for each priority and if the unit earns more than they
-lose. A burst of urgent jobs is then served at the cost of young runs. A unit
-of the highest priority that will be late anyway waits instead.
+unit may stop only runs of lower priority: without `Feature.PREEMPTION_WORTH`
+only for the highest priority and if they lose at most `MAX_LOSS_FACTOR` times
+the work of the unit, with it for each priority and if the unit earns more than
+they lose. A burst of urgent jobs is then served at the cost of young runs. A
+unit of the highest priority that will be late anyway waits instead.
+
+The load has several kinds of victims side by side: a young urgent gang loses
+little work by a stop, but is late after it, while a long gang with slack is
+not. So a stop costs the lost work and, if the job is late only because of it,
+what the job loses by that.
 """
 
 from collections.abc import Iterable
@@ -48,7 +53,8 @@
         order: urgency.Urgency,
         bounds: fleet_configuration.Bounds,
         now_ms: int,
-        worth: preemption_worth.PreemptionWorth | None,
+        worth: preemption_worth.PreemptionWorth,
+        by_worth: bool = False,
     ) -> None:
         """Initializes a round.
 
@@ -58,8 +64,9 @@
             order: Tells which units are late.
             bounds: Time bounds and factors of the site.
             now_ms: Monotonic time in milliseconds.
-            worth: Compares starts with stops, or None without
-                `Feature.PREEMPTION_WORTH`.
+            worth: Compares starts with stops.
+            by_worth: Whether starts and stops of each priority are compared by
+                their whole worth (`Feature.PREEMPTION_WORTH`).
         """
         self._table = table
         self._guarantees = guaranteed
@@ -67,6 +74,7 @@
         self._bounds = bounds
         self._now_ms = now_ms
         self._worth = worth
+        self._by_worth = by_worth
         self._lower_priority_searches = 0
         self._stopped_units: set[units.UnitId] = set()
         self._searches: dict[tuple[bool, int], preemption.PreemptionSearch] = {}
@@ -80,7 +88,7 @@
         if unit.submission.terms.priority == guarantees.HIGHEST_PRIORITY:
             return not self._order.is_late(unit)
         return (
-            self._worth is not None
+            self._by_worth
             and self._lower_priority_searches < MAX_LOWER_PRIORITY_SEARCHES
             and self._worth.start_worth(unit) > 0
             and self._has_victims(unit.submission.terms.priority)
@@ -141,9 +149,9 @@
             or run.unit in self._stopped_units
         ):
             return 0.0
-        return (
-            self._worth.stop_loss(run) if self._worth else self.lost_work(run)
-        )
+        if self._by_worth:
+            return self._worth.stop_loss(run)
+        return self.lost_work(run) + self._worth.lateness_loss(run)
 
     def accepts_loss(
         self, unit: waiting_units.WaitingUnit, cost: float, guaranteed: bool
@@ -175,7 +183,7 @@
 
     def _max_loss(self, unit: waiting_units.WaitingUnit) -> float:
         """Returns the highest cost of the runs to stop for a unit."""
-        if self._worth is not None:
+        if self._by_worth:
             highest = guarantees.HIGHEST_PRIORITY
             lower = unit.submission.terms.priority > highest
             margin = LOWER_PRIORITY_MARGIN if lower else 1.0
@@ -186,8 +194,6 @@
         return MAX_LOSS_FACTOR * planned
 
     def _lost_core_s(self, found: preemption.PreemptionPlan) -> float:
-        if self._worth is None:
-            return found.cost_core_s
         return sum(
             self.lost_work(run)
             for run in found.victims
--- a/citronmount/fleet/placement/preemption_worth.py
+++ b/citronmount/fleet/placement/preemption_worth.py
@@ -91,10 +91,22 @@
         loss = lost * _weight(run.submission) + work * tasks * min(
             RESTART_MS / run_ms, 1.0
         )
-        loss += work * tasks * self._lateness(run)
+        loss += self.lateness_loss(run)
         stops = min(self._stop_count(run.unit), MAX_COUNTED_STOPS)
         return loss * REPEATED_STOP_FACTOR**stops
 
+    def lateness_loss(self, run: unit_runs.Run) -> float:
+        """Returns what a job loses if it is late because a run is stopped.
+
+        Args:
+            run: The run.
+
+        Returns:
+            Weighted core-seconds.
+        """
+        work = _weighted_work(run.submission, run.step, run.run_time)
+        return work * len(run.members) * self._lateness(run)
+
     def _lateness(self, run: unit_runs.Run) -> float:
         """Returns which share of its value a run's job loses by a restart."""
         left_ms = reservations.remaining_ms(run, self._now_ms)
--- a/citronmount/fleet/placement/tests/test_preemption.py
+++ b/citronmount/fleet/placement/tests/test_preemption.py
@@ -1,5 +1,7 @@
 from unittest import mock
 
+import msgspec
+
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.tests import planning_fixture
@@ -121,3 +123,31 @@
         )
         (decision,) = self.decide(urgent, guaranteed=8)
         self.assertEqual(["l"], [str(run.job) for run in decision.victims])
+
+    # Seen on two days: gangs of 1.7 and 2.2 s of work were stopped, and late.
+    def test_gang_that_would_be_late_is_spared_beside_one_with_slack(
+        self,
+    ) -> None:
+        self.pool = self.pool[:4]
+        urgent_run = self.add_run(
+            "u",
+            planning_fixture.make_gang(2),
+            *self.pool[:2],
+            started_ms=planning_fixture.NOW_MS - 1_700,
+            urgent=True,
+        )
+        urgent_run.submission = msgspec.structs.replace(
+            urgent_run.submission,
+            accepted_ms=planning_fixture.WALL_MS - 1_700,
+        )
+        self.add_run(
+            "l",
+            planning_fixture.make_gang(2),
+            *self.pool[2:],
+            started_ms=planning_fixture.NOW_MS - 2_400,
+        )
+        starter = planning_fixture.make_urgent(
+            "a", planning_fixture.make_gang(1)
+        )
+        (decision,) = self.decide(starter, guaranteed=8)
+        self.assertEqual(["l"], [str(run.job) for run in decision.victims])
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -72,6 +72,7 @@
         ] = worker_candidates.any_worker,
         shares: fair_shares.FairShares | None = None,
         demand: demand_history.DemandHistory | None = None,
+        holds_back: bool = False,
     ) -> None:
         """Initializes a round.
 
@@ -90,9 +91,11 @@
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
             shares: Orders the accounts while the pool is full, or None.
-            demand: Stops and arrivals seen by the owner, or None without
-                `Feature.PREEMPTION_WORTH`.
+            demand: Stops and arrivals seen by the owner, or None for none.
+            holds_back: Whether to hold work back for expected demand
+                (`Feature.PREEMPTION_WORTH`).
         """
+        demand = demand or demand_history.DemandHistory()
         self._candidates = worker_candidates.WorkerCandidates(
             workers=workers,
             runs=table,
@@ -145,9 +148,8 @@
                 bounds=bounds,
                 now_ms=now_ms,
                 wall_ms=wall_ms,
-            )
-            if demand
-            else None,
+            ),
+            by_worth=holds_back,
         )
         self._worth_round = (
             worth_round.WorthRound(
@@ -159,7 +161,7 @@
                 now_ms=now_ms,
                 idle_pool=self._delay_policy.idle_pool,
             )
-            if demand
+            if holds_back
             else None
         )
         self._reservations = (
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -229,8 +229,7 @@
             self._quota_monitor.update(None, version, now_ms)
             self._share_monitor.update(self._shares, version, now_ms)
             return
-        if self._state.demand is not None:
-            self._state.demand.observe(waiting, now_ms)
+        self._state.demand.observe(waiting, now_ms)
         usable_workers = self._sessions.usable_workers(now_ms)
         self._request_advice(waiting, usable_workers, now_ms)
         planner = planning.Planner(
@@ -247,6 +246,8 @@
             wall_ms=wall_ms,
             shares=self._shares,
             demand=self._state.demand,
+            holds_back=fleet_configuration.Feature.PREEMPTION_WORTH
+            in self._state.features,
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
@@ -256,8 +257,6 @@
 
     def _log_held_units(self, planner: planning.Planner) -> None:
         """Logs the units that are held back since this round."""
-        if self._state.demand is None:
-            return
         for hold in self._state.demand.newly_held(planner.held):
             self._state.log.info(
                 "unit_held_back",
@@ -338,7 +337,7 @@
         )
         self._state.table.add(run)
         for victim in decision.victims:
-            if self._state.demand is not None and victim.cause is None:
+            if victim.cause is None:
                 self._state.demand.note_stop(victim.unit)
             self._state.end_run(victim, unit_runs.EndCause.PREEMPTED)
             self._driver.send_due_stops(victim, now_ms)
--- a/citronmount/fleet/tests/test_preemption_worth.py
+++ b/citronmount/fleet/tests/test_preemption_worth.py
@@ -44,6 +44,7 @@
             now_ms=planning_fixture.NOW_MS,
             wall_ms=planning_fixture.WALL_MS,
             demand=self.demand,
+            holds_back=True,
         )
         return [
             (str(d.waiting.key.job), [str(run.job) for run in d.victims])
