--- a/citronmount/bench/pool_replay.py
+++ b/citronmount/bench/pool_replay.py
@@ -18,6 +18,7 @@
 from citronmount.fleet import planning
 from citronmount.fleet.placement import preemption
 from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_directory
@@ -243,7 +244,7 @@
 
     def _start_if_cleared(self, active: _ActiveRun, now_ms: int) -> None:
         if all(victim.is_over for victim in active.victims):
-            active.run.phase = unit_runs.RunPhase.ACTIVE
+            active.run.phase = run_states.RunPhase.ACTIVE
             active.starts_ms = now_ms + START_MS
 
     def _report_progress(self, active: _ActiveRun, now_ms: int) -> None:
@@ -254,7 +255,7 @@
             return
         percent = 100 * active.worked_ms(now_ms) / active.run_time_ms
         for member in run.members:
-            member.state = unit_runs.MemberState.RUNNING
+            member.state = run_states.MemberState.RUNNING
             member.progress.add_report(percent, now_ms + _CLOCK_OFFSET_MS)
 
     def _end(self, run: unit_runs.Run, now_ms: int, done: bool) -> None:
@@ -316,7 +317,7 @@
                 records.Place(worker=each.worker, life_ms=each.life_ms)
                 for each in decision.workers
             ],
-            phase=unit_runs.RunPhase.CLEARING,
+            phase=run_states.RunPhase.CLEARING,
             now_ms=now_ms + _CLOCK_OFFSET_MS,
         )
         self._table.add(run)
@@ -328,7 +329,7 @@
         )
         for victim in decision.victims:
             if victim.cause is None:
-                victim.end(unit_runs.EndCause.PREEMPTED)
+                victim.end(run_states.EndCause.PREEMPTED)
                 self._active[victim.unit].stops_ms = now_ms + STOP_MS
                 self._preemptions += 1
 
--- a/citronmount/fleet/accounts/quotas.py
+++ b/citronmount/fleet/accounts/quotas.py
@@ -11,6 +11,7 @@
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.accounts import quota_limits
 from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import spec
@@ -23,8 +24,8 @@
 ]
 
 _UNSENT_PHASES = (
-    unit_runs.RunPhase.CLEARING,
-    unit_runs.RunPhase.RECORDING,
+    run_states.RunPhase.CLEARING,
+    run_states.RunPhase.RECORDING,
 )
 
 
@@ -291,7 +292,7 @@
     ) -> float:
         """Returns the cost of stopping a run, 0 if it is stopped anyway."""
         stopped = (
-            run.phase is unit_runs.RunPhase.ENDING
+            run.phase is run_states.RunPhase.ENDING
             or run.unit in self._stopped_units
         )
         return 0.0 if stopped else cost(run)
--- a/citronmount/fleet/estimates/learning.py
+++ b/citronmount/fleet/estimates/learning.py
@@ -10,6 +10,7 @@
 from citronmount.fleet import commands
 from citronmount.fleet.estimates import run_time
 from citronmount.fleet.estimates import run_times
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_speeds
@@ -31,10 +32,10 @@
 _RESULTS = (commands.EndKind.DONE, commands.EndKind.FAILED)
 _STOPPED_BY_OWNER = frozenset(
     {
-        unit_runs.EndCause.CANCELLED,
-        unit_runs.EndCause.JOB_FAILED,
-        unit_runs.EndCause.PREEMPTED,
-        unit_runs.EndCause.WORKER_LEAVES,
+        run_states.EndCause.CANCELLED,
+        run_states.EndCause.JOB_FAILED,
+        run_states.EndCause.PREEMPTED,
+        run_states.EndCause.WORKER_LEAVES,
     }
 )
 
--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -11,6 +11,7 @@
 from citronmount.fleet.estimates import learning
 from citronmount.fleet.placement import advice_cache
 from citronmount.fleet.queueing import demand_history
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
@@ -168,7 +169,7 @@
         self.last_event += 1
         return self.last_event
 
-    def end_run(self, run: unit_runs.Run, cause: unit_runs.EndCause) -> None:
+    def end_run(self, run: unit_runs.Run, cause: run_states.EndCause) -> None:
         """Starts to end a run and logs the cause of the first call."""
         if run.cause is None:
             self.log.info(
@@ -229,7 +230,7 @@
         self,
         run: unit_runs.Run,
         member: unit_runs.Member,
-        cause: unit_runs.MissingCause,
+        cause: run_states.MissingCause,
     ) -> None:
         """Marks a task as gone and ends its run unless the run is done.
 
@@ -249,7 +250,7 @@
         self.table.mark_gone(run, member)
         self.needs_planning = True
         if run.outcome is not commands.EndKind.DONE:
-            self.end_run(run, unit_runs.EndCause.MEMBER_ENDED)
+            self.end_run(run, run_states.EndCause.MEMBER_ENDED)
 
     def session_for(
         self, worker: worker_directory.Worker
--- a/citronmount/fleet/placement/preemption_policy.py
+++ b/citronmount/fleet/placement/preemption_policy.py
@@ -26,6 +26,7 @@
 from citronmount.fleet.placement import revocable_runs
 from citronmount.fleet.queueing import urgency
 from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_directory
@@ -145,7 +146,7 @@
     def cost_of_stop(self, run: unit_runs.Run) -> float:
         """Returns what the stop of a run loses, 0 if it is stopped anyway."""
         if (
-            run.phase is unit_runs.RunPhase.ENDING
+            run.phase is run_states.RunPhase.ENDING
             or run.unit in self._stopped_units
         ):
             return 0.0
@@ -197,7 +198,7 @@
         return sum(
             self.lost_work(run)
             for run in found.victims
-            if run.phase is unit_runs.RunPhase.ACTIVE
+            if run.phase is run_states.RunPhase.ACTIVE
         )
 
     def lost_work(self, run: unit_runs.Run) -> float:
--- a/citronmount/fleet/placement/revocable_runs.py
+++ b/citronmount/fleet/placement/revocable_runs.py
@@ -5,6 +5,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet.accounts import guarantees
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.workflow import units
 
@@ -16,8 +17,8 @@
     return [
         run
         for run in runs
-        if run.phase is unit_runs.RunPhase.ENDING
-        and run.cause is unit_runs.EndCause.PREEMPTED
+        if run.phase is run_states.RunPhase.ENDING
+        and run.cause is run_states.EndCause.PREEMPTED
     ]
 
 
@@ -47,7 +48,7 @@
     revocable = [
         run
         for run in candidates
-        if run.phase is unit_runs.RunPhase.ACTIVE
+        if run.phase is run_states.RunPhase.ACTIVE
         and (for_guarantee or run.submission.terms.priority > priority)
         and not run.step.lasting
     ]
@@ -78,7 +79,8 @@
     active = [
         run
         for run in runs
-        if run.started_ms is not None and run.phase is unit_runs.RunPhase.ACTIVE
+        if run.started_ms is not None
+        and run.phase is run_states.RunPhase.ACTIVE
     ]
     step = runs[0].step
     if not step.max_unavailable:
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -17,6 +17,7 @@
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
 from citronmount.fleet.runs import run_driver
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import speed_observations
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import speed_estimates
@@ -114,7 +115,7 @@
             self._state.table,
             self._state.victims_by_unit,
         ):
-            self._state.end_run(run, unit_runs.EndCause.QUOTA_LOWERED)
+            self._state.end_run(run, run_states.EndCause.QUOTA_LOWERED)
             self._driver.send_due_stops(run, now_ms)
 
     def account_gauges(self) -> dict[str, float]:
@@ -328,7 +329,7 @@
                 records.Place(worker=worker.worker, life_ms=worker.life_ms)
                 for worker in decision.workers
             ],
-            phase=unit_runs.RunPhase.CLEARING,
+            phase=run_states.RunPhase.CLEARING,
             failures=unit.failures,
             crash_history=unit.crash_history,
             saved=unit.saved,
@@ -339,7 +340,7 @@
         for victim in decision.victims:
             if victim.cause is None:
                 self._state.demand.note_stop(victim.unit)
-            self._state.end_run(victim, unit_runs.EndCause.PREEMPTED)
+            self._state.end_run(victim, run_states.EndCause.PREEMPTED)
             self._driver.send_due_stops(victim, now_ms)
         self._state.victims_by_unit[run.unit] = list(decision.victims)
         self._driver.record_if_cleared(run)
--- a/citronmount/fleet/queueing/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -19,6 +19,7 @@
 from citronmount.core import ids
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
@@ -56,7 +57,7 @@
     Returns:
         Milliseconds; 0 for a run that is being ended.
     """
-    if run.phase is unit_runs.RunPhase.ENDING:
+    if run.phase is run_states.RunPhase.ENDING:
         return 0
     started_ms = run.placed_ms if run.started_ms is None else run.started_ms
     estimate_ms = run.run_time.high_ms
--- a/citronmount/fleet/runs/job_completion.py
+++ b/citronmount/fleet/runs/job_completion.py
@@ -5,7 +5,7 @@
 from citronmount.fleet import owner_state
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_driver
-from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.runs import run_states
 from citronmount.workflow import job_views
 from citronmount.workflow import records
 
@@ -48,9 +48,9 @@
             final = final_state(entry)
             if final is None or job in self._state.finishing_jobs:
                 continue
-            cause = unit_runs.EndCause.JOB_FAILED
+            cause = run_states.EndCause.JOB_FAILED
             if final is records.FinalState.CANCELLED:
-                cause = unit_runs.EndCause.CANCELLED
+                cause = run_states.EndCause.CANCELLED
             remaining_runs = self._state.table.runs_of_job(job)
             for run in remaining_runs:
                 if run.outcome is not commands.EndKind.DONE:
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -6,6 +6,7 @@
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import run_starts
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import slow_members
 from citronmount.fleet.runs import straggler_restarts
 from citronmount.fleet.runs import unit_runs
@@ -70,7 +71,7 @@
                     submission=entry.submission,
                     number=change.run,
                     places=change.places,
-                    phase=unit_runs.RunPhase.ACTIVE,
+                    phase=run_states.RunPhase.ACTIVE,
                     failures=change.failures,
                     crash_history=change.crash_history,
                     saved=change.saved,
@@ -80,10 +81,10 @@
                     learned_run_time=estimate.run_time(key.step),
                 )
                 for member in run.members:
-                    member.state = unit_runs.MemberState.STARTING
+                    member.state = run_states.MemberState.STARTING
                     member.start_answered = True
                 if change.status is records.UnitStatus.WAITING:
-                    self._state.end_run(run, unit_runs.EndCause.MEMBER_ENDED)
+                    self._state.end_run(run, run_states.EndCause.MEMBER_ENDED)
                 self._state.table.add(run)
 
     def activate_recorded_run(self, change: records.UnitChanged) -> None:
@@ -93,12 +94,12 @@
             run is None
             or run.number != change.run
             or change.status is not records.UnitStatus.PLACED
-            or run.phase is not unit_runs.RunPhase.RECORDING
+            or run.phase is not run_states.RunPhase.RECORDING
         ):
             return
-        run.phase = unit_runs.RunPhase.ACTIVE
+        run.phase = run_states.RunPhase.ACTIVE
         for member in run.members:
-            member.state = unit_runs.MemberState.STARTING
+            member.state = run_states.MemberState.STARTING
 
     def advance_runs(self, now_ms: int, full_scan: bool) -> None:
         """Advances the runs and removes those that are over.
@@ -114,17 +115,17 @@
         for run in self._state.table:
             if run.is_working and not full_scan:
                 continue
-            if run.phase is unit_runs.RunPhase.CLEARING:
+            if run.phase is run_states.RunPhase.CLEARING:
                 self._starts.withdraw_if_closed(run)
                 self.record_if_cleared(run)
-            elif run.phase is unit_runs.RunPhase.ACTIVE:
+            elif run.phase is run_states.RunPhase.ACTIVE:
                 self._starts.send_due(run, now_ms)
                 self._learn_if_long(run, now_ms)
                 self._end_if_member_stalled(run, now_ms)
                 self._end_if_slow_member(run, now_ms)
                 self._end_if_overdue(run, now_ms)
                 self._leave_draining_workers(run, now_ms)
-            elif run.phase is unit_runs.RunPhase.ENDING:
+            elif run.phase is run_states.RunPhase.ENDING:
                 self.send_due_stops(run, now_ms)
             self._mark_expired_members_missing(run, now_ms)
             if run.is_over:
@@ -139,11 +140,11 @@
 
     def record_if_cleared(self, run: unit_runs.Run) -> None:
         """Records a run's placement once the runs that it preempts are over."""
-        if run.phase is not unit_runs.RunPhase.CLEARING:
+        if run.phase is not run_states.RunPhase.CLEARING:
             return
         victims = self._state.victims_by_unit.get(run.unit, [])
         if all(victim.is_over for victim in victims):
-            run.phase = unit_runs.RunPhase.RECORDING
+            run.phase = run_states.RunPhase.RECORDING
             self._state.append_record(run.to_record(records.UnitStatus.PLACED))
 
     def _learn_if_long(self, run: unit_runs.Run, now_ms: int) -> None:
@@ -178,7 +179,7 @@
                 limit_ms=int(limit_ms),
             )
             self._end_and_avoid(
-                run, stalled, unit_runs.EndCause.STALLED, now_ms
+                run, stalled, run_states.EndCause.STALLED, now_ms
             )
 
     def _end_if_slow_member(self, run: unit_runs.Run, now_ms: int) -> None:
@@ -187,7 +188,7 @@
         Stops doing so for a unit after `MAX_MOVES` of its runs were ended, for
         this reason or because they stalled.
         """
-        if run.phase is not unit_runs.RunPhase.ACTIVE or run.step.lasting:
+        if run.phase is not run_states.RunPhase.ACTIVE or run.step.lasting:
             return
         if run.started_ms is None or len(run.members) < 2:
             return
@@ -206,14 +207,14 @@
                 elapsed_ms=now_ms - run.started_ms,
             )
             self._end_and_avoid(
-                run, slow, unit_runs.EndCause.SLOW_MEMBER, now_ms
+                run, slow, run_states.EndCause.SLOW_MEMBER, now_ms
             )
 
     def _end_and_avoid(
         self,
         run: unit_runs.Run,
         worker_ids: Iterable[ids.WorkerId],
-        cause: unit_runs.EndCause,
+        cause: run_states.EndCause,
         now_ms: int,
     ) -> None:
         """Ends a run and makes its unit avoid some workers from now on."""
@@ -268,7 +269,7 @@
                 estimate_ms=estimate_ms,
                 learned_ms=learned_ms,
             )
-            self._state.end_run(run, unit_runs.EndCause.STALLED)
+            self._state.end_run(run, run_states.EndCause.STALLED)
 
     def _leave_draining_workers(self, run: unit_runs.Run, now_ms: int) -> None:
         """Ends a run that a draining worker would stop anyway.
@@ -290,7 +291,7 @@
             if worker.state is not worker_directory.WorkerState.DRAINING:
                 continue
             if run.step.lasting or remaining_ms > (worker.remaining_ms or 0):
-                self._state.end_run(run, unit_runs.EndCause.WORKER_LEAVES)
+                self._state.end_run(run, run_states.EndCause.WORKER_LEAVES)
                 return
 
     def send_due_stops(self, run: unit_runs.Run, now_ms: int) -> None:
@@ -354,13 +355,13 @@
     ) -> None:
         """Marks members as missing whose lease is certain to have expired."""
         for member in run.live_members:
-            if member.state is unit_runs.MemberState.RESERVED:
+            if member.state is run_states.MemberState.RESERVED:
                 continue
             session = self._state.sessions.get(member.place.worker)
             if session is None:
                 if now_ms > self._state.orphan_leases_end_ms:
                     self._state.mark_member_missing(
-                        run, member, unit_runs.MissingCause.LEASE_EXPIRED
+                        run, member, run_states.MissingCause.LEASE_EXPIRED
                     )
                 continue
             silent = session.silent_ms(now_ms) > self._state.policy.trust_ms
@@ -368,5 +369,5 @@
                 now_ms
             ):
                 self._state.mark_member_missing(
-                    run, member, unit_runs.MissingCause.LEASE_EXPIRED
+                    run, member, run_states.MissingCause.LEASE_EXPIRED
                 )
--- a/citronmount/fleet/runs/run_ends.py
+++ b/citronmount/fleet/runs/run_ends.py
@@ -2,6 +2,7 @@
 
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import speed_observations
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
@@ -110,7 +111,7 @@
             if run.step.lasting:
                 return records.UnitStatus.WAITING
             return records.UnitStatus.DONE
-        self._state.end_run(run, unit_runs.EndCause.MEMBER_ENDED)
+        self._state.end_run(run, run_states.EndCause.MEMBER_ENDED)
         if kind is commands.EndKind.FAILED:
             run.failures += 1
             exhausted = run.failures >= run.submission.terms.max_attempts
--- a/citronmount/fleet/runs/run_starts.py
+++ b/citronmount/fleet/runs/run_starts.py
@@ -7,6 +7,7 @@
 
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import records
@@ -37,16 +38,16 @@
         due = [
             member
             for member in run.live_members
-            if member.state is unit_runs.MemberState.STARTING
+            if member.state is run_states.MemberState.STARTING
             and not (member.start_answered or member.start_open)
             and now_ms >= member.next_order_ms
         ]
         if any(member.start_tries >= MAX_START_ATTEMPTS for member in due):
-            self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
+            self._state.end_run(run, run_states.EndCause.MEMBER_NOT_STARTED)
         elif any(self._is_closed(each.place) for each in due):
-            self._withdraw(run, unit_runs.EndCause.WORKER_CLOSED)
+            self._withdraw(run, run_states.EndCause.WORKER_CLOSED)
         elif any(self._is_overcommitted(each.place, run) for each in due):
-            self._withdraw(run, unit_runs.EndCause.CAPACITY_SHRANK)
+            self._withdraw(run, run_states.EndCause.CAPACITY_SHRANK)
         else:
             for member in due:
                 self._send_start(run, member, now_ms)
@@ -58,7 +59,7 @@
         runs that it preempts.
         """
         if any(self._is_closed(member.place) for member in run.live_members):
-            self._withdraw(run, unit_runs.EndCause.WORKER_CLOSED)
+            self._withdraw(run, run_states.EndCause.WORKER_CLOSED)
 
     def _is_closed(self, place: records.Place) -> bool:
         session = self._state.session_at_place(place)
@@ -83,13 +84,13 @@
             return False
         used = worker_allocations.NO_DEMAND
         for other, _ in self._state.table.tasks_on_worker(place.worker):
-            if other is run or other.phase is not unit_runs.RunPhase.CLEARING:
+            if other is run or other.phase is not run_states.RunPhase.CLEARING:
                 used = worker_allocations.add_demands(
                     used, worker_allocations.allocated_demand(other.step)
                 )
         return not worker_allocations.max_task_count(capacity, used, 1)
 
-    def _withdraw(self, run: unit_runs.Run, cause: unit_runs.EndCause) -> None:
+    def _withdraw(self, run: unit_runs.Run, cause: run_states.EndCause) -> None:
         """Ends a run; what it had not started no longer uses capacity."""
         self._state.end_run(run, cause)
         for member in run.live_members:
@@ -102,7 +103,7 @@
         session = self._state.session_at_place(member.place)
         if session is None:
             self._state.table.mark_gone(run, member)
-            self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
+            self._state.end_run(run, run_states.EndCause.MEMBER_NOT_STARTED)
             return
         member.start_open = True
         member.start_tries += 1
--- a/citronmount/fleet/runs/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from citronmount.core import ids
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import units
@@ -107,9 +108,9 @@
 
     def mark_gone(self, run: unit_runs.Run, member: unit_runs.Member) -> None:
         """Marks a member as gone and releases its resources; idempotent."""
-        if member.state is unit_runs.MemberState.GONE:
+        if member.state is run_states.MemberState.GONE:
             return
-        member.state = unit_runs.MemberState.GONE
+        member.state = run_states.MemberState.GONE
         worker = member.place.worker
         self._on_worker[worker].pop(member.task, None)
         if not self._on_worker[worker]:
--- a/citronmount/fleet/runs/unit_runs.py
+++ b/citronmount/fleet/runs/unit_runs.py
@@ -1,7 +1,6 @@
-"""State of the runs of units and of their tasks."""
+"""Runs of units and their tasks."""
 
 from collections.abc import Sequence
-import enum
 import itertools
 
 import msgspec
@@ -9,6 +8,7 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet.estimates import run_time
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import task_progress
 from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import crash_history as crash_history_lib
@@ -16,14 +16,7 @@
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
-__all__ = [
-    "EndCause",
-    "Member",
-    "MemberState",
-    "MissingCause",
-    "Run",
-    "RunPhase",
-]
+__all__ = ["Member", "Run"]
 
 
 # A worker that runs a task for so long was not crashed by its start.
@@ -32,63 +25,6 @@
 SOUND_RUN_MS = 30_000
 
 
-class MemberState(enum.Enum):
-    """State of one task of a run.
-
-    RESERVED: placed, but no `Start` command may be sent yet. STARTING: `Start`
-    commands may be sent. RUNNING: seen running. GONE: not running and unable
-    to start any more.
-    """
-
-    RESERVED = "held"
-    STARTING = "ordered"
-    RUNNING = "running"
-    GONE = "gone"
-
-
-class RunPhase(enum.Enum):
-    """Phase of a run.
-
-    CLEARING: waits until the runs that it preempts have ended. RECORDING: waits
-    until the record of its placement is durable. ACTIVE: its tasks may start
-    and run. ENDING: its tasks are being stopped.
-    """
-
-    CLEARING = "clearing"
-    RECORDING = "recording"
-    ACTIVE = "active"
-    ENDING = "ending"
-
-
-class EndCause(enum.Enum):
-    """Why the owner ends a run."""
-
-    CANCELLED = "cancelled"
-    JOB_FAILED = "job_failed"
-    PREEMPTED = "preempted"
-    MEMBER_NOT_STARTED = "member_not_started"
-    MEMBER_ENDED = "member_ended"
-    WORKER_LEAVES = "worker_leaves"
-    STALLED = "stalled"
-    SLOW_MEMBER = "slow_member"
-    QUOTA_LOWERED = "quota_lowered"
-    CAPACITY_SHRANK = "capacity_shrank"
-    WORKER_CLOSED = "worker_closed"
-
-
-class MissingCause(enum.Enum):
-    """Why a worker no longer holds a task whose end it did not report.
-
-    INCARNATION_ENDED: another incarnation of the worker has started.
-    NOT_REPORTED: a complete report of the worker does not contain the task.
-    LEASE_EXPIRED: the task's lease is certain to have expired.
-    """
-
-    INCARNATION_ENDED = "incarnation_ended"
-    NOT_REPORTED = "not_reported"
-    LEASE_EXPIRED = "lease_expired"
-
-
 class Member(msgspec.Struct, kw_only=True):
     """One task of a run.
 
@@ -127,7 +63,7 @@
 
     place: records.Place
     task: units.TaskName
-    state: MemberState = MemberState.RESERVED
+    state: run_states.MemberState = run_states.MemberState.RESERVED
     start_open: bool = False
     start_tries: int = 0
     start_sent_ms: int = 0
@@ -153,7 +89,7 @@
     @property
     def may_have_started(self) -> bool:
         """Whether a `Start` command may have reached the worker."""
-        if self.state is MemberState.RESERVED:
+        if self.state is run_states.MemberState.RESERVED:
             return False
         return self.start_tries > 0 or self.start_answered
 
@@ -232,7 +168,7 @@
         submission: spec.Submission,
         number: int,
         places: Sequence[records.Place],
-        phase: RunPhase,
+        phase: run_states.RunPhase,
         failures: int = 0,
         saved: str = "",
         restored: bool = False,
@@ -267,7 +203,7 @@
         self.submission = submission
         self.number = number
         self.phase = phase
-        self.cause: EndCause | None = None
+        self.cause: run_states.EndCause | None = None
         self.outcome: commands.EndKind | None = None
         self.failures = failures
         self.saved = saved
@@ -303,7 +239,7 @@
     def is_working(self) -> bool:
         """Whether all members are running and no end was reported."""
         return (
-            self.phase is RunPhase.ACTIVE
+            self.phase is run_states.RunPhase.ACTIVE
             and self.started_ms is not None
             and self.outcome is None
         )
@@ -316,7 +252,10 @@
     @property
     def is_over(self) -> bool:
         """Whether no member is running or can still start."""
-        return all(member.state is MemberState.GONE for member in self.members)
+        return all(
+            member.state is run_states.MemberState.GONE
+            for member in self.members
+        )
 
     @property
     def live_members(self) -> list[Member]:
@@ -324,24 +263,25 @@
         return [
             member
             for member in self.members
-            if member.state is not MemberState.GONE
+            if member.state is not run_states.MemberState.GONE
         ]
 
     @property
     def live_demand(self) -> spec.Demand:
         """Full demand of all members that are running or can still start."""
         count = sum(
-            member.state is not MemberState.GONE for member in self.members
+            member.state is not run_states.MemberState.GONE
+            for member in self.members
         )
         return worker_allocations.multiply_demand(self.step.demand, count)
 
-    def end(self, cause: EndCause) -> None:
+    def end(self, cause: run_states.EndCause) -> None:
         """Moves the run to the phase ENDING, so that its members are stopped.
 
         Args:
             cause: Why the run ends; the cause of the first call is kept.
         """
-        self.phase = RunPhase.ENDING
+        self.phase = run_states.RunPhase.ENDING
         self.cause = self.cause or cause
 
     def add_crash(self, member: Member, at_start: bool) -> bool:
@@ -379,7 +319,8 @@
     def all_running(self) -> bool:
         """Returns whether all members are running."""
         return all(
-            member.state is MemberState.RUNNING for member in self.members
+            member.state is run_states.MemberState.RUNNING
+            for member in self.members
         )
 
     def to_record(self, status: records.UnitStatus) -> records.UnitChanged:
--- a/citronmount/fleet/workers/worker_reports.py
+++ b/citronmount/fleet/workers/worker_reports.py
@@ -5,6 +5,7 @@
 from citronmount.fleet import commands
 from citronmount.fleet import owner_state
 from citronmount.fleet.runs import run_ends
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
@@ -100,7 +101,7 @@
         elif outcome is commands.StartOutcome.OTHER_INCARNATION:
             self._sessions.lose_tasks([(run, member)], command.worker, now_ms)
         # Otherwise a `Stop` settles the earlier `Start` with unknown outcome.
-        self._state.end_run(run, unit_runs.EndCause.MEMBER_NOT_STARTED)
+        self._state.end_run(run, run_states.EndCause.MEMBER_NOT_STARTED)
 
     @staticmethod
     def _may_still_start(
@@ -168,7 +169,7 @@
         member.stop_answered = True
         member.settled_ms = now_ms
         member.settled_event = self._state.next_event()
-        never_running = member.state is unit_runs.MemberState.STARTING
+        never_running = member.state is run_states.MemberState.STARTING
         if never_running and session is not None:
             session.poll_soon()
 
@@ -302,7 +303,7 @@
                 self._sessions.lose_tasks([(run, member)], worker, now_ms)
                 continue
             self._state.mark_member_missing(
-                run, member, unit_runs.MissingCause.NOT_REPORTED
+                run, member, run_states.MissingCause.NOT_REPORTED
             )
 
     def _stop_unknown_task(
@@ -329,11 +330,11 @@
     ) -> None:
         member.start_answered = True
         if member.state in (
-            unit_runs.MemberState.RUNNING,
-            unit_runs.MemberState.GONE,
+            run_states.MemberState.RUNNING,
+            run_states.MemberState.GONE,
         ):
             return
-        member.state = unit_runs.MemberState.RUNNING
+        member.state = run_states.MemberState.RUNNING
         if run.started_ms is None and run.all_running():
             run.started_ms = now_ms
             self._state.log.info(
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -6,7 +6,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet import owner_state
-from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.runs import run_states
 from citronmount.fleet.runs import worker_crashes
 from citronmount.fleet.workers import lease_sessions
 from citronmount.fleet.workers import worker_directory
@@ -162,7 +162,7 @@
             )
             # Its `Start` may still arrive; a `Stop` settles that.
             if member.start_uncertain:
-                self._state.end_run(run, unit_runs.EndCause.MEMBER_ENDED)
+                self._state.end_run(run, run_states.EndCause.MEMBER_ENDED)
 
     def _end_superseded_runs(
         self, newest: list[worker_directory.Worker], now_ms: int
@@ -205,7 +205,7 @@
         """
         for run, member in tasks:
             self._state.mark_member_missing(
-                run, member, unit_runs.MissingCause.INCARNATION_ENDED
+                run, member, run_states.MissingCause.INCARNATION_ENDED
             )
         if not tasks:
             return
