--- a/citronmount/fleet_service/owner_election.py
+++ b/citronmount/fleet_service/owner_election.py
@@ -21,12 +21,16 @@
 # members call it more often than the owner, which only renews its membership.
 JOIN_PERIOD_MS = 100
 OWNER_JOIN_PERIOD_MS = 300
+OWNER_CHECK_PERIOD_S = 0.3
 JOIN_TIMEOUT_MS = 600
 YIELD_DURATION_MS = 1_000
 TARGET_MEMBERS = 5
 MEMBER_CHECK_PERIOD_S = 1.5
 FIRST_CHECK_JITTER_S = 0.6
 SMALL_VM_DELAY_S = 1.5
+# The log assigns partitions to a new member only after the present holders have
+# joined again, or their membership has ended.
+UNASSIGNED_LIMIT_S = 1.5
 # The members join again within this time after the log has reassigned all
 # partitions, in which the group looks empty.
 EMPTY_GROUP_CHECK_S = 0.9
@@ -40,7 +44,8 @@
     The log assigns the partition of the job topic to one member of the group,
     which is the next owner. It takes over once the current owner has left the
     group or has not renewed its membership for `MEMBER_TTL_MS`. A member
-    without a partition leaves the group unless it is the candidate.
+    without a partition for `UNASSIGNED_LIMIT_S` leaves the group unless it is
+    the candidate.
 
     Attributes:
         candidate: Whether this VM should own the pool.
@@ -93,8 +98,11 @@
         self._jitter = jitter
         self._generation = 0
         self._joined = False
+        self._unassigned_since_s: float | None = None
         self._next_check_s = 0.0
         self._next_renewal_s = 0.0
+        self._next_owner_check_s = 0.0
+        self._checked_generation = -1
         self._group_was_empty = False
         self._membership_lock = defer.DeferredLock()
         self._loop = task.LoopingCall(self._run_update)
@@ -139,6 +147,7 @@
 
     async def _leave(self) -> None:
         self._joined = False
+        self._unassigned_since_s = None
         try:
             await self._log.leave(JOIN_TIMEOUT_MS)
         except Exception as error:
@@ -197,7 +206,9 @@
         self._generation = membership.generation
         if not self._loop.running:
             return
-        if not membership.dealt and not candidate:
+        if membership.dealt or candidate:
+            self._unassigned_since_s = None
+        elif self._is_superfluous():
             await self._leave()
         if candidate != self.candidate:
             self.candidate = candidate
@@ -207,6 +218,16 @@
             )
             self._on_change(candidate)
 
+    def _is_superfluous(self) -> bool:
+        """Returns whether the log assigns this member nothing for long.
+
+        The first call after an assignment begins the time.
+        """
+        now_s = self._clock.seconds()
+        if self._unassigned_since_s is None:
+            self._unassigned_since_s = now_s
+        return now_s - self._unassigned_since_s >= UNASSIGNED_LIMIT_S
+
     async def _should_own(self, membership: ports.Membership) -> bool:
         """Returns whether this VM should own the pool.
 
@@ -224,8 +245,24 @@
             return True
         if not membership.candidate and self._owner_member() != member:
             return False
+        if not self._owner_check_is_due(membership):
+            return False
         _, members = await concurrent_calls.gather(
             self._refresh_owner(), self._log.members(JOIN_TIMEOUT_MS)
         )
         owner = self._owner_member()
         return owner == member or owner not in members
+
+    def _owner_check_is_due(self, membership: ports.Membership) -> bool:
+        """Returns whether the owner may have left the group since a check.
+
+        The generation of the group increases with each change, and each join
+        returns it, so the group itself is read less often.
+        """
+        now_s = self._clock.seconds()
+        unchanged = membership.generation == self._checked_generation
+        if unchanged and now_s < self._next_owner_check_s:
+            return False
+        self._checked_generation = membership.generation
+        self._next_owner_check_s = now_s + OWNER_CHECK_PERIOD_S
+        return True
--- a/citronmount/fleet_service/tests/test_owner_election.py
+++ b/citronmount/fleet_service/tests/test_owner_election.py
@@ -83,3 +83,14 @@
             self.assertLess(
                 self.gap_s(), limit_ms / 1_000 + self.MAX_TAKEOVER_S
             )
+
+    # Seen on the users' platform: nobody but the owner was in the group.
+    def test_other_members_stay_until_the_log_assigns_them_partitions(
+        self,
+    ) -> None:
+        self.run_for(2.0)
+        self.assertEqual(self.vm_count, len(self.log.members()))
+        for _ in range(4):
+            self.assertLess(self.gap_s(), 1.5)
+            self.run_for(2.0)
+            self.assertEqual(self.vm_count, len(self.log.members()))
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -87,6 +87,9 @@
         self._append_waiters: list[defer.Deferred[None]] = []
         self._producer = _Producer()
         self._members: dict[str, float] = {}
+        # Generation in which each member was added, and that of its last join.
+        self._added: dict[str, int] = {}
+        self._acknowledged: dict[str, int] = {}
         self._generation = 0
 
     def append_records(
@@ -171,7 +174,8 @@
         """Joins the owners' group or renews the membership.
 
         The first member that is alive is the candidate for ownership. Members
-        beyond the first `PARTITION_COUNT` are assigned no partition.
+        beyond the first `PARTITION_COUNT` are assigned no partition, and a new
+        one none until each of the others has joined once more.
         """
         now_s = self.clock.seconds()
         old_members = list(self._members)
@@ -183,10 +187,12 @@
         self._members.setdefault(member, 0)
         self._members[member] = now_s + ttl_ms / _MS_PER_S
         self._generation += old_members != list(self._members)
-        is_assigned = list(self._members).index(member) < PARTITION_COUNT
+        self._acknowledged[member] = self._generation
+        if member not in old_members:
+            self._added[member] = self._generation
         return ports.Membership(
             generation=self._generation,
-            dealt=is_assigned,
+            dealt=member in self.members(),
             candidate=next(iter(self._members)) == member,
         )
 
@@ -198,12 +204,20 @@
     def members(self) -> frozenset[str]:
         """Returns the live members that are assigned a partition."""
         now_s = self.clock.seconds()
-        alive = (
+        alive = [
             member
             for member, until_s in self._members.items()
             if until_s > now_s
+        ]
+        assigned = (
+            member
+            for member in alive
+            if all(
+                self._acknowledged[other] >= self._added[member]
+                for other in alive
+            )
         )
-        return frozenset(itertools.islice(alive, PARTITION_COUNT))
+        return frozenset(itertools.islice(assigned, PARTITION_COUNT))
 
     def leave(self, member: str) -> None:
         """Removes a member from the owners' group."""
