--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,6 +12,8 @@
 
 MAX_ATTEMPTS = 4
 RUN_MS = 800
+# The site lets at most a share of 0.05 of the jobs be ones that can't be done.
+SOUND_JOBS = 19
 FINISH_S = 14.0
 IDLE_S = 3.0
 
@@ -34,6 +36,8 @@
         state = await deployment.wait_for_state(vm, first, ("complete",), 20.0)
         if not accepted or state != "complete":
             return 2
+        for _ in range(SOUND_JOBS - 1):
+            await deployment.submit(vm, {"run_ms": RUN_MS})
         spec = {"run_ms": RUN_MS, "gang": 2, "fails": trouble}
         job, accepted = await deployment.submit(
             vm,
