--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,13 +13,13 @@
 from standins import runners as runners_lib  # noqa: E402
 
 RUN_MS = 500
-STATUS_S = int(os.environ.get("STATUS_S", "10"))
+STATUS_S = int(os.environ.get("STATUS_S", "5"))
 # The program keeps final states for this much longer.
 MARGIN_S = 62.0
 LATE_S = 5.0
 GRACE_S = 6.0
 ROLL_GAP_S = 1.3
-WATCH_S = 8.0
+WATCH_S = 5.0
 
 
 async def main() -> int:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -395,9 +395,19 @@
 
 
 def run_case(case: Callable[[], Awaitable[int]]) -> int:
-    """Runs a case and returns its exit status; an error counts as not run."""
+    """Runs a case and returns its exit status; an error counts as not run.
+
+    SIGTERM ends the case and all processes that it started.
+    """
+
+    async def run() -> int:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case()
+
     try:
-        return asyncio.run(case())
-    except Exception:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         return COULD_NOT_RUN
