--- a/review/1/case.py
+++ b/review/1/case.py
@@ -76,7 +76,9 @@
             public_job=public_state,
             running=deployment.pool.running(),
         )
-        return int(bool(never_started) or public_state != "complete")
+        if not jobs:
+            return deployment_lib.COULD_NOT_RUN
+        return int(bool(never_started) and not deployment.pool.running())
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,10 +38,9 @@
             if trouble:
                 await change_owner(deployment)
             if not await starts(deployment):
-                deployment.record(
-                    "verdict", broken=True, running=deployment.pool.running()
-                )
-                return 1
+                running = deployment.pool.running()
+                deployment.record("verdict", broken=True, running=running)
+                return int(not running)
             await asyncio.sleep(KEEP_S)
         deployment.record("verdict", broken=False)
         return 0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 MARGIN_S = 62.0
 LATE_S = 5.0
 GRACE_S = 6.0
-ROLL_GAP_S = 1.3
+ROLL_GAP_S = 2.0
 WATCH_S = 5.0
 
 
@@ -83,11 +83,19 @@
 
 
 def verdict(deployment: deployment_lib.Deployment, job: str) -> int:
-    """Returns 1 if a task was started after a run of it had ended done."""
+    """Returns 1 if a task was started after a run of it had ended done.
+
+    Only ends count that were taken note of, as the rule says.
+    """
+    noted = {
+        (each["task"], each["run"])
+        for each in deployment.noted
+        if each["how"] == "done"
+    }
     done = {
         each["task"]: each["t"]
         for each in reversed(deployment.ends)
-        if each["how"] == "done"
+        if (each["task"], each["run"]) in noted
     }
     again = [
         each
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -63,7 +63,10 @@
         )
         if not runs:
             return 2
-        return int(state not in final and idle_s > IDLE_S)
+        turn_left = len(runs) < MAX_ATTEMPTS
+        running = deployment.pool.running()
+        stuck = state not in final and turn_left and not running
+        return int(stuck and idle_s > IDLE_S)
 
 
 if __name__ == "__main__":
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -110,6 +110,8 @@
         self._until_ms = 0.0
         self._ends: list[list] = []
         self._end_count = 0
+        self._lapse_count = 0
+        self._lapses_at_end: dict[int, int] = {}
         self._refused: dict[str, int] = {}
         self._ended = asyncio.Event()
 
@@ -179,6 +181,7 @@
         self._refuse(run.task, run.run)
         self._end_count += 1
         self._ends.append([self._end_count, run.task, run.run, how, ""])
+        self._lapses_at_end[self._end_count] = self._lapses()
         self._pool.record(
             "end", task=run.task, run=run.run, runner=self.name, how=how
         )
@@ -188,7 +191,20 @@
     def _refuse(self, task: str, run: int) -> None:
         self._refused[task] = max(self._refused.get(task, 0), run)
 
+    def _lapses(self) -> int:
+        """Returns how often the lease has lapsed so far."""
+        return self._lapse_count + (self.clock_ms() > self._until_ms)
+
+    def _note(self, end: list) -> None:
+        """Records that an end was taken note of, unless the lease lapsed."""
+        number, task, run, how, _ = end
+        if self._lapses() == self._lapses_at_end.pop(number):
+            self._pool.record(
+                "noted", task=task, run=run, runner=self.name, how=how
+            )
+
     def _extend(self, until_ms: float) -> None:
+        self._lapse_count = self._lapses()
         until_ms = min(until_ms, self.clock_ms() + HOLD_MAX_MS)
         self._until_ms = max(self._until_ms, until_ms)
 
@@ -242,9 +258,12 @@
         return self._reply()
 
     async def _hold(self, body: dict) -> http_server.Reply:
+        last = body.get("last_seen", 0)
+        for end in self._ends:
+            if end[0] <= last:
+                self._note(end)
         if "until_ms" in body:
             self._extend(body["until_ms"])
-        last = body.get("last_seen", 0)
         self._ends = [end for end in self._ends if end[0] > last]
         if not self._ends and body.get("wait_ms"):
             with contextlib.suppress(TimeoutError):
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -200,7 +200,7 @@
         epoch, seq = int(query["epoch"]), int(query["seq"])
         newest = self._epochs.get(producer, 0)
         if epoch < newest:
-            return http_server.json_reply(409, reason="fenced", epoch=newest)
+            return http_server.json_reply(409, reason="fenced")
         if epoch > newest:
             self._epochs[producer] = epoch
             self._answers[producer] = {}
