--- a/citronmount/fleet/accounts/guarantees.py
+++ b/citronmount/fleet/accounts/guarantees.py
@@ -50,8 +50,7 @@
         """
         if unit.submission.terms.priority != HIGHEST_PRIORITY:
             return False
-        unused = self._unused.get(unit.submission.account, 0)
-        return 0 < unit.accelerators <= unused
+        return self._has_unused(unit.submission.account, unit.accelerators)
 
     def consume(self, unit: waiting_units.WaitingUnit) -> None:
         """Deducts a starting unit from its account's unused guarantee.
@@ -62,8 +61,15 @@
             self._unused[unit.submission.account] -= unit.accelerators
 
     def _count_run(self, run: unit_runs.Run) -> None:
-        account: ids.AccountId = run.submission.account
         used = len(run.members) * run.step.demand.accelerators
-        if used <= self._unused.get(account, 0):
-            self._unused[account] -= used
+        if self._has_unused(run.submission.account, used):
+            self._unused[run.submission.account] -= used
             self.guaranteed_units.add(run.unit)
+
+    def _has_unused(self, account: ids.AccountId, accelerators: int) -> bool:
+        """Returns whether an account's unused guarantee covers accelerators.
+
+        An account that is not configured has no guarantee: that of a public
+        queue's job, or one that a configuration removed.
+        """
+        return 0 < accelerators <= self._unused.get(account, 0)
