--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -8,6 +8,7 @@
 from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet import job_faults
 from citronmount.fleet.estimates import learning
 from citronmount.fleet.placement import advice_cache
 from citronmount.fleet.queueing import demand_history
@@ -66,6 +67,7 @@
             new tasks.
         ready_since_ms: Monotonic time since which each unit is ready to start.
         victims_by_unit: Runs that must end before the unit's run is recorded.
+        job_faults: Jobs at which the owner failed, which it leaves alone.
         finishing_jobs: Jobs with a pending record of their final state or of
             its removal.
         pending_unit_records: Number of each unit's records that are not
@@ -128,6 +130,7 @@
         self.suspended_until_ms: dict[ids.WorkerId, int] = {}
         self.ready_since_ms: dict[units.UnitId, int] = {}
         self.victims_by_unit: dict[units.UnitId, list[unit_runs.Run]] = {}
+        self.job_faults = job_faults.JobFaults()
         self.finishing_jobs: set[ids.JobId] = set()
         self.pending_unit_records: collections.Counter[units.UnitId] = (
             collections.Counter()
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import operator
 
 from citronmount.fleet import fleet_configuration
+from citronmount.fleet import job_faults
 from citronmount.fleet.accounts import fair_shares
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.accounts import quotas
@@ -73,6 +75,7 @@
         shares: fair_shares.FairShares | None = None,
         demand: demand_history.DemandHistory | None = None,
         holds_back: bool = False,
+        faults: job_faults.JobFaults | None = None,
     ) -> None:
         """Initializes a round.
 
@@ -94,7 +97,10 @@
             demand: Stops and arrivals seen by the owner, or None for none.
             holds_back: Whether to hold work back for expected demand
                 (`Feature.PREEMPTION_WORTH`).
+            faults: Notes the jobs at which the round fails, or None for none
+                known.
         """
+        self._faults = faults or job_faults.JobFaults()
         demand = demand or demand_history.DemandHistory()
         self._candidates = worker_candidates.WorkerCandidates(
             workers=workers,
@@ -192,13 +198,15 @@
     ) -> list[waiting_units.Decision]:
         """Returns the units to start now.
 
+        A unit at which the round fails is left out.
+
         Args:
             waiting: The units that are ready to start.
 
         Returns:
             Decisions, the most urgent first.
         """
-        ranked = sorted(waiting, key=self._urgency.rank)
+        ranked = self._ranked(waiting)
         if self._shares is not None:
             ranked = self._shares.order(
                 ranked,
@@ -209,12 +217,30 @@
             )
         decisions = []
         for unit in ranked:
-            decision = self._decide_within_quota(unit)
+            try:
+                decision = self._decide_within_quota(unit)
+                if decision is not None:
+                    self._allocate(decision)
+            except Exception:
+                self._faults.note(unit.key.job, self._now_ms)
+                continue
             if decision is not None:
-                self._allocate(decision)
                 decisions.append(decision)
         return decisions
 
+    def _ranked(
+        self, waiting: Iterable[waiting_units.WaitingUnit]
+    ) -> list[waiting_units.WaitingUnit]:
+        """Returns the units in the order in which they are decided on."""
+        keyed = []
+        for unit in waiting:
+            try:
+                keyed.append((self._urgency.rank(unit), unit))
+            except Exception:
+                self._faults.note(unit.key.job, self._now_ms)
+        keyed.sort(key=operator.itemgetter(0))
+        return [unit for _, unit in keyed]
+
     def _decide_within_quota(
         self, unit: waiting_units.WaitingUnit
     ) -> waiting_units.Decision | None:
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -31,6 +31,8 @@
 FULL_SCAN_PERIOD_MS = 100
 SPEEDS_RECORD_PERIOD_MS = 5_000
 MIN_LOG_SPEED_CHANGE = 0.05
+# A new owner then plans from the log alone, in case this one's state is wrong.
+MAX_PLANNING_FAULT_MS = 10_000
 
 
 class PoolOwner:
@@ -78,6 +80,7 @@
         self._shares = fair_shares.FairShares() if fair else None
         self._share_monitor = share_monitor.ShareMonitor(state=self._state)
         self._next_full_scan_ms = 0
+        self._planning_fails_since_ms: int | None = None
         self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
         self._recorded_speeds = dict(state.job_view.speeds)
         self._run_time_recorder = run_time_recorder.RunTimeRecorder(
@@ -189,7 +192,7 @@
         if self._state.needs_planning or full_scan:
             self._state.needs_planning = False
             self._completion.finish_ended_jobs(now_ms, wall_ms)
-            self._plan(now_ms, wall_ms)
+            self._plan_or_wait(now_ms, wall_ms)
         if now_ms >= self._next_speeds_record_ms:
             self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
             self._record_speeds()
@@ -218,6 +221,24 @@
                 fastest=round(math.exp(max(speeds.values())), 2),
             )
 
+    def _plan_or_wait(self, now_ms: int, wall_ms: int) -> None:
+        """Plans; goes on without new starts if that fails.
+
+        An error that no waiting job accounts for may be due to one that runs,
+        and then ends with it. Until then, what runs keeps its leases and its
+        results are recorded.
+        """
+        try:
+            self._plan(now_ms, wall_ms)
+        except Exception:
+            if self._planning_fails_since_ms is None:
+                self._planning_fails_since_ms = now_ms
+                self._state.log.exception("planning_failed")
+            elif now_ms - self._planning_fails_since_ms > MAX_PLANNING_FAULT_MS:
+                raise
+        else:
+            self._planning_fails_since_ms = None
+
     def _plan(self, now_ms: int, wall_ms: int) -> None:
         if self._configuration is None:
             return
@@ -249,6 +270,7 @@
             demand=self._state.demand,
             holds_back=fleet_configuration.Feature.PREEMPTION_WORTH
             in self._state.features,
+            faults=self._state.job_faults,
         )
         for decision in planner.decide(waiting):
             self._apply_decision(decision, now_ms)
@@ -336,13 +358,14 @@
             now_ms=now_ms,
             learned_run_time=unit.learned_run_time,
         )
+        # Set first: the run must not start before its victims are over.
+        self._state.victims_by_unit[run.unit] = list(decision.victims)
         self._state.table.add(run)
         for victim in decision.victims:
             if victim.cause is None:
                 self._state.demand.note_stop(victim.unit)
             self._state.end_run(victim, run_states.EndCause.PREEMPTED)
             self._driver.send_due_stops(victim, now_ms)
-        self._state.victims_by_unit[run.unit] = list(decision.victims)
         self._driver.record_if_cleared(run)
         self._state.log.info(
             "unit_placed",
--- a/citronmount/fleet/queueing/open_units.py
+++ b/citronmount/fleet/queueing/open_units.py
@@ -1,5 +1,6 @@
 """Lists the units of a pool that are ready to start and have no run."""
 
+from citronmount.core import ids
 from citronmount.fleet import owner_state
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
@@ -22,24 +23,39 @@
 
     Returns:
         The units of all jobs without a final state; not those with a run or
-        with a record that is not durable yet.
+        with a record that is not durable yet, nor those of held jobs.
     """
     waiting = []
     for job, entry in state.job_view.jobs.items():
-        if (
-            job_completion.final_state(entry) is not None
-            or job in state.finishing_jobs
-        ):
+        if state.job_faults.is_held(job, now_ms):
             continue
-        waiting += [
-            _to_waiting_unit(state, entry, key, now_ms)
-            for key in entry.progress.open_units(wall_ms)
-            if state.table.get(key.unit) is None
-            and not state.pending_unit_records.get(key.unit)
-        ]
+        try:
+            waiting += _open_units_of(state, job, entry, now_ms, wall_ms)
+        except Exception:
+            state.job_faults.note(job, now_ms)
     return waiting
 
 
+def _open_units_of(
+    state: owner_state.OwnerState,
+    job: ids.JobId,
+    entry: job_views.JobEntry,
+    now_ms: int,
+    wall_ms: int,
+) -> list[waiting_units.WaitingUnit]:
+    if (
+        job_completion.final_state(entry) is not None
+        or job in state.finishing_jobs
+    ):
+        return []
+    return [
+        _to_waiting_unit(state, entry, key, now_ms)
+        for key in entry.progress.open_units(wall_ms)
+        if state.table.get(key.unit) is None
+        and not state.pending_unit_records.get(key.unit)
+    ]
+
+
 def _to_waiting_unit(
     state: owner_state.OwnerState,
     entry: job_views.JobEntry,
--- a/citronmount/fleet/runs/job_completion.py
+++ b/citronmount/fleet/runs/job_completion.py
@@ -45,21 +45,33 @@
             wall_ms: Unix time in milliseconds.
         """
         for job, entry in list(self._state.job_view.jobs.items()):
-            final = final_state(entry)
-            if final is None or job in self._state.finishing_jobs:
-                continue
-            cause = run_states.EndCause.JOB_FAILED
-            if final is records.FinalState.CANCELLED:
-                cause = run_states.EndCause.CANCELLED
-            remaining_runs = self._state.table.runs_of_job(job)
-            for run in remaining_runs:
-                if run.outcome is not commands.EndKind.DONE:
-                    self._state.end_run(run, cause)
-                    self._driver.send_due_stops(run, now_ms)
-            if not remaining_runs:
-                self._record_final_state(job, entry, final, now_ms, wall_ms)
+            try:
+                self._finish_if_ended(job, entry, now_ms, wall_ms)
+            except Exception:
+                self._state.job_faults.note(job, now_ms)
         self._forget_expired_jobs(wall_ms)
 
+    def _finish_if_ended(
+        self,
+        job: ids.JobId,
+        entry: job_views.JobEntry,
+        now_ms: int,
+        wall_ms: int,
+    ) -> None:
+        final = final_state(entry)
+        if final is None or job in self._state.finishing_jobs:
+            return
+        cause = run_states.EndCause.JOB_FAILED
+        if final is records.FinalState.CANCELLED:
+            cause = run_states.EndCause.CANCELLED
+        remaining_runs = self._state.table.runs_of_job(job)
+        for run in remaining_runs:
+            if run.outcome is not commands.EndKind.DONE:
+                self._state.end_run(run, cause)
+                self._driver.send_due_stops(run, now_ms)
+        if not remaining_runs:
+            self._record_final_state(job, entry, final, now_ms, wall_ms)
+
     def _record_final_state(
         self,
         job: ids.JobId,
@@ -97,6 +109,7 @@
             margin_ms=entry.submission.terms.objective_ms,
         )
         self._state.estimates.forget_job(job)
+        self._state.job_faults.forget_job(job)
 
     def _forget_expired_jobs(self, wall_ms: int) -> None:
         kept_s = self._state.bounds.status_s + FINAL_STATE_MARGIN_S
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -12,6 +12,7 @@
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import speed_estimates
 from citronmount.fleet.workers import worker_directory
+from citronmount.workflow import job_views
 from citronmount.workflow import records
 from citronmount.workflow import units
 
@@ -58,34 +59,40 @@
 
         A run whose unit is waiting again is ended.
         """
-        for entry in self._state.job_view.jobs.values():
-            workflow = entry.submission.workflow
-            estimate = self._state.estimates.estimate(entry.submission, now_ms)
-            for change in entry.progress.unit_records.values():
-                if not change.places:
-                    continue
-                key = units.UnitKey.parse(change.unit)
-                run = unit_runs.Run(
-                    key=key,
-                    step=workflow.steps[key.step],
-                    submission=entry.submission,
-                    number=change.run,
-                    places=change.places,
-                    phase=run_states.RunPhase.ACTIVE,
-                    failures=change.failures,
-                    crash_history=change.crash_history,
-                    saved=change.saved,
-                    restored=True,
-                    now_ms=now_ms,
-                    task_positions=change.task_positions,
-                    learned_run_time=estimate.run_time(key.step),
-                )
-                for member in run.members:
-                    member.state = run_states.MemberState.STARTING
-                    member.start_answered = True
-                if change.status is records.UnitStatus.WAITING:
-                    self._state.end_run(run, run_states.EndCause.MEMBER_ENDED)
-                self._state.table.add(run)
+        for job, entry in self._state.job_view.jobs.items():
+            try:
+                self._restore_runs_of(entry, now_ms)
+            except Exception:
+                self._state.job_faults.note_unrestored(job, now_ms)
+
+    def _restore_runs_of(self, entry: job_views.JobEntry, now_ms: int) -> None:
+        workflow = entry.submission.workflow
+        estimate = self._state.estimates.estimate(entry.submission, now_ms)
+        for change in entry.progress.unit_records.values():
+            if not change.places:
+                continue
+            key = units.UnitKey.parse(change.unit)
+            run = unit_runs.Run(
+                key=key,
+                step=workflow.steps[key.step],
+                submission=entry.submission,
+                number=change.run,
+                places=change.places,
+                phase=run_states.RunPhase.ACTIVE,
+                failures=change.failures,
+                crash_history=change.crash_history,
+                saved=change.saved,
+                restored=True,
+                now_ms=now_ms,
+                task_positions=change.task_positions,
+                learned_run_time=estimate.run_time(key.step),
+            )
+            for member in run.members:
+                member.state = run_states.MemberState.STARTING
+                member.start_answered = True
+            if change.status is records.UnitStatus.WAITING:
+                self._state.end_run(run, run_states.EndCause.MEMBER_ENDED)
+            self._state.table.add(run)
 
     def activate_recorded_run(self, change: records.UnitChanged) -> None:
         """Lets a run start after the record of its placement became durable."""
@@ -115,28 +122,38 @@
         for run in self._state.table:
             if run.is_working and not full_scan:
                 continue
-            if run.phase is run_states.RunPhase.CLEARING:
-                self._starts.withdraw_if_closed(run)
-                self.record_if_cleared(run)
-            elif run.phase is run_states.RunPhase.ACTIVE:
-                self._starts.send_due(run, now_ms)
-                self._learn_if_long(run, now_ms)
-                self._end_if_member_stalled(run, now_ms)
-                self._end_if_slow_member(run, now_ms)
-                self._end_if_overdue(run, now_ms)
-                self._leave_draining_workers(run, now_ms)
-            elif run.phase is run_states.RunPhase.ENDING:
-                self.send_due_stops(run, now_ms)
-            self._mark_expired_members_missing(run, now_ms)
-            if run.is_over:
-                workers = self._state.workers_of(run)
-                self._state.estimates.run_over(run, workers, now_ms)
-                run.forget_crashes_if_sound(now_ms)
-                self._state.table.remove(run)
-                self._state.victims_by_unit.pop(run.unit, None)
-                self._state.ready_since_ms[run.unit] = now_ms
-                self._state.last_runs[run.unit] = run
-                self._state.needs_planning = True
+            try:
+                self._advance(run, now_ms)
+            except Exception:
+                self._state.job_faults.note(run.job, now_ms)
+
+    def _advance(self, run: unit_runs.Run, now_ms: int) -> None:
+        if run.phase is run_states.RunPhase.CLEARING:
+            self._starts.withdraw_if_closed(run)
+            self.record_if_cleared(run)
+        elif run.phase is run_states.RunPhase.ACTIVE:
+            self._starts.send_due(run, now_ms)
+            self._learn_if_long(run, now_ms)
+            self._end_if_member_stalled(run, now_ms)
+            self._end_if_slow_member(run, now_ms)
+            self._end_if_overdue(run, now_ms)
+            self._leave_draining_workers(run, now_ms)
+        elif run.phase is run_states.RunPhase.ENDING:
+            self.send_due_stops(run, now_ms)
+        self._mark_expired_members_missing(run, now_ms)
+        if run.is_over:
+            self._remove(run, now_ms)
+
+    def _remove(self, run: unit_runs.Run, now_ms: int) -> None:
+        """Removes a run that is over, so that its unit may start again."""
+        self._state.table.remove(run)
+        self._state.victims_by_unit.pop(run.unit, None)
+        self._state.ready_since_ms[run.unit] = now_ms
+        self._state.last_runs[run.unit] = run
+        self._state.needs_planning = True
+        workers = self._state.workers_of(run)
+        self._state.estimates.run_over(run, workers, now_ms)
+        run.forget_crashes_if_sound(now_ms)
 
     def record_if_cleared(self, run: unit_runs.Run) -> None:
         """Records a run's placement once the runs that it preempts are over."""
