--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -84,24 +84,30 @@
         self._on_snapshot = on_snapshot
         self._on_records = on_records
         self._running: defer.Deferred[None] | None = None
-        self._stopped = True
+        # Increases with each start and stop, so that a loop knows its end.
+        self._loop_number = 0
         self._failed_reads = 0
         self._first_failure_s = 0.0
         self._logger = structlog.get_logger().bind(topic=topic.value)
 
     def start(self) -> None:
         """Starts reading."""
-        self._stopped = False
-        self._running = defer.ensureDeferred(self._run())
-        self._running.addErrback(self._on_loop_failure)
+        self._loop_number += 1
+        number = self._loop_number
+        self._running = defer.ensureDeferred(self._run(number))
+        self._running.addErrback(self._on_loop_failure, number)
 
     def stop(self) -> None:
         """Stops reading and cancels a read in flight."""
-        self._stopped = True
+        self._loop_number += 1
         running, self._running = self._running, None
         if running is not None:
             running.cancel()
 
+    def reset(self) -> None:
+        """Forgets the position: the next read begins with a snapshot."""
+        self.position = None
+
     async def catch_up(
         self,
         end_offset: int | None = None,
@@ -109,35 +115,48 @@
     ) -> None:
         """Reads to the end of the topic at once, independently of the loop.
 
+        Starts over from a snapshot if the next records have expired.
+
         Args:
             end_offset: The offset to reach, or None for the current end.
             timeout_ms: The timeout of each read.
 
         Raises:
             UnreachableError: The log did not answer or refused a call.
-            LogTruncatedError: The records have expired; the loop will start
-                over from a snapshot.
+            LogTruncatedError: Records expired again after the snapshot.
         """
-        if self.position is None:
-            await self._read_snapshot()
-            if end_offset is None:
-                return
-        while end_offset is None or self.position < end_offset:
-            page = await self._read_available(timeout_ms)
-            if page.next_offset >= page.end_offset:
+        started_over = False
+        while end_offset is None or not self._has_reached(end_offset):
+            if self.position is None:
+                await self._read_snapshot()
+                if end_offset is None:
+                    return
+                continue
+            try:
+                page = await self._read_available(timeout_ms)
+            except ports.LogTruncatedError:
+                if started_over:
+                    raise
+                started_over = True
+                continue
+            if self._has_reached(page.end_offset):
                 return
 
-    async def _run(self) -> None:
-        """Reads until `stop`; neither an answer nor a record ends the loop."""
+    async def _run(self, number: int) -> None:
+        """Reads until `stop`; neither an answer nor a record ends the loop.
+
+        Args:
+            number: The number of this loop. A later one may have started before
+                the read of a stopped one returns.
+        """
         retry_ms = MIN_RETRY_DELAY_MS
-        while not self._stopped:
+        while number == self._loop_number:
             try:
                 await self._read_once()
             except ports.LogTruncatedError:
-                self._logger.warning("history_lost", position=self.position)
-                self.position = None
+                pass  # The next read begins with a snapshot.
             except Exception as error:
-                if self._stopped:
+                if number != self._loop_number:
                     return
                 self._record_failure(error)
                 await self._pause(retry_ms)
@@ -154,20 +173,19 @@
         if self._failed_reads:
             await self._resume()
             return
+        number = self._loop_number
         margin_ms = self._health.call_timeout_ms(WAITING_READ_MARGIN_MS)
         try:
-            page = await self._log.read(
-                self._topic,
-                self.position,
-                self.read_wait_ms,
-                self.read_wait_ms + margin_ms,
+            page = await self._read(
+                self.read_wait_ms, self.read_wait_ms + margin_ms
             )
         except ports.UnknownOutcomeError:
+            if number != self._loop_number:
+                raise
             # While the log compacts a topic, it may hold back the answers of
             # waiting reads only; the others tell whether it is lost.
             await self._read_available(OUTAGE_READ_TIMEOUT_MS)
             return
-        self._handle_page(page)
         if self._is_far_behind(page.end_offset):
             await self._read_snapshot()
 
@@ -183,16 +201,41 @@
         await self._read_available(OUTAGE_READ_TIMEOUT_MS)
 
     def _is_far_behind(self, end_offset: int) -> bool:
-        records_behind = end_offset - self.position
-        return self._skips_superseded and records_behind >= MIN_SKIPPED_RECORDS
+        if not self._skips_superseded or self.position is None:
+            return False
+        return end_offset - self.position >= MIN_SKIPPED_RECORDS
+
+    def _has_reached(self, end_offset: int) -> bool:
+        return self.position is not None and self.position >= end_offset
 
     async def _read_available(self, timeout_ms: int) -> ports.LogPage:
         """Reads the available records without waiting for more."""
         started_s = self._clock.seconds()
-        page = await self._log.read(self._topic, self.position, 0, timeout_ms)
-        latency_ms = self._elapsed_ms(started_s)
-        self._handle_page(page)
-        self._health.record_answer(latency_ms)
+        page = await self._read(0, timeout_ms)
+        self._health.record_answer(self._elapsed_ms(started_s))
+        return page
+
+    async def _read(self, wait_ms: int, timeout_ms: int) -> ports.LogPage:
+        """Reads a page from the position on and passes on its records.
+
+        Raises:
+            UnreachableError: The log did not answer or refused the call.
+            LogTruncatedError: The records have expired, or the position was
+                forgotten. It is now, unless another read has moved it on.
+        """
+        offset = self.position
+        if offset is None:
+            raise ports.LogTruncatedError
+        try:
+            page = await self._log.read(
+                self._topic, offset, wait_ms, timeout_ms
+            )
+        except ports.LogTruncatedError:
+            self._logger.warning("history_lost", position=offset)
+            if self.position == offset:
+                self.reset()
+            raise
+        self._handle_page(page, offset)
         return page
 
     async def _read_snapshot(self) -> None:
@@ -208,18 +251,24 @@
         )
         self._pass_on(self._on_snapshot, snapshot.records)
 
-    def _handle_page(self, page: ports.LogPage) -> None:
+    def _handle_page(self, page: ports.LogPage, offset: int) -> None:
         """Passes on the new records of a page.
 
-        The loop and `catch_up` may read the same records at the same time.
+        The loop and `catch_up` may read the same records at the same time. A
+        page that would leave a gap is dropped: the position was forgotten while
+        the page was read, or a snapshot has moved it back.
+
+        Args:
+            page: The page.
+            offset: The offset from which it was read.
         """
         self._health.record_answer()
+        if self.position is None or offset > self.position:
+            return
         new_records = [
-            record
-            for record in page.records
-            if self.position is not None and record.offset >= self.position
+            record for record in page.records if record.offset >= self.position
         ]
-        self.position = max(self.position or 0, page.next_offset)
+        self.position = max(self.position, page.next_offset)
         if page.size_bytes >= LARGE_PAGE_BYTES:
             self._logger.info(
                 "large_page_read",
@@ -303,6 +352,6 @@
     def _elapsed_ms(self, start_s: float) -> int:
         return int((self._clock.seconds() - start_s) * _MS_PER_S)
 
-    def _on_loop_failure(self, reason: failure.Failure) -> None:
-        if not self._stopped:
+    def _on_loop_failure(self, reason: failure.Failure, number: int) -> None:
+        if number == self._loop_number:
             self._logger.error("tail_failed", error=reason.getTraceback())
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -279,7 +279,7 @@
         if self._step_loop.running:
             self._step_loop.stop()
         self._worker_tail.stop()
-        self._worker_tail.position = None
+        self._worker_tail.reset()
         self._job_tail.read_interval_ms = FOLLOWER_READ_INTERVAL_MS
         self._job_tail.read_wait_ms = log_tail.READ_WAIT_MS
         self._logger.info(
--- a/citronmount/fleet_service/tests/test_log_tail.py
+++ b/citronmount/fleet_service/tests/test_log_tail.py
@@ -125,6 +125,53 @@
         )
 
 
+class StoppedReaderTest(unittest.TestCase):
+    """A read that outlives its reader must not move the position."""
+
+    def setUp(self) -> None:
+        self.clock = task.Clock()
+        self.received: list[int] = []
+        self.log = ScriptedLog(self.clock, [make_page(0, 4)])
+        self.tail = log_tail.LogTail(
+            clock=self.clock,
+            log=self.log,
+            health=log_health.LogHealth(clock=self.clock),
+            topic=ports.Topic.WORKERS,
+            on_snapshot=lambda records: None,
+            on_records=lambda records: self.received.extend(
+                record.offset for record in records
+            ),
+        )
+
+    def test_read_in_flight_at_the_stop(self) -> None:
+        # Left an offset behind, whose records had expired at the next start.
+        self.tail.start()
+        self.clock.advance(ANSWER_S / 2)
+        self.tail.stop()
+        self.tail.position = None
+        self.clock.pump([ANSWER_S] * 10)
+        self.assertIsNone(self.tail.position)
+        self.assertEqual([], self.received)
+
+    def test_page_read_before_the_position_was_forgotten(self) -> None:
+        self.tail.position = 0
+        catch_up = defer.ensureDeferred(self.tail.catch_up(4))
+        self.clock.advance(ANSWER_S / 2)
+        self.tail.position = None
+        self.clock.pump([ANSWER_S] * 4)
+        self.assertEqual([0, 1, 2, 3], self.received)
+        self.assertTrue(catch_up.called)
+
+    def test_catch_up_starts_over_if_the_records_have_expired(self) -> None:
+        # Failed until the reader had noticed it, which may not be running.
+        self.tail.position = 1
+        self.log.answers = [ports.LogTruncatedError(), make_page(0, 4)]
+        catch_up = defer.ensureDeferred(self.tail.catch_up(4))
+        self.clock.pump([ANSWER_S] * 4)
+        self.assertIsNone(catch_up.result)
+        self.assertEqual([0, 1, 2, 3], self.received)
+
+
 class ContinuedReadingTest(ReaderTestCase):
     """Neither an unexpected error of a read nor a record ends a reader."""
 
--- a/citronmount/standins/pool_log.py
+++ b/citronmount/standins/pool_log.py
@@ -84,7 +84,9 @@
         self._first_offsets: dict[ports.Topic, int] = dict.fromkeys(
             ports.Topic, 0
         )
-        self._append_waiters: list[defer.Deferred[None]] = []
+        self._append_waiters: dict[ports.Topic, list[defer.Deferred[None]]] = {
+            topic: [] for topic in ports.Topic
+        }
         self._producer = _Producer()
         self._members: dict[str, float] = {}
         # Generation in which each member was added, and that of its last join.
@@ -102,7 +104,7 @@
             ports.LogRecord(key=key, value=value, offset=first + number)
             for number, (key, value) in enumerate(entries)
         ]
-        waiters, self._append_waiters = self._append_waiters, []
+        waiters, self._append_waiters[topic] = self._append_waiters[topic], []
         for waiter in waiters:
             waiter.callback(None)
         return first
@@ -224,14 +226,16 @@
         self._members.pop(member, None)
         self._generation += 1
 
-    def wait_for_append(self, wait_ms: int) -> defer.Deferred[None]:
-        """Returns a Deferred that fires on any append or after `wait_ms`."""
+    def wait_for_append(
+        self, topic: ports.Topic, wait_ms: int
+    ) -> defer.Deferred[None]:
+        """Returns a Deferred that fires on an append or after `wait_ms`."""
         waiter: defer.Deferred[None] = defer.Deferred()
-        self._append_waiters.append(waiter)
+        self._append_waiters[topic].append(waiter)
 
         def fire_on_timeout() -> None:
             if not waiter.called:
-                self._append_waiters.remove(waiter)
+                self._append_waiters[topic].remove(waiter)
                 waiter.callback(None)
 
         self.clock.callLater(wait_ms / _MS_PER_S, fire_on_timeout)
@@ -289,7 +293,7 @@
             await self._wait_for_timeout(timeout_ms)
         page = self._log.read_page(topic, offset)
         if not page.records and wait_ms:
-            await self._log.wait_for_append(wait_ms)
+            await self._log.wait_for_append(topic, wait_ms)
             await self._send_request(timeout_ms, topic)
             page = self._log.read_page(topic, offset)
         await task.deferLater(self._log.clock, ANSWER_S / 2)
