--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -419,8 +419,27 @@
     time_limit: call_time_limit.CallTimeLimit,
     request: typing.Coroutine[defer.Deferred[object], object, _Answer],
 ) -> defer.Deferred[_Answer]:
-    answer = time_limit.apply(defer.ensureDeferred(request))
-    return answer.addErrback(_raise_no_answer)
+    """Returns the answer to a request, which the caller may cancel.
+
+    A cancelled call fails with `CancelledError`, whatever the connection makes
+    of it: nothing is known about the service, so it is no missing answer.
+    """
+    call = time_limit.apply(defer.ensureDeferred(request))
+    call.addErrback(_raise_no_answer)
+    cancelled = False
+
+    def cancel(answer: defer.Deferred[_Answer]) -> None:
+        nonlocal cancelled
+        cancelled = True
+        call.cancel()
+
+    def deliver(result: object) -> None:
+        if not cancelled:
+            answer.callback(result)
+
+    answer: defer.Deferred[_Answer] = defer.Deferred(cancel)
+    call.addBoth(deliver)
+    return answer
 
 
 async def _decode_response(
--- a/citronmount/clients/tests/test_http_client.py
+++ b/citronmount/clients/tests/test_http_client.py
@@ -1,6 +1,9 @@
 import unittest
 
+from twisted.internet import defer
 from twisted.internet import task
+from twisted.python import failure
+from twisted.web import iweb
 
 from citronmount.clients import http_client
 from citronmount.clients.tests import slow_response
@@ -9,6 +12,28 @@
 STALL_TIMEOUT_MS = 500
 
 
+class CancelledCallTest(unittest.TestCase):
+    """A cancelled call must not look like one without an answer."""
+
+    def cancelled_call(self, agent: iweb.IAgent) -> failure.Failure:
+        client = http_client.HttpClient(reactor=task.Clock(), agent=agent)
+        results: list[failure.Failure] = []
+        call = client.call("GET", "127.0.0.1:80", "/page", TIMEOUT_MS)
+        call.addErrback(results.append)
+        call.cancel()
+        (result,) = results
+        return result
+
+    def test_before_the_response(self) -> None:
+        agent = slow_response.SilentAgent()
+        self.assertTrue(self.cancelled_call(agent).check(defer.CancelledError))
+        self.assertTrue(agent.cancelled)
+
+    def test_while_the_body_arrives(self) -> None:
+        agent = slow_response.OneResponseAgent(slow_response.SlowResponse())
+        self.assertTrue(self.cancelled_call(agent).check(defer.CancelledError))
+
+
 class TransferTimeoutTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = task.Clock()
--- a/citronmount/platform/tests/test_store_log.py
+++ b/citronmount/platform/tests/test_store_log.py
@@ -1,12 +1,21 @@
 from collections.abc import Coroutine
 import unittest
+from unittest import mock
 
 import msgspec
 from twisted.internet import defer
+from twisted.internet import task
 
 from citronmount.clients import http_client
+from citronmount.clients.tests import slow_response
+from citronmount.core import ids
+from citronmount.fleet_service import job_service
+from citronmount.fleet_service import log_health
+from citronmount.fleet_service import log_tail
 from citronmount.fleet_service import ports
+from citronmount.fleet_service.tests import pool_fixture
 from citronmount.platform import store_log
+from citronmount.workflow import job_views
 
 NESTED = b'{"unknown":' + b"[" * 3_000 + b"]" * 3_000 + b"}"
 
@@ -39,6 +48,45 @@
     )
 
 
+class CancelledCallTest(unittest.TestCase):
+    """A client that disconnects must not make the log count as lost."""
+
+    def test_cancelled_read_is_no_missing_answer(self) -> None:
+        # Refused the next submissions, as if the log did not answer.
+        clock = task.Clock()
+        health = log_health.LogHealth(clock=clock)
+        client = http_client.HttpClient(
+            reactor=clock, agent=slow_response.SilentAgent()
+        )
+        tail = log_tail.LogTail(
+            clock=clock,
+            log=store_log.StoreLog(
+                client=client, address="127.0.0.1:80", member="me"
+            ),
+            health=health,
+            topic=ports.Topic.JOBS,
+            on_snapshot=lambda records: None,
+            on_records=lambda records: None,
+        )
+        service = job_service.JobService(
+            clock=clock,
+            log=mock.Mock(),
+            job_view=job_views.JobView(),
+            job_tail=tail,
+            health=health,
+            on_change=lambda: None,
+            wall_clock=lambda: 0,
+        )
+        results: list[object] = []
+        call = defer.ensureDeferred(
+            service.state(pool_fixture.make_queue(), ids.JobId("j"))
+        )
+        call.addErrback(results.append)
+        call.cancel()
+        self.assertTrue(results[0].check(defer.CancelledError))
+        self.assertFalse(health.last_call_failed)
+
+
 class UnreadableAnswerTest(unittest.TestCase):
     """Callers handle an unreadable answer like a lost one."""
 
