--- a/citronmount/fleet_service/owner_election.py
+++ b/citronmount/fleet_service/owner_election.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.python import failure
 
 from citronmount.core import errors
 from citronmount.fleet_service import concurrent_calls
@@ -24,6 +25,7 @@
 OWNER_CHECK_PERIOD_S = 0.3
 JOIN_TIMEOUT_MS = 600
 YIELD_DURATION_MS = 1_000
+GIVE_WAY_DURATION_S = 5.0
 TARGET_MEMBERS = 5
 MEMBER_CHECK_PERIOD_S = 1.5
 FIRST_CHECK_JITTER_S = 0.6
@@ -89,6 +91,7 @@
         self._log = log
         self._health = health
         self._yielded_until_s = 0.0
+        self._gives_way_until_s = 0.0
         self._owns_pool = owns_pool
         self._raises_epoch = raises_epoch
         self._owner_member = owner_member
@@ -129,6 +132,29 @@
             self._clock.seconds() + YIELD_DURATION_MS / _MS_PER_S
         )
 
+    def give_way(self) -> None:
+        """Leaves the group, so that another VM becomes candidate.
+
+        Called after this VM has failed as owner or to take over, which the next
+        one may not. Until `GIVE_WAY_DURATION_S` have passed, this VM joins only
+        a group without members.
+        """
+        self.yield_ownership()
+        now_s = self._clock.seconds()
+        self._gives_way_until_s = now_s + GIVE_WAY_DURATION_S
+        self._next_check_s = now_s + EMPTY_GROUP_CHECK_S
+        leave = self._membership_lock.run(
+            lambda: defer.ensureDeferred(self._leave_if_joined())
+        )
+        leave.addErrback(self._on_leave_failure)
+
+    async def _leave_if_joined(self) -> None:
+        if self._joined:
+            await self._leave()
+
+    def _on_leave_failure(self, reason: failure.Failure) -> None:
+        self._logger.error("group_leave_failed", error=reason.getTraceback())
+
     async def stop(self) -> None:
         """Leaves the group, so that another VM becomes candidate at once.
 
@@ -140,8 +166,7 @@
         self._loop.stop()
         await self._membership_lock.acquire()
         try:
-            if self._joined:
-                await self._leave()
+            await self._leave_if_joined()
         finally:
             self._membership_lock.release()
 
@@ -190,6 +215,8 @@
         self._next_check_s = self._clock.seconds() + MEMBER_CHECK_PERIOD_S
         members = await self._log.members(JOIN_TIMEOUT_MS)
         self._health.record_answer()
+        if self._clock.seconds() < self._gives_way_until_s and members:
+            return False
         if self._sized_for_ownership:
             return len(members) < TARGET_MEMBERS
         was_empty, self._group_was_empty = self._group_was_empty, not members
--- a/citronmount/fleet_service/owner_loop.py
+++ b/citronmount/fleet_service/owner_loop.py
@@ -31,6 +31,7 @@
 APPEND_RETRY_MS = 100
 MAX_APPEND_RECORDS = 1_000
 TAKEOVER_RETRY_MS = 200
+MAX_TAKEOVER_FAILURES = 5
 FOLLOWER_READ_INTERVAL_MS = 1_000
 OWNER_READ_WAIT_MS = 200
 
@@ -65,7 +66,8 @@
         directory: worker_directory.WorkerDirectory,
         bounds: fleet_configuration.Bounds,
         policy: lease_sessions.LeasePolicy,
-        on_step_down: Callable[[], None],
+        on_fenced: Callable[[], None],
+        on_failure: Callable[[], None],
         wall_clock: WallClock = wall_ms,
         features: frozenset[fleet_configuration.Feature] = frozenset(),
     ) -> None:
@@ -81,8 +83,10 @@
             directory: The workers' entries.
             bounds: Time bounds and factors of the site.
             policy: The durations of leases.
-            on_step_down: Called when this VM releases the pool because a
-                newer owner has fenced it or after an internal error.
+            on_fenced: Called when this VM releases the pool because a newer
+                owner has fenced it.
+            on_failure: Called when this VM gives up the pool or a takeover
+                after an error that another VM may not have.
             wall_clock: Returns the Unix time in milliseconds.
             features: Enabled parts of scheduling.
         """
@@ -103,13 +107,16 @@
         self._bounds = bounds
         self._features = features
         self._policy = policy
-        self._on_step_down = on_step_down
+        self._on_fenced = on_fenced
+        self._on_failure = on_failure
         self._wall_clock = wall_clock
         self._configuration: fleet_configuration.FleetConfiguration | None = (
             None
         )
         self._candidate = False
         self._taking_over = False
+        # Since the last takeover that succeeded or was given up.
+        self._takeover_failures = 0
         self._last_epoch = 0
         self._owner: pool_owner.PoolOwner | None = None
         self._sequence = 0
@@ -164,7 +171,7 @@
         """Releases the pool if another process has taken it over."""
         ownership = self._job_view.ownership
         if self.active and ownership and ownership.epoch > self._last_epoch:
-            self._step_down("taken_over")
+            self._on_newer_owner("taken_over")
 
     def schedule_step(self) -> None:
         """Makes the owner act in the next reactor iteration."""
@@ -174,6 +181,13 @@
             )
 
     async def _take_over(self) -> None:
+        """Takes over, with retries while the log does not answer.
+
+        A takeover that fails again and again for another reason is given up,
+        also if this VM stops being candidate in between.
+        """
+        # Left by a takeover that failed after it had read the workers.
+        self._worker_tail.reset()
         try:
             while self._candidate and not self.active:
                 self.raising_epoch = True
@@ -182,6 +196,10 @@
                 except errors.CitronmountError as error:
                     self.raising_epoch = False
                     self._logger.warning("take_over_failed", error=str(error))
+                    if not isinstance(error, errors.UnreachableError):
+                        self._takeover_failures += 1
+                    if self._takeover_failures >= MAX_TAKEOVER_FAILURES:
+                        raise
                     await task.deferLater(
                         self._clock, TAKEOVER_RETRY_MS / _MS_PER_S
                     )
@@ -215,6 +233,7 @@
             self._owner.set_configuration(self._configuration, now_ms)
         self._sequence = 0
         self._appending = False
+        self._takeover_failures = 0
         self.active = True
         self._worker_tail.start()
         self._job_tail.read_continuously(OWNER_READ_WAIT_MS)
@@ -286,15 +305,11 @@
             "ownership_left", token=self._last_epoch, reason=reason
         )
 
-    def _step_down(self, reason: str) -> None:
-        """Releases the pool until this VM becomes candidate again.
-
-        Called when a newer owner has fenced this one, or after an internal
-        error.
-        """
+    def _on_newer_owner(self, reason: str) -> None:
+        """Releases the pool, which a newer owner has taken over."""
         self._candidate = False
         self._release_pool(reason)
-        self._on_step_down()
+        self._on_fenced()
 
     def _run_scheduled_step(self) -> None:
         self._scheduled_step = None
@@ -306,7 +321,7 @@
         if owner is None:
             return
         if owner.fenced:
-            self._step_down("fenced_by_worker")
+            self._on_newer_owner("fenced_by_worker")
             return
         try:
             due_commands = owner.step(self._now_ms(), self._wall_clock())
@@ -356,7 +371,7 @@
             except ports.FencedError as error:
                 self._logger.warning("append_fenced", epoch=error.epoch)
                 if owner is self._owner:
-                    self._step_down("fenced_by_log")
+                    self._on_newer_owner("fenced_by_log")
                 return
             except errors.UnreachableError as error:
                 if not failed:
@@ -392,6 +407,9 @@
             )
 
     def _on_fault(self, reason: failure.Failure) -> None:
-        """Logs an internal error and releases the pool."""
+        """Logs an error and gives up the pool, or its takeover."""
         self._logger.error("owner_fault", error=reason.getTraceback())
-        self._step_down("fault")
+        self._candidate = False
+        self._takeover_failures = 0
+        self._release_pool("fault")
+        self._on_failure()
--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -125,7 +125,8 @@
             bounds=bounds,
             features=features,
             policy=policy,
-            on_step_down=self._on_step_down,
+            on_fenced=self._on_fenced,
+            on_failure=self._on_owner_failure,
             wall_clock=wall_clock,
         )
         self._election = owner_election.OwnerElection(
@@ -205,9 +206,12 @@
         self._job_tail.stop()
         self._configuration_tail.stop()
 
-    def _on_step_down(self) -> None:
+    def _on_fenced(self) -> None:
         self._election.yield_ownership()
 
+    def _on_owner_failure(self) -> None:
+        self._election.give_way()
+
     def _on_job_change(self) -> None:
         self._owner.mark_changed()
 
--- a/citronmount/fleet_service/tests/test_former_owners.py
+++ b/citronmount/fleet_service/tests/test_former_owners.py
@@ -2,8 +2,10 @@
 from unittest import mock
 
 from twisted.internet import defer
+from twisted.python import failure
 
 from citronmount.core import codes
+from citronmount.core import ids
 from citronmount.core import states
 from citronmount.fleet_service import ports
 from citronmount.fleet_service.tests import pool_fixture
@@ -27,6 +29,42 @@
     return mock.patch.object(pool_log.PoolLogClient, "read", read_or_lose)
 
 
+class FailedTakeoverTest(pool_fixture.PoolTestCase):
+    """A VM that cannot take over must let another one do it."""
+
+    def assert_another_vm_takes_over(self, error: Exception) -> None:
+        # Tried again for ever, as the candidate that it remained.
+        owner = self.owner_index()
+        *failing, sound = (n for n in range(self.vm_count) if n != owner)
+        for number in failing:
+            tail = self.pool_vms[number]._worker_tail
+            tail.catch_up = mock.AsyncMock(side_effect=error)
+        self.log.faults[ids.VmId(f"vm{owner}")] = pool_log.LogFault.SILENT
+        self.run_for(6.0)
+        self.submit("j", pool_fixture.make_step(), vm=sound)
+        self.run_for(2.0)
+        self.assertIs(DONE, self.state("j", vm=sound))
+
+    def test_known_error(self) -> None:
+        self.assert_another_vm_takes_over(ports.LogTruncatedError())
+
+    def test_unexpected_error(self) -> None:
+        self.assert_another_vm_takes_over(KeyError("odd"))
+
+    def test_error_of_the_only_vm(self) -> None:
+        for number in range(1, self.vm_count):
+            vm = self.pool_vms[number]
+            self.wait_for(defer.ensureDeferred(vm.release_ownership()))
+            vm.stop()
+        self.run_for(2.0)
+        tail = self.pool_vms[0]._worker_tail
+        with mock.patch.object(tail, "catch_up", side_effect=KeyError("odd")):
+            self.pool_vms[0]._owner._on_fault(failure.Failure(KeyError("odd")))
+            self.run_for(3.0)
+        self.run_for(2.5)
+        self.assertEqual(0, self.owner_index())
+
+
 class FormerOwnerTest(pool_fixture.PoolTestCase):
     """A VM that owned the pool before must be able to take it over again."""
 
