--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -84,6 +84,7 @@
         demand: Stops of units and arrivals.
         advice: Cached advice of the queues' policies.
         entries: Records to append, oldest first.
+        removed_keys: Keys whose removal is not durable yet.
         commands: Commands to send.
         orphan_leases_end_ms: Monotonic time after which all leases of earlier
             owners have expired.
@@ -160,6 +161,7 @@
         self.demand = demand_history.DemandHistory()
         self.advice = advice_cache.AdviceCache()
         self.entries: list[LogEntry] = []
+        self.removed_keys: set[str] = set()
         self.commands: list[commands.Command] = []
         self.orphan_leases_end_ms = now_ms + int(
             policy.max_lease_ms * CLOCK_DRIFT_FACTOR + policy.stop_ms
@@ -279,6 +281,7 @@
 
     def remove_key(self, key: str) -> None:
         """Queues the removal of a key from the job topic."""
+        self.removed_keys.add(key)
         self.entries.append(LogEntry(key=key, record=None))
 
     def forget_unit(self, unit: units.UnitId) -> None:
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -159,6 +159,7 @@
         for record_offset, entry in enumerate(entries, offset):
             if entry.record is None:
                 self._state.job_view.apply_removal(record_offset, entry.key)
+                self._state.removed_keys.discard(entry.key)
                 job = records.job_of_final_key(entry.key)
                 self._state.finishing_jobs.discard(job)
             else:
--- a/citronmount/fleet/runs/job_completion.py
+++ b/citronmount/fleet/runs/job_completion.py
@@ -49,6 +49,7 @@
                 self._finish_if_ended(job, entry, now_ms, wall_ms)
             except Exception:
                 self._state.job_faults.note(job, now_ms)
+        self._remove_leftover_keys()
         self._forget_expired_jobs(wall_ms)
 
     def _finish_if_ended(
@@ -111,6 +112,17 @@
         self._state.estimates.forget_job(job)
         self._state.job_faults.forget_job(job)
 
+    def _remove_leftover_keys(self) -> None:
+        """Removes what late appends or an earlier owner left of ended jobs.
+
+        Final states are kept for longer than an append can be late, and are
+        removed after the keys that are queued here.
+        """
+        leftover = self._state.job_view.leftover_keys
+        for key in sorted(leftover - self._state.removed_keys):
+            self._state.log.info("leftover_key_removed", key=key)
+            self._state.remove_key(key)
+
     def _forget_expired_jobs(self, wall_ms: int) -> None:
         kept_s = self._state.bounds.status_s + FINAL_STATE_MARGIN_S
         for job in self._state.job_view.expired_jobs(
--- a/citronmount/workflow/job_views.py
+++ b/citronmount/workflow/job_views.py
@@ -67,6 +67,10 @@
         speeds: Relative speeds of machines as last recorded by an owner, as
             logarithms.
         run_times: Run times as last recorded by an owner, or None.
+        leftover_keys: Keys of finished jobs that are still in the topic: their
+            removal has not been folded yet, or an append took effect late, as
+            after a lost answer. Once the final state is forgotten as well, a
+            leftover submission would be a new job.
     """
 
     def __init__(self) -> None:
@@ -76,6 +80,7 @@
         self.ownership: records.OwnershipTaken | None = None
         self.speeds: dict[str, float] = {}
         self.run_times: records.RunTimesLearned | None = None
+        self.leftover_keys: set[str] = set()
         self._offsets: dict[str, int] = {}
         self._deferred: dict[ids.JobId, list[tuple[int, records.Record]]] = {}
 
@@ -115,8 +120,9 @@
     def apply_removal(self, offset: int, key: str) -> None:
         """Folds a tombstone, the record that removes a key.
 
-        Only final states are dropped: a job's other keys are removed after its
-        final state was recorded, so the job is not listed any more.
+        Only final states and leftover keys are dropped: a job's other keys are
+        removed after its final state was recorded, so the job is not listed any
+        more.
 
         Args:
             offset: Log offset of the tombstone.
@@ -125,6 +131,7 @@
         if offset <= self._offsets.get(key, -1):
             return
         self._offsets.pop(key, None)
+        self.leftover_keys.discard(key)
         self.finished.pop(records.job_of_final_key(key), None)
 
     def state_of(self, job: ids.JobId) -> states.JobState | None:
@@ -170,7 +177,10 @@
 
     def _apply_submission(self, submission: spec.Submission) -> bool:
         job = submission.workflow.job
-        if job in self.jobs or job in self.finished:
+        if job in self.finished:
+            self.leftover_keys.add(records.job_key(job))
+            return False
+        if job in self.jobs:
             return False
         self.jobs[job] = JobEntry(submission=submission)
         self._apply_deferred(self._deferred.pop(job, ()))
@@ -186,10 +196,13 @@
             self.apply(offset, record)
 
     def _apply_final_state(self, record: records.Finished) -> bool:
-        for key in self.keys_of(record.job):
+        deferred = self._deferred.pop(record.job, ())
+        keys = [*self.keys_of(record.job)]
+        keys += (records.key_of(each) for _, each in deferred)
+        for key in keys:
             self._offsets.pop(key, None)
+        self.leftover_keys.update(keys)
         self.jobs.pop(record.job, None)
-        self._deferred.pop(record.job, None)
         self.finished[record.job] = record
         return True
 
@@ -228,7 +241,9 @@
         submission has a higher offset than the unit records of its job, so
         either can arrive before the submission.
         """
-        if job not in self.finished:
+        if job in self.finished:
+            self.leftover_keys.add(records.key_of(record))
+        else:
             self._deferred.setdefault(job, []).append((offset, record))
 
 
--- a/citronmount/workflow/tests/test_job_views.py
+++ b/citronmount/workflow/tests/test_job_views.py
@@ -103,6 +103,51 @@
         self.job_view.apply_removal(3, records.final_key(JOB))
         self.assertIsNone(self.job_view.state_of(JOB))
 
+    def test_record_appended_after_the_final_state_is_left_over(self) -> None:
+        # Was a new job once the final state had been forgotten.
+        finished = records.Finished(
+            job=JOB,
+            state=records.FinalState.COMPLETE,
+            queue=TERMS.queue,
+            account=ids.AccountId("a"),
+            finished_ms=10,
+        )
+        self.job_view.apply(1, finished)
+        late = (
+            submission_record(spec.Step(tasks=1)),
+            records.Cancelled(job=JOB),
+            unit_record("0.0.0", records.UnitStatus.PLACED),
+        )
+        for offset, record in enumerate(late, start=2):
+            key = records.key_of(record)
+            self.job_view.apply(offset, record)
+            self.assertEqual({key}, self.job_view.leftover_keys)
+            self.job_view.apply_removal(1, key)
+            self.assertEqual({key}, self.job_view.leftover_keys)
+            self.job_view.apply_removal(9, key)
+            self.assertEqual(set(), self.job_view.leftover_keys)
+
+    def test_keys_of_a_finished_job_are_left_over_until_removed(self) -> None:
+        # An owner that ended after the final record has not removed them.
+        self.job_view.apply(0, submission_record(spec.Step(tasks=1)))
+        self.job_view.apply(1, unit_record("0.0.0", records.UnitStatus.DONE))
+        self.job_view.apply(
+            2,
+            records.Finished(
+                job=JOB,
+                state=records.FinalState.COMPLETE,
+                queue=TERMS.queue,
+                account=ids.AccountId("a"),
+                finished_ms=10,
+            ),
+        )
+        self.assertEqual(
+            {f"j/{JOB}", f"u/{JOB}.0.0.0"}, self.job_view.leftover_keys
+        )
+        self.job_view.apply_removal(3, f"j/{JOB}")
+        self.job_view.apply_removal(4, f"u/{JOB}.0.0.0")
+        self.assertEqual(set(), self.job_view.leftover_keys)
+
     def test_started_jobs_are_not_counted_as_queued(self) -> None:
         self.job_view.apply(0, submission_record(spec.Step(tasks=2)))
         self.assertEqual(1, self.job_view.count_queued(TERMS.queue))
