--- a/citronmount/fleet/owner_state.py
+++ b/citronmount/fleet/owner_state.py
@@ -75,7 +75,8 @@
         deferred_ends: Ends of each unit that can be resolved once its pending
             records are durable.
         last_runs: Newest run of each unit among the runs that are over.
-        avoided_workers: Workers on which each unit failed, stalled or was slow.
+        avoided_workers: Workers on which each unit failed, stalled or was slow,
+            the one where it happened last at the end.
         stall_counts: Number of runs of each unit that were ended because they
             stalled, were overdue or had a slow member.
         health: Assessment of the workers.
@@ -140,7 +141,7 @@
             units.UnitId, list[tuple[records.Place, int]]
         ] = collections.defaultdict(list)
         self.last_runs: dict[units.UnitId, unit_runs.Run] = {}
-        self.avoided_workers: dict[units.UnitId, set[ids.WorkerId]] = {}
+        self.avoided_workers: dict[units.UnitId, list[ids.WorkerId]] = {}
         self.stall_counts: collections.Counter[units.UnitId] = (
             collections.Counter()
         )
@@ -174,6 +175,13 @@
         self.last_event += 1
         return self.last_event
 
+    def avoid_worker(self, unit: units.UnitId, worker: ids.WorkerId) -> None:
+        """Makes a unit avoid a worker while enough others remain."""
+        avoided = self.avoided_workers.setdefault(unit, [])
+        if worker in avoided:
+            avoided.remove(worker)
+        avoided.append(worker)
+
     def end_run(self, run: unit_runs.Run, cause: run_states.EndCause) -> None:
         """Starts to end a run and logs the cause of the first call."""
         if run.cause is None:
--- a/citronmount/fleet/placement/unit_fitting.py
+++ b/citronmount/fleet/placement/unit_fitting.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Hashable
 
+import msgspec
+
 from citronmount.core import ids
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.placement import fitting
@@ -90,24 +92,37 @@
     ) -> list[worker_directory.Worker] | None:
         """Finds workers with free capacity for a unit.
 
+        Workers to avoid are used last, after the unit's waiting time.
+        """
+        avoiding = self._avoiding_requirements(unit, spread)
+        chosen = self._fit(unit, shape, avoiding, spread, guaranteed)
+        if chosen is None and avoiding.avoid:
+            requirements = self.requirements(unit, spread, guaranteed)
+            if not requirements.avoid:
+                return self._choose(unit, requirements, spread, guaranteed)
+        return chosen
+
+    def _fit(
+        self,
+        unit: waiting_units.WaitingUnit,
+        shape: Hashable,
+        requirements: fitting.Requirements,
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> list[worker_directory.Worker] | None:
+        """Finds workers with free capacity for a unit with requirements.
+
         Single tasks of equal shape share one `TaskSlots` until a gang or a
         preemption changes the free capacity in between.
         """
         if unit.is_suspect:
-            return self._fit_suspect(unit, spread, guaranteed)
+            return self._fit_suspect(unit, requirements, spread, guaranteed)
         if unit.tasks > 1:
-            return self._choice.choose(
-                unit,
-                self.requirements(unit),
-                self.acceptable_workers(unit, guaranteed),
-                self._free_capacity,
-                spread,
-                guaranteed,
-            )
+            return self._choose(unit, requirements, spread, guaranteed)
         if self._slots_of_shape is None or self._slots_of_shape[0] != shape:
             slots = self._choice.task_slots(
                 unit,
-                self.requirements(unit, task_count=unit.step.tasks),
+                msgspec.structs.replace(requirements, tasks=unit.step.tasks),
                 self.acceptable_workers(unit, guaranteed),
                 self._free_capacity,
                 spread,
@@ -117,16 +132,32 @@
         worker = self._slots_of_shape[1].take()
         return None if worker is None else [worker]
 
+    def _choose(
+        self,
+        unit: waiting_units.WaitingUnit,
+        requirements: fitting.Requirements,
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> list[worker_directory.Worker] | None:
+        return self._choice.choose(
+            unit,
+            requirements,
+            self.acceptable_workers(unit, guaranteed),
+            self._free_capacity,
+            spread,
+            guaranteed,
+        )
+
     def _fit_suspect(
         self,
         unit: waiting_units.WaitingUnit,
+        requirements: fitting.Requirements,
         spread: fitting.Spread,
         guaranteed: bool,
     ) -> list[worker_directory.Worker] | None:
         """Finds workers for a suspect unit, idle ones first."""
         workers = self.acceptable_workers(unit, guaranteed)
         idle = start_isolation.idle_workers(workers, self._allocations)
-        requirements = self.requirements(unit)
         choices = (
             self._choice.choose(
                 unit,
@@ -169,14 +200,36 @@
         ]
 
     def requirements(
-        self, unit: waiting_units.WaitingUnit, task_count: int = 0
+        self,
+        unit: waiting_units.WaitingUnit,
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> fitting.Requirements:
+        """Returns what a unit requires after its waiting time."""
+        if self._delay_policy.accepts_avoided(unit, guaranteed):
+            return self._full_requirements(unit)
+        return self._avoiding_requirements(unit, spread)
+
+    def _avoiding_requirements(
+        self, unit: waiting_units.WaitingUnit, spread: fitting.Spread
+    ) -> fitting.Requirements:
+        """Returns a unit's requirements with the workers that it avoids."""
+        requirements = self._full_requirements(unit)
+        if not unit.avoid:
+            return requirements
+        return msgspec.structs.replace(
+            requirements,
+            avoid=self._candidates.avoided(unit, requirements, spread),
+        )
+
+    def _full_requirements(
+        self, unit: waiting_units.WaitingUnit
     ) -> fitting.Requirements:
-        """Returns the requirements of a unit or of `task_count` such tasks."""
+        """Returns a unit's requirements without workers to avoid."""
         return fitting.Requirements(
-            tasks=task_count or unit.tasks,
+            tasks=unit.tasks,
             step=unit.step,
             service=unit.submission.terms.service,
-            avoid=self._candidates.avoided(unit),
             last=self._last_resort_workers(unit),
             taken=self._tasks_per_worker(unit)
             if unit.step.max_tasks_per_worker
--- a/citronmount/fleet/placement/worker_candidates.py
+++ b/citronmount/fleet/placement/worker_candidates.py
@@ -1,9 +1,12 @@
 """The workers that units of one planning round may use, capacity aside."""
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+import msgspec
+
 from citronmount.core import ids
 from citronmount.fleet.placement import fitting
 from citronmount.fleet.placement import start_isolation
@@ -82,6 +85,8 @@
             if assessments[each.worker].slowness < worker_health.SLOW_FACTOR
             and self.slowdowns[each.worker] < worker_health.SLOW_FACTOR
         ]
+        # By all that determines which workers a unit avoids.
+        self._avoided: dict[tuple, frozenset[ids.WorkerId]] = {}
         all_runs = list(runs)
         self._isolation = start_isolation.StartIsolation(
             runs=all_runs, now_ms=now_ms
@@ -116,18 +121,58 @@
         return [each for each in workers if self._is_compatible(unit, each)]
 
     def avoided(
-        self, unit: waiting_units.WaitingUnit
+        self,
+        unit: waiting_units.WaitingUnit,
+        requirements: fitting.Requirements,
+        spread: fitting.Spread,
     ) -> frozenset[ids.WorkerId]:
-        """Returns the workers to avoid, or none if no others are suitable."""
+        """Returns the workers to avoid, of which enough others remain.
+
+        The workers that the unit has avoided for longest are left out until the
+        others could hold all of its tasks if they were empty.
+
+        Args:
+            unit: The unit.
+            requirements: Its placement requirements without avoided workers.
+            spread: Whether the unit may leave its preferred rack.
+        """
         if not unit.avoid:
-            return unit.avoid
-        requirements = waiting_units.basic_requirements(unit)
-        suitable = {
-            worker.worker
-            for worker in self.all
-            if fitting.suits(requirements, worker)
-        }
-        return unit.avoid if suitable - unit.avoid else frozenset()
+            return frozenset()
+        taken = tuple(sorted(requirements.taken.items()))
+        shape = (
+            requirements.service,
+            requirements.step,
+            unit.avoid,
+            spread,
+            taken,
+        )
+        avoided = self._avoided.get(shape)
+        if avoided is None:
+            first = bisect.bisect_left(
+                range(len(unit.avoid)),
+                True,
+                key=lambda index: self._fits_if_empty(
+                    requirements, unit.avoid[index:], spread
+                ),
+            )
+            avoided = frozenset(unit.avoid[first:])
+            self._avoided[shape] = avoided
+        return avoided
+
+    def _fits_if_empty(
+        self,
+        requirements: fitting.Requirements,
+        avoid: Iterable[ids.WorkerId],
+        spread: fitting.Spread,
+    ) -> bool:
+        """Returns whether empty workers without some could hold a unit."""
+        chosen = fitting.choose_workers(
+            msgspec.structs.replace(requirements, avoid=frozenset(avoid)),
+            self.all,
+            lambda worker: worker.capacity,
+            spread,
+        )
+        return chosen is not None
 
     def note_placed(self, decision: waiting_units.Decision) -> None:
         """Takes into account what a decision starts."""
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -56,6 +56,17 @@
         limit_ms = self._capped(unit.run_time.median_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
+    def accepts_avoided(
+        self, unit: waiting_units.WaitingUnit, guaranteed: bool
+    ) -> bool:
+        """Returns whether a unit accepts workers on which it failed before.
+
+        The limit is the estimated run time, which another failure may cost. The
+        other workers may be held for longer than that, as by lasting units.
+        """
+        limit_ms = self._capped(unit.run_time.median_ms, guaranteed)
+        return self.now_ms - unit.since_ms >= limit_ms
+
     def accepts_other_racks(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
     ) -> bool:
--- a/citronmount/fleet/queueing/open_units.py
+++ b/citronmount/fleet/queueing/open_units.py
@@ -75,7 +75,7 @@
             previous.run if previous else 0,
             last_run.number if last_run else 0,
         ),
-        avoid=frozenset(state.avoided_workers.get(key.unit, ())),
+        avoid=tuple(state.avoided_workers.get(key.unit, ())),
         failures=max(
             previous.failures if previous else 0,
             last_run.failures if last_run else 0,
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -38,7 +38,8 @@
         failures: Number of failed runs.
         crash_history: Crashes of workers that count against the unit.
         saved: Newest checkpoint, or empty.
-        avoid: Workers on which the unit failed, stalled or was slow.
+        avoid: Workers on which the unit failed, stalled or was slow, the one
+            where it happened last at the end.
         learned_run_time: Run time of a task as learned from finished runs, or
             None without an estimate.
         step_medians_ms: Median run time of a task of each step of the job;
@@ -53,7 +54,7 @@
     failures: int = 0
     crash_history: crash_history_lib.CrashHistory = crash_history_lib.NO_CRASHES
     saved: str = ""
-    avoid: frozenset[ids.WorkerId] = frozenset()
+    avoid: tuple[ids.WorkerId, ...] = ()
     learned_run_time: run_time.RunTime | None = None
     step_medians_ms: tuple[int, ...] = ()
 
--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -236,10 +236,8 @@
     ) -> None:
         """Ends a run and makes its unit avoid some workers from now on."""
         self._state.stall_counts[run.unit] += 1
-        self._state.avoided_workers.setdefault(run.unit, set()).update(
-            worker_ids
-        )
         for worker in worker_ids:
+            self._state.avoid_worker(run.unit, worker)
             self._state.health.mark_stalled(worker, now_ms)
         self._state.end_run(run, cause)
 
--- a/citronmount/fleet/runs/run_ends.py
+++ b/citronmount/fleet/runs/run_ends.py
@@ -88,7 +88,7 @@
                 ),
             )
         if kind is commands.EndKind.FAILED:
-            self._state.avoided_workers.setdefault(run.unit, set()).add(worker)
+            self._state.avoid_worker(run.unit, worker)
             if self._state.health.record_failure(worker, run.job, now_ms):
                 self._state.log.warning("worker_distrusted", worker=worker)
 
--- a/citronmount/fleet/runs/straggler_restarts.py
+++ b/citronmount/fleet/runs/straggler_restarts.py
@@ -260,12 +260,12 @@
         speeds: Speeds,
         now_ms: int,
     ) -> RestartGain | None:
-        avoided = self._state.avoided_workers.get(run.unit, set())
+        avoided = self._state.avoided_workers.get(run.unit, ())
         requirements = fitting.Requirements(
             tasks=len(run.members),
             step=run.step,
             service=run.submission.terms.service,
-            avoid=slow | avoided,
+            avoid=slow.union(avoided),
         )
         usable = [
             each
