--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -36,7 +36,6 @@
 
 # Share of its slack that a gang waits for capacity by chance.
 RESERVATION_SLACK_SHARE = 0.25
-_IDLE_POOL_MAX_USE = 0.5
 
 # All that determines where a unit fits; units of equal shape fit alike.
 _Shape = tuple
@@ -125,10 +124,11 @@
         self._delay_policy = delay_scheduling.DelayPolicy(
             now_ms=now_ms,
             bounds=bounds,
-            idle_pool=worker_allocations.used_share(
-                self._candidates.trusted, self._allocations
-            )
-            < _IDLE_POOL_MAX_USE,
+            busy_services=worker_allocations.busy_services(
+                self._candidates.trusted,
+                self._allocations,
+                delay_scheduling.MIN_BUSY_USE,
+            ),
         )
         self._choice = (
             slowdown_choice.SlowdownChoice(slowdowns=self._candidates.slowdowns)
@@ -165,7 +165,7 @@
                 demand=demand,
                 wall_ms=wall_ms,
                 now_ms=now_ms,
-                idle_pool=self._delay_policy.idle_pool,
+                delay_policy=self._delay_policy,
             )
             if holds_back
             else None
@@ -306,7 +306,7 @@
         if unit.tasks < 2 or self._reservations.is_full:
             return False
         if self._worth_round:
-            if not self._worth_round.reserves:
+            if not self._worth_round.may_reserve(unit):
                 return False
         elif (
             self._now_ms - unit.since_ms
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -2,24 +2,29 @@
 
 The preferred rack or the fast workers may be full while others are free.
 Waiting pays off as long as the wait is shorter than the time that the run would
-lose on worse workers. The wait is capped for units inside a guarantee and in a
-mostly idle pool. See Zaharia et al., "Delay Scheduling", EuroSys 2010.
-
-In a busy pool a unit does not leave its preferred rack. Elsewhere it would take
-several times the capacity from others, and after such a wait it would end late
-all the same. Lasting units do leave it, since they have to be restored soon.
+lose on worse workers. The wait is capped for units inside a guarantee and if
+their service is mostly idle. See Zaharia et al., "Delay Scheduling", EuroSys
+2010.
+
+In a busy service a unit does not leave its preferred rack. Elsewhere it would
+take several times the capacity from others, and after such a wait it would end
+late all the same. Lasting units do leave it, since they have to be restored
+soon.
 """
 
 import msgspec
 
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.queueing import waiting_units
+from citronmount.workflow import spec
 
 __all__ = ["DelayPolicy"]
 
 DISTRUSTED_DELAY_MS = 1_500
 MAX_GUARANTEED_DELAY_MS = 700
-MAX_IDLE_POOL_DELAY_MS = 1_500
+MAX_IDLE_SERVICE_DELAY_MS = 1_500
+# Used share of a service's workers from which on it is busy.
+MIN_BUSY_USE = 0.5
 
 
 class DelayPolicy(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,12 +33,16 @@
     Attributes:
         now_ms: Monotonic time in milliseconds.
         bounds: Time bounds and factors of the site.
-        idle_pool: Whether the pool is mostly idle.
+        busy_services: Services of which at least `MIN_BUSY_USE` is used.
     """
 
     now_ms: int
     bounds: fleet_configuration.Bounds
-    idle_pool: bool
+    busy_services: frozenset[spec.ServiceName] = frozenset()
+
+    def is_idle(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether the workers of a unit's service are mostly idle."""
+        return unit.submission.terms.service not in self.busy_services
 
     def accepts_distrusted(self, unit: waiting_units.WaitingUnit) -> bool:
         """Returns whether a unit accepts distrusted workers.
@@ -53,7 +62,7 @@
         take at least `worker_health.SLOW_FACTOR` times (twice) as long as on
         others, so a run there loses at least its estimated run time.
         """
-        limit_ms = self._capped(unit.run_time.median_ms, guaranteed)
+        limit_ms = self._capped(unit, unit.run_time.median_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
     def accepts_avoided(
@@ -64,7 +73,7 @@
         The limit is the estimated run time, which another failure may cost. The
         other workers may be held for longer than that, as by lasting units.
         """
-        limit_ms = self._capped(unit.run_time.median_ms, guaranteed)
+        limit_ms = self._capped(unit, unit.run_time.median_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
     def accepts_other_racks(
@@ -74,12 +83,11 @@
 
         The limit is the additional run time on other racks.
         """
-        if not (self.idle_pool or guaranteed or unit.step.lasting):
+        if not (self.is_idle(unit) or guaranteed or unit.step.lasting):
             return False
         extra_factor = self.bounds.spread_factor - 1
-        limit_ms = self._capped(
-            int(extra_factor * unit.run_time.median_ms), guaranteed
-        )
+        extra_ms = int(extra_factor * unit.run_time.median_ms)
+        limit_ms = self._capped(unit, extra_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
     def accepts_late(
@@ -89,12 +97,18 @@
 
         The limit is its slack: it is late anyway after that.
         """
-        limit_ms = self._capped(waiting_units.slack_ms(unit), guaranteed)
+        slack_ms = waiting_units.slack_ms(unit)
+        limit_ms = self._capped(unit, slack_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
-    def _capped(self, limit_ms: int, guaranteed: bool) -> int:
-        if self.idle_pool:
-            limit_ms = min(limit_ms, MAX_IDLE_POOL_DELAY_MS)
+    def _capped(
+        self,
+        unit: waiting_units.WaitingUnit,
+        limit_ms: int,
+        guaranteed: bool,
+    ) -> int:
+        if self.is_idle(unit):
+            limit_ms = min(limit_ms, MAX_IDLE_SERVICE_DELAY_MS)
         if guaranteed:
             limit_ms = min(limit_ms, MAX_GUARANTEED_DELAY_MS)
         return limit_ms
--- a/citronmount/fleet/queueing/worth_round.py
+++ b/citronmount/fleet/queueing/worth_round.py
@@ -9,6 +9,7 @@
 from citronmount.fleet.accounts import guarantees
 from citronmount.fleet.placement import packing
 from citronmount.fleet.queueing import capacity_guard
+from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import demand_history
 from citronmount.fleet.queueing import holds
 from citronmount.fleet.queueing import reservations
@@ -28,8 +29,6 @@
     Attributes:
         reservations: Reservations by priority.
         packing: Workers for single tasks of the lowest priority.
-        reserves: Whether gangs reserve workers. Nothing is held back while the
-            pool is less than half used.
         held: The last unit of each step that was held back.
     """
 
@@ -42,7 +41,7 @@
         demand: demand_history.DemandHistory,
         wall_ms: int,
         now_ms: int,
-        idle_pool: bool,
+        delay_policy: delay_scheduling.DelayPolicy,
     ) -> None:
         """Initializes a round.
 
@@ -53,9 +52,9 @@
             demand: Stops and arrivals that the owner has seen.
             wall_ms: Unix time in milliseconds.
             now_ms: Monotonic time in milliseconds.
-            idle_pool: Whether the pool is less than half used.
+            delay_policy: Tells which services are busy.
         """
-        self.reserves = not idle_pool
+        self._delay_policy = delay_policy
         self.held: dict[str, holds.Hold] = {}
         self.packing = packing.LowestPriorityPacking(
             workers=workers, runs=table
@@ -83,9 +82,18 @@
             ),
         )
 
+    def may_reserve(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether a gang may reserve workers: in a busy service."""
+        return not self._delay_policy.is_idle(unit)
+
     def holds_back(self, unit: waiting_units.WaitingUnit) -> bool:
-        """Returns whether a unit beyond guarantees is held back."""
-        reason = self._guard.hold_reason(unit) if self.reserves else None
+        """Returns whether a unit beyond guarantees is held back.
+
+        Nothing is held back while its service is mostly idle.
+        """
+        if self._delay_policy.is_idle(unit):
+            return False
+        reason = self._guard.hold_reason(unit)
         if reason is not None:
             self.held[unit.key.step_id] = holds.Hold(
                 unit=unit.key.unit,
--- /dev/null
+++ b/citronmount/fleet/tests/test_several_services.py
@@ -0,0 +1,59 @@
+"""What is decided for a unit depends on the workers of its service only."""
+
+import msgspec
+
+from citronmount.core import ids
+from citronmount.fleet.queueing import delay_scheduling
+from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.tests import planning_fixture
+from citronmount.workflow import spec
+
+OTHER_SERVICE = spec.ServiceName("other")
+WAITED_MS = delay_scheduling.MAX_IDLE_SERVICE_DELAY_MS + 1
+FULL_WORKER = planning_fixture.make_gang(tasks=1)
+
+
+class SeveralServicesTest(planning_fixture.PlanningTestCase):
+    """A service of one worker in rack r0 and three in r1, and another one."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = [
+            planning_fixture.make_worker(f"w{n}", rack="r1" if n else "r0")
+            for n in range(4)
+        ]
+        self.others = [
+            msgspec.structs.replace(
+                planning_fixture.make_worker(f"o{n}"), service=OTHER_SERVICE
+            )
+            for n in range(4)
+        ]
+        self.pool += self.others
+
+    def occupy(self, *workers: str) -> None:
+        lasting = msgspec.structs.replace(FULL_WORKER, lasting=True)
+        for number, worker in enumerate(self.pool):
+            if worker.worker in workers:
+                self.add_run(f"{number}", lasting, worker, started_ms=0)
+
+    def waiting(self, **changes: object) -> waiting_units.WaitingUnit:
+        step = msgspec.structs.replace(FULL_WORKER, **changes)
+        (unit,) = planning_fixture.make_waiting_units("j", step)
+        since_ms = planning_fixture.NOW_MS - WAITED_MS
+        return msgspec.structs.replace(unit, since_ms=since_ms)
+
+    def test_unit_leaves_a_full_rack_although_another_service_is_busy(
+        self,
+    ) -> None:
+        # Waited for as long as the other service was busy (review/5).
+        self.occupy("w0", "o0", "o1", "o2", "o3")
+        unit = self.waiting(data_rack=ids.RackId("r0"), estimate_ms=60_000)
+        (decision,) = self.decide(unit)
+        self.assertEqual("r1", decision.workers[0].rack)
+
+    def test_unit_of_a_busy_service_stays_although_another_one_is_idle(
+        self,
+    ) -> None:
+        self.occupy("w0", "w1")
+        unit = self.waiting(data_rack=ids.RackId("r0"), estimate_ms=60_000)
+        self.assertEqual([], self.decide(unit))
--- a/citronmount/fleet/workers/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -13,6 +13,7 @@
     "WorkerAllocations",
     "add_demands",
     "allocated_demand",
+    "busy_services",
     "max_task_count",
     "multiply_demand",
     "subtract_demands",
@@ -142,6 +143,31 @@
         return total
 
 
+def busy_services(
+    workers: Iterable[worker_directory.Worker],
+    allocations: WorkerAllocations,
+    min_share: float,
+) -> frozenset[spec.ServiceName]:
+    """Returns the services of whose workers a share is used.
+
+    Args:
+        workers: Workers of any services.
+        allocations: Resources allocated on them.
+        min_share: The least used share, as by `used_share`.
+
+    Returns:
+        The services.
+    """
+    by_service = collections.defaultdict(list)
+    for worker in workers:
+        by_service[worker.service].append(worker)
+    return frozenset(
+        service
+        for service, of_service in by_service.items()
+        if used_share(of_service, allocations) >= min_share
+    )
+
+
 def used_share(
     workers: Sequence[worker_directory.Worker], allocations: WorkerAllocations
 ) -> float:
