--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -18,6 +18,7 @@
 from twisted.web import iweb
 from zope.interface import implementer
 
+from citronmount.clients import addresses
 from citronmount.clients import byte_counting
 from citronmount.clients import call_time_limit
 from citronmount.clients import wire_format
@@ -298,24 +299,33 @@
             A Deferred that fires with the response, whatever its status, or
             fails with `NoAnswerError`.
         """
-        url = self._url(address, path)
-        if query:
-            url = hyperlink.EncodedURL.from_text(f"{url.to_text()}?{query}")
         data = None if body is None else _BytesProducer(body)
         time_limit = self._time_limit(timeout_ms, stall_timeout_ms)
         request = self._request_undecoded(
-            method, url, headers or {}, data, time_limit.extend
+            method,
+            address,
+            path,
+            time_limit.extend,
+            query=query,
+            headers=headers or {},
+            data=data,
         )
         return _within(time_limit, request)
 
     async def _request_undecoded(
         self,
         method: str,
-        url: hyperlink.EncodedURL,
+        address: str,
+        path: str,
+        on_part: OnPart,
+        *,
+        query: str,
         headers: dict[str, str],
         data: _BytesProducer | None,
-        on_part: OnPart,
     ) -> HttpResponse:
+        url = self._url(address, path)
+        if query:
+            url = hyperlink.EncodedURL.from_text(f"{url.to_text()}?{query}")
         response = await self._http.request(
             method,
             url,
@@ -342,8 +352,19 @@
         return self._pool.closeCachedConnections()
 
     def _url(self, address: str, path: str) -> hyperlink.EncodedURL:
+        """Returns the URL of a resource.
+
+        Raises:
+            NoAnswerError: The address is malformed, so nothing can be sent.
+        """
         url = self._urls.get((address, path))
         if url is None:
+            if addresses.parse(address) is None:
+                raise NoAnswerError(
+                    f"expected an address as ip:port, got {address!r}",
+                    code=codes.ResultCode.UNREACHABLE,
+                    sent=False,
+                )
             if len(self._urls) >= MAX_CACHED_URLS:
                 self._urls.clear()
             url = hyperlink.EncodedURL.from_text(f"http://{address}{path}")
--- a/citronmount/clients/tests/test_http_client.py
+++ b/citronmount/clients/tests/test_http_client.py
@@ -10,6 +10,18 @@
 
 TIMEOUT_MS = 600
 STALL_TIMEOUT_MS = 500
+MALFORMED_ADDRESSES = (
+    "",
+    "10.0.0.1",
+    "10.0.0.1:port",
+    "10.0.0.1:80800",
+    "10.0.0.1:0",
+    "10.0.0.1:-1",
+    "10.0.0.256:80",
+    "runner.example:80",
+    "10.0.0.1:80/path?query",
+    "\0:80",
+)
 
 
 class CancelledCallTest(unittest.TestCase):
@@ -34,6 +46,23 @@
         self.assertTrue(self.cancelled_call(agent).check(defer.CancelledError))
 
 
+class MalformedAddressTest(unittest.TestCase):
+    """A call to an address of another writer must fail as not sent."""
+
+    def test_call_fails_without_an_attempt(self) -> None:
+        # Raised out of the client, or counted as perhaps sent.
+        agent = slow_response.SilentAgent()
+        client = http_client.HttpClient(reactor=task.Clock(), agent=agent)
+        for address in MALFORMED_ADDRESSES:
+            with self.subTest(address=address):
+                results: list[failure.Failure] = []
+                call = client.call("POST", address, "/page", TIMEOUT_MS)
+                call.addErrback(results.append)
+                (result,) = results
+                self.assertIsInstance(result.value, http_client.NoAnswerError)
+                self.assertFalse(result.value.sent)
+
+
 class TransferTimeoutTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = task.Clock()
--- a/citronmount/platform/tests/test_decoding.py
+++ b/citronmount/platform/tests/test_decoding.py
@@ -139,7 +139,13 @@
             {**RUNNER_ENTRY, "labels": []},
             {**RUNNER_ENTRY, "born": 1.5},
             {**RUNNER_ENTRY, "address": None},
+            {**RUNNER_ENTRY, "address": "10.0.0.1:port"},
+            {**RUNNER_ENTRY, "address": "10.0.0.1:80800"},
+            {**RUNNER_ENTRY, "address": "runner.example:80"},
             {**RUNNER_ENTRY, "born": 1 << 64},
+            {**RUNNER_ENTRY, "born": 1 << 62},
+            {**RUNNER_ENTRY, "born": -1},
+            {**RUNNER_ENTRY, "free_resources": {"gpu": -1}},
             {**RUNNER_ENTRY, "remaining_ms": -(1 << 64)},
             {**RUNNER_ENTRY, "free_resources": {"cpu": 1 << 64}},
         )
--- a/citronmount/platform/tests/test_malformed_inputs.py
+++ b/citronmount/platform/tests/test_malformed_inputs.py
@@ -12,6 +12,7 @@
 import structlog
 from twisted.internet import defer
 
+from citronmount.clients import addresses
 from citronmount.clients import http_client
 from citronmount.core import errors
 from citronmount.core import ids
@@ -143,6 +144,7 @@
         self.assertEqual("i-1", event.worker)
         if event.entry is not None:
             self.assertIsInstance(event.entry, worker_directory.Worker)
+            self.assertIsNotNone(addresses.parse(event.entry.address))
             place = records.Place(worker="i-1", life_ms=event.entry.life_ms)
             msgspec.msgpack.encode(place)
 
--- a/citronmount/platform/topic_records.py
+++ b/citronmount/platform/topic_records.py
@@ -3,6 +3,7 @@
 import msgspec
 import structlog
 
+from citronmount.clients import addresses
 from citronmount.core import errors
 from citronmount.core import ids
 from citronmount.fleet import fleet_configuration
@@ -28,6 +29,12 @@
     gpu: wire_types.Int64 = 0
 
 
+class _Capacity(msgspec.Struct):
+    cpu: wire_types.Amount = 0
+    mem_mb: wire_types.Amount = 0
+    gpu: wire_types.Amount = 0
+
+
 class _RunnerEntry(msgspec.Struct):
     """`free_resources` is the total capacity; the last label is the rack."""
 
@@ -35,9 +42,9 @@
     address: str
     zone: str
     state: str
-    free_resources: _Resources
+    free_resources: _Capacity
     labels: list[str]
-    born: wire_types.Int64
+    born: wire_types.UnixMs
     host_machine: str = ""
     remaining_ms: wire_types.Int64 | None = None
 
@@ -119,6 +126,8 @@
     worker: ids.WorkerId, value: bytes
 ) -> worker_directory.Worker:
     entry = msgspec.json.decode(value, type=_RunnerEntry)
+    if addresses.parse(entry.address) is None:
+        raise ValueError(f"expected ip:port, got {entry.address!r}")
     return worker_directory.Worker(
         worker=worker,
         life_ms=entry.born,
@@ -134,7 +143,7 @@
     )
 
 
-def _to_demand(resources: _Resources) -> spec.Demand:
+def _to_demand(resources: _Capacity) -> spec.Demand:
     return spec.Demand(
         millicores=resources.cpu,
         memory_mb=resources.mem_mb,
--- a/citronmount/service/settings_formats.py
+++ b/citronmount/service/settings_formats.py
@@ -1,16 +1,15 @@
 """Named formats of text settings and their checks."""
 
 from collections.abc import Callable
-import ipaddress
 
 import msgspec
 
+from citronmount.clients import addresses
 from citronmount.config import names
 from citronmount.core import codes
 
-__all__ = ["Address", "expected_of", "fault_of", "parse_address"]
+__all__ = ["expected_of", "fault_of"]
 
-_MAX_PORT = 65_535
 _CURVE_KEY_CHARACTERS = 40
 _Z85_ALPHABET = frozenset(
     "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
@@ -19,7 +18,6 @@
 _MAX_ID_CHARACTERS = 64
 _ID_PUNCTUATION = frozenset("-_.")
 
-Address = tuple[ipaddress.IPv4Address | ipaddress.IPv6Address, int]
 Fault = tuple[codes.ResultCode, str]
 Check = Callable[[str], bool]
 
@@ -92,42 +90,13 @@
     )
 
 
-def parse_address(text: str) -> Address | None:
-    """Parses an IP address and a port.
-
-    Args:
-        text: ``ip:port``, with an IPv6 address in brackets.
-
-    Returns:
-        The IP address and the port, or None if the text is malformed.
-
-    Example:
-        >>> parse_address("[::1]:8080")
-        (IPv6Address('::1'), 8080)
-        >>> parse_address("localhost:8080") is None
-        True
-    """
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) <= 5):
-        return None
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return None
-    if bracketed != (ip.version == 6):
-        return None
-    return ip, int(port)
-
-
 @_format(
     "address",
     "an IP address and a port, such as 10.0.0.1:8080",
     codes.ResultCode.SETTING_ADDRESS,
 )
 def _is_address(text: str) -> bool:
-    address = parse_address(text)
-    return address is not None and 1 <= address[1] <= _MAX_PORT
+    return addresses.parse(text) is not None
 
 
 @_format("curve_key", "a CURVE key of 40 Z85 characters")
--- a/citronmount/service/settings_rules.py
+++ b/citronmount/service/settings_rules.py
@@ -6,10 +6,10 @@
 
 import zmq
 
+from citronmount.clients import addresses
 from citronmount.core import codes
 from citronmount.service import settings as settings_lib
 from citronmount.service import settings_faults
-from citronmount.service import settings_formats
 
 __all__ = ["faults_of"]
 
@@ -53,8 +53,8 @@
 
 @_rule
 def _ports_differ(settings: settings_lib.Settings) -> Iterator[FaultRow]:
-    caller = settings_formats.parse_address(settings.listen.caller_address)
-    peer = settings_formats.parse_address(settings.listen.peer_address)
+    caller = addresses.parse(settings.listen.caller_address)
+    peer = addresses.parse(settings.listen.peer_address)
     same_host = (
         caller[0] == peer[0]
         or caller[0].is_unspecified
