--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -2,14 +2,13 @@
 
 The preferred rack or the fast workers may be full while others are free.
 Waiting pays off as long as the wait is shorter than the time that the run would
-lose on worse workers. The wait is capped for units inside a guarantee and if
-their service is mostly idle. See Zaharia et al., "Delay Scheduling", EuroSys
-2010.
+lose on worse workers. The wait is capped for units inside a guarantee, for
+lasting units, which have to be restored soon, and if their service is mostly
+idle. See Zaharia et al., "Delay Scheduling", EuroSys 2010.
 
 In a busy service a unit does not leave its preferred rack. Elsewhere it would
 take several times the capacity from others, and after such a wait it would end
-late all the same. Lasting units do leave it, since they have to be restored
-soon.
+late all the same. Lasting units do leave it.
 """
 
 import msgspec
@@ -23,6 +22,7 @@
 DISTRUSTED_DELAY_MS = 1_500
 MAX_GUARANTEED_DELAY_MS = 700
 MAX_IDLE_SERVICE_DELAY_MS = 1_500
+MAX_LASTING_DELAY_MS = 1_500
 # Used share of a service's workers from which on it is busy.
 MIN_BUSY_USE = 0.5
 
@@ -109,6 +109,8 @@
     ) -> int:
         if self.is_idle(unit):
             limit_ms = min(limit_ms, MAX_IDLE_SERVICE_DELAY_MS)
+        if unit.step.lasting:
+            limit_ms = min(limit_ms, MAX_LASTING_DELAY_MS)
         if guaranteed:
             limit_ms = min(limit_ms, MAX_GUARANTEED_DELAY_MS)
         return limit_ms
