--- a/citronmount/fleet/placement/worker_candidates.py
+++ b/citronmount/fleet/placement/worker_candidates.py
@@ -58,6 +58,7 @@
         assess: Callable[[worker_directory.Worker], worker_health.Assessment],
         slowdown: Callable[[worker_directory.Worker], float],
         allowed: Callable[[units.UnitKey, worker_directory.Worker], bool],
+        attainable: fitting.FreeCapacity,
         now_ms: int = 0,
     ) -> None:
         """Sorts the workers by health and speed.
@@ -70,8 +71,11 @@
                 one.
             allowed: Returns whether the queue's policy allows a worker for a
                 unit.
+            attainable: Returns the capacity of a worker that no lasting run
+                allocates.
             now_ms: Monotonic time in milliseconds.
         """
+        self._attainable = attainable
         self._allowed = allowed
         assessments = {each.worker: assess(each) for each in workers}
         self.slowdowns = {each.worker: slowdown(each) for each in workers}
@@ -129,7 +133,7 @@
         """Returns the workers to avoid, of which enough others remain.
 
         The workers that the unit has avoided for longest are left out until the
-        others could hold all of its tasks if they were empty.
+        others could hold all of its tasks, but for lasting runs on them.
 
         Args:
             unit: The unit.
@@ -151,7 +155,7 @@
             first = bisect.bisect_left(
                 range(len(unit.avoid)),
                 True,
-                key=lambda index: self._fits_if_empty(
+                key=lambda index: self._may_ever_fit(
                     requirements, unit.avoid[index:], spread
                 ),
             )
@@ -159,17 +163,17 @@
             self._avoided[shape] = avoided
         return avoided
 
-    def _fits_if_empty(
+    def _may_ever_fit(
         self,
         requirements: fitting.Requirements,
         avoid: Iterable[ids.WorkerId],
         spread: fitting.Spread,
     ) -> bool:
-        """Returns whether empty workers without some could hold a unit."""
+        """Returns whether workers without some could ever hold a unit."""
         chosen = fitting.choose_workers(
             msgspec.structs.replace(requirements, avoid=frozenset(avoid)),
             self.all,
-            lambda worker: worker.capacity,
+            self._attainable,
             spread,
         )
         return chosen is not None
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -101,12 +101,14 @@
         """
         self._faults = faults or job_faults.JobFaults()
         demand = demand or demand_history.DemandHistory()
+        attainable = table.lasting_allocations().cached_free
         self._candidates = worker_candidates.WorkerCandidates(
             workers=workers,
             runs=table,
             assess=assess,
             slowdown=slowdown,
             allowed=allowed,
+            attainable=attainable,
             now_ms=now_ms,
         )
         self._table = table
@@ -141,7 +143,9 @@
             )
         )
         self._racks = rack_preference.RackPreference(
-            workers=self._candidates.trusted, delay_policy=self._delay_policy
+            workers=self._candidates.trusted,
+            attainable=attainable,
+            delay_policy=self._delay_policy,
         )
         self._preemption = preemption_policy.PreemptionPolicy(
             table=table,
--- a/citronmount/fleet/runs/run_table.py
+++ b/citronmount/fleet/runs/run_table.py
@@ -106,6 +106,20 @@
             self._on_worker[member.place.worker][member.task] = run
             self.allocations.allocate(member.place.worker, demand)
 
+    def lasting_allocations(self) -> worker_allocations.WorkerAllocations:
+        """Returns the resources that lasting runs allocate on each worker.
+
+        Unlike those of other runs, they do not become free with time.
+        """
+        allocations = worker_allocations.WorkerAllocations()
+        for run in self._by_unit.values():
+            if not run.step.lasting:
+                continue
+            demand = worker_allocations.allocated_demand(run.step)
+            for member in run.live_members:
+                allocations.allocate(member.place.worker, demand)
+        return allocations
+
     def mark_gone(self, run: unit_runs.Run, member: unit_runs.Member) -> None:
         """Marks a member as gone and releases its resources; idempotent."""
         if member.state is run_states.MemberState.GONE:
--- a/citronmount/fleet/tests/test_overload.py
+++ b/citronmount/fleet/tests/test_overload.py
@@ -1,5 +1,6 @@
 import msgspec
 
+from citronmount.core import ids
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.tests import planning_fixture
@@ -50,6 +51,34 @@
         self.assertEqual(1, len(self.decide(unit, guaranteed=8)))
 
 
+class RackTest(planning_fixture.PlanningTestCase):
+    """A busy pool, with a unit whose preferred rack is full."""
+
+    def decide_beside(self, *, lasting: bool, **changes: object) -> int:
+        self.pool = [
+            planning_fixture.make_worker(f"w{n}", rack=f"r{n // 2}")
+            for n in range(4)
+        ]
+        self.table = run_table.RunTable()
+        full = planning_fixture.make_gang(1)
+        held = msgspec.structs.replace(full, lasting=lasting)
+        for number in (0, 2):
+            self.add_run(f"{number}", held, self.pool[number], started_ms=0)
+        step = msgspec.structs.replace(full, **changes)
+        (unit,) = planning_fixture.make_waiting_units("j", step)
+        return len(self.decide(accepted(unit, 0, waited_ms=100)))
+
+    def test_rack_held_by_lasting_units_is_not_waited_for(self) -> None:
+        # Was waited for as long as these lasted.
+        for step in (
+            {"tasks": 2, "data_rack": ids.RackId("r0")},
+            {"tasks": 2, "one_rack": True},
+        ):
+            with self.subTest(**step):
+                self.assertEqual(0, self.decide_beside(lasting=False, **step))
+                self.assertEqual(1, self.decide_beside(lasting=True, **step))
+
+
 class ReservationTest(planning_fixture.PlanningTestCase):
     """Small tasks take each worker that becomes free."""
 
