--- a/citronmount/fleet/runs/run_driver.py
+++ b/citronmount/fleet/runs/run_driver.py
@@ -266,6 +266,7 @@
                 elapsed_ms,
                 limit_estimate_ms,
                 now_ms,
+                service=run.submission.terms.service,
                 min_typical_ms=int(learned_ms / slowest_speed),
             )
             for member in run.live_members
--- a/citronmount/fleet/runs/run_ends.py
+++ b/citronmount/fleet/runs/run_ends.py
@@ -83,6 +83,7 @@
                 elapsed_ms,
                 run.step.estimate_ms,
                 now_ms,
+                service=run.submission.terms.service,
                 expected_ms=int(
                     run.run_time.high_ms / self._state.slowest_speed(run)
                 ),
--- a/citronmount/fleet/workers/worker_health.py
+++ b/citronmount/fleet/workers/worker_health.py
@@ -15,11 +15,12 @@
 
 from citronmount.core import ids
 from citronmount.fleet.workers import worker_directory
+from citronmount.workflow import spec
 
 __all__ = ["Assessment", "WorkerHealth"]
 
 WORKER_RATIO_WINDOW = 6
-POOL_RATIO_WINDOW = 200
+SERVICE_RATIO_WINDOW = 200
 SLOW_FACTOR = 2.0
 FLAPS_TO_DISTRUST = 2
 FLAP_WINDOW_MS = 30_000
@@ -34,8 +35,8 @@
     """Assessment of a worker.
 
     Attributes:
-        slowness: Run times of the worker as a multiple of those typical in the
-            pool.
+        slowness: Run times of the worker as a multiple of those typical in its
+            service.
         distrusted: Whether the worker should receive no tasks for now.
     """
 
@@ -55,6 +56,23 @@
         self.last_success_ms = -math.inf
 
 
+class _ServiceRatios:
+    """Ratios of run times to estimates on all workers of a service.
+
+    Attributes:
+        declared: Ratios to the declared run times.
+        expected: Ratios to the run times that workers are compared by.
+    """
+
+    def __init__(self) -> None:
+        self.declared: collections.deque[float] = collections.deque(
+            maxlen=SERVICE_RATIO_WINDOW
+        )
+        self.expected: collections.deque[float] = collections.deque(
+            maxlen=SERVICE_RATIO_WINDOW
+        )
+
+
 class WorkerHealth:
     """Collects the results of runs on all workers and assesses the workers."""
 
@@ -66,11 +84,8 @@
         self._incarnation_ends: dict[
             worker_directory.MachineId, collections.deque[int]
         ] = collections.defaultdict(collections.deque)
-        self._pool_ratios: collections.deque[float] = collections.deque(
-            maxlen=POOL_RATIO_WINDOW
-        )
-        self._pool_expected_ratios: collections.deque[float] = (
-            collections.deque(maxlen=POOL_RATIO_WINDOW)
+        self._ratios: dict[spec.ServiceName, _ServiceRatios] = (
+            collections.defaultdict(_ServiceRatios)
         )
 
     def record_success(
@@ -79,6 +94,8 @@
         elapsed_ms: int,
         estimate_ms: int,
         now_ms: int,
+        *,
+        service: spec.ServiceName,
         expected_ms: int | None = None,
     ) -> None:
         """Records a successful run, which ends the distrust of the worker.
@@ -88,6 +105,7 @@
             elapsed_ms: Run time in milliseconds.
             estimate_ms: Declared run time in milliseconds, or 0 if unknown.
             now_ms: Monotonic time in milliseconds.
+            service: Service of the worker.
             expected_ms: Run time in milliseconds to compare workers by, or 0
                 if unknown; None for the declared one.
         """
@@ -96,13 +114,13 @@
         history.last_success_ms = now_ms
         history.distrusted_until_ms = 0
         if estimate_ms > 0:
-            self._pool_ratios.append(elapsed_ms / estimate_ms)
+            self._ratios[service].declared.append(elapsed_ms / estimate_ms)
         if expected_ms is None:
             expected_ms = estimate_ms
         if expected_ms > 0:
             ratio = elapsed_ms / expected_ms
             history.ratios.append(ratio)
-            self._pool_expected_ratios.append(ratio)
+            self._ratios[service].expected.append(ratio)
 
     def record_failure(
         self, worker: ids.WorkerId, job: ids.JobId, now_ms: int
@@ -132,6 +150,8 @@
         elapsed_ms: int,
         estimate_ms: int,
         now_ms: int,
+        *,
+        service: spec.ServiceName,
         min_typical_ms: int = 0,
     ) -> float:
         """Makes a worker distrusted for a while if a run on it is overdue.
@@ -144,6 +164,7 @@
             elapsed_ms: Time since the run started, in milliseconds.
             estimate_ms: Declared run time in milliseconds.
             now_ms: Monotonic time in milliseconds.
+            service: Service of the worker.
             min_typical_ms: Lower limit of the typical run time in milliseconds.
 
         Returns:
@@ -153,9 +174,8 @@
         history = self._histories[worker]
         if history.last_success_ms >= now_ms - elapsed_ms:
             return 0.0
-        typical_ms = max(
-            _typical_ratio(self._pool_ratios) * estimate_ms, min_typical_ms
-        )
+        typical_ratio = _typical_ratio(self._ratios[service].declared)
+        typical_ms = max(typical_ratio * estimate_ms, min_typical_ms)
         factor = elapsed_ms / max(typical_ms, 1)
         if factor > SLOW_FACTOR and elapsed_ms > typical_ms + OVERDUE_MARGIN_MS:
             history.distrusted_until_ms = max(
@@ -200,7 +220,7 @@
         slowness = 1.0
         if history.ratios:
             slowness = statistics.median(history.ratios) / _typical_ratio(
-                self._pool_expected_ratios
+                self._ratios[worker.service].expected
             )
         return Assessment(
             slowness=slowness, distrusted=now_ms < history.distrusted_until_ms
