--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -127,7 +127,7 @@
             now_ms=now_ms,
             bounds=bounds,
             busy_services=worker_allocations.busy_services(
-                self._candidates.trusted,
+                self._candidates.all,
                 self._allocations,
                 delay_scheduling.MIN_BUSY_USE,
             ),
--- a/citronmount/fleet/tests/test_overload.py
+++ b/citronmount/fleet/tests/test_overload.py
@@ -68,6 +68,25 @@
         (unit,) = planning_fixture.make_waiting_units("j", step)
         return len(self.decide(accepted(unit, 0, waited_ms=100)))
 
+    def test_distrusted_workers_count_as_capacity_of_their_service(
+        self,
+    ) -> None:
+        # Without them the service was busy, and the rack waited for.
+        self.pool = [
+            planning_fixture.make_worker(f"w{n}", rack="r1" if n else "r0")
+            for n in range(5)
+        ]
+        full = planning_fixture.make_gang(1)
+        for number in (0, 1):
+            self.add_run(f"{number}", full, self.pool[number], started_ms=0)
+        step = msgspec.structs.replace(
+            full, data_rack=ids.RackId("r0"), estimate_ms=60_000
+        )
+        (unit,) = planning_fixture.make_waiting_units("j", step)
+        unit = accepted(unit, 0, waited_ms=1_600)
+        (decision,) = self.decide(unit, distrusted=["w2", "w3", "w4"])
+        self.assertEqual("r1", decision.workers[0].rack)
+
     def test_rack_held_by_lasting_units_is_not_waited_for(self) -> None:
         # Was waited for as long as these lasted.
         for step in (
