--- a/citronmount/standins/pool_workers.py
+++ b/citronmount/standins/pool_workers.py
@@ -274,6 +274,14 @@
         """Returns whether all members of a gang's run are running."""
         return len(self._gang_members(name, run)) == size
 
+    def begin_gang_if_active(
+        self, name: units.TaskName, run: int, size: int
+    ) -> None:
+        """Lets the members of a gang's run work once all are running."""
+        if self.is_gang_active(name, run, size):
+            for worker, each in self._gang_members(name, run):
+                worker.begin_work(each)
+
     def is_gang_finished(self, name: units.TaskName, run: int) -> bool:
         """Returns whether all members of a gang's run have finished."""
         return all(each.finished for _, each in self._gang_members(name, run))
@@ -370,18 +378,24 @@
         self.running[command.task] = run
         self._pool.starts.append((command.task, command.run, self.entry.worker))
         self._check_capacity()
-        self._pool.clock.callLater(
-            plan.run_time_ms * self.slowdown / _MS_PER_S, self._finish, run
-        )
         if plan.gang > 1:
+            self._pool.begin_gang_if_active(run.task, run.run, plan.gang)
             self._pool.clock.callLater(
                 GANG_TIMEOUT_MS / _MS_PER_S, self._check_gang, run
             )
+        else:
+            self.begin_work(run)
         self._pool.clock.callLater(0.1, self._check_lease)
         for listener in self._pool.on_start:
             listener(self, command.task)
         return commands.StartOutcome.STARTED
 
+    def begin_work(self, run: _Running) -> None:
+        """Lets a run end after its run time from now on."""
+        self._pool.clock.callLater(
+            run.plan.run_time_ms * self.slowdown / _MS_PER_S, self._finish, run
+        )
+
     def stop(self, command: commands.Stop) -> commands.StopOutcome:
         """Executes a stop command."""
         if command.token < self._token:
