--- a/citronmount/bench/loopback_load.py
+++ b/citronmount/bench/loopback_load.py
@@ -16,6 +16,7 @@
 
 from citronmount.bench import loopback_cluster
 from citronmount.clients import byte_counting
+from citronmount.clients import http_agent
 from citronmount.clients import http_client
 from citronmount.core import codes
 from citronmount.core import states
@@ -92,7 +93,7 @@
         self._numbers = itertools.count()
         self._stopped = False
         pool = web_client.HTTPConnectionPool(reactor)
-        agent = http_client.make_http_agent(
+        agent = http_agent.make_http_agent(
             reactor, pool, byte_counting.Traffic()
         )
         self._pool = pool
--- a/citronmount/clients/http_client.py
+++ b/citronmount/clients/http_client.py
@@ -7,9 +7,7 @@
 import msgspec
 import treq
 from treq import client as treq_client
-from twisted.internet import abstract
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.python import failure
@@ -21,6 +19,7 @@
 from citronmount.clients import addresses
 from citronmount.clients import byte_counting
 from citronmount.clients import call_time_limit
+from citronmount.clients import http_agent
 from citronmount.clients import wire_format
 from citronmount.core import codes
 from citronmount.core import errors
@@ -30,10 +29,8 @@
     "HttpClient",
     "HttpResponse",
     "NoAnswerError",
-    "make_http_agent",
 ]
 
-CONNECT_TIMEOUT_MS = 500
 IDLE_CONNECTION_S = 30
 MAX_IDLE_CONNECTIONS_PER_HOST = 8
 MAX_BODY_BYTES = 64 << 20
@@ -73,58 +70,6 @@
         self.sent = sent
 
 
-@implementer(iweb.IAgentEndpointFactory)
-class _NumericEndpointFactory:
-    """Builds endpoints for IP addresses, without a name resolver.
-
-    Twisted's resolver would use a pool of threads.
-    """
-
-    def __init__(
-        self, reactor: interfaces.IReactorTCP, traffic: byte_counting.Traffic
-    ) -> None:
-        self._reactor = reactor
-        self._traffic = traffic
-
-    def endpointForURI(  # noqa: N802
-        self, uri: web_client.URI
-    ) -> interfaces.IStreamClientEndpoint:
-        """Returns the endpoint of a URI whose host is an IP address."""
-        host = uri.host.decode("ascii").strip("[]")
-        endpoint_type = (
-            endpoints.TCP6ClientEndpoint
-            if abstract.isIPv6Address(host)
-            else endpoints.TCP4ClientEndpoint
-        )
-        timeout_s = CONNECT_TIMEOUT_MS / _MS_PER_S
-        endpoint = endpoint_type(
-            self._reactor, host, uri.port, timeout=timeout_s
-        )
-        return byte_counting.ByteCountingEndpoint(
-            endpoint=endpoint, traffic=self._traffic
-        )
-
-
-def make_http_agent(
-    reactor: interfaces.IReactorTCP,
-    pool: web_client.HTTPConnectionPool,
-    traffic: byte_counting.Traffic,
-) -> iweb.IAgent:
-    """Returns an HTTP agent for URIs whose hosts are IP addresses.
-
-    Args:
-        reactor: The reactor to connect with.
-        pool: The pool of persistent connections.
-        traffic: The byte counts of all connections.
-
-    Returns:
-        The agent.
-    """
-    return web_client.Agent.usingEndpointFactory(
-        reactor, _NumericEndpointFactory(reactor, traffic), pool
-    )
-
-
 @implementer(iweb.IBodyProducer)
 class _BytesProducer:
     """Writes a whole body at once, together with the headers.
@@ -198,7 +143,9 @@
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         self.traffic = byte_counting.Traffic()
-        pooled_agent = make_http_agent(reactor, self._pool, self.traffic)
+        pooled_agent = http_agent.make_http_agent(
+            reactor, self._pool, self.traffic
+        )
         self._http = treq_client.HTTPClient(agent or pooled_agent)
         self._urls: dict[tuple[str, str], hyperlink.EncodedURL] = {}
         self._cache: dict[tuple[str, str], _CachedResponse] = {}
