--- a/citronmount/fleet/placement/unit_fitting.py
+++ b/citronmount/fleet/placement/unit_fitting.py
@@ -97,7 +97,7 @@
         avoiding = self._avoiding_requirements(unit, spread)
         chosen = self._fit(unit, shape, avoiding, spread, guaranteed)
         if chosen is None and avoiding.avoid:
-            requirements = self.requirements(unit, spread, guaranteed)
+            requirements = self.requirements(unit, spread)
             if not requirements.avoid:
                 return self._choose(unit, requirements, spread, guaranteed)
         return chosen
@@ -200,13 +200,10 @@
         ]
 
     def requirements(
-        self,
-        unit: waiting_units.WaitingUnit,
-        spread: fitting.Spread,
-        guaranteed: bool,
+        self, unit: waiting_units.WaitingUnit, spread: fitting.Spread
     ) -> fitting.Requirements:
         """Returns what a unit requires after its waiting time."""
-        if self._delay_policy.accepts_avoided(unit, guaranteed):
+        if self._delay_policy.accepts_avoided(unit):
             return self._full_requirements(unit)
         return self._avoiding_requirements(unit, spread)
 
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -321,7 +321,7 @@
             self._releases = reservations.Releases(
                 runs=self._table, now_ms=self._now_ms
             )
-        requirements = self._fitting.requirements(unit, spread, guaranteed)
+        requirements = self._fitting.requirements(unit, spread)
         workers = self._choice.awaited(
             unit, self._fitting.acceptable_workers(unit, guaranteed), guaranteed
         )
@@ -353,7 +353,7 @@
             unit.submission.terms.slack_factor,
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
-            self._delay_policy.accepts_avoided(unit, guaranteed),
+            self._delay_policy.accepts_avoided(unit),
             unit.key.step_key if unit.has_step_limits else None,
             self._choice.key(unit, guaranteed),
             self._is_pressed(unit),
@@ -383,7 +383,7 @@
         )
         return self._preemption.find(
             unit,
-            self._fitting.requirements(unit, spread, guaranteed),
+            self._fitting.requirements(unit, spread),
             workers,
             self._free_capacity,
             spread,
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -65,16 +65,15 @@
         limit_ms = self._capped(unit, unit.run_time.median_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
-    def accepts_avoided(
-        self, unit: waiting_units.WaitingUnit, guaranteed: bool
-    ) -> bool:
+    def accepts_avoided(self, unit: waiting_units.WaitingUnit) -> bool:
         """Returns whether a unit accepts workers on which it failed before.
 
-        The limit is the estimated run time, which another failure may cost. The
-        other workers may be held for longer than that, as by lasting units.
+        In a busy service the worker that fails at once is the one that is free,
+        where a unit would soon use up its attempts; lasting ones have no limit.
         """
-        limit_ms = self._capped(unit, unit.run_time.median_ms, guaranteed)
-        return self.now_ms - unit.since_ms >= limit_ms
+        if not (self.is_idle(unit) or unit.step.lasting):
+            return False
+        return self.now_ms - unit.since_ms >= MAX_IDLE_SERVICE_DELAY_MS
 
     def accepts_other_racks(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
--- a/citronmount/fleet_service/tests/test_unknown_accounts.py
+++ b/citronmount/fleet_service/tests/test_unknown_accounts.py
@@ -33,6 +33,22 @@
         self.run_for(1.0)
         self.assert_pool_works("public")
 
+    def test_queue_of_a_job_is_removed(self) -> None:
+        # Its terms are stored with the job, so nothing looks it up.
+        extra = pool_fixture.make_queue("extra", priority=0)
+        self.publish_configuration(extra, version=3)
+        self.run_for(0.5)
+        step = pool_fixture.make_step(8, tasks=6)
+        self.submit("job", step, queue="extra")
+        self.run_for(1.0)
+        self.publish_configuration(version=4)
+        self.run_for(9.0)
+        self.assertEqual(6, len(self.starts_of("job")))
+        self.assertEqual([], self.pool_workers.running())
+        self.submit("next", pool_fixture.make_step(), queue="urgent")
+        self.run_for(5.0)
+        self.assertIs(DONE, self.state("next", queue=URGENT_QUEUE))
+
     def test_account_of_a_running_job_is_removed(self) -> None:
         # The same KeyError, once a new configuration no longer names it.
         self.submit("job", WITHOUT_ACCELERATORS, queue="urgent")
