--- a/citronmount/platform/tests/soak.py
+++ b/citronmount/platform/tests/soak.py
@@ -31,6 +31,7 @@
 from citronmount.platform.tests import loopback_ports
 from citronmount.platform.tests import loopback_site
 from citronmount.platform.tests import soak_configuration
+from citronmount.platform.tests import soak_entries
 from citronmount.platform.tests import soak_faults
 from citronmount.platform.tests import soak_quotas
 from citronmount.platform.tests import soak_workers
@@ -126,6 +127,7 @@
             if worker_faults
             else None
         )
+        self.other_writer = soak_entries.OtherWriter(seed=seed, log=self.log)
         self.http = http_client.HttpClient(reactor=reactor)
         self.proxies: list[loopback_site.FaultyProxy] = []
         self.client_addresses: list[str] = []
@@ -154,6 +156,9 @@
         self.violation_filter.start(CHECK_PERIOD_S)
         jobs = defer.ensureDeferred(self.submit_jobs())
         faults = defer.ensureDeferred(self.inject_faults())
+        odd_entries = defer.ensureDeferred(
+            self.other_writer.run(self.duration_s)
+        )
         if self.configuration is not None:
             await self.configuration.run(self.duration_s)
             self.violations += self.configuration.violations
@@ -162,6 +167,7 @@
             self.faults += self.workers.faults
         await jobs
         await faults
+        await odd_entries
         await self.heal()
         await self.await_jobs()
         await self.await_vms()
@@ -184,6 +190,7 @@
         runner_port = loopback_ports.listen(server.Site(runners.app.resource()))
         for number in range(WORKER_COUNT):
             self.add_worker(number, runner_port)
+        self.other_writer.append_entry()
         route = {
             "name": "r",
             "host": "",
