--- a/citronmount/fleet/placement/unit_fitting.py
+++ b/citronmount/fleet/placement/unit_fitting.py
@@ -94,32 +94,35 @@
 
         Workers to avoid are used last, after the unit's waiting time.
         """
-        avoiding = self._avoiding_requirements(unit, spread)
-        chosen = self._fit(unit, shape, avoiding, spread, guaranteed)
-        if chosen is None and avoiding.avoid:
-            requirements = self.requirements(unit, spread)
-            if not requirements.avoid:
-                return self._choose(unit, requirements, spread, guaranteed)
+        chosen = self._fit_avoiding(unit, shape, spread, guaranteed)
+        if (
+            chosen is None
+            and unit.avoid
+            and self._delay_policy.accepts_avoided(unit)
+        ):
+            requirements = self._full_requirements(unit)
+            return self._choose(unit, requirements, spread, guaranteed)
         return chosen
 
-    def _fit(
+    def _fit_avoiding(
         self,
         unit: waiting_units.WaitingUnit,
         shape: Hashable,
-        requirements: fitting.Requirements,
         spread: fitting.Spread,
         guaranteed: bool,
     ) -> list[worker_directory.Worker] | None:
-        """Finds workers with free capacity for a unit with requirements.
+        """Finds workers with free capacity, none that the unit avoids.
 
         Single tasks of equal shape share one `TaskSlots` until a gang or a
         preemption changes the free capacity in between.
         """
         if unit.is_suspect:
-            return self._fit_suspect(unit, requirements, spread, guaranteed)
+            return self._fit_suspect(unit, spread, guaranteed)
         if unit.tasks > 1:
+            requirements = self._avoiding_requirements(unit, spread)
             return self._choose(unit, requirements, spread, guaranteed)
         if self._slots_of_shape is None or self._slots_of_shape[0] != shape:
+            requirements = self._avoiding_requirements(unit, spread)
             slots = self._choice.task_slots(
                 unit,
                 msgspec.structs.replace(requirements, tasks=unit.step.tasks),
@@ -151,11 +154,11 @@
     def _fit_suspect(
         self,
         unit: waiting_units.WaitingUnit,
-        requirements: fitting.Requirements,
         spread: fitting.Spread,
         guaranteed: bool,
     ) -> list[worker_directory.Worker] | None:
         """Finds workers for a suspect unit, idle ones first."""
+        requirements = self._avoiding_requirements(unit, spread)
         workers = self.acceptable_workers(unit, guaranteed)
         idle = start_isolation.idle_workers(workers, self._allocations)
         choices = (
--- a/citronmount/fleet/tests/test_planning.py
+++ b/citronmount/fleet/tests/test_planning.py
@@ -41,6 +41,18 @@
         self.assertEqual(480, len(decisions))
         self.assertLessEqual(suits_mock.call_count, 2 * len(pool))
 
+    def test_equal_tasks_share_one_set_of_requirements(self) -> None:
+        # Each round decides on hundreds of them.
+        pool = [planning_fixture.make_worker(f"w{n}") for n in range(60)]
+        waiting = planning_fixture.make_waiting_units(
+            "a", spec.Step(tasks=600, demand=planning_fixture.TASK_DEMAND)
+        )
+        with mock.patch.object(
+            fitting, "Requirements", wraps=fitting.Requirements
+        ) as requirements_mock:
+            self.decide(pool, waiting)
+        self.assertLessEqual(requirements_mock.call_count, 3)
+
     def test_equal_tasks_fill_one_worker_before_the_next(self) -> None:
         pool = [planning_fixture.make_worker(f"w{n}") for n in range(3)]
         waiting = planning_fixture.make_waiting_units(
