--- a/citronmount/standins/worker_restarts.py
+++ b/citronmount/standins/worker_restarts.py
@@ -7,6 +7,7 @@
 
 from citronmount.core import ids
 from citronmount.fleet.workers import worker_directory
+from citronmount.standins import pool_worker
 from citronmount.standins import pool_workers
 from citronmount.workflow import units
 
@@ -58,7 +59,7 @@
             collections.Counter()
         )
         self.former_ids: set[ids.WorkerId] = set()
-        self.on_crash: Callable[[pool_workers.PoolWorker], None] = (
+        self.on_crash: Callable[[pool_worker.PoolWorker], None] = (
             lambda worker: None
         )
         self.keeps_id: Callable[[], bool] = lambda: False
@@ -71,7 +72,7 @@
         self._is_deadly = is_deadly
         pool.on_start.append(self._task_started)
 
-    def crash(self, worker: pool_workers.PoolWorker) -> None:
+    def crash(self, worker: pool_worker.PoolWorker) -> None:
         """Crashes a worker that is up; it starts again after `delay_s`."""
         if self._pool.workers.get(worker.entry.worker) is not worker:
             return
@@ -82,7 +83,7 @@
         )
 
     def _task_started(
-        self, worker: pool_workers.PoolWorker, task: units.TaskName
+        self, worker: pool_worker.PoolWorker, task: units.TaskName
     ) -> None:
         if not self._is_deadly(task):
             return
@@ -116,6 +117,6 @@
             self.publish_delay_s, self._publish_if_up, worker
         )
 
-    def _publish_if_up(self, worker: pool_workers.PoolWorker) -> None:
+    def _publish_if_up(self, worker: pool_worker.PoolWorker) -> None:
         if self._pool.workers.get(worker.entry.worker) is worker:
             self._publish(worker.entry)
