--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -1,5 +1,6 @@
 """The owner of a pool: schedules its jobs on its workers."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import math
 
@@ -81,6 +82,7 @@
         self._share_monitor = share_monitor.ShareMonitor(state=self._state)
         self._next_full_scan_ms = 0
         self._planning_fails_since_ms: int | None = None
+        self._learning_faults = 0
         self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
         self._recorded_speeds = dict(state.job_view.speeds)
         self._run_time_recorder = run_time_recorder.RunTimeRecorder(
@@ -188,7 +190,7 @@
             self._next_full_scan_ms = now_ms + FULL_SCAN_PERIOD_MS
         self._sessions.sync_with_directory(now_ms, full_scan)
         if full_scan and self._speed_observer is not None:
-            self._speed_observer.observe(now_ms)
+            self._learn(self._speed_observer.observe, now_ms)
         self._driver.advance_runs(now_ms, full_scan)
         if self._state.needs_planning or full_scan:
             self._state.needs_planning = False
@@ -196,12 +198,26 @@
             self._plan_or_wait(now_ms, wall_ms)
         if now_ms >= self._next_speeds_record_ms:
             self._next_speeds_record_ms = now_ms + SPEEDS_RECORD_PERIOD_MS
-            self._record_speeds()
-        self._run_time_recorder.step(now_ms, wall_ms)
+            self._learn(self._record_speeds)
+        self._learn(self._run_time_recorder.step, now_ms, wall_ms)
         self._sessions.send_due_renewals(now_ms)
         due_commands, self._state.commands = self._state.commands, []
         return due_commands
 
+    def _learn(self, update: Callable[..., None], *args: int) -> None:
+        """Updates what is learned, without which the owner goes on.
+
+        The errors 1, 2, 4, 8 and so on are logged.
+        """
+        try:
+            update(*args)
+        except Exception:
+            self._learning_faults += 1
+            if self._learning_faults.bit_count() == 1:
+                self._state.log.exception(
+                    "learning_failed", faults=self._learning_faults
+                )
+
     def _record_speeds(self) -> None:
         """Records the speed estimates for the next owner if they changed."""
         machines = {each.speed_key for each in self._state.directory}
@@ -274,7 +290,10 @@
             faults=self._state.job_faults,
         )
         for decision in planner.decide(waiting):
-            self._apply_decision(decision, now_ms)
+            try:
+                self._apply_decision(decision, now_ms)
+            except Exception:
+                self._state.job_faults.note(decision.waiting.key.job, now_ms)
         self._log_held_units(planner)
         self._quota_monitor.update(planner.quotas, version, now_ms)
         self._share_monitor.update(self._shares, version, now_ms)
@@ -326,19 +345,33 @@
         for unit in waiting:
             if not unit.submission.terms.needs_advice:
                 continue
-            allocations = self._state.table.allocations
-            candidates = [
-                worker
-                for worker in usable_workers
-                if waiting_units.has_capacity_for(unit, worker, allocations)
-            ]
-            advice_request = self._state.advice.next_request(
-                unit.key.step_id, candidates, now_ms
-            )
+            try:
+                advice_request = self._advice_request(
+                    unit, usable_workers, now_ms
+                )
+            except Exception:
+                self._state.job_faults.note(unit.key.job, now_ms)
+                continue
             if advice_request is not None:
                 self._state.commands.append(advice_request)
                 return
 
+    def _advice_request(
+        self,
+        unit: waiting_units.WaitingUnit,
+        usable_workers: list[worker_directory.Worker],
+        now_ms: int,
+    ) -> commands.RequestAdvice | None:
+        allocations = self._state.table.allocations
+        candidates = [
+            worker
+            for worker in usable_workers
+            if waiting_units.has_capacity_for(unit, worker, allocations)
+        ]
+        return self._state.advice.next_request(
+            unit.key.step_id, candidates, now_ms
+        )
+
     def _apply_decision(
         self, decision: waiting_units.Decision, now_ms: int
     ) -> None:
--- a/citronmount/fleet/runs/run_ends.py
+++ b/citronmount/fleet/runs/run_ends.py
@@ -43,11 +43,11 @@
         run, member = found
         self._state.needs_planning = True
         run.saved = end.saved or run.saved
-        if run.outcome is None:
-            speed_observations.observe_gang(self._state, run, now_ms)
-        if end.kind is commands.EndKind.DONE:
-            workers = self._state.workers_of(run)
-            self._state.estimates.run_done(run, workers, now_ms)
+        try:
+            self._learn(run, member, end.kind, now_ms)
+        except Exception:
+            # The end is in the worker's report, so it would fail each owner.
+            self._state.job_faults.note(run.job, now_ms)
         self._state.log.info(
             "run_ended",
             task=end.task,
@@ -56,7 +56,6 @@
             kind=end.kind.value,
         )
         self._state.table.mark_gone(run, member)
-        self._record_health(run, member, end.kind, now_ms)
         status = self._update_outcome(run, end.kind)
         if status is None and self._state.pending_unit_records[run.unit]:
             self._state.deferred_ends[run.unit].append((place, end.number))
@@ -67,6 +66,21 @@
         change = run.to_record(status)
         self._state.append_record(change, ends=((place, end.number),))
 
+    def _learn(
+        self,
+        run: unit_runs.Run,
+        member: unit_runs.Member,
+        kind: commands.EndKind,
+        now_ms: int,
+    ) -> None:
+        """Updates what is known of workers and run times after an end."""
+        self._record_health(run, member, kind, now_ms)
+        if run.outcome is None:
+            speed_observations.observe_gang(self._state, run, now_ms)
+        if kind is commands.EndKind.DONE:
+            workers = self._state.workers_of(run)
+            self._state.estimates.run_done(run, workers, now_ms)
+
     def _record_health(
         self,
         run: unit_runs.Run,
