--- a/citronmount/fleet/job_faults.py
+++ b/citronmount/fleet/job_faults.py
@@ -12,8 +12,9 @@
 
 __all__ = ["JobFaults"]
 
-MIN_HOLD_MS = 500
-MAX_HOLD_MS = 8_000
+FIRST_HOLD_MS = 500
+# From 0.5 s to 8 s.
+MAX_DOUBLINGS = 4
 
 
 class JobFaults:
@@ -36,10 +37,9 @@
             job: The job that caused the error.
             now_ms: Monotonic time in milliseconds.
         """
-        earlier_faults = self._counts[job]
+        doublings = min(self._counts[job], MAX_DOUBLINGS)
         self._counts[job] += 1
-        hold_ms = min(MIN_HOLD_MS << min(earlier_faults, 8), MAX_HOLD_MS)
-        self._hold_end_ms[job] = now_ms + hold_ms
+        self._hold_end_ms[job] = now_ms + FIRST_HOLD_MS * 2**doublings
         if self._counts[job].bit_count() == 1:
             self._logger.exception(
                 "job_fault", job=job, faults=self._counts[job]
--- a/citronmount/fleet/runs/run_ends.py
+++ b/citronmount/fleet/runs/run_ends.py
@@ -74,12 +74,12 @@
         now_ms: int,
     ) -> None:
         """Updates what is known of workers and run times after an end."""
-        self._record_health(run, member, kind, now_ms)
         if run.outcome is None:
             speed_observations.observe_gang(self._state, run, now_ms)
         if kind is commands.EndKind.DONE:
             workers = self._state.workers_of(run)
             self._state.estimates.run_done(run, workers, now_ms)
+        self._record_health(run, member, kind, now_ms)
 
     def _record_health(
         self,
