--- a/citronmount/fleet_service/log_tail.py
+++ b/citronmount/fleet_service/log_tail.py
@@ -154,7 +154,7 @@
             try:
                 await self._read_once()
             except ports.LogTruncatedError:
-                pass  # The next read begins with a snapshot.
+                continue  # The next read begins with a snapshot.
             except Exception as error:
                 if number != self._loop_number:
                     return
