--- a/citronmount/fleet/placement/preemption.py
+++ b/citronmount/fleet/placement/preemption.py
@@ -24,17 +24,12 @@
 from citronmount.workflow import units
 
 __all__ = [
-    "CORES_PER_ACCELERATOR",
     "PreemptionPlan",
     "PreemptionSearch",
-    "cores_of",
     "lost_work",
     "planned_work",
 ]
 
-CORES_PER_ACCELERATOR = 8
-
-_MILLICORES_PER_CORE = 1_000
 _MS_PER_S = 1_000
 
 Cost = Callable[[unit_runs.Run], float]
@@ -63,13 +58,14 @@
         save_s: Work in seconds between two checkpoints of a task.
 
     Returns:
-        Core-seconds; an accelerator counts as `CORES_PER_ACCELERATOR` cores.
+        Core-seconds, with accelerators counted as cores.
     """
     started_ms = run.placed_ms if run.started_ms is None else run.started_ms
     elapsed_s = max(now_ms - started_ms, 0) / _MS_PER_S
     if run.step.checkpoints:
         elapsed_s = min(elapsed_s, save_s)
-    return elapsed_s * cores_of(run.step) * len(run.members)
+    cores = worker_allocations.core_count(run.step.demand)
+    return elapsed_s * cores * len(run.members)
 
 
 def planned_work(step: spec.Step, tasks: int, run_time_ms: int) -> float:
@@ -81,18 +77,10 @@
         run_time_ms: Expected run time of a task in milliseconds.
 
     Returns:
-        Core-seconds; an accelerator counts as `CORES_PER_ACCELERATOR` cores.
+        Core-seconds, with accelerators counted as cores.
     """
-    return run_time_ms / _MS_PER_S * cores_of(step) * tasks
-
-
-def cores_of(step: spec.Step) -> float:
-    """Returns the cores of a task, with its accelerators counted as cores."""
-    demand = step.demand
-    return (
-        demand.millicores / _MILLICORES_PER_CORE
-        + demand.accelerators * CORES_PER_ACCELERATOR
-    )
+    cores = worker_allocations.core_count(step.demand)
+    return run_time_ms / _MS_PER_S * cores * tasks
 
 
 class PreemptionSearch:
--- a/citronmount/fleet/placement/preemption_worth.py
+++ b/citronmount/fleet/placement/preemption_worth.py
@@ -14,6 +14,7 @@
 from citronmount.fleet.queueing import reservations
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import unit_runs
+from citronmount.fleet.workers import worker_allocations
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
@@ -152,5 +153,5 @@
     submission: spec.Submission, step: spec.Step, expected: run_time.RunTime
 ) -> float:
     """Returns the weighted work of one task."""
-    cores = preemption.cores_of(step)
+    cores = worker_allocations.core_count(step.demand)
     return expected.median_ms / _MS_PER_S * cores * _weight(submission)
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -26,8 +26,8 @@
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.queueing import worth_round
 from citronmount.fleet.runs import run_table
+from citronmount.fleet.workers import service_use
 from citronmount.fleet.workers import speed_range
-from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_health
 from citronmount.workflow import units
@@ -126,10 +126,8 @@
         self._delay_policy = delay_scheduling.DelayPolicy(
             now_ms=now_ms,
             bounds=bounds,
-            busy_services=worker_allocations.busy_services(
-                self._candidates.all,
-                self._allocations,
-                delay_scheduling.MIN_BUSY_USE,
+            service_uses=service_use.service_uses(
+                self._candidates.all, self._allocations
             ),
         )
         self._choice = (
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -11,10 +11,13 @@
 late all the same. Lasting units do leave it.
 """
 
+from collections.abc import Mapping
+
 import msgspec
 
 from citronmount.fleet import fleet_configuration
 from citronmount.fleet.queueing import waiting_units
+from citronmount.fleet.workers import service_use
 from citronmount.workflow import spec
 
 __all__ = ["DelayPolicy"]
@@ -23,9 +26,11 @@
 MAX_GUARANTEED_DELAY_MS = 700
 MAX_IDLE_SERVICE_DELAY_MS = 1_500
 MAX_LASTING_DELAY_MS = 1_500
-# Used share of a service's workers from which on it is busy.
+# Used share of a service's capacity from which on it is busy.
 MIN_BUSY_USE = 0.5
 
+_NO_USE = service_use.ServiceUse()
+
 
 class DelayPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """Decides which workers a unit accepts, given how long it has waited.
@@ -33,16 +38,24 @@
     Attributes:
         now_ms: Monotonic time in milliseconds.
         bounds: Time bounds and factors of the site.
-        busy_services: Services of which at least `MIN_BUSY_USE` is used.
+        service_uses: Used shares of the services' capacity; a service without
+            an entry is idle.
     """
 
     now_ms: int
     bounds: fleet_configuration.Bounds
-    busy_services: frozenset[spec.ServiceName] = frozenset()
+    service_uses: Mapping[spec.ServiceName, service_use.ServiceUse] = (
+        msgspec.field(default_factory=dict)
+    )
 
     def is_idle(self, unit: waiting_units.WaitingUnit) -> bool:
-        """Returns whether the workers of a unit's service are mostly idle."""
-        return unit.submission.terms.service not in self.busy_services
+        """Returns whether a unit's service is mostly idle.
+
+        The share that is used of another resource does not count, however
+        scarce that is: it keeps the unit from no worker on which it fits.
+        """
+        use = self.service_uses.get(unit.submission.terms.service, _NO_USE)
+        return use.for_demand(unit.step.demand) < MIN_BUSY_USE
 
     def accepts_distrusted(self, unit: waiting_units.WaitingUnit) -> bool:
         """Returns whether a unit accepts distrusted workers.
--- a/citronmount/fleet/workers/worker_allocations.py
+++ b/citronmount/fleet/workers/worker_allocations.py
@@ -2,25 +2,27 @@
 
 import collections
 from collections.abc import Iterable
-from collections.abc import Sequence
 
 from citronmount.core import ids
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 
 __all__ = [
+    "CORES_PER_ACCELERATOR",
     "NO_DEMAND",
     "WorkerAllocations",
     "add_demands",
     "allocated_demand",
-    "busy_services",
+    "core_count",
     "max_task_count",
     "multiply_demand",
     "subtract_demands",
-    "used_share",
 ]
 
 NO_DEMAND = spec.Demand()
+CORES_PER_ACCELERATOR = 8
+
+_MILLICORES_PER_CORE = 1_000
 
 
 def add_demands(left: spec.Demand, right: spec.Demand) -> spec.Demand:
@@ -50,6 +52,17 @@
     )
 
 
+def core_count(demand: spec.Demand) -> float:
+    """Returns a resource amount in cores.
+
+    An accelerator counts as `CORES_PER_ACCELERATOR` cores, memory as none.
+    """
+    return (
+        demand.millicores / _MILLICORES_PER_CORE
+        + demand.accelerators * CORES_PER_ACCELERATOR
+    )
+
+
 def allocated_demand(step: spec.Step) -> spec.Demand:
     """Returns the resources that a task of a step allocates on a worker.
 
@@ -141,49 +154,3 @@
         for worker in workers:
             total = add_demands(total, self.used(worker))
         return total
-
-
-def busy_services(
-    workers: Iterable[worker_directory.Worker],
-    allocations: WorkerAllocations,
-    min_share: float,
-) -> frozenset[spec.ServiceName]:
-    """Returns the services of whose workers a share is used.
-
-    Args:
-        workers: Workers of any services.
-        allocations: Resources allocated on them.
-        min_share: The least used share, as by `used_share`.
-
-    Returns:
-        The services.
-    """
-    by_service = collections.defaultdict(list)
-    for worker in workers:
-        by_service[worker.service].append(worker)
-    return frozenset(
-        service
-        for service, of_service in by_service.items()
-        if used_share(of_service, allocations) >= min_share
-    )
-
-
-def used_share(
-    workers: Sequence[worker_directory.Worker], allocations: WorkerAllocations
-) -> float:
-    """Returns the used share of the scarcer of accelerators and processors.
-
-    Args:
-        workers: The workers.
-        allocations: Resources allocated on them.
-
-    Returns:
-        A number from 0 to 1.
-    """
-    used = allocations.total(worker.worker for worker in workers)
-    accelerators = sum(worker.capacity.accelerators for worker in workers)
-    millicores = sum(worker.capacity.millicores for worker in workers)
-    return max(
-        used.accelerators / accelerators if accelerators else 0.0,
-        used.millicores / millicores if millicores else 0.0,
-    )
