--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -368,21 +368,41 @@
         spread: fitting.Spread,
         guaranteed: bool,
     ) -> waiting_units.Decision | None:
-        """Finds runs to stop for a unit that does not fit."""
+        """Finds runs to stop for a unit that does not fit.
+
+        Those on distrusted workers are stopped only for a guarantee that the
+        others cannot honour.
+        """
         if not self._preemption.may_preempt(unit, guaranteed):
             return None
-        workers = self._choice.awaited(
+        choices = [self._candidates.trusted]
+        if guaranteed and self._delay_policy.accepts_distrusted(unit):
+            choices.append(self._candidates.all)
+        found = (
+            self._preempt_on(unit, workers, spread, guaranteed)
+            for workers in choices
+        )
+        return next((each for each in found if each is not None), None)
+
+    def _preempt_on(
+        self,
+        unit: waiting_units.WaitingUnit,
+        workers: Sequence[worker_directory.Worker],
+        spread: fitting.Spread,
+        guaranteed: bool,
+    ) -> waiting_units.Decision | None:
+        """Finds runs to stop for a unit on some of the workers."""
+        awaited = self._choice.awaited(
             unit,
             self._fitting.without_reserved(
-                unit,
-                self._candidates.compatible(unit, self._candidates.trusted),
+                unit, self._candidates.compatible(unit, workers)
             ),
             guaranteed,
         )
         return self._preemption.find(
             unit,
             self._fitting.requirements(unit, spread),
-            workers,
+            awaited,
             self._free_capacity,
             spread,
             guaranteed,
