--- a/citronmount/fleet/placement/unit_fitting.py
+++ b/citronmount/fleet/placement/unit_fitting.py
@@ -190,17 +190,38 @@
     ) -> list[worker_directory.Worker]:
         """Returns the workers that are not reserved against a unit.
 
-        Units inside a guarantee may use reserved workers as well.
+        Units inside a guarantee may use reserved workers as well, and so may
+        those that have waited in a mostly idle service and need at most half of
+        what is free there.
         """
         if self._guarantees.covers(unit) or bool(
             self._worth_round and self._worth_round.is_pressed(unit)
         ):
             return workers
-        return [
+        allowed = [
             each
             for each in workers
             if self._reservations.allows(each, unit, self._now_ms)
         ]
+        if (
+            len(allowed) < len(workers)
+            and self._delay_policy.accepts_reserved(unit)
+            and self._fits_twice(unit, workers)
+        ):
+            return workers
+        return allowed
+
+    def _fits_twice(
+        self,
+        unit: waiting_units.WaitingUnit,
+        workers: list[worker_directory.Worker],
+    ) -> bool:
+        """Returns whether free capacity holds twice as many tasks as a unit."""
+        requirements = msgspec.structs.replace(
+            self._full_requirements(unit), tasks=2 * unit.tasks
+        )
+        slots = fitting.usable_slots(requirements, workers, self._free_capacity)
+        return sum(count for _, count in slots) >= requirements.tasks
 
     def requirements(
         self, unit: waiting_units.WaitingUnit, spread: fitting.Spread
--- a/citronmount/fleet/queueing/delay_scheduling.py
+++ b/citronmount/fleet/queueing/delay_scheduling.py
@@ -102,6 +102,15 @@
         limit_ms = self._capped(unit, extra_ms, guaranteed)
         return self.now_ms - unit.since_ms >= limit_ms
 
+    def accepts_reserved(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether a unit may start on workers reserved for gangs.
+
+        In a mostly idle service a gang that waits for one worker would keep all
+        others idle; in a busy one it would never start without reservations.
+        """
+        waited_ms = self.now_ms - unit.since_ms
+        return self.is_idle(unit) and waited_ms >= MAX_IDLE_SERVICE_DELAY_MS
+
     def accepts_late(
         self, unit: waiting_units.WaitingUnit, guaranteed: bool
     ) -> bool:
--- a/citronmount/fleet/tests/test_overload.py
+++ b/citronmount/fleet/tests/test_overload.py
@@ -1,6 +1,7 @@
 import msgspec
 
 from citronmount.core import ids
+from citronmount.fleet.queueing import delay_scheduling
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import run_table
 from citronmount.fleet.tests import planning_fixture
@@ -156,6 +157,24 @@
         self.pool.append(planning_fixture.make_worker("w91"))
         self.assertEqual(["g"], self.names(*gang, *small))
 
+    def test_gang_keeps_no_unit_from_a_mostly_idle_service_for_long(
+        self,
+    ) -> None:
+        # Waited for as long as a run on one worker kept a gang from its start,
+        # with all other workers idle (LOST).
+        self.pool = self.pool[:4]
+        step = planning_fixture.make_gang(1)
+        started_ms = planning_fixture.NOW_MS - 100
+        self.add_run("x", step, self.pool[0], started_ms=started_ms)
+        gang = self.waiting("g", planning_fixture.make_gang(4), 4_000)
+        long = msgspec.structs.replace(
+            planning_fixture.SINGLE, estimate_ms=60_000
+        )
+        limit_ms = delay_scheduling.MAX_IDLE_SERVICE_DELAY_MS
+        self.assertEqual([], self.names(*gang, *self.waiting("s", long, 0)))
+        waited = self.waiting("s", long, limit_ms)
+        self.assertEqual(["s"], self.names(*gang, *waited))
+
     def test_gang_waits_for_one_rack_while_the_pool_is_busy(self) -> None:
         self.pool = [
             planning_fixture.make_worker(f"w{n}", rack=f"r{n % 2}")
