--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -305,7 +305,8 @@
         guaranteed: bool,
     ) -> bool:
         """Reserves workers for a gang if it is due; returns whether it did."""
-        if unit.tasks < 2 or self._reservations.is_full:
+        service = unit.submission.terms.service
+        if unit.tasks < 2 or self._reservations.is_full(service):
             return False
         if self._worth_round:
             if not self._worth_round.may_reserve(unit):
--- a/citronmount/fleet/queueing/reservations.py
+++ b/citronmount/fleet/queueing/reservations.py
@@ -14,6 +14,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from citronmount.core import ids
@@ -33,6 +34,7 @@
     "remaining_ms",
 ]
 
+# In each service.
 MAX_RESERVATIONS = 2
 # Declared run times are rough, so backfilled units need some margin.
 BACKFILL_MARGIN_FACTOR = 1.25
@@ -156,25 +158,31 @@
     """Workers reserved in one planning round, with the expected start."""
 
     def __init__(
-        self, *, limit: int = MAX_RESERVATIONS, by_priority: bool = False
+        self,
+        *,
+        limits: Mapping[spec.ServiceName, int] | None = None,
+        by_priority: bool = False,
     ) -> None:
         """Initializes without reservations.
 
         Args:
-            limit: Maximum number of reservations.
+            limits: Maximum number of reservations in each service; None, and
+                for a service that it does not name, `MAX_RESERVATIONS`.
             by_priority: Whether a reservation holds only against work of lower
                 priority than its gang.
         """
-        self._limit = limit
+        self._limits = limits or {}
         self._by_priority = by_priority
         self._starts_ms: dict[ids.WorkerId, int] = {}
         self._priorities: dict[ids.WorkerId, int] = {}
-        self._count = 0
+        self._counts: collections.Counter[spec.ServiceName] = (
+            collections.Counter()
+        )
 
-    @property
-    def is_full(self) -> bool:
-        """Whether no more reservations are made in this round."""
-        return self._count >= self._limit
+    def is_full(self, service: spec.ServiceName) -> bool:
+        """Returns whether a service gets no more reservations this round."""
+        limit = self._limits.get(service, MAX_RESERVATIONS)
+        return self._counts[service] >= limit
 
     def allows(
         self,
@@ -236,7 +244,7 @@
         if not plans:
             return False
         start_ms, worker_ids = min(plans, key=lambda plan: plan[0])
-        self._count += 1
+        self._counts[requirements.service] += 1
         for worker in worker_ids:
             self._starts_ms[worker] = start_ms
             self._priorities[worker] = priority
--- a/citronmount/fleet/queueing/worth_round.py
+++ b/citronmount/fleet/queueing/worth_round.py
@@ -4,6 +4,7 @@
 planner asks one object.
 """
 
+import collections
 from collections.abc import Sequence
 
 from citronmount.fleet.accounts import guarantees
@@ -19,7 +20,7 @@
 
 __all__ = ["WorthRound"]
 
-# Workers in the pool for each reservation of a round.
+# Workers of a service for each of its reservations of a round.
 WORKERS_PER_RESERVATION = 8
 
 
@@ -60,10 +61,15 @@
             workers=workers, runs=table
         )
         self.reservations = reservations.Reservations(
-            limit=max(
-                len(trusted_workers) // WORKERS_PER_RESERVATION,
-                reservations.MAX_RESERVATIONS,
-            ),
+            limits={
+                service: max(
+                    count // WORKERS_PER_RESERVATION,
+                    reservations.MAX_RESERVATIONS,
+                )
+                for service, count in collections.Counter(
+                    worker.service for worker in trusted_workers
+                ).items()
+            },
             by_priority=True,
         )
         self._guard = capacity_guard.CapacityGuard(
--- a/citronmount/fleet/tests/test_several_services.py
+++ b/citronmount/fleet/tests/test_several_services.py
@@ -16,6 +16,25 @@
 )
 
 
+def in_service(
+    unit: waiting_units.WaitingUnit, service: spec.ServiceName
+) -> waiting_units.WaitingUnit:
+    terms = msgspec.structs.replace(unit.submission.terms, service=service)
+    submission = msgspec.structs.replace(unit.submission, terms=terms)
+    return msgspec.structs.replace(unit, submission=submission)
+
+
+def on_time(unit: waiting_units.WaitingUnit) -> waiting_units.WaitingUnit:
+    """Returns a unit that has used a part of its slack and is not late."""
+    submission = msgspec.structs.replace(
+        unit.submission, accepted_ms=planning_fixture.WALL_MS - WAITED_MS
+    )
+    since_ms = planning_fixture.NOW_MS - WAITED_MS
+    return msgspec.structs.replace(
+        unit, submission=submission, since_ms=since_ms
+    )
+
+
 class SeveralServicesTest(planning_fixture.PlanningTestCase):
     """A service of one worker in rack r0 and three in r1, and another one."""
 
@@ -76,6 +95,33 @@
         (decision,) = self.decide(unit)
         self.assertEqual("r1", decision.workers[0].rack)
 
+    def test_gangs_of_another_service_leave_reservations_to_a_gang(
+        self,
+    ) -> None:
+        # Long tasks took each worker before the gang, since gangs of the other
+        # service had made all reservations of the round.
+        self.occupy("w0", "w1", "w2", "o0", "o1", "o2", lasting=False)
+        gang = self.waiting(tasks=4)
+        others = [
+            in_service(unit, OTHER_SERVICE)
+            for job, estimate_ms in (("a", 2_400), ("b", 2_500))
+            for unit in planning_fixture.make_waiting_units(
+                job,
+                msgspec.structs.replace(
+                    planning_fixture.make_gang(2), estimate_ms=estimate_ms
+                ),
+            )
+        ]
+        (small,) = planning_fixture.make_waiting_units(
+            "z",
+            msgspec.structs.replace(
+                planning_fixture.SINGLE, estimate_ms=60_000
+            ),
+            accepted_ms=planning_fixture.WALL_MS,
+        )
+        waiting = [on_time(each) for each in (*others, gang)]
+        self.assertEqual([], self.decide(*waiting, on_time(small)))
+
     def test_unit_of_a_busy_service_stays_although_another_one_is_idle(
         self,
     ) -> None:
