--- a/citronmount/fleet/runs/worker_crashes.py
+++ b/citronmount/fleet/runs/worker_crashes.py
@@ -21,7 +21,7 @@
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import records
 
-__all__ = ["RunMember", "WorkerCrashes"]
+__all__ = ["COMMON_CAUSE_MS", "RunMember", "WorkerCrashes"]
 
 # The first crash may point at several units; the next two do not.
 MAX_START_CRASHES = 3
@@ -87,8 +87,8 @@
         Args:
             worker: The worker that crashed.
             lost: The tasks that it may have run, marked as gone.
-            others_silent: Whether any worker on another machine is silent, so
-                that it may have crashed as well.
+            others_silent: Whether any worker on another machine has become
+                silent just before, so that it may have crashed as well.
             now_ms: Monotonic time in milliseconds.
         """
         if _was_leaving(worker):
--- a/citronmount/fleet/workers/lease_sessions.py
+++ b/citronmount/fleet/workers/lease_sessions.py
@@ -80,6 +80,7 @@
         self.answered_ms: int | None = None
         self.task_count = 0
         self.unanswered_renewals = 0
+        self._opened_ms = now_ms
         self._policy = policy
         self._token = token
         self._renewal = RenewalState.IDLE
@@ -140,6 +141,12 @@
             return 0
         return now_ms - self.answered_ms
 
+    def unheard_ms(self, now_ms: int) -> int:
+        """Returns the time since the last answer, or since the opening."""
+        if self.answered_ms is None:
+            return now_ms - self._opened_ms
+        return now_ms - self.answered_ms
+
     def update_clock(self, clock_ms: int, now_ms: int) -> None:
         """Stores a clock reading of the worker unless it is outdated.
 
--- a/citronmount/fleet/workers/worker_sessions.py
+++ b/citronmount/fleet/workers/worker_sessions.py
@@ -210,12 +210,25 @@
         if not tasks:
             return
         others_silent = any(
-            self._is_silent(session, now_ms)
+            self._may_have_just_crashed(session, now_ms)
             for session in self._state.sessions.values()
             if session.worker.machine != worker.machine
         )
         self._crashes.worker_crashed(worker, tasks, others_silent, now_ms)
 
+    def _may_have_just_crashed(
+        self, session: lease_sessions.LeaseSession, now_ms: int
+    ) -> bool:
+        """Returns whether a worker became silent a short time ago.
+
+        One that has been silent for longer would have restarted since.
+        """
+        limit_ms = worker_crashes.COMMON_CAUSE_MS + self._max_silence_ms
+        return (
+            self._is_silent(session, now_ms)
+            and session.unheard_ms(now_ms) <= limit_ms
+        )
+
     def send_due_renewals(self, now_ms: int) -> None:
         """Sends the lease renewals that are due.
 
@@ -311,12 +324,17 @@
         """
         if session.unanswered_renewals >= SILENT_AFTER_UNANSWERED:
             return True
-        policy = self._state.policy
-        limit_ms = policy.wait_ms + policy.retry_ms + SILENCE_MARGIN_MS
         return (
-            bool(session.task_count) and session.silent_ms(now_ms) >= limit_ms
+            bool(session.task_count)
+            and session.silent_ms(now_ms) >= self._max_silence_ms
         )
 
+    @property
+    def _max_silence_ms(self) -> int:
+        """Longest time between two answers of a sound worker with tasks."""
+        policy = self._state.policy
+        return policy.wait_ms + policy.retry_ms + SILENCE_MARGIN_MS
+
     def _silent_domains(self, now_ms: int) -> set[ids.FailureDomainId]:
         """Returns the failure domains in which no busy worker answers.
 
--- a/citronmount/fleet_service/tests/test_worker_crashes.py
+++ b/citronmount/fleet_service/tests/test_worker_crashes.py
@@ -120,6 +120,22 @@
             self.run_for(1.5)
         self.assertIs(FAILED, self.state("deadly"))
 
+    # BUDGET: one worker that never answers excused all late crashes.
+    def test_late_crashes_count_beside_a_worker_that_never_answers(
+        self,
+    ) -> None:
+        self.run_time_ms = lambda task, run: 20_000
+        self.submit("held", pool_fixture.make_step(accelerators=8))
+        self.run_for(0.5)
+        ((_, name),) = self.pool_workers.running()
+        silent = self.pool_workers.workers[name]
+        silent.fault = pool_worker.WorkerFault.SILENT
+        self.run_for(15.0)
+        self.restarts.crash_delay_s = 5.0
+        self.submit("deadly", pool_fixture.make_step())
+        self.run_for(80.0)
+        self.assertIs(FAILED, self.state("deadly"))
+
     def test_gang_that_crashes_its_workers_is_given_up(self) -> None:
         step = pool_fixture.make_step(tasks=4, accelerators=4, gang=True)
         self.submit("deadly", step)
