--- a/citronmount/fleet/placement/unit_fitting.py
+++ b/citronmount/fleet/placement/unit_fitting.py
@@ -191,8 +191,7 @@
         """Returns the workers that are not reserved against a unit.
 
         Units inside a guarantee may use reserved workers as well, and so may
-        those that have waited in a mostly idle service and need at most half of
-        what is free there.
+        those that accept them and need at most half of what is free.
         """
         if self._guarantees.covers(unit) or bool(
             self._worth_round and self._worth_round.is_pressed(unit)
@@ -205,12 +204,22 @@
         ]
         if (
             len(allowed) < len(workers)
-            and self._delay_policy.accepts_reserved(unit)
+            and self.accepts_reserved(unit)
             and self._fits_twice(unit, workers)
         ):
             return workers
         return allowed
 
+    def accepts_reserved(self, unit: waiting_units.WaitingUnit) -> bool:
+        """Returns whether a unit accepts reserved workers after its wait.
+
+        A job with other units that run is being served; their stream would keep
+        a gang from its start.
+        """
+        return self._delay_policy.accepts_reserved(
+            unit
+        ) and not self._table.runs_of_job(unit.key.job)
+
     def _fits_twice(
         self,
         unit: waiting_units.WaitingUnit,
--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -353,7 +353,7 @@
             self._delay_policy.accepts_slow(unit, guaranteed),
             self._delay_policy.accepts_distrusted(unit),
             self._delay_policy.accepts_avoided(unit),
-            self._delay_policy.accepts_reserved(unit),
+            self._fitting.accepts_reserved(unit),
             unit.key.step_key if unit.has_step_limits else None,
             self._choice.key(unit, guaranteed),
             self._is_pressed(unit),
