--- a/citronmount/fleet_service/pool_vm.py
+++ b/citronmount/fleet_service/pool_vm.py
@@ -7,7 +7,10 @@
 import typing
 
 import structlog
+from twisted.internet import defer
 from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.python import failure
 
 from citronmount.core import errors
 from citronmount.core import ids
@@ -191,15 +194,37 @@
         """Leaves the owners' group, so that another VM takes over the pool.
 
         Args:
-            overlap_s: How long this VM continues to decide as owner, unless it
-                is fenced before. The next owner fences it by raising the epoch,
-                so the pool is without owner only while that one reads the log.
+            overlap_s: How long this VM continues to decide as owner from now
+                on, unless it is fenced before. The next owner fences it by
+                raising the epoch, so the pool is without owner only while that
+                one reads the log.
         """
-        if not overlap_s:
-            self._owner.set_candidate(False)
-        await self._election.stop()
         if overlap_s:
             self._clock.callLater(overlap_s, self._owner.set_candidate, False)
+        else:
+            self._owner.set_candidate(False)
+        await self._election.stop()
+
+    async def drain(self, serving_s: float) -> None:
+        """Serves open calls for a time while another VM takes the pool over.
+
+        A log that does not answer delays the call that leaves the owners'
+        group, but not the end of this time: the process is killed after it.
+
+        Args:
+            serving_s: The time, from now on.
+        """
+        self.start_draining()
+        leaving = defer.ensureDeferred(
+            self.release_ownership(overlap_s=serving_s)
+        )
+        leaving.addErrback(self._on_release_failure)
+        await task.deferLater(self._clock, serving_s)
+
+    def _on_release_failure(self, reason: failure.Failure) -> None:
+        self._logger.error(
+            "release_ownership_failed", error=reason.getTraceback()
+        )
 
     def stop(self) -> None:
         """Stops reading the jobs and the configuration."""
--- a/citronmount/fleet_service/tests/test_planned_handover.py
+++ b/citronmount/fleet_service/tests/test_planned_handover.py
@@ -69,6 +69,17 @@
         self.run_for(2.0)
         self.assertLess(self.longest_wait_s(), 0.2)
 
+    # LOST: a VM served for up to 1.2 s longer and was killed with open calls.
+    def test_silent_log_does_not_prolong_the_time_until_a_stop(self) -> None:
+        owner = self.owner_index()
+        self.log.faults[ids.VmId(f"vm{owner}")] = pool_log.LogFault.SILENT
+        self.run_for(0.3)
+        started_s = self.clock.seconds()
+        drained = defer.ensureDeferred(self.pool_vms[owner].drain(OVERLAP_S))
+        self.wait_for(drained, limit_s=2 * OVERLAP_S)
+        took_s = self.clock.seconds() - started_s
+        self.assertAlmostEqual(OVERLAP_S, took_s, delta=0.01)
+
     def test_urgent_work_waits_a_few_calls_of_a_slow_log(self) -> None:
         answer_s = 0.15
         with mock.patch.object(pool_log, "ANSWER_S", answer_s):
--- a/citronmount/fleet_service/vm_process.py
+++ b/citronmount/fleet_service/vm_process.py
@@ -171,10 +171,7 @@
         )
         await terminated
         structlog.get_logger().info("stopping")
-        vm.start_draining()
-        serving_s = settings.stop_grace_s - CLOSE_BEFORE_KILL_S
-        await vm.release_ownership(overlap_s=serving_s)
-        await task.deferLater(reactor, serving_s)
+        await vm.drain(settings.stop_grace_s - CLOSE_BEFORE_KILL_S)
         api.closing = True
         await task.deferLater(reactor, CONNECTION_CLOSE_S)
     structlog.get_logger().info("stopped")
