--- a/citronmount/fleet/planning.py
+++ b/citronmount/fleet/planning.py
@@ -75,6 +75,7 @@
         demand: demand_history.DemandHistory | None = None,
         holds_back: bool = False,
         faults: job_faults.JobFaults | None = None,
+        listed: Sequence[worker_directory.Worker] | None = None,
     ) -> None:
         """Initializes a round.
 
@@ -98,6 +99,8 @@
                 (`Feature.PREEMPTION_WORTH`).
             faults: Notes the jobs at which the round fails, or None for none
                 known.
+            listed: All workers, also those that may receive no tasks; None if
+                there are no others.
         """
         self._faults = faults or job_faults.JobFaults()
         demand = demand or demand_history.DemandHistory()
@@ -127,7 +130,9 @@
             now_ms=now_ms,
             bounds=bounds,
             service_uses=service_use.service_uses(
-                self._candidates.all, self._allocations
+                workers,
+                workers if listed is None else listed,
+                self._allocations,
             ),
         )
         self._choice = (
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -288,6 +288,7 @@
             holds_back=fleet_configuration.Feature.PREEMPTION_WORTH
             in self._state.features,
             faults=self._state.job_faults,
+            listed=self._state.directory.newest_incarnations(),
         )
         for decision in planner.decide(waiting):
             try:
--- a/citronmount/fleet/tests/test_several_services.py
+++ b/citronmount/fleet/tests/test_several_services.py
@@ -95,6 +95,14 @@
         (decision,) = self.decide(unit)
         self.assertEqual("r1", decision.workers[0].rack)
 
+    def test_unit_leaves_a_full_rack_although_idle_workers_drain(self) -> None:
+        # Waited although a quarter of its service was used, since half of the
+        # workers that were left for tasks were.
+        self.occupy("w0", lasting=False)
+        unit = self.waiting(data_rack=ids.RackId("r0"), estimate_ms=60_000)
+        (decision,) = self.decide(unit, draining=["w2", "w3"])
+        self.assertEqual("w1", decision.workers[0].worker)
+
     def test_gangs_of_another_service_leave_reservations_to_a_gang(
         self,
     ) -> None:
--- a/citronmount/fleet/workers/service_use.py
+++ b/citronmount/fleet/workers/service_use.py
@@ -1,13 +1,14 @@
 """Tells how much of the capacity of each service is in use.
 
 The capacity of a service may be read as one figure in cores, in which an
-accelerator counts as several, or as the resource that a unit needs most. A unit
-has to be served by either reading, so the lower one counts for it.
+accelerator counts as several, or as the resource that a unit needs most; and as
+that of all its workers, or of those that may receive tasks. A unit has to be
+served by any reading, so the lowest one counts for it.
 """
 
 import collections
-from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import msgspec
 
@@ -46,15 +47,35 @@
 
 
 def service_uses(
-    workers: Iterable[worker_directory.Worker],
+    usable: Sequence[worker_directory.Worker],
+    listed: Sequence[worker_directory.Worker],
     allocations: worker_allocations.WorkerAllocations,
 ) -> Mapping[spec.ServiceName, ServiceUse]:
-    """Returns the used shares of each service that has workers.
+    """Returns the used shares of each service that has usable workers.
 
     Args:
-        workers: Workers of any services.
+        usable: The workers of all services that may receive tasks.
+        listed: All workers, also those that drain, do not answer or are in a
+            failure domain out of service.
         allocations: Resources allocated on them.
+
+    Returns:
+        The lower share of each resource, by the usable or by all workers.
     """
+    uses = _uses(usable, allocations)
+    if len(listed) <= len(usable):
+        return uses
+    by_all = _uses(listed, allocations)
+    return {
+        service: _lower(use, by_all.get(service, use))
+        for service, use in uses.items()
+    }
+
+
+def _uses(
+    workers: Sequence[worker_directory.Worker],
+    allocations: worker_allocations.WorkerAllocations,
+) -> dict[spec.ServiceName, ServiceUse]:
     by_service = collections.defaultdict(list)
     for worker in workers:
         by_service[worker.service].append(worker)
@@ -64,6 +85,14 @@
     }
 
 
+def _lower(one: ServiceUse, other: ServiceUse) -> ServiceUse:
+    return ServiceUse(
+        accelerators=min(one.accelerators, other.accelerators),
+        millicores=min(one.millicores, other.millicores),
+        cores=min(one.cores, other.cores),
+    )
+
+
 def _use(
     workers: list[worker_directory.Worker],
     allocations: worker_allocations.WorkerAllocations,
