--- a/citronmount/fleet/placement/advice_cache.py
+++ b/citronmount/fleet/placement/advice_cache.py
@@ -37,6 +37,8 @@
         """Initializes an empty cache."""
         self._tickets: dict[StepId, dict[ids.WorkerId, _Ticket]] = {}
         self._refused: dict[StepId, set[ids.WorkerId]] = {}
+        self._last_requests: dict[StepId, int] = {}
+        self._request_count = 0
         self._request_pending = False
         self._next_request_ms = 0
 
@@ -81,10 +83,16 @@
         if not undecided:
             return None
         self._request_pending = True
+        self._request_count += 1
+        self._last_requests[step] = self._request_count
         return commands.RequestAdvice(
             step=step, workers=tuple(undecided[:MAX_WORKERS_PER_REQUEST])
         )
 
+    def last_request(self, step: StepId) -> int:
+        """Returns the number of a step's last request, 0 before the first."""
+        return self._last_requests.get(step, 0)
+
     def store_answer(
         self,
         advice_request: commands.RequestAdvice,
@@ -121,6 +129,6 @@
     def forget_job(self, job: ids.JobId) -> None:
         """Drops the tickets and refusals of all steps of a job."""
         prefix = f"{job}."
-        for by_step in (self._tickets, self._refused):
+        for by_step in (self._tickets, self._refused, self._last_requests):
             for step in [each for each in by_step if each.startswith(prefix)]:
                 del by_step[step]
--- a/citronmount/fleet/pool_owner.py
+++ b/citronmount/fleet/pool_owner.py
@@ -14,6 +14,7 @@
 from citronmount.fleet.accounts import share_monitor
 from citronmount.fleet.estimates import run_time_recorder
 from citronmount.fleet.estimates import run_times
+from citronmount.fleet.placement import advice_requests
 from citronmount.fleet.queueing import open_units
 from citronmount.fleet.queueing import waiting_units
 from citronmount.fleet.runs import job_completion
@@ -22,7 +23,6 @@
 from citronmount.fleet.runs import speed_observations
 from citronmount.fleet.runs import unit_runs
 from citronmount.fleet.workers import speed_estimates
-from citronmount.fleet.workers import worker_directory
 from citronmount.fleet.workers import worker_reports
 from citronmount.fleet.workers import worker_sessions
 from citronmount.workflow import records
@@ -270,7 +270,11 @@
             return
         self._state.demand.observe(waiting, now_ms)
         usable_workers = self._sessions.usable_workers(now_ms)
-        self._request_advice(waiting, usable_workers, now_ms)
+        advice_request = advice_requests.next_advice_request(
+            self._state, waiting, usable_workers, now_ms
+        )
+        if advice_request is not None:
+            self._state.commands.append(advice_request)
         planner = planning.Planner(
             workers=usable_workers,
             table=self._state.table,
@@ -333,46 +337,6 @@
             "speed_deviation": round(max(map(speeds.deviation, keys)), 2),
         }
 
-    def _request_advice(
-        self,
-        waiting: list[waiting_units.WaitingUnit],
-        usable_workers: list[worker_directory.Worker],
-        now_ms: int,
-    ) -> None:
-        """Requests advice for the first unit with undecided workers.
-
-        Only workers with free capacity for a task of the unit count.
-        """
-        for unit in waiting:
-            if not unit.submission.terms.needs_advice:
-                continue
-            try:
-                advice_request = self._advice_request(
-                    unit, usable_workers, now_ms
-                )
-            except Exception:
-                self._state.job_faults.note(unit.key.job, now_ms)
-                continue
-            if advice_request is not None:
-                self._state.commands.append(advice_request)
-                return
-
-    def _advice_request(
-        self,
-        unit: waiting_units.WaitingUnit,
-        usable_workers: list[worker_directory.Worker],
-        now_ms: int,
-    ) -> commands.RequestAdvice | None:
-        allocations = self._state.table.allocations
-        candidates = [
-            worker
-            for worker in usable_workers
-            if waiting_units.has_capacity_for(unit, worker, allocations)
-        ]
-        return self._state.advice.next_request(
-            unit.key.step_id, candidates, now_ms
-        )
-
     def _apply_decision(
         self, decision: waiting_units.Decision, now_ms: int
     ) -> None:
--- a/citronmount/fleet/queueing/waiting_units.py
+++ b/citronmount/fleet/queueing/waiting_units.py
@@ -18,11 +18,12 @@
     "Decision",
     "WaitingUnit",
     "basic_requirements",
-    "has_capacity_for",
     "left_slack_share",
     "objective_end_ms",
     "objective_ms",
     "slack_ms",
+    "suits",
+    "task_capacity",
 ]
 
 
@@ -209,12 +210,17 @@
     return int(allowed_ms)
 
 
-def has_capacity_for(
+def suits(unit: WaitingUnit, worker: worker_directory.Worker) -> bool:
+    """Returns whether a worker may run tasks of a unit, capacity aside."""
+    return fitting.suits(basic_requirements(unit), worker)
+
+
+def task_capacity(
     unit: WaitingUnit,
     worker: worker_directory.Worker,
     allocations: worker_allocations.WorkerAllocations,
-) -> bool:
-    """Returns whether one task of a unit could start on a worker.
+) -> int:
+    """Returns how many tasks of a unit could start on a worker that suits it.
 
     Args:
         unit: The unit.
@@ -222,13 +228,7 @@
         allocations: Resources allocated on the workers.
 
     Returns:
-        Whether the worker suits the unit and has free capacity for one task.
+        A number from 0 to the number of tasks of the unit.
     """
-    requirements = fitting.Requirements(
-        tasks=1, step=unit.step, service=unit.submission.terms.service
-    )
-    free = allocations.free(worker)
-    demand = worker_allocations.allocated_demand(unit.step)
-    return fitting.suits(requirements, worker) and bool(
-        worker_allocations.max_task_count(free, demand, 1)
-    )
+    requirements = basic_requirements(unit)
+    return fitting.task_limit(requirements, worker, allocations.free(worker))
