--- a/citronmount/standins/pool_worker.py
+++ b/citronmount/standins/pool_worker.py
@@ -1,21 +1,21 @@
 """One in-memory worker of a pool, with the faults that tests give it."""
 
+from collections.abc import Callable
 import enum
 import itertools
 import typing
 
 import msgspec
+from twisted.internet import interfaces
 
+from citronmount.core import ids
 from citronmount.fleet import commands
 from citronmount.fleet.workers import worker_allocations
 from citronmount.fleet.workers import worker_directory
 from citronmount.workflow import spec
 from citronmount.workflow import units
 
-if typing.TYPE_CHECKING:
-    from citronmount.standins import pool_workers
-
-__all__ = ["PoolWorker", "Run", "TaskPlan", "WorkerFault"]
+__all__ = ["Pool", "PoolWorker", "Run", "TaskPlan", "WorkerFault"]
 
 GANG_TIMEOUT_MS = 3_000
 STOP_DELAY_MS = 200
@@ -77,6 +77,44 @@
     finished: bool = False
 
 
+class Pool(typing.Protocol):
+    """What a worker needs of its pool; see `pool_workers.PoolWorkers`."""
+
+    workers: dict[ids.WorkerId, "PoolWorker"]
+    violations: list[str]
+    starts: list[tuple[units.TaskName, int, ids.WorkerId]]
+    tickets: dict[units.TaskName, str]
+    finished_tasks: set[units.TaskName]
+    plan_task: Callable[[units.TaskName, int], TaskPlan]
+    on_start: list[Callable[["PoolWorker", units.TaskName], None]]
+    clock: interfaces.IReactorTime
+
+    def now_ms(self) -> int:
+        """Returns the time of the pool's clock in ms."""
+
+    def running(self) -> list[tuple[units.TaskName, ids.WorkerId]]:
+        """Returns every running task with its worker."""
+
+    def is_gang_active(self, name: units.TaskName, run: int, size: int) -> bool:
+        """Returns whether all members of a gang's run are running."""
+
+    def begin_gang_if_active(
+        self, name: units.TaskName, run: int, size: int
+    ) -> None:
+        """Lets the members of a gang's run work once all are running."""
+
+    def is_gang_finished(self, name: units.TaskName, run: int) -> bool:
+        """Returns whether all members of a gang's run have finished."""
+
+    def gang_start_ms(self, name: units.TaskName, run: int) -> int:
+        """Returns when the last member of a gang's run started."""
+
+    def end_gang(
+        self, name: units.TaskName, run: int, kind: commands.EndKind
+    ) -> None:
+        """Ends every member of a gang's run."""
+
+
 class PoolWorker:
     """One worker of a pool.
 
@@ -94,7 +132,7 @@
     def __init__(
         self,
         *,
-        pool: "pool_workers.PoolWorkers",
+        pool: Pool,
         entry: worker_directory.Worker,
     ) -> None:
         """Initializes an idle worker."""
