--- a/citronmount/core/cells.py
+++ b/citronmount/core/cells.py
@@ -12,9 +12,9 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-import msgspec
-
+from citronmount.core import cell_orders
 from citronmount.core import cell_slots
+from citronmount.core import cell_uses
 from citronmount.core import guarantee_cell
 from citronmount.core import ids
 from citronmount.core import jobs
@@ -22,7 +22,6 @@
 from citronmount.core import pool
 from citronmount.core import resources
 from citronmount.core import shapes
-from citronmount.core import states
 
 __all__ = ["CellPlan"]
 
@@ -92,7 +91,7 @@
 
     def plan_cells(self) -> None:
         """Finds slots for unplanned cells, moving free cells if needed."""
-        for cell in _hardest_first(self.slots.unplanned):
+        for cell in cell_orders.hardest_first(self.slots.unplanned):
             self._plan_cell(cell)
         if self.slots.unplanned:
             self._replan_all()
@@ -106,31 +105,10 @@
     ) -> tuple[guarantee_cell.CellUse, ...] | None:
         """Finds capacity for a job in the cells of its account.
 
-        Minimizes, in this order: the number of free cells used, the number of
-        free cells of another shape, the unused accelerators of the cells used,
-        and the uses that must wait for capacity to be freed.
-
-        Args:
-            account: The account.
-            shape: Shape of the job's gang.
-            free: Capacity that no job uses.
-            avoid: Workers that must not be used.
-
-        Returns:
-            The cell uses, or None if the job does not fit.
+        See `cell_uses.cheapest_uses`.
         """
-        candidates = self._candidate_uses(account, shape, free, avoid)
-        found = []
-        for ranked_uses in candidates.values():
-            uses = _select_uses(
-                sorted(ranked_uses, key=lambda candidate: candidate[0]), shape
-            )
-            if uses:
-                found.append(uses)
-        return min(
-            found,
-            key=lambda uses: _cost_of_uses(uses, shape, free),
-            default=None,
+        return cell_uses.cheapest_uses(
+            self.cells(account), self.slots, shape, free, avoid
         )
 
     def bind(
@@ -304,53 +282,6 @@
         slots = self._complete_slots(cell, groups)
         return slots is not None and self.move(cell, slots)
 
-    def _candidate_uses(
-        self,
-        account: ids.AccountId,
-        shape: shapes.Shape,
-        free: pool.CapacityIndex,
-        avoid: Collection[ids.WorkerId],
-    ) -> dict[object, list[tuple[tuple, guarantee_cell.CellUse]]]:
-        """Returns cell uses with their ranks.
-
-        The keys are scopes and (cell, scope) pairs, so that the use of one
-        cell alone can be compared with that of several cells in a scope.
-        """
-        candidates: dict[
-            object, list[tuple[tuple, guarantee_cell.CellUse]]
-        ] = {}
-        for cell in self.cells(account):
-            unused_accelerators = cell.unused_accelerators
-            for worker, unused in cell.unused.items():
-                tasks = resources.task_capacity(unused, shape.per_task)
-                if (
-                    not tasks
-                    or worker in avoid
-                    or worker not in self.slots.uncommitted
-                ):
-                    continue
-                use = guarantee_cell.CellUse(
-                    cell=cell,
-                    worker=worker,
-                    tasks=min(tasks, shape.tasks),
-                    per_task=shape.per_task,
-                )
-                free_tasks = resources.task_capacity(
-                    free.available(worker), shape.per_task
-                )
-                rank = (
-                    not cell.occupied,
-                    cell.shape != shape,
-                    unused_accelerators,
-                    free_tasks < use.tasks,
-                    unused.accelerators,
-                    worker,
-                )
-                scope = self.slots.scope(worker, shape.adjacency)
-                candidates.setdefault(scope, []).append((rank, use))
-                candidates.setdefault((cell, scope), []).append((rank, use))
-        return candidates
-
     def _cover_placed(
         self,
         account: ids.AccountId,
@@ -521,7 +452,7 @@
         self, cell: guarantee_cell.Cell, slots: Mapping[ids.WorkerId, int]
     ) -> bool:
         self.slots.set_slots(cell, slots)
-        displaced = _hardest_first(self.slots.displaced())
+        displaced = cell_orders.hardest_first(self.slots.displaced())
         return all(self._plan_cell(other) for other in displaced)
 
     def _plan_cell(self, cell: guarantee_cell.Cell) -> bool:
@@ -543,7 +474,7 @@
         """
         unplanned_count = len(self.slots.unplanned)
         free = [cell for cell in self.all_cells() if not cell.occupied]
-        for sort_key in _PLANNING_ORDERS:
+        for sort_key in cell_orders.PLANNING_ORDERS:
             self.slots.begin()
             for cell in free:
                 self.slots.clear_slots(cell)
@@ -569,63 +500,3 @@
 
 # Marks a free cell as occupied while another one moves.
 _PIN_JOB = ids.JobId("")
-
-
-def _select_uses(
-    ranked: list[tuple[tuple, guarantee_cell.CellUse]], shape: shapes.Shape
-) -> tuple[guarantee_cell.CellUse, ...]:
-    uses = []
-    remaining = shape.tasks
-    for _, use in ranked:
-        tasks = min(use.tasks, remaining)
-        uses.append(msgspec.structs.replace(use, tasks=tasks))
-        remaining -= tasks
-        if not remaining:
-            return tuple(uses)
-    return ()
-
-
-def _cost_of_uses(
-    uses: tuple[guarantee_cell.CellUse, ...],
-    shape: shapes.Shape,
-    free: pool.CapacityIndex,
-) -> tuple:
-    not_free = sum(
-        resources.task_capacity(free.available(use.worker), use.per_task)
-        < use.tasks
-        for use in uses
-    )
-    free_cells_used = len({use.cell for use in uses if not use.cell.occupied})
-    used = {use.cell for use in uses}
-    other_shapes = sum(
-        not cell.occupied and cell.shape != shape for cell in used
-    )
-    unused = sum(cell.unused_accelerators for cell in used)
-    return (free_cells_used, other_shapes, unused, not_free)
-
-
-def _hardest_first(
-    cells: Iterable[guarantee_cell.Cell],
-) -> list[guarantee_cell.Cell]:
-    return sorted(cells, key=_by_scope)
-
-
-def _by_scope(cell: guarantee_cell.Cell) -> tuple:
-    return (
-        cell.shape.adjacency is states.Adjacency.FAILURE_DOMAIN,
-        -cell.shape.accelerators,
-        -cell.shape.per_task.accelerators,
-    )
-
-
-def _by_single_worker_need(cell: guarantee_cell.Cell) -> tuple:
-    single_worker = cell.shape.adjacency is states.Adjacency.WORKER
-    need = cell.shape.total if single_worker else cell.shape.per_task
-    return (-need.accelerators, -cell.shape.accelerators)
-
-
-def _by_size(cell: guarantee_cell.Cell) -> tuple:
-    return (-cell.shape.accelerators, -cell.shape.per_task.accelerators)
-
-
-_PLANNING_ORDERS = (_by_scope, _by_single_worker_need, _by_size)
